--- /dev/null
+++ b/libs/berth/include/limeramp/berth/list.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "limeramp/shoal/machine.h"
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limeramp::berth {
+
+struct List {
+  std::map<std::string, std::vector<shoal::ServerRow>> services;
+  std::size_t rows = 0;
+  std::vector<std::string> dropped;
+};
+
+absl::StatusOr<List> readList(std::string_view body);
+
+}
--- /dev/null
+++ b/libs/berth/src/list.cpp
@@ -0,0 +1,49 @@
+#include "limeramp/berth/list.h"
+
+#include "limeramp/manifest/reader.h"
+#include "limeramp/rigging/http.h"
+
+#include <set>
+
+namespace limeramp::berth {
+
+absl::StatusOr<List> readList(std::string_view body) {
+  absl::StatusOr<picojson::value> parsed = manifest::parseJson(body, {4u << 20, 6, 200'000});
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  if (!parsed->is<picojson::object>() || !parsed->get<picojson::object>().contains("servers") ||
+      !parsed->get("servers").is<picojson::array>()) {
+    return absl::InvalidArgumentError("the list has no array 'servers'");
+  }
+  List out;
+  std::set<std::pair<std::string, std::string>> seen;
+  std::size_t index = 0;
+  for (picojson::value const& item : parsed->get("servers").get<picojson::array>()) {
+    std::vector<manifest::Problem> problems;
+    manifest::Reader reader(item, "/servers/" + std::to_string(index++), problems);
+    shoal::ServerRow row;
+    row.address = reader.text("address", std::nullopt);
+    std::string const service = reader.text("service", std::nullopt);
+    row.zone = reader.text("zone", std::nullopt);
+    row.capacity = reader.number("capacity", std::nullopt, 0.1, 1e6);
+    row.leaving = reader.flag("leaving", false);
+    row.slowStartMs = reader.durationMs("slow_start_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0),
+                                        std::chrono::minutes(60));
+    if (problems.empty() && !rigging::Address::parse(row.address)) {
+      reader.complain("address", "must be an IP number and a port");
+    }
+    if (problems.empty() && !seen.emplace(service, row.address).second) {
+      reader.complain("address", "stands twice in the service");
+    }
+    if (!problems.empty()) {
+      out.dropped.push_back(problems.front().path + ": " + problems.front().reason);
+      continue;
+    }
+    out.services[service].push_back(std::move(row));
+    ++out.rows;
+  }
+  return out;
+}
+
+}
--- /dev/null
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -0,0 +1,420 @@
+#pragma once
+
+#include "limeramp/cargo/codec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace limeramp::cargo {
+
+constexpr std::int64_t protocol = 1;
+
+struct Peer {
+  static constexpr char const* name = "Peer";
+  std::string node;
+  std::string address;
+  std::string zone;
+  std::string role;
+  std::uint64_t boot = 0;
+  std::uint64_t ageMs = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("address", self.address);
+    visit("zone", self.zone);
+    visit("role", self.role);
+    visit("boot", self.boot);
+    visit("ageMs", self.ageMs);
+  }
+};
+
+struct Shuffle {
+  static constexpr char const* name = "Shuffle";
+  bool reply = false;
+  std::vector<Peer> peers;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("reply", self.reply);
+    visit("peers", self.peers);
+  }
+};
+
+struct Ballot {
+  static constexpr char const* name = "Ballot";
+  std::uint64_t round = 0;
+  std::string by;
+  auto operator<=>(Ballot const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("round", self.round);
+    visit("by", self.by);
+  }
+};
+
+struct EpochRecord {
+  static constexpr char const* name = "EpochRecord";
+  std::uint64_t epoch = 0;
+  std::string fleet;
+  std::string primary;
+  std::string backup;
+  std::vector<std::string> witnesses;
+  bool operator==(EpochRecord const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("epoch", self.epoch);
+    visit("fleet", self.fleet);
+    visit("primary", self.primary);
+    visit("backup", self.backup);
+    visit("witnesses", self.witnesses);
+  }
+};
+
+struct Prepare {
+  static constexpr char const* name = "Prepare";
+  EpochRecord decided;
+  Ballot ballot;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("decided", self.decided);
+    visit("ballot", self.ballot);
+  }
+};
+
+struct Promise {
+  static constexpr char const* name = "Promise";
+  std::uint64_t slot = 0;
+  Ballot ballot;
+  bool granted = false;
+  Ballot promised;
+  Ballot acceptedBallot;
+  std::optional<EpochRecord> accepted;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("slot", self.slot);
+    visit("ballot", self.ballot);
+    visit("granted", self.granted);
+    visit("promised", self.promised);
+    visit("acceptedBallot", self.acceptedBallot);
+    visit("accepted", self.accepted);
+  }
+};
+
+struct Accept {
+  static constexpr char const* name = "Accept";
+  EpochRecord decided;
+  Ballot ballot;
+  EpochRecord record;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("decided", self.decided);
+    visit("ballot", self.ballot);
+    visit("record", self.record);
+  }
+};
+
+struct Accepted {
+  static constexpr char const* name = "Accepted";
+  std::uint64_t slot = 0;
+  Ballot ballot;
+  bool granted = false;
+  Ballot promised;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("slot", self.slot);
+    visit("ballot", self.ballot);
+    visit("granted", self.granted);
+    visit("promised", self.promised);
+  }
+};
+
+struct Hail {
+  static constexpr char const* name = "Hail";
+  std::string id;
+  EpochRecord decided;
+  std::uint64_t token = 0;
+  std::uint64_t echoed = 0;
+  std::uint64_t sealed = 0;
+  bool settled = false;
+  std::uint64_t stateEpoch = 0;
+  std::uint64_t stateSequence = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("id", self.id);
+    visit("decided", self.decided);
+    visit("token", self.token);
+    visit("echoed", self.echoed);
+    visit("sealed", self.sealed);
+    visit("settled", self.settled);
+    visit("stateEpoch", self.stateEpoch);
+    visit("stateSequence", self.stateSequence);
+  }
+};
+
+struct RosterEntry {
+  static constexpr char const* name = "RosterEntry";
+  std::string node;
+  std::string address;
+  std::string zone;
+  std::uint64_t slot = 0;
+  bool operator==(RosterEntry const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("address", self.address);
+    visit("zone", self.zone);
+    visit("slot", self.slot);
+  }
+};
+
+struct Receipt {
+  static constexpr char const* name = "Receipt";
+  std::string change;
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  std::string digest;
+  bool operator==(Receipt const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("change", self.change);
+    visit("epoch", self.epoch);
+    visit("sequence", self.sequence);
+    visit("digest", self.digest);
+  }
+};
+
+struct State {
+  static constexpr char const* name = "State";
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  std::uint64_t configurationEpoch = 0;
+  std::uint64_t configurationSequence = 0;
+  std::string document;
+  std::vector<RosterEntry> roster;
+  std::vector<Receipt> receipts;
+  bool operator==(State const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("epoch", self.epoch);
+    visit("sequence", self.sequence);
+    visit("configurationEpoch", self.configurationEpoch);
+    visit("configurationSequence", self.configurationSequence);
+    visit("document", self.document);
+    visit("roster", self.roster);
+    visit("receipts", self.receipts);
+  }
+};
+
+struct Sync {
+  static constexpr char const* name = "Sync";
+  EpochRecord decided;
+  std::uint64_t token = 0;
+  bool sealed = false;
+  State state;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("decided", self.decided);
+    visit("token", self.token);
+    visit("sealed", self.sealed);
+    visit("state", self.state);
+  }
+};
+
+struct Synced {
+  static constexpr char const* name = "Synced";
+  std::uint64_t epoch = 0;
+  std::uint64_t token = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("epoch", self.epoch);
+    visit("token", self.token);
+  }
+};
+
+struct Follower {
+  static constexpr char const* name = "Follower";
+  std::string node;
+  std::string address;
+  std::string zone;
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("address", self.address);
+    visit("zone", self.zone);
+    visit("epoch", self.epoch);
+    visit("sequence", self.sequence);
+  }
+};
+
+struct Poll {
+  static constexpr char const* name = "Poll";
+  std::uint64_t token = 0;
+  Follower self;
+  std::vector<Follower> followers;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("token", self.token);
+    visit("self", self.self);
+    visit("followers", self.followers);
+  }
+};
+
+struct News {
+  static constexpr char const* name = "News";
+  std::uint64_t token = 0;
+  std::string node;
+  bool hasAge = false;
+  std::uint64_t ageMs = 0;
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  std::optional<State> state;
+  std::string primaryAddress;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("token", self.token);
+    visit("node", self.node);
+    visit("hasAge", self.hasAge);
+    visit("ageMs", self.ageMs);
+    visit("epoch", self.epoch);
+    visit("sequence", self.sequence);
+    visit("state", self.state);
+    visit("primaryAddress", self.primaryAddress);
+  }
+};
+
+struct TableRow {
+  static constexpr char const* name = "TableRow";
+  std::string address;
+  std::string zone;
+  double capacity = 0;
+  bool leaving = false;
+  std::uint64_t slowStartMs = 0;
+  std::uint64_t ageMs = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("address", self.address);
+    visit("zone", self.zone);
+    visit("capacity", self.capacity);
+    visit("leaving", self.leaving);
+    visit("slowStartMs", self.slowStartMs);
+    visit("ageMs", self.ageMs);
+  }
+};
+
+struct Table {
+  static constexpr char const* name = "Table";
+  std::string service;
+  std::uint64_t digest = 0;
+  bool whole = false;
+  std::vector<TableRow> rows;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("service", self.service);
+    visit("digest", self.digest);
+    visit("whole", self.whole);
+    visit("rows", self.rows);
+  }
+};
+
+struct TablePoll {
+  static constexpr char const* name = "TablePoll";
+  std::string node;
+  std::string address;
+  std::vector<Table> have;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("address", self.address);
+    visit("have", self.have);
+  }
+};
+
+struct TableNews {
+  static constexpr char const* name = "TableNews";
+  std::string node;
+  std::vector<Table> tables;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("tables", self.tables);
+  }
+};
+
+struct HeaderLine {
+  static constexpr char const* name = "HeaderLine";
+  std::string key;
+  std::string value;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("key", self.key);
+    visit("value", self.value);
+  }
+};
+
+struct Carry {
+  static constexpr char const* name = "Carry";
+  std::uint64_t remainingMs = 0;
+  std::string method;
+  std::string target;
+  std::vector<HeaderLine> headers;
+  std::string body;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("remainingMs", self.remainingMs);
+    visit("method", self.method);
+    visit("target", self.target);
+    visit("headers", self.headers);
+    visit("body", self.body);
+  }
+};
+
+struct Carried {
+  static constexpr char const* name = "Carried";
+  std::uint64_t status = 0;
+  std::vector<HeaderLine> headers;
+  std::string body;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("status", self.status);
+    visit("headers", self.headers);
+    visit("body", self.body);
+  }
+};
+
+using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Hail, Sync, Synced, Poll, News, TablePoll,
+                             TableNews>;
+
+struct Envelope {
+  static constexpr char const* name = "Envelope";
+  std::int64_t protocol = cargo::protocol;
+  std::string fleet;
+  std::string from;
+  std::string address;
+  std::string kind;
+  std::string body;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("protocol", self.protocol);
+    visit("fleet", self.fleet);
+    visit("from", self.from);
+    visit("address", self.address);
+    visit("kind", self.kind);
+    visit("body", self.body);
+  }
+};
+
+struct Parcel {
+  std::string fleet;
+  std::string from;
+  std::string address;
+  Message message;
+};
+
+std::string seal(Parcel const& parcel);
+absl::StatusOr<Parcel> unseal(std::string_view bytes);
+
+}
--- /dev/null
+++ b/libs/cargo/src/codec.cpp
@@ -0,0 +1,185 @@
+#include "limeramp/cargo/codec.h"
+
+#include <avro.h>
+
+#include <map>
+
+namespace limeramp::cargo {
+namespace {
+
+struct Kind {
+  avro_schema_t schema = nullptr;
+  avro_value_iface_t* face = nullptr;
+};
+
+Kind const& kindOf(std::string const& schema) {
+  thread_local std::map<std::string, Kind> kinds;
+  std::map<std::string, Kind>::iterator const found = kinds.find(schema);
+  if (found != kinds.end()) {
+    return found->second;
+  }
+  Kind kind;
+  if (avro_schema_from_json_length(schema.data(), schema.size(), &kind.schema) == 0) {
+    kind.face = avro_generic_class_from_schema(kind.schema);
+  }
+  return kinds.emplace(schema, kind).first->second;
+}
+
+constexpr std::size_t mostItems = 100'000;
+
+}
+
+struct Writer::Impl {
+  avro_value_t root{};
+  std::vector<avro_value_t> path;
+  bool good = false;
+};
+
+Writer::Writer(std::string const& schema) : impl_(std::make_unique<Impl>()) {
+  Kind const& kind = kindOf(schema);
+  impl_->good = kind.face != nullptr && avro_generic_value_new(kind.face, &impl_->root) == 0;
+  impl_->path.push_back(impl_->root);
+}
+
+Writer::~Writer() {
+  if (impl_->good) {
+    avro_value_decref(&impl_->root);
+  }
+}
+
+void Writer::enter(char const* name) {
+  avro_value_t field{};
+  avro_value_get_by_name(&impl_->path.back(), name, &field, nullptr);
+  impl_->path.push_back(field);
+}
+
+void Writer::append() {
+  avro_value_t item{};
+  avro_value_append(&impl_->path.back(), &item, nullptr);
+  impl_->path.push_back(item);
+}
+
+void Writer::branch(int which) {
+  avro_value_t inner{};
+  avro_value_set_branch(&impl_->path.back(), which, &inner);
+  if (which == 0) {
+    avro_value_set_null(&inner);
+  }
+  impl_->path.push_back(inner);
+}
+
+void Writer::leave() { impl_->path.pop_back(); }
+void Writer::put(std::int64_t value) { avro_value_set_long(&impl_->path.back(), value); }
+void Writer::put(bool value) { avro_value_set_boolean(&impl_->path.back(), value ? 1 : 0); }
+void Writer::put(double value) { avro_value_set_double(&impl_->path.back(), value); }
+void Writer::put(std::string const& value) {
+  avro_value_set_bytes(&impl_->path.back(), const_cast<char*>(value.data()), value.size());
+}
+
+std::string Writer::finish() {
+  std::size_t size = 0;
+  if (!impl_->good || avro_value_sizeof(&impl_->root, &size) != 0) {
+    return {};
+  }
+  std::string out(size, '\0');
+  avro_writer_t const writer = avro_writer_memory(out.data(), static_cast<std::int64_t>(size));
+  bool const written = avro_value_write(writer, &impl_->root) == 0;
+  avro_writer_free(writer);
+  return written ? out : std::string();
+}
+
+struct Source::Impl {
+  avro_value_t root{};
+  std::vector<avro_value_t> path;
+  bool made = false;
+  bool good = false;
+};
+
+Source::Source(std::string const& schema, std::string_view bytes) : impl_(std::make_unique<Impl>()) {
+  Kind const& kind = kindOf(schema);
+  impl_->made = kind.face != nullptr && avro_generic_value_new(kind.face, &impl_->root) == 0;
+  if (!impl_->made) {
+    return;
+  }
+  avro_reader_t const reader = avro_reader_memory(bytes.data(), static_cast<std::int64_t>(bytes.size()));
+  impl_->good = avro_value_read(reader, &impl_->root) == 0;
+  avro_reader_free(reader);
+  impl_->path.push_back(impl_->root);
+}
+
+Source::~Source() {
+  if (impl_->made) {
+    avro_value_decref(&impl_->root);
+  }
+}
+
+bool Source::good() const { return impl_->good; }
+void Source::spoil() { impl_->good = false; }
+
+bool Source::enter(char const* name) {
+  avro_value_t field{};
+  if (!impl_->good || avro_value_get_by_name(&impl_->path.back(), name, &field, nullptr) != 0) {
+    impl_->good = false;
+    return false;
+  }
+  impl_->path.push_back(field);
+  return true;
+}
+
+std::size_t Source::count() {
+  std::size_t size = 0;
+  if (!impl_->good || avro_value_get_size(&impl_->path.back(), &size) != 0 || size > mostItems) {
+    impl_->good = false;
+    return 0;
+  }
+  return size;
+}
+
+bool Source::item(std::size_t index) {
+  avro_value_t entry{};
+  if (!impl_->good || avro_value_get_by_index(&impl_->path.back(), index, &entry, nullptr) != 0) {
+    impl_->good = false;
+    return false;
+  }
+  impl_->path.push_back(entry);
+  return true;
+}
+
+int Source::branch() {
+  int which = 0;
+  avro_value_t inner{};
+  if (avro_value_get_discriminant(&impl_->path.back(), &which) != 0 ||
+      avro_value_get_current_branch(&impl_->path.back(), &inner) != 0) {
+    impl_->good = false;
+  }
+  impl_->path.push_back(inner);
+  return impl_->good ? which : 0;
+}
+
+void Source::leave() { impl_->path.pop_back(); }
+
+void Source::get(std::int64_t& value) {
+  impl_->good = impl_->good && avro_value_get_long(&impl_->path.back(), &value) == 0;
+}
+
+void Source::get(bool& value) {
+  int number = 0;
+  impl_->good = impl_->good && avro_value_get_boolean(&impl_->path.back(), &number) == 0;
+  value = number != 0;
+}
+
+void Source::get(double& value) {
+  impl_->good = impl_->good && avro_value_get_double(&impl_->path.back(), &value) == 0;
+}
+
+void Source::get(std::string& value) {
+  void const* bytes = nullptr;
+  std::size_t size = 0;
+  if (!impl_->good || avro_value_get_bytes(&impl_->path.back(), &bytes, &size) != 0) {
+    impl_->good = false;
+    return;
+  }
+  value.assign(static_cast<char const*>(bytes), size);
+}
+
+}
--- /dev/null
+++ b/libs/cargo/src/messages.cpp
@@ -0,0 +1,54 @@
+#include "limeramp/cargo/messages.h"
+
+namespace limeramp::cargo {
+namespace {
+
+template <std::size_t Index>
+absl::StatusOr<Message> open(std::string const& kind, std::string const& body) {
+  if constexpr (Index == std::variant_size_v<Message>) {
+    return absl::UnimplementedError("unknown kind " + kind.substr(0, 40));
+  } else {
+    using Kind = std::variant_alternative_t<Index, Message>;
+    if (kind != Kind::name) {
+      return open<Index + 1>(kind, body);
+    }
+    absl::StatusOr<Kind> value = unpack<Kind>(body);
+    if (!value.ok()) {
+      return value.status();
+    }
+    return Message(*std::move(value));
+  }
+}
+
+}
+
+std::string seal(Parcel const& parcel) {
+  Envelope envelope;
+  envelope.fleet = parcel.fleet;
+  envelope.from = parcel.from;
+  envelope.address = parcel.address;
+  std::visit(
+      [&](auto const& message) {
+        envelope.kind = message.name;
+        envelope.body = pack(message);
+      },
+      parcel.message);
+  return pack(envelope);
+}
+
+absl::StatusOr<Parcel> unseal(std::string_view bytes) {
+  absl::StatusOr<Envelope> envelope = unpack<Envelope>(bytes);
+  if (!envelope.ok()) {
+    return envelope.status();
+  }
+  if (envelope->protocol != protocol) {
+    return absl::UnimplementedError("protocol " + std::to_string(envelope->protocol));
+  }
+  absl::StatusOr<Message> message = open<0>(envelope->kind, envelope->body);
+  if (!message.ok()) {
+    return message.status();
+  }
+  return Parcel{envelope->fleet, envelope->from, envelope->address, *std::move(message)};
+}
+
+}
--- /dev/null
+++ b/libs/manifest/include/limeramp/manifest/reader.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "limeramp/manifest/configuration.h"
+
+#include <functional>
+
+namespace limeramp::manifest {
+
+class Reader {
+ public:
+  Reader(picojson::value const& value, std::string path, std::vector<Problem>& problems);
+
+  bool isObject() const;
+  std::string text(std::string const& key, std::optional<std::string> fallback, std::size_t maxBytes = 256);
+  double number(std::string const& key, std::optional<double> fallback, double least, double most);
+  std::size_t whole(std::string const& key, std::optional<std::size_t> fallback, std::size_t least, std::size_t most);
+  std::chrono::milliseconds durationMs(std::string const& key, std::optional<std::chrono::milliseconds> fallback,
+                                       std::chrono::milliseconds least, std::chrono::milliseconds most);
+  bool flag(std::string const& key, bool fallback);
+  std::set<std::string> names(std::string const& key, std::size_t most);
+  std::vector<std::string> texts(std::string const& key, std::size_t most);
+  void eachField(std::string const& key, std::size_t most,
+                 std::function<void(std::string const& name, Reader& inner)> const& visit);
+  void eachItem(std::string const& key, std::size_t least, std::size_t most,
+                std::function<void(Reader& inner)> const& visit);
+  void rejectUnknown();
+  void complain(std::string const& key, std::string const& reason);
+  std::string const& path() const { return path_; }
+
+ private:
+  picojson::value const* find(std::string const& key, bool required);
+
+  picojson::value const& value_;
+  std::string path_;
+  std::vector<Problem>& problems_;
+  std::set<std::string> seen_;
+};
+
+}
--- /dev/null
+++ b/libs/rigging/include/limeramp/rigging/ring.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace limeramp::rigging {
+
+template <typename T>
+class Ring {
+ public:
+  explicit Ring(std::size_t capacity) : slots_(capacity) {}
+
+  bool tryPush(T value, std::size_t spare = 0) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    if (closed_ || count_ + spare >= slots_.size()) {
+      return false;
+    }
+    place(std::move(value));
+    return true;
+  }
+
+  bool push(T value) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    roomier_.wait(lock, [this] { return closed_ || count_ < slots_.size(); });
+    if (closed_) {
+      return false;
+    }
+    place(std::move(value));
+    return true;
+  }
+
+  std::optional<T> popUntil(std::chrono::steady_clock::time_point wake) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    fuller_.wait_until(lock, wake, [this] { return closed_ || count_ > 0; });
+    return take();
+  }
+
+  std::optional<T> pop() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    fuller_.wait(lock, [this] { return closed_ || count_ > 0; });
+    return take();
+  }
+
+  void close() {
+    std::unique_lock<std::mutex> const lock(mutex_);
+    closed_ = true;
+    fuller_.notify_all();
+    roomier_.notify_all();
+  }
+
+  bool closed() const {
+    std::unique_lock<std::mutex> const lock(mutex_);
+    return closed_ && count_ == 0;
+  }
+
+ private:
+  void place(T value) {
+    slots_[(first_ + count_) % slots_.size()].emplace(std::move(value));
+    ++count_;
+    fuller_.notify_one();
+  }
+
+  std::optional<T> take() {
+    if (count_ == 0) {
+      return std::nullopt;
+    }
+    std::optional<T> out = std::move(slots_[first_]);
+    slots_[first_].reset();
+    first_ = (first_ + 1) % slots_.size();
+    --count_;
+    roomier_.notify_one();
+    return out;
+  }
+
+  mutable std::mutex mutex_;
+  std::condition_variable fuller_;
+  std::condition_variable roomier_;
+  std::vector<std::optional<T>> slots_;
+  std::size_t first_ = 0;
+  std::size_t count_ = 0;
+  bool closed_ = false;
+};
+
+}
--- /dev/null
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "limeramp/signal/signal.h"
+#include "limeramp/tally/ledger.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace limeramp::shoal {
+
+using tally::TimePoint;
+
+struct Policy {
+  std::size_t concurrentPerServer = 4;
+  std::size_t maxWaitingPerService = 512;
+  std::size_t maxWaitingPerTenant = 128;
+  std::size_t maxRequests = 4000;
+  double stragglerFactor = 1.5;
+  double stragglerQuantile = 0.95;
+  std::chrono::milliseconds stragglerLeastMs{15};
+  double stragglerShareOfDeadline = 0.4;
+  double marginShareOfDeadline = 0.06;
+  std::chrono::milliseconds marginLeastMs{8};
+  std::chrono::milliseconds ghostMostMs{1000};
+  std::chrono::milliseconds downFirstMs{500};
+  std::chrono::milliseconds downMostMs{4000};
+  std::chrono::milliseconds stallMs{1000};
+  double freshShare = 0.2;
+  bool rerun = true;
+};
+
+struct ServerRow {
+  std::string address;
+  std::string zone;
+  double capacity = 50;
+  bool leaving = false;
+  std::chrono::milliseconds slowStartMs{0};
+  std::chrono::milliseconds ageMs{0};
+};
+
+struct Servers {
+  std::string service;
+  std::vector<ServerRow> rows;
+};
+
+struct Place {
+  std::size_t fronts = 1;
+  std::size_t rank = 0;
+  double budgetDepth = 0;
+};
+
+struct Arrive {
+  std::uint64_t request = 0;
+  std::string tenant;
+  std::vector<std::string> services;
+  std::size_t minimum = 1;
+  std::size_t max_attempts = 1;
+  bool repeatable = false;
+  TimePoint deadline;
+};
+
+struct Returned {
+  std::uint64_t attempt = 0;
+  bool good = false;
+  bool healthy = false;
+  tally::Verdict verdict = tally::Verdict::mayHaveRun;
+  std::optional<double> load;
+};
+
+struct Tick {};
+
+using Event = std::variant<Servers, Place, Arrive, Returned, Tick>;
+
+struct Send {
+  std::uint64_t attempt = 0;
+  std::uint64_t request = 0;
+  std::size_t leg = 0;
+  std::string server;
+  TimePoint deadline;
+  bool extra = false;
+};
+
+struct Cancel {
+  std::uint64_t attempt = 0;
+};
+
+struct Keep {
+  std::uint64_t attempt = 0;
+  std::uint64_t request = 0;
+  std::size_t leg = 0;
+};
+
+enum class Ending { complete, partial, refused, failed };
+
+struct Finish {
+  std::uint64_t request = 0;
+  Ending ending = Ending::failed;
+  tally::Verdict verdict = tally::Verdict::mayHaveRun;
+  std::vector<std::size_t> missing;
+  std::string reason;
+  std::optional<std::chrono::seconds> retryAfter;
+};
+
+struct Note {
+  signal::Event event;
+  std::string service;
+  std::string server;
+};
+
+using Effect = std::variant<Send, Cancel, Keep, Finish, Note>;
+
+struct ServerView {
+  std::string service;
+  std::string address;
+  std::string zone;
+  std::size_t inFlight = 0;
+  double latencyMs = 0;
+  bool down = false;
+  bool leaving = false;
+  bool fresh = false;
+  double load = 0;
+};
+
+struct Counters {
+  std::uint64_t arrivals = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t extras = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t lostRaces = 0;
+  std::uint64_t missing = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t budgetSpent = 0;
+};
+
+class Machine {
+ public:
+  explicit Machine(Policy const& policy);
+  ~Machine();
+  Machine(Machine&&) noexcept;
+  Machine& operator=(Machine&&) noexcept;
+
+  std::vector<Effect> step(TimePoint now, Event const& event);
+  std::optional<TimePoint> nextWake(TimePoint now) const;
+  std::vector<ServerView> servers(TimePoint now) const;
+  Counters counters() const;
+  std::size_t requests() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/libs/shoal/src/part.cpp
@@ -0,0 +1,138 @@
+#include "limeramp/shoal/part.h"
+
+#include "limeramp/manifest/json.h"
+
+#include <tbb/flow_graph.h>
+#include <tbb/task_arena.h>
+
+#include <algorithm>
+
+namespace limeramp::shoal {
+namespace {
+
+absl::StatusOr<std::string> field(picojson::object const& fields, std::string const& key) {
+  picojson::object::const_iterator const found = fields.find(key);
+  if (found == fields.end() || !found->second.is<std::string>()) {
+    return absl::InvalidArgumentError("stamp without " + key);
+  }
+  return found->second.get<std::string>();
+}
+
+struct ReadJob {
+  std::string body;
+  Stamp expected;
+  std::size_t result_size = 0;
+  std::function<void(absl::StatusOr<Part>)> done;
+};
+
+struct MergeJob {
+  std::vector<PartPtr> parts;
+  std::size_t result_size = 0;
+  std::function<void(std::vector<std::string>)> done;
+};
+
+}
+
+absl::StatusOr<Part> readPart(std::string_view body, Stamp const& expected, std::size_t result_size) {
+  absl::StatusOr<picojson::value> parsed = manifest::parseJson(body, {4u << 20, 4, 100'000});
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  if (!parsed->is<picojson::object>()) {
+    return absl::InvalidArgumentError("part is not an object");
+  }
+  picojson::object& fields = parsed->get<picojson::object>();
+  picojson::object::const_iterator const stamp = fields.find("stamp");
+  picojson::object::iterator const records = fields.find("records");
+  if (stamp == fields.end() || !stamp->second.is<picojson::object>()) {
+    return absl::InvalidArgumentError("part without stamp");
+  }
+  if (records == fields.end() || !records->second.is<picojson::array>()) {
+    return absl::InvalidArgumentError("part without records");
+  }
+  Part part;
+  picojson::object const& marks = stamp->second.get<picojson::object>();
+  for (std::pair<std::string, std::string*> const& want :
+       {std::pair<std::string, std::string*>("shard", &part.stamp.shard),
+        std::pair<std::string, std::string*>("cut", &part.stamp.cut),
+        std::pair<std::string, std::string*>("request", &part.stamp.request)}) {
+    absl::StatusOr<std::string> value = field(marks, want.first);
+    if (!value.ok()) {
+      return value.status();
+    }
+    *want.second = *std::move(value);
+  }
+  if (!(part.stamp == expected)) {
+    return absl::InvalidArgumentError("stamp of another part");
+  }
+  for (picojson::value& record : records->second.get<picojson::array>()) {
+    if (!record.is<std::string>()) {
+      return absl::InvalidArgumentError("record is not a string");
+    }
+    part.records.push_back(std::move(record.get<std::string>()));
+  }
+  std::size_t const kept = std::min(result_size, part.records.size());
+  std::partial_sort(part.records.begin(), part.records.begin() + static_cast<long>(kept), part.records.end(),
+                    std::greater<std::string>());
+  part.records.resize(kept);
+  return part;
+}
+
+std::vector<std::string> mergeParts(std::vector<PartPtr> const& parts, std::size_t result_size) {
+  std::vector<std::string const*> all;
+  for (PartPtr const& part : parts) {
+    for (std::string const& record : part->records) {
+      all.push_back(&record);
+    }
+  }
+  std::size_t const kept = std::min(result_size, all.size());
+  std::partial_sort(all.begin(), all.begin() + static_cast<long>(kept), all.end(),
+                    [](std::string const* left, std::string const* right) { return *left > *right; });
+  std::vector<std::string> out;
+  out.reserve(kept);
+  for (std::size_t index = 0; index < kept; ++index) {
+    out.push_back(*all[index]);
+  }
+  return out;
+}
+
+struct Mill::Impl {
+  explicit Impl(std::size_t hands)
+      : arena(static_cast<int>(hands), 0),
+        graph(makeGraph()),
+        reader(*graph, tbb::flow::unlimited,
+               [](ReadJob const& job) {
+                 job.done(readPart(job.body, job.expected, job.result_size));
+                 return tbb::flow::continue_msg();
+               }),
+        merger(*graph, tbb::flow::unlimited, [](MergeJob const& job) {
+          job.done(mergeParts(job.parts, job.result_size));
+          return tbb::flow::continue_msg();
+        }) {}
+
+  std::unique_ptr<tbb::flow::graph> makeGraph() {
+    std::unique_ptr<tbb::flow::graph> made;
+    arena.execute([&made] { made = std::make_unique<tbb::flow::graph>(); });
+    return made;
+  }
+
+  tbb::task_arena arena;
+  std::unique_ptr<tbb::flow::graph> graph;
+  tbb::flow::function_node<ReadJob> reader;
+  tbb::flow::function_node<MergeJob> merger;
+};
+
+Mill::Mill(std::size_t hands) : impl_(std::make_unique<Impl>(hands)) {}
+Mill::~Mill() { impl_->graph->wait_for_all(); }
+
+void Mill::read(std::string body, Stamp expected, std::size_t result_size,
+                std::function<void(absl::StatusOr<Part>)> done) {
+  impl_->reader.try_put({std::move(body), std::move(expected), result_size, std::move(done)});
+}
+
+void Mill::merge(std::vector<PartPtr> parts, std::size_t result_size,
+                 std::function<void(std::vector<std::string>)> done) {
+  impl_->merger.try_put({std::move(parts), result_size, std::move(done)});
+}
+
+}
--- /dev/null
+++ b/libs/signal/include/limeramp/signal/signal.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace limeramp::signal {
+
+enum class Level { debug, info, warning, error };
+
+enum class Event : int {
+  processStarted = 100,
+  processStopping = 101,
+  settingsRefused = 102,
+  listening = 103,
+  configurationInForce = 200,
+  configurationTaken = 201,
+  configurationRefused = 202,
+  configurationUnknown = 203,
+  configurationUnreadable = 204,
+  readinessChanged = 210,
+  drainBegan = 211,
+  listRead = 300,
+  listUnreachable = 301,
+  listRowDropped = 302,
+  listEmptyHeld = 303,
+  homeChanged = 310,
+  serverDown = 400,
+  serverBack = 401,
+  partRefused = 402,
+  budgetSpent = 403,
+  overloadRefused = 404,
+  founded = 500,
+  epochGranted = 501,
+  primaryBegan = 502,
+  primaryStopped = 503,
+  backupLost = 504,
+  replicaRebuilt = 505,
+  ballotLost = 506,
+  diskFailed = 510,
+  diskDamaged = 511,
+  diskTailCut = 512,
+  messageDropped = 600,
+  peerStrange = 601,
+  rosterChanged = 602,
+};
+
+struct EventInfo {
+  Event event;
+  Level level;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+std::span<EventInfo const> catalogue();
+
+struct Field {
+  std::string_view name;
+  std::string value;
+};
+
+void open(std::string const& program, std::string const& node, Level least);
+void raise(Event event, std::initializer_list<Field> fields = {});
+
+}
--- /dev/null
+++ b/libs/signal/src/signal.cpp
@@ -0,0 +1,98 @@
+#include "limeramp/signal/signal.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+
+namespace limeramp::signal {
+namespace {
+
+constexpr std::array<EventInfo, 34> events{{
+    {Event::processStarted, Level::info, "process_started", "the process read its settings and begins its duties"},
+    {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
+    {Event::settingsRefused, Level::error, "settings_refused", "the settings file or a flag is not usable"},
+    {Event::listening, Level::info, "listening", "the address on which the process takes connections"},
+    {Event::configurationInForce, Level::info, "configuration_in_force", "this node now answers under the named version"},
+    {Event::configurationTaken, Level::info, "configuration_taken", "a change was made safe and acknowledged"},
+    {Event::configurationRefused, Level::info, "configuration_refused", "a change was refused and left no trace"},
+    {Event::configurationUnknown, Level::warning, "configuration_unknown", "what became of a change could not be learnt in time"},
+    {Event::configurationUnreadable, Level::error, "configuration_unreadable", "a delivered configuration did not pass this node's check"},
+    {Event::readinessChanged, Level::info, "readiness_changed", "the node became ready or stopped being ready, with the reason"},
+    {Event::drainBegan, Level::info, "drain_began", "the node takes no new connections and finishes what it holds"},
+    {Event::listRead, Level::info, "list_read", "a platform list that differs from the last one was read"},
+    {Event::listUnreachable, Level::warning, "list_unreachable", "the platform list could not be read; the last good one stays"},
+    {Event::listRowDropped, Level::warning, "list_row_dropped", "a row of the platform list was malformed and left out"},
+    {Event::listEmptyHeld, Level::warning, "list_empty_held", "the list became empty at once; the last one is held for a while"},
+    {Event::homeChanged, Level::debug, "home_changed", "another node became the home of a service for this node"},
+    {Event::serverDown, Level::warning, "server_down", "a server's answers failed or stopped arriving; it gets no work for a while"},
+    {Event::serverBack, Level::info, "server_back", "a server that was marked down answered again"},
+    {Event::partRefused, Level::warning, "part_refused", "a part was malformed or not the one asked for, and counts as a failure"},
+    {Event::budgetSpent, Level::debug, "budget_spent", "an extra attempt was not sent because the service's budget is spent"},
+    {Event::overloadRefused, Level::debug, "overload_refused", "a request was refused before any byte went to a server"},
+    {Event::founded, Level::info, "founded", "the control group was founded; this happens once in a fleet's life"},
+    {Event::epochGranted, Level::info, "epoch_granted", "the witnesses granted an epoch"},
+    {Event::primaryBegan, Level::info, "primary_began", "this replica is primary and takes changes"},
+    {Event::primaryStopped, Level::warning, "primary_stopped", "this replica stopped being primary"},
+    {Event::backupLost, Level::warning, "backup_lost", "the primary does not hear its backup and looks for another"},
+    {Event::replicaRebuilt, Level::info, "replica_rebuilt", "this replica took a snapshot from its peer"},
+    {Event::ballotLost, Level::debug, "ballot_lost", "a ballot did not gather its votes and will be repeated"},
+    {Event::diskFailed, Level::error, "disk_failed", "a write or sync failed or took too long; the replica steps down"},
+    {Event::diskDamaged, Level::error, "disk_damaged", "stored records are damaged and will not be served"},
+    {Event::diskTailCut, Level::warning, "disk_tail_cut", "an unfinished last record was cut at start"},
+    {Event::messageDropped, Level::debug, "message_dropped", "a message to a peer was dropped because its queue was full or the peer is gone"},
+    {Event::peerStrange, Level::warning, "peer_strange", "a message of another fleet, of an unknown kind or version was left out"},
+    {Event::rosterChanged, Level::info, "roster_changed", "the set of nodes that share the fleet's duties changed"},
+}};
+
+EventInfo const& infoOf(Event event) {
+  return *std::find_if(events.begin(), events.end(), [event](EventInfo const& info) { return info.event == event; });
+}
+
+spdlog::level::level_enum levelOf(Level level) {
+  switch (level) {
+    case Level::debug:
+      return spdlog::level::debug;
+    case Level::info:
+      return spdlog::level::info;
+    case Level::warning:
+      return spdlog::level::warn;
+    case Level::error:
+      return spdlog::level::err;
+  }
+  return spdlog::level::err;
+}
+
+}
+
+std::span<EventInfo const> catalogue() { return events; }
+
+void open(std::string const& program, std::string const& node, Level least) {
+  std::shared_ptr<spdlog::logger> const logger = spdlog::stderr_logger_mt(program + "@" + node);
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %n %v", spdlog::pattern_time_type::utc);
+  logger->set_level(levelOf(least));
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+void raise(Event event, std::initializer_list<Field> fields) {
+  EventInfo const& info = infoOf(event);
+  spdlog::level::level_enum const level = levelOf(info.level);
+  if (!spdlog::default_logger_raw()->should_log(level)) {
+    return;
+  }
+  std::string line = "E" + std::to_string(static_cast<int>(event)) + " " + std::string(info.name);
+  for (Field const& field : fields) {
+    line += " ";
+    line += field.name;
+    line += "=";
+    for (char const letter : field.value.substr(0, 512)) {
+      line += (static_cast<unsigned char>(letter) < 0x20 || letter == 0x7f) ? '?' : letter;
+    }
+  }
+  spdlog::log(level, "{}", line);
+}
+
+}
--- /dev/null
+++ b/libs/tally/include/limeramp/tally/ledger.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "limeramp/tally/verdict.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace limeramp::tally {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+enum class Phase { assigned, complete, failed, cancelled };
+
+struct Attempt {
+  std::uint64_t id = 0;
+  std::string server;
+  TimePoint began;
+  Phase phase = Phase::assigned;
+  Verdict verdict = Verdict::mayHaveRun;
+};
+
+class Ledger {
+ public:
+  void assign(std::uint64_t attempt, std::string const& server, TimePoint now);
+  void complete(std::uint64_t attempt);
+  void fail(std::uint64_t attempt, Verdict verdict);
+  void cancel(std::uint64_t attempt);
+
+  bool hasOpen() const;
+  bool isComplete() const;
+  bool hasTried(std::string const& server) const;
+  bool mayAttemptAgain(std::size_t mostAttempts, bool repeatable) const;
+  bool mayHaveRun() const;
+  TimePoint lastBegan() const;
+  std::vector<Attempt> const& attempts() const { return attempts_; }
+
+ private:
+  void close(std::uint64_t attempt, Phase phase, Verdict verdict);
+
+  std::vector<Attempt> attempts_;
+};
+
+class Budget {
+ public:
+  static constexpr double earnedPerArrival = 0.2;
+
+  void setDepth(double depth);
+  void earn();
+  bool spend();
+  double left() const { return left_; }
+
+ private:
+  double depth_ = 0;
+  double left_ = 0;
+};
+
+}
--- /dev/null
+++ b/tests/shoal_test.cpp
@@ -0,0 +1,373 @@
+#include "limeramp/shoal/machine.h"
+#include "limeramp/shoal/part.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::shoal;
+using Ms = std::chrono::milliseconds;
+
+TimePoint const start{std::chrono::hours(1)};
+
+struct Bench {
+  explicit Bench(Policy const& policy = {}) : machine(policy) {}
+
+  Machine machine;
+  TimePoint now = start;
+  std::vector<Send> sent;
+  std::vector<std::uint64_t> cancelled;
+  std::vector<Keep> kept;
+  std::vector<Finish> finished;
+
+  void step(Event const& event) {
+    for (Effect const& effect : machine.step(now, event)) {
+      if (Send const* const send = std::get_if<Send>(&effect)) {
+        sent.push_back(*send);
+      } else if (Cancel const* const cancel = std::get_if<Cancel>(&effect)) {
+        cancelled.push_back(cancel->attempt);
+      } else if (Keep const* const keep = std::get_if<Keep>(&effect)) {
+        kept.push_back(*keep);
+      } else if (Finish const* const finish = std::get_if<Finish>(&effect)) {
+        finished.push_back(*finish);
+      }
+    }
+  }
+  void servers(std::string const& service, std::size_t count) {
+    Servers event{service, {}};
+    for (std::size_t index = 0; index < count; ++index) {
+      ServerRow row;
+      row.address = service + "-" + std::to_string(index);
+      event.rows.push_back(row);
+    }
+    step(event);
+  }
+  void place(double depth) { step(Place{1, 0, depth}); }
+  void arrive(std::uint64_t request, std::vector<std::string> services, std::size_t minimum, std::size_t most,
+              bool repeatable, Ms deadlineMs, std::string const& tenant = "t") {
+    step(Arrive{request, tenant, std::move(services), minimum, most, repeatable, now + deadlineMs});
+  }
+  void good(std::uint64_t attempt) { step(Returned{attempt, true, true, tally::Verdict::ran, {}}); }
+  void bad(std::uint64_t attempt, tally::Verdict verdict) { step(Returned{attempt, false, false, verdict, {}}); }
+  void pass(Ms passedMs) {
+    for (Ms done{0}; done < passedMs; done += Ms(5)) {
+      now += Ms(5);
+      step(Tick{});
+    }
+  }
+  void warm(std::string const& service, double depth) {
+    place(depth);
+    for (std::uint64_t request = 1000; request < 1400; ++request) {
+      arrive(request, {service}, 1, 1, true, Ms(500));
+      now += Ms(10);
+      good(sent.back().attempt);
+    }
+    sent.clear();
+    kept.clear();
+    finished.clear();
+  }
+};
+
+TEST(Queue, AnIdleServerTakesTheNextQueryOfItsOwnShardOnly) {
+  Policy policy;
+  policy.concurrentPerServer = 1;
+  Bench bench(policy);
+  bench.servers("a", 1);
+  bench.servers("b", 1);
+  bench.arrive(1, {"a", "b"}, 2, 1, true, Ms(500));
+  bench.arrive(2, {"a", "b"}, 2, 1, true, Ms(500));
+  ASSERT_EQ(bench.sent.size(), 2u);
+  bench.good(bench.sent[0].attempt);
+  ASSERT_EQ(bench.sent.size(), 3u);
+  EXPECT_EQ(bench.sent[2].server, "a-0");
+  EXPECT_EQ(bench.sent[2].request, 2u);
+  bench.good(bench.sent[2].attempt);
+  EXPECT_EQ(bench.sent.size(), 3u);
+  bench.good(bench.sent[1].attempt);
+  ASSERT_EQ(bench.sent.size(), 4u);
+  EXPECT_EQ(bench.sent[3].server, "b-0");
+}
+
+TEST(Rerun, OnlyWhenNothingWaitsAndOnlyWithinTheBudget) {
+  for (double const depth : {0.0, 5.0}) {
+    Bench bench;
+    bench.servers("a", 2);
+    bench.warm("a", depth);
+    bench.arrive(1, {"a"}, 1, 2, true, Ms(500));
+    bench.pass(Ms(200));
+    EXPECT_EQ(bench.sent.size(), depth > 0 ? 2u : 1u);
+    if (depth > 0) {
+      EXPECT_TRUE(bench.sent[1].extra);
+      EXPECT_NE(bench.sent[0].server, bench.sent[1].server);
+    }
+  }
+}
+
+TEST(Rerun, AWaitingQueryGoesBeforeAStraggler) {
+  Policy policy;
+  policy.concurrentPerServer = 1;
+  Bench bench(policy);
+  bench.servers("a", 2);
+  bench.warm("a", 5);
+  bench.arrive(1, {"a"}, 1, 2, true, Ms(500));
+  bench.arrive(2, {"a"}, 1, 2, true, Ms(500));
+  bench.arrive(3, {"a"}, 1, 2, true, Ms(500));
+  bench.pass(Ms(100));
+  ASSERT_EQ(bench.sent.size(), 2u);
+  bench.good(bench.sent[1].attempt);
+  ASSERT_EQ(bench.sent.size(), 3u);
+  EXPECT_EQ(bench.sent[2].request, 3u);
+  EXPECT_FALSE(bench.sent[2].extra);
+}
+
+TEST(Rerun, AForwardThatIsNotRepeatableIsNeverSentTwiceUnlessItDidNotRun) {
+  for (tally::Verdict const verdict : {tally::Verdict::notRun, tally::Verdict::mayHaveRun}) {
+    Bench bench;
+    bench.servers("a", 3);
+    bench.warm("a", 5);
+    bench.arrive(1, {"a"}, 1, 3, false, Ms(500));
+    bench.pass(Ms(100));
+    ASSERT_EQ(bench.sent.size(), 1u);
+    bench.bad(bench.sent[0].attempt, verdict);
+    if (verdict == tally::Verdict::notRun) {
+      EXPECT_EQ(bench.sent.size(), 2u);
+      EXPECT_TRUE(bench.finished.empty());
+    } else {
+      EXPECT_EQ(bench.sent.size(), 1u);
+      ASSERT_EQ(bench.finished.size(), 1u);
+      EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::mayHaveRun);
+    }
+  }
+}
+
+TEST(Orders, AnswersOfBothAttemptsInEveryOrderGiveOnePartForEachShard) {
+  std::vector<int> moves{0, 1, 2, 3};
+  std::size_t tried = 0;
+  do {
+    Bench bench;
+    bench.servers("a", 2);
+    bench.servers("b", 2);
+    bench.warm("a", 5);
+    bench.warm("b", 5);
+    bench.arrive(1, {"a", "b"}, 2, 2, true, Ms(500));
+    bench.pass(Ms(100));
+    ASSERT_EQ(bench.sent.size(), 4u);
+    for (int const move : moves) {
+      bench.good(bench.sent[static_cast<std::size_t>(move)].attempt);
+    }
+    ASSERT_EQ(bench.finished.size(), 1u);
+    EXPECT_EQ(bench.finished[0].ending, Ending::complete);
+    std::set<std::size_t> legs;
+    for (Keep const& keep : bench.kept) {
+      EXPECT_TRUE(legs.insert(keep.leg).second);
+    }
+    EXPECT_EQ(legs.size(), 2u);
+    EXPECT_EQ(bench.cancelled.size(), 2u);
+    EXPECT_EQ(bench.machine.requests(), 0u);
+    ++tried;
+  } while (std::next_permutation(moves.begin(), moves.end()));
+  EXPECT_EQ(tried, 24u);
+}
+
+TEST(Ending, AShardWithNoServerLeftIsLeftOutAtOnce) {
+  Bench bench;
+  bench.servers("a", 1);
+  bench.servers("b", 1);
+  bench.arrive(1, {"a", "b"}, 1, 2, true, Ms(500));
+  bench.bad(bench.sent[0].attempt, tally::Verdict::mayHaveRun);
+  EXPECT_TRUE(bench.finished.empty());
+  bench.good(bench.sent[1].attempt);
+  ASSERT_EQ(bench.finished.size(), 1u);
+  EXPECT_EQ(bench.finished[0].ending, Ending::partial);
+  EXPECT_EQ(bench.finished[0].missing, std::vector<std::size_t>{0});
+}
+
+TEST(Ending, TooFewShardsFailAtOnceAndNotAtTheDeadline) {
+  Bench bench;
+  bench.servers("a", 1);
+  bench.servers("b", 1);
+  bench.arrive(1, {"a", "b"}, 2, 1, true, Ms(5000));
+  bench.bad(bench.sent[0].attempt, tally::Verdict::mayHaveRun);
+  ASSERT_EQ(bench.finished.size(), 1u);
+  EXPECT_EQ(bench.finished[0].ending, Ending::failed);
+  EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::mayHaveRun);
+  EXPECT_EQ(bench.cancelled, std::vector<std::uint64_t>{bench.sent[1].attempt});
+}
+
+TEST(Ending, BeforeTheDeadlineWithTheMinimumItAnswersWithoutTheSlowShard) {
+  Bench bench;
+  bench.servers("a", 1);
+  bench.servers("b", 1);
+  bench.arrive(1, {"a", "b"}, 1, 1, true, Ms(300));
+  bench.good(bench.sent[0].attempt);
+  bench.pass(Ms(295));
+  ASSERT_EQ(bench.finished.size(), 1u);
+  EXPECT_EQ(bench.finished[0].ending, Ending::partial);
+  bench.good(bench.sent[1].attempt);
+  EXPECT_EQ(bench.kept.size(), 1u);
+}
+
+TEST(Refusal, IsSaidOnlyWhenNoByteWentOut) {
+  Policy policy;
+  policy.maxWaitingPerTenant = 2;
+  policy.concurrentPerServer = 1;
+  Bench bench(policy);
+  bench.servers("a", 1);
+  for (std::uint64_t request = 1; request <= 4; ++request) {
+    bench.arrive(request, {"a"}, 1, 1, false, Ms(500));
+  }
+  ASSERT_EQ(bench.finished.size(), 1u);
+  EXPECT_EQ(bench.finished[0].ending, Ending::refused);
+  EXPECT_TRUE(bench.finished[0].retryAfter.has_value());
+  bench.pass(Ms(500));
+  ASSERT_EQ(bench.finished.size(), 4u);
+  std::set<std::uint64_t> touched;
+  for (Send const& send : bench.sent) {
+    touched.insert(send.request);
+  }
+  for (Finish const& finish : bench.finished) {
+    EXPECT_EQ(finish.verdict == tally::Verdict::notRun, !touched.contains(finish.request));
+  }
+}
+
+TEST(Fairness, AFloodingTenantDoesNotStarveAnother) {
+  Policy policy;
+  policy.concurrentPerServer = 1;
+  Bench bench(policy);
+  bench.servers("a", 1);
+  for (std::uint64_t request = 1; request <= 100; ++request) {
+    bench.arrive(request, {"a"}, 1, 1, true, Ms(5000), "flood");
+  }
+  bench.arrive(200, {"a"}, 1, 1, true, Ms(5000), "calm");
+  bench.good(bench.sent[0].attempt);
+  bench.good(bench.sent[1].attempt);
+  EXPECT_TRUE(bench.sent[1].request == 200 || bench.sent[2].request == 200);
+}
+
+TEST(Down, ABriefPauseDoesNotMarkButARefusingServerIsLeftAloneAndComesBack) {
+  Bench bench;
+  bench.servers("a", 2);
+  bench.warm("a", 5);
+  bench.arrive(1, {"a"}, 1, 2, true, Ms(500));
+  bench.pass(Ms(100));
+  bench.good(bench.sent[1].attempt);
+  for (ServerView const& server : bench.machine.servers(bench.now)) {
+    EXPECT_FALSE(server.down);
+  }
+  bench.pass(Ms(2000));
+  std::size_t refused = 0;
+  for (std::uint64_t request = 10; request < 40; ++request) {
+    bench.arrive(request, {"a"}, 1, 2, true, Ms(500));
+    while (bench.machine.requests() > 0) {
+      Send const last = bench.sent.back();
+      if (last.server == "a-1") {
+        ++refused;
+        bench.bad(last.attempt, tally::Verdict::notRun);
+      } else {
+        bench.good(last.attempt);
+      }
+    }
+  }
+  EXPECT_EQ(refused, 2u);
+  bench.pass(Ms(600));
+  for (std::uint64_t request = 50; request < 60; ++request) {
+    bench.arrive(request, {"a"}, 1, 2, true, Ms(500));
+    bench.good(bench.sent.back().attempt);
+  }
+  for (ServerView const& server : bench.machine.servers(bench.now)) {
+    EXPECT_FALSE(server.down) << server.address;
+  }
+}
+
+TEST(Leaving, GetsNoNewWorkAndFinishesWhatItHas) {
+  Bench bench;
+  bench.servers("a", 1);
+  bench.arrive(1, {"a"}, 1, 1, true, Ms(500));
+  Servers leaving{"a", {}};
+  ServerRow row;
+  row.address = "a-0";
+  row.leaving = true;
+  leaving.rows.push_back(row);
+  bench.step(leaving);
+  bench.arrive(2, {"a"}, 1, 1, true, Ms(500));
+  EXPECT_EQ(bench.sent.size(), 1u);
+  ASSERT_EQ(bench.finished.size(), 1u);
+  EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::notRun);
+  bench.good(bench.sent[0].attempt);
+  EXPECT_EQ(bench.finished.size(), 2u);
+}
+
+TEST(Budget, OverEveryStretchOfTimeExtrasStayBelowAFifthPlusTheDepth) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937_64 dice(seed);
+    Bench bench;
+    bench.servers("a", 4);
+    bench.place(6);
+    std::vector<std::pair<TimePoint, bool>> arrivals;
+    std::vector<std::uint64_t> openAttempts;
+    std::size_t seen = 0;
+    for (std::uint64_t request = 1; request <= 1500; ++request) {
+      bench.now += Ms(static_cast<long>(dice() % (request / 500 == 1 ? 80 : 10)));
+      bench.arrive(request, {"a"}, 1, 4, true, Ms(300));
+      bench.step(Tick{});
+      for (; seen < bench.sent.size(); ++seen) {
+        bool const first = std::none_of(bench.sent.begin(), bench.sent.begin() + static_cast<long>(seen),
+                                        [&](Send const& send) { return send.request == bench.sent[seen].request; });
+        arrivals.emplace_back(bench.now, first);
+        if (request < 500 || dice() % 3 != 0) {
+          openAttempts.push_back(bench.sent[seen].attempt);
+        }
+      }
+      if (!openAttempts.empty() && (request < 500 || dice() % 2 == 0)) {
+        std::uint64_t const attempt = openAttempts.back();
+        openAttempts.pop_back();
+        if (request >= 500 && dice() % 4 == 0) {
+          bench.bad(attempt, tally::Verdict::mayHaveRun);
+        } else {
+          bench.good(attempt);
+        }
+      }
+    }
+    double above = 0;
+    double most = 0;
+    for (std::pair<TimePoint, bool> const& arrival : arrivals) {
+      above = std::max(0.0, above + (arrival.second ? -0.2 : 1.0));
+      most = std::max(most, above);
+    }
+    EXPECT_LE(most, 6.0 + 1e-6) << "seed " << seed;
+    EXPECT_GT(most, 4.0) << "seed " << seed;
+  }
+}
+
+TEST(Part, OnlyTheOneAskedForIsTaken) {
+  Stamp const stamp{"a", "c1", "r1"};
+  std::string const right = R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":["b","c","a"]})";
+  absl::StatusOr<Part> const part = readPart(right, stamp, 2);
+  ASSERT_TRUE(part.ok());
+  EXPECT_EQ(part->records, (std::vector<std::string>{"c", "b"}));
+  for (char const* const wrong :
+       {R"({"stamp":{"shard":"b","cut":"c1","request":"r1"},"records":[]})",
+        R"({"stamp":{"shard":"a","cut":"c2","request":"r1"},"records":[]})",
+        R"({"stamp":{"shard":"a","cut":"c1","request":"r2"},"records":[]})", R"({"stamp":{"shard":"a","cut":"c1"},"records":[]})",
+        R"({"records":[]})", R"({"stamp":{"shard":"a","cut":"c1","request":"r1"}})",
+        R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":[1]})", R"({"stamp":{"shard":"a","cut")", "", "[]",
+        R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":["b"]}x)"}) {
+    EXPECT_FALSE(readPart(wrong, stamp, 2).ok()) << wrong;
+  }
+}
+
+TEST(Merge, TakesTheGreatestByteByByte) {
+  PartPtr const first = std::make_shared<Part const>(Part{{}, {"z", "b"}});
+  PartPtr const second = std::make_shared<Part const>(Part{{}, {"\xff", "ba", "a"}});
+  EXPECT_EQ(mergeParts({first, second}, 4), (std::vector<std::string>{"\xff", "z", "ba", "b"}));
+  EXPECT_EQ(mergeParts({first, second}, 1), (std::vector<std::string>{"\xff"}));
+  EXPECT_TRUE(mergeParts({}, 3).empty());
+}
+
+}
--- /dev/null
+++ b/testside/lighthouse.cpp
@@ -0,0 +1,112 @@
+#include "limeramp/manifest/json.h"
+#include "limeramp/rigging/http.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+
+namespace {
+
+using namespace limeramp;
+
+struct Board {
+  std::mutex mutex;
+  std::string raw;
+  std::uint64_t reads = 0;
+
+  rigging::Answer serve(rigging::Request const& request) {
+    std::unique_lock<std::mutex> const lock(mutex);
+    if (request.method == "GET" && request.target.starts_with("/servers")) {
+      ++reads;
+      return {200, {{"content-type", "application/json"}}, raw};
+    }
+    if (request.method == "PUT" && request.target == "/servers") {
+      raw = request.body;
+      return {200, {}, "{}\n"};
+    }
+    if (request.method == "PATCH" && request.target == "/server") {
+      return edit(request.body);
+    }
+    return {404, {}, "GET or PUT /servers, PATCH /server\n"};
+  }
+
+  rigging::Answer edit(std::string const& body) {
+    absl::StatusOr<picojson::value> const patch = manifest::parseJson(body);
+    absl::StatusOr<picojson::value> list = manifest::parseJson(raw);
+    if (!patch.ok() || !patch->is<picojson::object>() || !list.ok() || !patch->contains("address")) {
+      return {400, {}, "a row with an address is needed\n"};
+    }
+    picojson::array& rows = list->get<picojson::object>()["servers"].get<picojson::array>();
+    std::size_t touched = 0;
+    for (picojson::array::iterator row = rows.begin(); row != rows.end();) {
+      if (row->get("address") != patch->get("address")) {
+        ++row;
+        continue;
+      }
+      ++touched;
+      if (patch->contains("gone")) {
+        row = rows.erase(row);
+      } else {
+        *row = manifest::mergePatch(*row, *patch);
+        ++row;
+      }
+    }
+    if (touched == 0 && !patch->contains("gone")) {
+      rows.push_back(*patch);
+      touched = 1;
+    }
+    raw = list->serialize();
+    return {200, {}, "{\"rows\":" + std::to_string(touched) + "}\n"};
+  }
+};
+
+}
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("lighthouse", "a stand-in for the platform's list of servers");
+  options.add_options()("listen", "address", cxxopts::value<std::string>())(
+      "list", "file with the first list", cxxopts::value<std::string>())("help", "this text");
+  try {
+    cxxopts::ParseResult const flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    std::optional<rigging::Address> const address = rigging::Address::parse(flags["listen"].as<std::string>());
+    if (!address) {
+      std::cerr << "lighthouse: --listen must be IP:PORT\n";
+      return 2;
+    }
+    sigset_t ends;
+    sigemptyset(&ends);
+    sigaddset(&ends, SIGTERM);
+    sigaddset(&ends, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+    Board board;
+    std::ifstream file(flags["list"].as<std::string>());
+    std::stringstream text;
+    text << file.rdbuf();
+    board.raw = text.str();
+    rigging::Network network;
+    std::string error;
+    std::unique_ptr<rigging::HttpServer> const server = rigging::HttpServer::listen(
+        network, *address, {}, [&board](rigging::Request request, rigging::Responder respond) {
+          respond(board.serve(request));
+        }, error);
+    if (server == nullptr) {
+      std::cerr << "lighthouse: " << error << '\n';
+      return 1;
+    }
+    int signal = 0;
+    sigwait(&ends, &signal);
+    network.stop();
+  } catch (cxxopts::exceptions::exception const& wrong) {
+    std::cerr << "lighthouse: " << wrong.what() << '\n';
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/testside/stevedore.cpp
@@ -0,0 +1,268 @@
+#include "limeramp/manifest/json.h"
+#include "limeramp/rigging/http.h"
+
+
+#include <cxxopts.hpp>
+
+#include <cmath>
+#include <condition_variable>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <queue>
+#include <random>
+#include <thread>
+
+namespace {
+
+using namespace limeramp;
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+struct Manner {
+  double latencyMs = 8;
+  double jitterMs = 6;
+  double garbageShare = 0;
+  double failShare = 0;
+  double silentShare = 0;
+  Clock::time_point pausedUntil{};
+};
+
+struct Later {
+  Clock::time_point at;
+  std::uint64_t order = 0;
+  std::function<void()> work;
+  bool operator<(Later const& other) const { return at != other.at ? at > other.at : order > other.order; }
+};
+
+class Delays {
+ public:
+  Delays() : thread_([this] { run(); }) {}
+  ~Delays() {
+    {
+      std::unique_lock<std::mutex> const lock(mutex_);
+      ended_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+  }
+  void at(Clock::time_point when, std::function<void()> work) {
+    {
+      std::unique_lock<std::mutex> const lock(mutex_);
+      queue_.push({when, ++order_, std::move(work)});
+    }
+    changed_.notify_all();
+  }
+
+ private:
+  void run() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    while (!ended_) {
+      if (queue_.empty()) {
+        changed_.wait(lock);
+        continue;
+      }
+      Clock::time_point const next = queue_.top().at;
+      if (Clock::now() < next) {
+        changed_.wait_until(lock, next);
+        continue;
+      }
+      std::function<void()> const work = queue_.top().work;
+      queue_.pop();
+      lock.unlock();
+      work();
+      lock.lock();
+    }
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::priority_queue<Later> queue_;
+  std::uint64_t order_ = 0;
+  bool ended_ = false;
+  std::thread thread_;
+};
+
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
+struct Stall {
+  std::string address;
+  std::string service;
+  std::string cut;
+  std::string mode;
+  double capacity = 0;
+  std::size_t records = 20;
+  std::mutex mutex;
+  Manner manner;
+  std::mt19937_64 dice;
+  std::ofstream log;
+  Clock::time_point startedAt = Clock::now();
+  double level = 0;
+  Clock::time_point levelAt = Clock::now();
+  std::uint64_t arrivals = 0;
+  Delays delays;
+
+  void serve(rigging::Request request, rigging::Responder respond);
+  rigging::Answer control(rigging::Request const& request);
+  rigging::Answer part(rigging::Request const& request, std::string const& id, std::string const& shard);
+};
+
+rigging::Answer Stall::control(rigging::Request const& request) {
+  absl::StatusOr<picojson::value> const parsed = manifest::parseJson(request.body);
+  if (!parsed.ok() || !parsed->is<picojson::object>()) {
+    return {400, {}, "not an object\n"};
+  }
+  std::unique_lock<std::mutex> const lock(mutex);
+  for (std::pair<std::string const, picojson::value> const& entry : parsed->get<picojson::object>()) {
+    if (entry.first == "cut" && entry.second.is<std::string>()) {
+      cut = entry.second.get<std::string>();
+    } else if (!entry.second.is<double>()) {
+      return {400, {}, entry.first + " is not a number\n"};
+    } else if (entry.first == "latency_ms") {
+      manner.latencyMs = entry.second.get<double>();
+    } else if (entry.first == "jitter_ms") {
+      manner.jitterMs = entry.second.get<double>();
+    } else if (entry.first == "garbage") {
+      manner.garbageShare = entry.second.get<double>();
+    } else if (entry.first == "fail") {
+      manner.failShare = entry.second.get<double>();
+    } else if (entry.first == "silent") {
+      manner.silentShare = entry.second.get<double>();
+    } else if (entry.first == "pause_ms") {
+      manner.pausedUntil = Clock::now() + Ms(static_cast<long>(entry.second.get<double>()));
+    } else {
+      return {400, {}, entry.first + " is not known\n"};
+    }
+  }
+  return {200, {}, "{\"arrivals\":" + std::to_string(arrivals) + "}\n"};
+}
+
+rigging::Answer Stall::part(rigging::Request const& request, std::string const& id, std::string const& shard) {
+  rigging::Answer answer;
+  answer.headers.emplace_back("content-type", "application/json");
+  std::string body = "{\"stamp\":{\"shard\":" + json(shard) + ",\"cut\":" + json(cut) + ",\"request\":" + json(id) +
+                     "},\"records\":[";
+  std::uint64_t const seed = std::hash<std::string>{}(request.target + shard);
+  for (std::size_t index = 0; index < records; ++index) {
+    char record[64];
+    std::snprintf(record, sizeof record, "%016llx", static_cast<unsigned long long>((seed + index * 7919) * 0x9e3779b97f4a7c15ULL));
+    body += (index == 0 ? "" : ",") + json(record + std::string("/") + shard);
+  }
+  answer.body = body + "]}";
+  return answer;
+}
+
+void Stall::serve(rigging::Request request, rigging::Responder respond) {
+  if (request.target == "/stevedore/control") {
+    respond(control(request));
+    return;
+  }
+  std::string const id = rigging::findHeader(request.headers, "limeramp-request").value_or("-");
+  std::string const shard = rigging::findHeader(request.headers, "limeramp-shard").value_or("-");
+  std::string const version = rigging::findHeader(request.headers, "limeramp-version").value_or("-");
+  std::string const caller = rigging::findHeader(request.headers, "skipper-id").value_or("-");
+  std::unique_lock<std::mutex> const lock(mutex);
+  ++arrivals;
+  Clock::time_point const now = Clock::now();
+  double const decay = std::exp(-std::chrono::duration<double>(now - levelAt).count());
+  level = level * decay + 1;
+  levelAt = now;
+  double const load = capacity > 0 ? level / capacity : 0;
+  if (log.is_open()) {
+    log << std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count() << '\t' << address
+        << '\t' << service << '\t' << id << '\t' << shard << '\t' << version << '\t' << caller << '\t'
+        << request.method << '\t' << request.target << '\t' << request.body.size() << std::endl;
+  }
+  std::uniform_real_distribution<double> unit(0, 1);
+  if (unit(dice) < manner.silentShare) {
+    delays.at(now + std::chrono::hours(1), [respond] { respond({503, {}, ""}); });
+    return;
+  }
+  rigging::Answer answer;
+  if (unit(dice) < manner.failShare) {
+    answer = {500, {}, "the server failed on purpose\n"};
+  } else if (unit(dice) < manner.garbageShare) {
+    answer = {200, {{"content-type", "application/json"}}, "{\"stamp\":{\"shard\":\"elsewhere\"},\"records\":[1,"};
+  } else if (mode == "search") {
+    answer = part(request, id, shard);
+  } else {
+    answer = {200, {{"content-type", "application/json"}},
+              "{\"service\":" + json(service) + ",\"server\":" + json(address) + ",\"caller\":" + json(caller) +
+                  ",\"method\":" + json(request.method) + ",\"target\":" + json(request.target) +
+                  ",\"bytes\":" + std::to_string(request.body.size()) + "}"};
+  }
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", load);
+  answer.headers.emplace_back("limeramp-load", text);
+  double waitMs = manner.latencyMs + manner.jitterMs * unit(dice);
+  if (load > 1) {
+    waitMs *= load * load;
+  }
+  Clock::time_point const at = std::max(now, manner.pausedUntil) + std::chrono::microseconds(static_cast<long>(waitMs * 1000));
+  delays.at(at, [respond, answer] { respond(answer); });
+}
+
+}
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("stevedore", "a stand-in back end for tests");
+  options.add_options()("listen", "address", cxxopts::value<std::string>())(
+      "service", "service it plays", cxxopts::value<std::string>())(
+      "mode", "search or forward", cxxopts::value<std::string>()->default_value("search"))(
+      "cut", "index cut", cxxopts::value<std::string>()->default_value("c1"))(
+      "capacity", "requests a second it bears, 0 for any", cxxopts::value<double>()->default_value("0"))(
+      "records", "records of a part", cxxopts::value<std::size_t>()->default_value("20"))(
+      "latency-ms", "least answer time", cxxopts::value<double>()->default_value("8"))(
+      "jitter-ms", "spread of the answer time", cxxopts::value<double>()->default_value("6"))(
+      "seed", "seed of its dice", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "log", "file that gets a line for each arrival", cxxopts::value<std::string>()->default_value(""))("help", "this text");
+  try {
+    cxxopts::ParseResult const flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    std::optional<rigging::Address> const address = rigging::Address::parse(flags["listen"].as<std::string>());
+    if (!address) {
+      std::cerr << "stevedore: --listen must be IP:PORT\n";
+      return 2;
+    }
+    sigset_t ends;
+    sigemptyset(&ends);
+    sigaddset(&ends, SIGTERM);
+    sigaddset(&ends, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+    Stall stall;
+    stall.address = address->text();
+    stall.service = flags["service"].as<std::string>();
+    stall.mode = flags["mode"].as<std::string>();
+    stall.cut = flags["cut"].as<std::string>();
+    stall.capacity = flags["capacity"].as<double>();
+    stall.records = flags["records"].as<std::size_t>();
+    stall.manner.latencyMs = flags["latency-ms"].as<double>();
+    stall.manner.jitterMs = flags["jitter-ms"].as<double>();
+    stall.dice.seed(flags["seed"].as<std::uint64_t>());
+    if (!flags["log"].as<std::string>().empty()) {
+      stall.log.open(flags["log"].as<std::string>(), std::ios::app);
+    }
+    rigging::Network network;
+    std::string error;
+    std::unique_ptr<rigging::HttpServer> const server = rigging::HttpServer::listen(
+        network, *address, {}, [&stall](rigging::Request request, rigging::Responder respond) {
+          stall.serve(std::move(request), std::move(respond));
+        }, error);
+    if (server == nullptr) {
+      std::cerr << "stevedore: " << error << '\n';
+      return 1;
+    }
+    int signal = 0;
+    sigwait(&ends, &signal);
+    network.stop();
+  } catch (cxxopts::exceptions::exception const& wrong) {
+    std::cerr << "stevedore: " << wrong.what() << '\n';
+    return 2;
+  }
+  return 0;
+}
