--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -138,6 +138,7 @@
   std::uint64_t echoed = 0;
   std::uint64_t sealed = 0;
   bool settled = false;
+  bool ailing = false;
   std::uint64_t stateEpoch = 0;
   std::uint64_t stateSequence = 0;
   template <typename V, typename T>
@@ -148,6 +149,7 @@
     visit("echoed", self.echoed);
     visit("sealed", self.sealed);
     visit("settled", self.settled);
+    visit("ailing", self.ailing);
     visit("stateEpoch", self.stateEpoch);
     visit("stateSequence", self.stateSequence);
   }
--- /dev/null
+++ b/libs/hold/src/store.cpp
@@ -0,0 +1,359 @@
+#include "limeramp/hold/store.h"
+
+#include "limeramp/cargo/codec.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <cerrno>
+#include <chrono>
+#include <cstdint>
+#include <cstring>
+#include <filesystem>
+#include <optional>
+
+namespace limeramp::hold {
+namespace {
+
+struct Pair {
+  static constexpr char const* name = "Pair";
+  std::string key;
+  std::string value;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("key", self.key);
+    visit("value", self.value);
+  }
+};
+
+struct Batch {
+  static constexpr char const* name = "Batch";
+  std::vector<Pair> pairs;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("pairs", self.pairs);
+  }
+};
+
+struct Head {
+  std::uint32_t magic = 0;
+  std::uint32_t size = 0;
+  std::uint64_t generation = 0;
+  std::uint64_t serial = 0;
+  std::uint64_t checksum = 0;
+};
+
+constexpr std::uint32_t magicMark = 0x444c4f48;
+
+std::uint64_t checksumOf(Head const& head, char const* payload) {
+  std::uint64_t const marks[3]{head.size, head.generation, head.serial};
+  return XXH64(payload, head.size, XXH64(marks, sizeof marks, 0));
+}
+
+std::size_t aligned(std::size_t size) { return (size + 7) & ~static_cast<std::size_t>(7); }
+
+absl::Status problem(std::string const& what) {
+  return absl::UnavailableError(what + ": " + std::strerror(errno));
+}
+
+std::optional<Head> headAt(std::string const& bytes, std::size_t at) {
+  Head head;
+  if (at + sizeof head > bytes.size()) {
+    return std::nullopt;
+  }
+  std::memcpy(&head, bytes.data() + at, sizeof head);
+  if (head.magic != magicMark || head.size > bytes.size() - at - sizeof head ||
+      head.checksum != checksumOf(head, bytes.data() + at + sizeof head)) {
+    return std::nullopt;
+  }
+  return head;
+}
+
+struct FileScan {
+  bool checkpoint = false;
+  bool rotten = false;
+  std::uint64_t generation = 0;
+  std::uint64_t nextSerial = 0;
+  std::size_t end = 0;
+  bool torn = false;
+  std::map<std::string, std::string> values;
+};
+
+FileScan scan(std::string const& bytes) {
+  FileScan out;
+  std::optional<Head> const first = headAt(bytes, 0);
+  out.checkpoint = first.has_value() && first->serial == 0;
+  if (out.checkpoint) {
+    out.generation = first->generation;
+  }
+  std::size_t at = 0;
+  while (out.checkpoint) {
+    std::optional<Head> const head = headAt(bytes, at);
+    if (!head || head->generation != out.generation || head->serial != out.nextSerial) {
+      break;
+    }
+    absl::StatusOr<Batch> batch =
+        cargo::unpack<Batch>(std::string_view(bytes).substr(at + sizeof(Head), head->size));
+    if (!batch.ok()) {
+      out.rotten = true;
+      break;
+    }
+    for (Pair& pair : batch->pairs) {
+      out.values[pair.key] = std::move(pair.value);
+    }
+    ++out.nextSerial;
+    at += aligned(sizeof(Head) + head->size);
+  }
+  out.end = at;
+  Head raw;
+  if (at + sizeof raw <= bytes.size()) {
+    std::memcpy(&raw, bytes.data() + at, sizeof raw);
+    out.torn = raw.magic == magicMark && (!out.checkpoint || raw.generation == out.generation);
+  }
+  for (std::size_t later = at + 8; later + sizeof(Head) <= bytes.size(); later += 8) {
+    std::uint32_t mark = 0;
+    std::memcpy(&mark, bytes.data() + later, sizeof mark);
+    if (mark != magicMark) {
+      continue;
+    }
+    std::optional<Head> const head = headAt(bytes, later);
+    if (head && head->serial > 0 && (!out.checkpoint || head->generation >= out.generation)) {
+      if (!out.checkpoint) {
+        out.generation = std::max(out.generation, head->generation);
+      }
+      out.rotten = true;
+    }
+  }
+  return out;
+}
+
+}
+
+struct Store::Impl {
+  std::string folder;
+  Shape shape;
+  Findings findings;
+  std::map<std::string, std::string> values;
+  std::vector<int> files;
+  int lock = -1;
+  std::size_t current = 0;
+  std::uint64_t generation = 0;
+  std::uint64_t serial = 0;
+  std::size_t end = 0;
+  bool broken = false;
+
+  ~Impl() {
+    closeFiles();
+    if (lock >= 0) {
+      ::close(lock);
+    }
+  }
+
+  void closeFiles() {
+    for (int const file : files) {
+      ::close(file);
+    }
+    files.clear();
+  }
+
+  std::string pathOf(std::size_t index) const { return folder + "/ring-" + std::to_string(index); }
+
+  absl::Status syncFolder() const {
+    int const handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (handle < 0) {
+      return problem(folder);
+    }
+    bool const good = ::fsync(handle) == 0;
+    ::close(handle);
+    return good ? absl::OkStatus() : problem(folder);
+  }
+
+  absl::Status openFiles() {
+    for (std::size_t index = 0; index < shape.files; ++index) {
+      int const file = ::open(pathOf(index).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+      if (file < 0) {
+        return problem(pathOf(index));
+      }
+      files.push_back(file);
+      int const failure = ::posix_fallocate(file, 0, static_cast<off_t>(shape.fileBytes));
+      if (failure != 0) {
+        errno = failure;
+        return problem(pathOf(index));
+      }
+      if (::fsync(file) != 0) {
+        return problem(pathOf(index));
+      }
+    }
+    return syncFolder();
+  }
+
+  absl::Status load() {
+    bool any = false;
+    std::optional<FileScan> best;
+    std::uint64_t rottenGeneration = 0;
+    for (std::size_t index = 0; index < shape.files; ++index) {
+      std::string bytes(shape.fileBytes, '\0');
+      std::size_t got = 0;
+      while (got < bytes.size()) {
+        ssize_t const count = ::pread(files[index], bytes.data() + got, bytes.size() - got, static_cast<off_t>(got));
+        if (count <= 0) {
+          return problem(pathOf(index));
+        }
+        got += static_cast<std::size_t>(count);
+      }
+      any = any || bytes.find_first_not_of('\0') != std::string::npos;
+      FileScan found = scan(bytes);
+      if (found.rotten) {
+        rottenGeneration = std::max(rottenGeneration, found.generation);
+      }
+      if (found.checkpoint && (!best || found.generation > best->generation)) {
+        best = std::move(found);
+        current = index;
+      }
+    }
+    findings.empty = !any;
+    if (!best) {
+      findings.damaged = any && rottenGeneration > 0;
+      findings.tailCut = any && rottenGeneration == 0;
+      findings.detail = findings.damaged ? "no readable checkpoint" : "";
+      return absl::OkStatus();
+    }
+    if (rottenGeneration >= best->generation) {
+      findings.damaged = true;
+      findings.detail = "a record before the last one of generation " + std::to_string(rottenGeneration) + " is unreadable";
+      return absl::OkStatus();
+    }
+    generation = best->generation;
+    serial = best->nextSerial;
+    end = best->end;
+    findings.tailCut = best->torn;
+    values = std::move(best->values);
+    return absl::OkStatus();
+  }
+
+  absl::Status append(Batch const& batch) {
+    std::string const payload = cargo::pack(batch);
+    Head head{magicMark, static_cast<std::uint32_t>(payload.size()), generation, serial, 0};
+    head.checksum = checksumOf(head, payload.data());
+    std::string record(aligned(sizeof head + payload.size()), '\0');
+    std::memcpy(record.data(), &head, sizeof head);
+    std::memcpy(record.data() + sizeof head, payload.data(), payload.size());
+    if (end + record.size() > shape.fileBytes) {
+      return absl::ResourceExhaustedError("record larger than a ring file");
+    }
+    std::size_t done = 0;
+    while (done < record.size()) {
+      ssize_t const count =
+          ::pwrite(files[current], record.data() + done, record.size() - done, static_cast<off_t>(end + done));
+      if (count <= 0) {
+        return problem(pathOf(current));
+      }
+      done += static_cast<std::size_t>(count);
+    }
+    if (::fdatasync(files[current]) != 0) {
+      return problem(pathOf(current));
+    }
+    end += record.size();
+    ++serial;
+    return absl::OkStatus();
+  }
+
+  absl::Status rotate() {
+    current = (current + 1) % shape.files;
+    ++generation;
+    serial = 0;
+    end = 0;
+    Batch batch;
+    for (std::pair<std::string const, std::string> const& entry : values) {
+      batch.pairs.push_back({entry.first, entry.second});
+    }
+    return append(batch);
+  }
+
+  absl::Status put(Puts const& puts) {
+    Batch batch;
+    std::size_t size = 256;
+    for (std::pair<std::string, std::string> const& entry : puts) {
+      batch.pairs.push_back({entry.first, entry.second});
+      size += entry.first.size() + entry.second.size() + 32;
+    }
+    if (generation == 0 || end + size > shape.fileBytes) {
+      absl::Status const rotated = rotate();
+      if (!rotated.ok()) {
+        return rotated;
+      }
+    }
+    absl::Status const written = append(batch);
+    if (written.ok()) {
+      for (Pair& pair : batch.pairs) {
+        values[pair.key] = std::move(pair.value);
+      }
+    }
+    return written;
+  }
+};
+
+Store::Store() : impl_(std::make_unique<Impl>()) {}
+Store::~Store() = default;
+
+absl::StatusOr<std::unique_ptr<Store>> Store::open(std::string const& folder, Shape const& shape) {
+  std::unique_ptr<Store> store(new Store());
+  Impl& impl = *store->impl_;
+  impl.folder = folder;
+  impl.shape = shape;
+  std::error_code failure;
+  std::filesystem::create_directories(folder, failure);
+  if (failure) {
+    return absl::UnavailableError(folder + ": " + failure.message());
+  }
+  impl.lock = ::open((folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (impl.lock < 0 || ::flock(impl.lock, LOCK_EX | LOCK_NB) != 0) {
+    return problem(folder + "/lock");
+  }
+  absl::Status status = impl.openFiles();
+  if (status.ok()) {
+    status = impl.load();
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  return store;
+}
+
+Findings const& Store::findings() const { return impl_->findings; }
+std::map<std::string, std::string> const& Store::values() const { return impl_->values; }
+
+absl::Status Store::put(Puts const& puts) {
+  if (impl_->broken) {
+    return absl::FailedPreconditionError("an earlier write failed");
+  }
+  if (impl_->findings.damaged) {
+    return absl::DataLossError("the store is damaged");
+  }
+  absl::Status const status = impl_->put(puts);
+  impl_->broken = !status.ok();
+  return status;
+}
+
+absl::Status Store::setAside() {
+  impl_->closeFiles();
+  std::string const suffix =
+      ".damaged-" + std::to_string(std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1));
+  for (std::size_t index = 0; index < impl_->shape.files; ++index) {
+    if (::rename(impl_->pathOf(index).c_str(), (impl_->pathOf(index) + suffix).c_str()) != 0) {
+      return problem(impl_->pathOf(index));
+    }
+  }
+  impl_->findings = Findings{true, false, false, ""};
+  impl_->values.clear();
+  impl_->generation = impl_->serial = 0;
+  impl_->end = 0;
+  impl_->current = 0;
+  impl_->broken = false;
+  return impl_->openFiles();
+}
+
+}
--- /dev/null
+++ b/libs/pledge/src/council.cpp
@@ -0,0 +1,809 @@
+#include "limeramp/pledge/council.h"
+
+#include <algorithm>
+#include <compare>
+#include <deque>
+#include <random>
+#include <set>
+
+namespace limeramp::pledge {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+struct Vote {
+  static constexpr char const* name = "Vote";
+  cargo::EpochRecord decided;
+  std::uint64_t sealed = 0;
+  cargo::Ballot promised;
+  cargo::Ballot acceptedBallot;
+  std::optional<cargo::EpochRecord> accepted;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("decided", self.decided);
+    visit("sealed", self.sealed);
+    visit("promised", self.promised);
+    visit("acceptedBallot", self.acceptedBallot);
+    visit("accepted", self.accepted);
+  }
+};
+
+struct Heard {
+  Member member;
+  TimePoint at{};
+  cargo::Hail hail;
+  std::uint64_t lastToken = 0;
+  bool ever = false;
+};
+
+enum class Step { none, choosing, syncing, preparing, accepting };
+
+struct Proposal {
+  Step step = Step::none;
+  std::string partner;
+  std::uint64_t syncToken = 0;
+  TimePoint sentAt{};
+  cargo::Ballot ballot;
+  cargo::EpochRecord record;
+  cargo::Ballot bestBallot;
+  std::optional<cargo::EpochRecord> best;
+  std::vector<std::string> voters;
+  std::set<std::string> yes;
+  TimePoint retryAt{};
+};
+
+enum class Regime { none, joining, active };
+
+}
+
+struct Council::Impl {
+  explicit Impl(Policy const& policyIn) : policy(policyIn) {}
+
+  Policy policy;
+  TimePoint now{};
+  std::vector<Effect> effects;
+  bool started = false;
+  bool broken = false;
+  Member self;
+  std::mt19937_64 dice;
+  Vote vote;
+  cargo::State state;
+  std::map<std::string, Heard> heard;
+  bool mayFound = false;
+  std::uint64_t lastToken = 0;
+  std::deque<std::pair<std::uint64_t, TimePoint>> hailed;
+  TimePoint nextHailAt{};
+  TimePoint quietSince{};
+  std::uint64_t lastPersist = 0;
+  std::map<std::uint64_t, std::vector<Effect>> afterPersist;
+  std::map<std::uint64_t, TimePoint> persisting;
+  Regime regime = Regime::none;
+  std::uint64_t regimeToken = 0;
+  std::uint64_t regimePersist = 0;
+  bool localDone = false;
+  bool backupDone = false;
+  TimePoint syncSentAt{};
+  std::optional<std::uint64_t> ticket;
+  std::optional<TimePoint> authorityAt;
+  std::uint64_t highestRound = 0;
+  std::uint64_t sealPersist = 0;
+  Proposal proposal;
+
+  void on(Start const& event);
+  void on(Known const& event);
+  void on(Received const& event);
+  void on(Persisted const& event);
+  void on(Offer const& event);
+  void on(Tick const& event);
+
+  void hear(std::string const& from, cargo::Hail const& message);
+  void hear(std::string const& from, cargo::Prepare const& message);
+  void hear(std::string const& from, cargo::Promise const& message);
+  void hear(std::string const& from, cargo::Accept const& message);
+  void hear(std::string const& from, cargo::Accepted const& message);
+  void hear(std::string const& from, cargo::Sync const& message);
+  void hear(std::string const& from, cargo::Synced const& message);
+  template <typename Other>
+  void hear(std::string const&, Other const&) {}
+
+  bool ailing() const {
+    return broken || (!persisting.empty() && now - persisting.begin()->second >= policy.diskSlowMs);
+  }
+  bool isPrimary() const { return vote.decided.epoch > 0 && vote.decided.primary == self.id; }
+  bool isBackup() const { return vote.decided.epoch > 0 && vote.decided.backup == self.id; }
+  bool isSealed() const { return vote.sealed >= vote.decided.epoch && vote.decided.epoch > 0; }
+  std::uint64_t slot() const { return vote.decided.epoch + 1; }
+  bool fresh(std::string const& id, Ms within) const;
+  std::size_t quorum() const;
+
+  void send(std::string const& to, cargo::Message message);
+  std::uint64_t persist(bool withVote, bool withState, std::vector<Effect> then);
+  void learn(cargo::EpochRecord const& record);
+  void beginRegime();
+  void endRegime();
+  void sendRegimeSync();
+  void checkCommit();
+  void sealSelf();
+  std::string choosePartner() const;
+  std::vector<std::string> chooseWitnesses(std::string const& partner) const;
+  bool witnessesNeedChange() const;
+  void pushProposal();
+  void beginBallot();
+  void beginAccept();
+  void tryFounding();
+  void hail();
+};
+
+bool Council::Impl::fresh(std::string const& id, Ms within) const {
+  if (id == self.id) {
+    return true;
+  }
+  std::map<std::string, Heard>::const_iterator const found = heard.find(id);
+  return found != heard.end() && found->second.ever && !found->second.hail.ailing && now - found->second.at <= within;
+}
+
+std::size_t Council::Impl::quorum() const {
+  return vote.decided.epoch == 0 ? policy.founders : vote.decided.witnesses.size() / 2 + 1;
+}
+
+void Council::Impl::send(std::string const& to, cargo::Message message) {
+  if (to == self.id) {
+    std::visit([&](auto const& concrete) { hear(self.id, concrete); }, message);
+    return;
+  }
+  std::map<std::string, Heard>::const_iterator const found = heard.find(to);
+  if (found != heard.end()) {
+    effects.emplace_back(Send{to, found->second.member.address, std::move(message)});
+  }
+}
+
+std::uint64_t Council::Impl::persist(bool withVote, bool withState, std::vector<Effect> then) {
+  std::uint64_t const token = ++lastPersist;
+  Persist effect{token, {}};
+  if (withVote) {
+    effect.puts.emplace_back("vote", cargo::pack(vote));
+  }
+  if (withState) {
+    effect.puts.emplace_back("state", cargo::pack(state));
+  }
+  if (withVote && isSealed()) {
+    sealPersist = token;
+  }
+  persisting.emplace(token, now);
+  afterPersist.emplace(token, std::move(then));
+  effects.emplace_back(std::move(effect));
+  return token;
+}
+
+void Council::Impl::on(Start const& event) {
+  self = event.self;
+  dice.seed(event.seed);
+  lastToken = dice() >> 20;
+  started = true;
+  quietSince = now;
+  std::map<std::string, std::string>::const_iterator const storedVote = event.stored.find("vote");
+  std::map<std::string, std::string>::const_iterator const storedState = event.stored.find("state");
+  if (storedVote != event.stored.end()) {
+    absl::StatusOr<Vote> read = cargo::unpack<Vote>(storedVote->second);
+    broken = !read.ok();
+    if (read.ok()) {
+      vote = *std::move(read);
+    }
+  }
+  if (storedState != event.stored.end()) {
+    absl::StatusOr<cargo::State> read = cargo::unpack<cargo::State>(storedState->second);
+    broken = broken || !read.ok();
+    if (read.ok()) {
+      state = *std::move(read);
+    }
+  }
+  if (broken) {
+    effects.emplace_back(Note{signal::Event::diskDamaged, "stored records do not read"});
+    return;
+  }
+  highestRound = std::max(vote.promised.round, vote.acceptedBallot.round);
+  beginRegime();
+}
+
+void Council::Impl::on(Known const& event) {
+  mayFound = event.mayFound;
+  for (Member const& member : event.members) {
+    if (member.id != self.id) {
+      heard[member.id].member = member;
+    }
+  }
+  std::erase_if(heard, [&](std::pair<std::string const, Heard> const& entry) {
+    bool const listed = std::any_of(event.members.begin(), event.members.end(),
+                                    [&](Member const& member) { return member.id == entry.first; });
+    return !listed && now - entry.second.at > std::chrono::seconds(60) && entry.first != vote.decided.primary &&
+           entry.first != vote.decided.backup;
+  });
+}
+
+void Council::Impl::on(Received const& event) {
+  if (event.from == self.id) {
+    return;
+  }
+  Heard& entry = heard[event.from];
+  entry.member.id = event.from;
+  entry.member.address = event.address;
+  if (!broken) {
+    std::visit([&](auto const& concrete) { hear(event.from, concrete); }, event.message);
+  }
+}
+
+void Council::Impl::on(Persisted const& event) {
+  std::map<std::uint64_t, std::vector<Effect>>::iterator const found = afterPersist.find(event.token);
+  if (found == afterPersist.end()) {
+    return;
+  }
+  std::vector<Effect> const then = std::move(found->second);
+  afterPersist.erase(found);
+  persisting.erase(event.token);
+  if (!event.good) {
+    if (!broken) {
+      broken = true;
+      effects.emplace_back(Note{signal::Event::diskFailed, "a write or sync failed"});
+      endRegime();
+      proposal = {};
+    }
+    return;
+  }
+  if (broken) {
+    return;
+  }
+  for (Effect const& effect : then) {
+    if (Send const* const later = std::get_if<Send>(&effect)) {
+      send(later->to, later->message);
+    } else {
+      effects.push_back(effect);
+    }
+  }
+  if (regime != Regime::none && event.token == regimePersist) {
+    localDone = true;
+    checkCommit();
+  }
+}
+
+void Council::Impl::learn(cargo::EpochRecord const& record) {
+  if (record.epoch <= vote.decided.epoch) {
+    return;
+  }
+  if (vote.decided.epoch > 0 && record.fleet != vote.decided.fleet) {
+    effects.emplace_back(Note{signal::Event::peerStrange, "a record of fleet " + record.fleet});
+    return;
+  }
+  effects.emplace_back(Note{record.epoch == 1 ? signal::Event::founded : signal::Event::epochGranted,
+                            std::to_string(record.epoch) + " primary " + record.primary + " backup " + record.backup});
+  bool const keepsTicket = record.primary == self.id;
+  std::optional<std::uint64_t> const held = ticket;
+  if (keepsTicket) {
+    ticket.reset();
+  }
+  endRegime();
+  ticket = keepsTicket ? held : std::nullopt;
+  proposal = {};
+  vote.decided = record;
+  vote.promised = {};
+  vote.acceptedBallot = {};
+  vote.accepted.reset();
+  quietSince = now;
+  persist(true, false, {});
+  beginRegime();
+}
+
+void Council::Impl::endRegime() {
+  if (regime == Regime::active) {
+    effects.emplace_back(Inactive{});
+    effects.emplace_back(Note{signal::Event::primaryStopped, std::to_string(vote.decided.epoch)});
+  }
+  regime = Regime::none;
+  authorityAt.reset();
+  if (ticket) {
+    effects.emplace_back(Doubtful{*ticket});
+    ticket.reset();
+  }
+}
+
+void Council::Impl::beginRegime() {
+  if (!isPrimary() || isSealed()) {
+    return;
+  }
+  regime = Regime::joining;
+  regimePersist = persist(false, true, {});
+  localDone = false;
+  sendRegimeSync();
+}
+
+void Council::Impl::sendRegimeSync() {
+  regimeToken = ++lastToken;
+  backupDone = false;
+  syncSentAt = now;
+  send(vote.decided.backup, cargo::Sync{vote.decided, regimeToken, false, state});
+}
+
+void Council::Impl::checkCommit() {
+  if (!localDone || !backupDone || isSealed()) {
+    return;
+  }
+  if (regime == Regime::joining) {
+    regime = Regime::active;
+    effects.emplace_back(Active{vote.decided.epoch, state});
+    effects.emplace_back(Note{signal::Event::primaryBegan, std::to_string(vote.decided.epoch)});
+  }
+  if (ticket) {
+    effects.emplace_back(Committed{*ticket, state});
+    ticket.reset();
+  }
+}
+
+void Council::Impl::on(Offer const& event) {
+  if (regime != Regime::active || ticket || isSealed() || !localDone || !backupDone) {
+    effects.emplace_back(Doubtful{event.ticket});
+    return;
+  }
+  ticket = event.ticket;
+  std::uint64_t const next = state.sequence + 1;
+  state = event.state;
+  state.epoch = vote.decided.epoch;
+  state.sequence = next;
+  localDone = false;
+  regimePersist = persist(false, true, {});
+  sendRegimeSync();
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Sync const& message) {
+  learn(message.decided);
+  if (message.decided.epoch != vote.decided.epoch || message.decided.epoch == 0) {
+    return;
+  }
+  bool withVote = false;
+  if (message.sealed) {
+    if (from != vote.decided.primary && from != vote.decided.backup) {
+      return;
+    }
+    if ((isPrimary() || isBackup()) && !isSealed()) {
+      sealSelf();
+      withVote = true;
+    }
+  } else {
+    std::strong_ordering const order = std::pair(message.state.epoch, message.state.sequence) <=> std::pair(state.epoch, state.sequence);
+    if (isPrimary() && regime == Regime::joining && from == vote.decided.backup && order > 0 &&
+        message.state.epoch == vote.decided.epoch) {
+      state = message.state;
+      regimePersist = persist(false, true, {});
+      localDone = false;
+      sendRegimeSync();
+      return;
+    }
+    if (from != vote.decided.primary || !isBackup() || isSealed()) {
+      return;
+    }
+    if (state.epoch == vote.decided.epoch && order < 0) {
+      send(from, cargo::Sync{vote.decided, message.token, false, state});
+      return;
+    }
+  }
+  bool const changed = !(state == message.state);
+  std::vector<Effect> then{Send{from, "", cargo::Synced{vote.decided.epoch, message.token}}};
+  if (changed && state.epoch < message.state.epoch) {
+    effects.emplace_back(Note{signal::Event::replicaRebuilt, std::to_string(message.state.epoch) + "." +
+                                                                 std::to_string(message.state.sequence)});
+  }
+  if (changed && ticket) {
+    effects.emplace_back(Doubtful{*ticket});
+    ticket.reset();
+  }
+  state = message.state;
+  persist(withVote, true, std::move(then));
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Synced const& message) {
+  if (message.epoch != vote.decided.epoch) {
+    return;
+  }
+  if (regime != Regime::none && from == vote.decided.backup && message.token == regimeToken) {
+    backupDone = true;
+    checkCommit();
+  }
+  if (proposal.step == Step::syncing && from == proposal.partner && message.token == proposal.syncToken) {
+    beginBallot();
+  }
+}
+
+void Council::Impl::sealSelf() {
+  vote.sealed = std::max(vote.sealed, vote.decided.epoch);
+  if (regime == Regime::active) {
+    effects.emplace_back(Inactive{});
+    effects.emplace_back(Note{signal::Event::primaryStopped, std::to_string(vote.decided.epoch)});
+  }
+  regime = Regime::none;
+  authorityAt.reset();
+}
+
+std::string Council::Impl::choosePartner() const {
+  std::string best;
+  int bestScore = -1;
+  for (std::pair<std::string const, Heard> const& entry : heard) {
+    if (!fresh(entry.first, policy.lostMs)) {
+      continue;
+    }
+    int score = 0;
+    score += isPrimary() && entry.first == vote.decided.backup ? 4 : 0;
+    score += entry.second.member.zone != self.zone ? 2 : 0;
+    score += std::count(vote.decided.witnesses.begin(), vote.decided.witnesses.end(), entry.first) > 0 ? 1 : 0;
+    if (score > bestScore) {
+      best = entry.first;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+std::vector<std::string> Council::Impl::chooseWitnesses(std::string const& partner) const {
+  std::vector<std::string> out{self.id, partner};
+  std::vector<std::string> spare;
+  for (std::string const& witness : vote.decided.witnesses) {
+    if (witness != self.id && witness != partner && fresh(witness, policy.witnessGoneMs)) {
+      spare.push_back(witness);
+    }
+  }
+  for (std::pair<std::string const, Heard> const& entry : heard) {
+    if (fresh(entry.first, policy.lostMs) && std::count(spare.begin(), spare.end(), entry.first) == 0) {
+      spare.push_back(entry.first);
+    }
+  }
+  for (std::string const& witness : vote.decided.witnesses) {
+    if (std::count(spare.begin(), spare.end(), witness) == 0) {
+      spare.push_back(witness);
+    }
+  }
+  for (std::string const& id : spare) {
+    if (out.size() < policy.founders && std::count(out.begin(), out.end(), id) == 0) {
+      out.push_back(id);
+    }
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+bool Council::Impl::witnessesNeedChange() const {
+  for (std::string const& witness : vote.decided.witnesses) {
+    if (fresh(witness, policy.witnessGoneMs) || now - quietSince < policy.witnessGoneMs) {
+      continue;
+    }
+    for (std::pair<std::string const, Heard> const& entry : heard) {
+      std::vector<std::string> const& listed = vote.decided.witnesses;
+      if (fresh(entry.first, policy.lostMs) && std::count(listed.begin(), listed.end(), entry.first) == 0) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void Council::Impl::pushProposal() {
+  if (persisting.contains(sealPersist) && proposal.step == Step::choosing) {
+    return;
+  }
+  switch (proposal.step) {
+    case Step::none:
+      return;
+    case Step::choosing: {
+      std::string const partner = choosePartner();
+      if (partner.empty()) {
+        return;
+      }
+      proposal.partner = partner;
+      proposal.step = Step::syncing;
+      proposal.syncToken = ++lastToken;
+      proposal.sentAt = now;
+      send(partner, cargo::Sync{vote.decided, proposal.syncToken, true, state});
+      return;
+    }
+    case Step::syncing:
+      if (!fresh(proposal.partner, policy.lostMs)) {
+        proposal.step = Step::choosing;
+        pushProposal();
+      } else if (now - proposal.sentAt >= policy.resendMs) {
+        proposal.sentAt = now;
+        send(proposal.partner, cargo::Sync{vote.decided, proposal.syncToken, true, state});
+      }
+      return;
+    case Step::preparing:
+    case Step::accepting:
+      if (now >= proposal.retryAt) {
+        effects.emplace_back(Note{signal::Event::ballotLost, std::to_string(proposal.ballot.round)});
+        if (vote.decided.epoch > 0 && !fresh(proposal.partner, policy.lostMs)) {
+          proposal.step = Step::choosing;
+          pushProposal();
+        } else {
+          beginBallot();
+        }
+      }
+      return;
+  }
+}
+
+void Council::Impl::beginBallot() {
+  proposal.step = Step::preparing;
+  proposal.ballot = {++highestRound, self.id};
+  proposal.best.reset();
+  proposal.bestBallot = {};
+  proposal.yes.clear();
+  proposal.retryAt = now + policy.ballotMs + Ms(static_cast<long>(dice() % static_cast<std::uint64_t>(policy.ballotMs.count())));
+  if (vote.decided.epoch > 0) {
+    proposal.voters = vote.decided.witnesses;
+    proposal.record = {vote.decided.epoch + 1, vote.decided.fleet, self.id, proposal.partner,
+                       chooseWitnesses(proposal.partner)};
+  }
+  std::uint64_t const epoch = vote.decided.epoch;
+  cargo::Prepare const message{vote.decided, proposal.ballot};
+  std::vector<std::string> const voters = proposal.voters;
+  for (std::string const& voter : voters) {
+    send(voter, message);
+    if (vote.decided.epoch != epoch || proposal.step != Step::preparing) {
+      return;
+    }
+  }
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Prepare const& message) {
+  learn(message.decided);
+  if (message.decided.epoch < vote.decided.epoch) {
+    cargo::Hail hint;
+    hint.id = self.id;
+    hint.decided = vote.decided;
+    hint.sealed = vote.sealed;
+    hint.ailing = ailing();
+    send(from, hint);
+    return;
+  }
+  std::vector<std::string> const& listed = vote.decided.witnesses;
+  if (vote.decided.epoch > 0 && std::count(listed.begin(), listed.end(), self.id) == 0) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.ballot.round);
+  cargo::Promise answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised, vote.acceptedBallot,
+                        vote.accepted};
+  if (!answer.granted) {
+    send(from, answer);
+    return;
+  }
+  vote.promised = message.ballot;
+  persist(true, false, {Send{from, "", answer}});
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Promise const& message) {
+  if (message.slot != slot() || proposal.step != Step::preparing || message.ballot != proposal.ballot) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.promised.round);
+  if (!message.granted) {
+    return;
+  }
+  if (message.accepted && (!proposal.best || message.acceptedBallot > proposal.bestBallot)) {
+    proposal.best = message.accepted;
+    proposal.bestBallot = message.acceptedBallot;
+  }
+  proposal.yes.insert(from);
+  if (proposal.yes.size() >= quorum()) {
+    beginAccept();
+  }
+}
+
+void Council::Impl::beginAccept() {
+  proposal.step = Step::accepting;
+  proposal.yes.clear();
+  if (proposal.best) {
+    proposal.record = *proposal.best;
+  }
+  std::uint64_t const epoch = vote.decided.epoch;
+  cargo::Accept const message{vote.decided, proposal.ballot, proposal.record};
+  std::vector<std::string> const voters = proposal.voters;
+  for (std::string const& voter : voters) {
+    send(voter, message);
+    if (vote.decided.epoch != epoch) {
+      return;
+    }
+  }
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Accept const& message) {
+  learn(message.decided);
+  std::vector<std::string> const& listed = vote.decided.witnesses;
+  if (message.decided.epoch != vote.decided.epoch ||
+      (vote.decided.epoch > 0 && std::count(listed.begin(), listed.end(), self.id) == 0)) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.ballot.round);
+  cargo::Accepted answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised};
+  if (!answer.granted) {
+    send(from, answer);
+    return;
+  }
+  vote.promised = message.ballot;
+  vote.acceptedBallot = message.ballot;
+  vote.accepted = message.record;
+  persist(true, false, {Send{from, "", answer}});
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Accepted const& message) {
+  if (message.slot != slot() || proposal.step != Step::accepting || message.ballot != proposal.ballot) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.promised.round);
+  if (!message.granted) {
+    return;
+  }
+  proposal.yes.insert(from);
+  if (proposal.yes.size() >= quorum()) {
+    cargo::EpochRecord const record = proposal.record;
+    learn(record);
+    nextHailAt = now;
+    hail();
+  }
+}
+
+void Council::Impl::hear(std::string const& from, cargo::Hail const& message) {
+  Heard& entry = heard[from];
+  entry.at = now;
+  entry.ever = true;
+  entry.hail = message;
+  entry.lastToken = message.token != 0 ? message.token : entry.lastToken;
+  learn(message.decided);
+  if (regime == Regime::active && from == vote.decided.backup && message.decided.epoch == vote.decided.epoch &&
+      message.sealed < vote.decided.epoch) {
+    for (std::pair<std::uint64_t, TimePoint> const& sent : hailed) {
+      if (sent.first == message.echoed) {
+        authorityAt = std::max(authorityAt.value_or(TimePoint{}), sent.second);
+      }
+    }
+  }
+}
+
+void Council::Impl::hail() {
+  if (now < nextHailAt) {
+    return;
+  }
+  nextHailAt = now + policy.hailMs;
+  std::uint64_t const token = ++lastToken;
+  hailed.emplace_back(token, now);
+  if (hailed.size() > 64) {
+    hailed.pop_front();
+  }
+  for (std::pair<std::string const, Heard> const& entry : heard) {
+    cargo::Hail message;
+    message.id = self.id;
+    message.decided = vote.decided;
+    message.token = token;
+    message.echoed = entry.second.lastToken;
+    message.sealed = vote.sealed;
+    message.settled = regime == Regime::active;
+    message.ailing = ailing();
+    message.stateEpoch = state.epoch;
+    message.stateSequence = state.sequence;
+    effects.emplace_back(Send{entry.first, entry.second.member.address, message});
+  }
+}
+
+void Council::Impl::tryFounding() {
+  if (!mayFound || proposal.step != Step::none || now - quietSince < policy.lostMs) {
+    return;
+  }
+  std::vector<std::pair<std::string, std::string>> around{{self.address, self.id}};
+  for (std::pair<std::string const, Heard> const& entry : heard) {
+    if (fresh(entry.first, policy.lostMs)) {
+      around.emplace_back(entry.second.member.address, entry.first);
+    }
+  }
+  std::sort(around.begin(), around.end());
+  if (around.size() < policy.founders || around.size() > policy.mostFounders || around.front().second != self.id) {
+    return;
+  }
+  proposal.record = {1, "", self.id, "", {}};
+  char fleet[20];
+  std::snprintf(fleet, sizeof fleet, "%016llx", static_cast<unsigned long long>(dice()));
+  proposal.record.fleet = fleet;
+  for (std::size_t index = 0; index < policy.founders; ++index) {
+    proposal.record.witnesses.push_back(around[index].second);
+  }
+  proposal.voters = proposal.record.witnesses;
+  proposal.record.backup = proposal.voters[1];
+  for (std::string const& voter : proposal.voters) {
+    if (voter != self.id && heard[voter].member.zone != self.zone) {
+      proposal.record.backup = voter;
+      break;
+    }
+  }
+  std::sort(proposal.record.witnesses.begin(), proposal.record.witnesses.end());
+  beginBallot();
+}
+
+void Council::Impl::on(Tick const&) {
+  hail();
+  if (broken) {
+    return;
+  }
+  if (vote.decided.epoch == 0) {
+    if (proposal.step == Step::none) {
+      tryFounding();
+    } else if (now >= proposal.retryAt) {
+      proposal = {};
+      quietSince = now - policy.lostMs;
+    }
+    return;
+  }
+  if (proposal.step != Step::none) {
+    pushProposal();
+    return;
+  }
+  if (isPrimary()) {
+    if (regime != Regime::none && !backupDone && now - syncSentAt >= policy.resendMs) {
+      syncSentAt = now;
+      send(vote.decided.backup, cargo::Sync{vote.decided, regimeToken, false, state});
+    }
+    bool const settled = now - quietSince >= policy.lostMs;
+    bool const backupGone = settled && !fresh(vote.decided.backup, policy.lostMs);
+    if (!isSealed() && !ailing() && (backupGone || witnessesNeedChange()) && !choosePartner().empty()) {
+      effects.emplace_back(Note{signal::Event::backupLost, vote.decided.backup});
+      sealSelf();
+      persist(true, false, {});
+      proposal.step = Step::choosing;
+    } else if (isSealed() && !ailing()) {
+      proposal.step = Step::choosing;
+    }
+  } else if (isBackup()) {
+    bool const gone = now - quietSince >= policy.takeoverMs && !fresh(vote.decided.primary, policy.takeoverMs);
+    if (!isSealed() && !ailing() && gone && !choosePartner().empty()) {
+      sealSelf();
+      persist(true, false, {});
+      proposal.step = Step::choosing;
+    } else if (isSealed() && !ailing()) {
+      proposal.step = Step::choosing;
+    }
+  }
+  pushProposal();
+}
+
+Council::Council(Policy const& policy) : impl_(std::make_unique<Impl>(policy)) {}
+Council::~Council() = default;
+Council::Council(Council&&) noexcept = default;
+Council& Council::operator=(Council&&) noexcept = default;
+
+std::vector<Effect> Council::step(TimePoint now, Event const& event) {
+  impl_->now = now;
+  impl_->effects.clear();
+  if (impl_->started || std::holds_alternative<Start>(event)) {
+    std::visit([this](auto const& concrete) { impl_->on(concrete); }, event);
+  }
+  return std::move(impl_->effects);
+}
+
+bool Council::active() const { return impl_->regime == Regime::active && !impl_->isSealed(); }
+bool Council::busy() const { return impl_->ticket.has_value(); }
+bool Council::ailing() const { return impl_->ailing(); }
+std::string const& Council::id() const { return impl_->self.id; }
+cargo::EpochRecord const& Council::decided() const { return impl_->vote.decided; }
+cargo::State const& Council::state() const { return impl_->state; }
+std::uint64_t Council::sealed() const { return impl_->vote.sealed; }
+std::optional<TimePoint> Council::authority() const { return impl_->authorityAt; }
+
+std::string Council::primaryAddress() const {
+  std::string const& primary = impl_->vote.decided.primary;
+  if (primary == impl_->self.id) {
+    return impl_->self.address;
+  }
+  std::map<std::string, Heard>::const_iterator const found = impl_->heard.find(primary);
+  return found == impl_->heard.end() ? "" : found->second.member.address;
+}
+
+std::optional<std::chrono::milliseconds> Council::heardMs(TimePoint now, std::string const& member) const {
+  std::map<std::string, Heard>::const_iterator const found = impl_->heard.find(member);
+  if (found == impl_->heard.end() || !found->second.ever) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Ms>(now - found->second.at);
+}
+
+}
--- /dev/null
+++ b/tests/council_test.cpp
@@ -0,0 +1,295 @@
+#include "drydock/councils.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::drydock;
+
+void expectAlive(Councils& group, std::string const& when) {
+  std::size_t const before = group.commits;
+  for (int round = 0; round < 400 && group.commits == before; ++round) {
+    group.run(Ms(25));
+    group.offer();
+  }
+  std::string picture;
+  for (CouncilNode const& node : group.nodes) {
+    cargo::EpochRecord const& decided = node.council.decided();
+    picture += "\n" + node.id + (node.up ? " up" : " down") + (node.frozen ? " frozen" : "") +
+               (node.council.ailing() ? " ailing" : "") + " epoch " + std::to_string(decided.epoch) + " sealed " +
+               std::to_string(node.council.sealed()) + " primary " + decided.primary + " backup " + decided.backup +
+               " witnesses";
+    for (std::string const& witness : decided.witnesses) {
+      picture += " " + witness;
+    }
+  }
+  EXPECT_GT(group.commits, before) << when << picture;
+}
+
+std::size_t primaryOf(Councils& group) {
+  for (int round = 0; round < 400 && !group.active(); ++round) {
+    group.run(Ms(25));
+  }
+  EXPECT_TRUE(group.active().has_value());
+  return group.active().value_or(0);
+}
+
+void startAll(Councils& group) {
+  for (std::size_t index = 0; index < group.nodes.size(); ++index) {
+    group.start(index);
+  }
+}
+
+TEST(Council, ThreeFoundOnceAndTwoDoNot) {
+  Councils two(5, 2, 0);
+  startAll(two);
+  two.run(Ms(20'000));
+  EXPECT_FALSE(two.active().has_value());
+  for (std::size_t const count : {3u, 4u, 5u}) {
+    Councils group(5 + count, count, 0.1);
+    startAll(group);
+    expectAlive(group, "after founding");
+    EXPECT_EQ(group.fleets.size(), 1u);
+    EXPECT_TRUE(group.complaints.empty());
+  }
+  Councils six(5, 6, 0);
+  startAll(six);
+  six.run(Ms(20'000));
+  EXPECT_FALSE(six.active().has_value());
+}
+
+TEST(Council, PrimaryKilledAtEveryStepOfAWriteLosesNoAcknowledgedChange) {
+  for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
+    for (bool const powerLoss : {false, true}) {
+      Councils group(100 + stepUs, 3, 0);
+      startAll(group);
+      expectAlive(group, "at first");
+      std::size_t const primary = primaryOf(group);
+      group.offer();
+      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      group.kill(primary, powerLoss);
+      expectAlive(group, "after the kill at " + std::to_string(stepUs));
+      group.start(primary);
+      group.run(Ms(3000));
+      expectAlive(group, "after the return");
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << stepUs;
+    }
+  }
+}
+
+TEST(Council, PrimaryThatRestartsAtOnceAtEveryStepOfAWriteGoesOn) {
+  for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      Councils group(seed, 3, 0);
+      startAll(group);
+      expectAlive(group, "at first");
+      std::size_t const primary = primaryOf(group);
+      group.offer();
+      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      group.kill(primary, true);
+      group.start(primary);
+      expectAlive(group, "after the restart at " + std::to_string(stepUs));
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << stepUs;
+    }
+  }
+}
+
+TEST(Council, AFrozenPrimaryThatThawsAcknowledgesNothing) {
+  for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 500) {
+    Councils group(300 + stepUs, 3, 0);
+    startAll(group);
+    expectAlive(group, "at first");
+    std::size_t const primary = primaryOf(group);
+    group.offer();
+    group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+    group.freeze(primary);
+    group.run(Ms(1000));
+    expectAlive(group, "while frozen");
+    group.thaw(primary);
+    group.offer();
+    group.run(Ms(2000));
+    expectAlive(group, "after the thaw");
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << stepUs;
+  }
+}
+
+TEST(Council, OneDiskMachineOfThreeLostDoesNotStopWritesAndAnEmptyOneJoins) {
+  for (std::size_t which = 0; which < 3; ++which) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      Councils group(seed, 3, 0.02);
+      startAll(group);
+      expectAlive(group, "at first");
+      group.wipe(which);
+      expectAlive(group, "with one lost");
+      group.start(which);
+      group.run(Ms(15'000));
+      expectAlive(group, "with the empty one");
+      std::size_t const primary = primaryOf(group);
+      std::vector<std::string> const& witnesses = group.nodes[primary].council.decided().witnesses;
+      EXPECT_EQ(std::count(witnesses.begin(), witnesses.end(), group.nodes[which].id), 1);
+      std::size_t const next = (which + 1) % 3;
+      group.wipe(next);
+      expectAlive(group, "with a second one lost after the repair");
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << which << " seed " << seed;
+      EXPECT_EQ(group.fleets.size(), 1u);
+    }
+  }
+}
+
+TEST(Council, AllKilledAtOnceReturnInAnyOrderWithinTheirTime) {
+  std::vector<std::size_t> order{0, 1, 2};
+  do {
+    Councils group(17, 3, 0);
+    startAll(group);
+    expectAlive(group, "at first");
+    group.offer();
+    group.run(Ms(2));
+    for (std::size_t index = 0; index < 3; ++index) {
+      group.kill(index, true);
+    }
+    for (std::size_t const index : order) {
+      group.start(index);
+      group.run(Ms(300));
+    }
+    TimePoint const back = group.sea.now();
+    expectAlive(group, "after the total loss");
+    EXPECT_LT(group.sea.now() - back, Ms(5000));
+    EXPECT_TRUE(group.complaints.empty());
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(Council, ADiskThatStallsHandsTheDutyOver) {
+  Councils group(23, 3, 0);
+  startAll(group);
+  expectAlive(group, "at first");
+  std::size_t const primary = primaryOf(group);
+  group.nodes[primary].diskStuck = true;
+  group.offer();
+  group.run(Ms(6000));
+  expectAlive(group, "after the stall");
+  EXPECT_NE(primaryOf(group), primary);
+  EXPECT_TRUE(group.complaints.empty());
+}
+
+TEST(Council, OneWayCutsAndIsolationNeverGiveTwoHistories) {
+  for (std::size_t from = 0; from < 3; ++from) {
+    for (std::size_t to = 0; to < 3; ++to) {
+      Councils group(40 + from * 3 + to, 3, 0);
+      startAll(group);
+      expectAlive(group, "at first");
+      if (from != to) {
+        group.cut(from, to);
+      } else {
+        for (std::size_t other = 0; other < 3; ++other) {
+          group.cut(from, other);
+          group.cut(other, from);
+        }
+      }
+      for (int round = 0; round < 200; ++round) {
+        group.run(Ms(50));
+        group.offer();
+      }
+      group.mendAll();
+      group.run(Ms(3000));
+      expectAlive(group, "after mending " + std::to_string(from) + std::to_string(to));
+      EXPECT_TRUE(group.complaints.empty());
+    }
+  }
+}
+
+TEST(Council, SeededStormsKeepEveryAcknowledgedChange) {
+  std::size_t commits = 0;
+  std::size_t takeovers = 0;
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    std::size_t const count = 3 + seed % 3;
+    Councils group(seed, count, 0.02 + 0.02 * static_cast<double>(seed % 4));
+    startAll(group);
+    std::size_t wipes = 0;
+    for (int round = 0; round < 600; ++round) {
+      group.run(Ms(20 + static_cast<long>(group.sea.roll(80))));
+      group.offer();
+      std::size_t const index = group.sea.roll(count);
+      CouncilNode& node = group.nodes[index];
+      switch (group.sea.roll(24)) {
+        case 0:
+          if (node.up) {
+            group.kill(index, group.sea.chance(0.5));
+          }
+          break;
+        case 1:
+        case 2:
+          if (!node.up) {
+            group.start(index);
+          }
+          break;
+        case 3:
+          if (node.up) {
+            group.freeze(index);
+          }
+          break;
+        case 4:
+        case 5:
+          group.thaw(index);
+          break;
+        case 6:
+          group.cut(index, group.sea.roll(count));
+          break;
+        case 7:
+        case 8:
+          group.mendAll();
+          break;
+        case 9:
+          if (round % 20 == 0) {
+            node.diskStuck = true;
+          }
+          break;
+        case 10: {
+          bool const quiet = std::all_of(group.nodes.begin(), group.nodes.end(), [](CouncilNode const& other) {
+            return other.up && !other.frozen && !other.diskStuck;
+          });
+          std::optional<std::size_t> const active = group.active();
+          if (quiet && active && wipes < 3 && group.nodes[*active].council.sealed() < group.nodes[*active].council.decided().epoch &&
+              std::all_of(group.nodes.begin(), group.nodes.end(), [&](CouncilNode const& other) {
+                return other.council.decided().epoch == group.nodes[*active].council.decided().epoch;
+              })) {
+            group.wipe(index);
+            ++wipes;
+            group.mendAll();
+            for (int wait = 0; wait < 300; ++wait) {
+              group.run(Ms(50));
+              group.offer();
+            }
+            group.start(index);
+            group.run(Ms(12'000));
+          }
+          break;
+        }
+        default:
+          break;
+      }
+    }
+    group.mendAll();
+    group.setLoss(0);
+    for (std::size_t index = 0; index < count; ++index) {
+      if (group.nodes[index].diskStuck) {
+        group.kill(index, true);
+      }
+      if (!group.nodes[index].up) {
+        group.start(index);
+      }
+      group.thaw(index);
+    }
+    expectAlive(group, "after the storm of seed " + std::to_string(seed));
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(group.fleets.size(), 1u) << "seed " << seed;
+    commits += group.commits;
+    takeovers += group.takeovers;
+  }
+  std::printf("seeds 1 to 150: %zu commits, %zu takeovers\n", commits, takeovers);
+  EXPECT_GT(takeovers, 500u);
+}
+
+}
--- /dev/null
+++ b/tests/hold_test.cpp
@@ -0,0 +1,137 @@
+#include "limeramp/hold/store.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+namespace {
+
+using namespace limeramp::hold;
+
+Shape const small{3, 8192};
+
+struct Folder {
+  Folder() {
+    char pattern[] = "/tmp/limeramp-hold-XXXXXX";
+    path = ::mkdtemp(pattern);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  void flip(std::string const& file, std::streamoff at) const {
+    std::fstream stream(path + "/" + file, std::ios::in | std::ios::out | std::ios::binary);
+    stream.seekg(at);
+    char byte = 0;
+    stream.get(byte);
+    stream.seekp(at);
+    stream.put(static_cast<char>(byte ^ 0x5a));
+  }
+  std::string path;
+};
+
+std::unique_ptr<Store> open(Folder const& folder) {
+  absl::StatusOr<std::unique_ptr<Store>> store = Store::open(folder.path, small);
+  EXPECT_TRUE(store.ok()) << store.status();
+  return *std::move(store);
+}
+
+TEST(Store, KeepsTheLastValueOverManyTurnsOfTheRing) {
+  Folder const folder;
+  EXPECT_TRUE(open(folder)->findings().empty);
+  for (int round = 0; round < 60; ++round) {
+    std::unique_ptr<Store> const store = open(folder);
+    EXPECT_FALSE(store->findings().damaged);
+    EXPECT_FALSE(store->findings().tailCut);
+    if (round > 0) {
+      EXPECT_EQ(store->values().at("turn"), std::to_string(round - 1));
+      EXPECT_EQ(store->values().at("once"), "kept");
+    } else {
+      ASSERT_TRUE(store->put({{"once", "kept"}}).ok());
+    }
+    ASSERT_TRUE(store->put({{"turn", std::to_string(round)}, {"bulk", std::string(900, 'x')}}).ok());
+  }
+}
+
+TEST(Store, OnlyOneProcessHoldsAFolder) {
+  Folder const folder;
+  std::unique_ptr<Store> const store = open(folder);
+  EXPECT_FALSE(Store::open(folder.path, small).ok());
+}
+
+TEST(Store, EveryCutOfTheLastRecordLeavesTheOnesBefore) {
+  for (std::streamoff cut = 0; cut < 40; cut += 3) {
+    Folder const folder;
+    std::uintmax_t const at = [&] {
+      std::unique_ptr<Store> const store = open(folder);
+      EXPECT_TRUE(store->put({{"a", "1"}}).ok());
+      EXPECT_TRUE(store->put({{"a", "2"}}).ok());
+      return std::uintmax_t(0);
+    }();
+    EXPECT_EQ(at, 0u);
+    std::string bytes;
+    {
+      std::ifstream file(folder.path + "/ring-1", std::ios::binary);
+      bytes.assign(std::istreambuf_iterator<char>(file), {});
+    }
+    std::size_t last = bytes.size();
+    while (last > 0 && bytes[last - 1] == '\0') {
+      --last;
+    }
+    std::fstream file(folder.path + "/ring-1", std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(last) - 1 - cut);
+    for (std::streamoff index = 0; index <= cut; ++index) {
+      file.put('\0');
+    }
+    file.close();
+    std::unique_ptr<Store> const store = open(folder);
+    EXPECT_FALSE(store->findings().damaged) << cut;
+    EXPECT_EQ(store->values().at("a"), "1") << cut;
+    ASSERT_TRUE(store->put({{"a", "3"}}).ok());
+  }
+}
+
+TEST(Store, DamageBeforeTheLastRecordIsReportedAndNotServed) {
+  for (std::streamoff const at : {4, 30, 60, 150}) {
+    Folder const folder;
+    {
+      std::unique_ptr<Store> const store = open(folder);
+      for (int round = 0; round < 5; ++round) {
+        ASSERT_TRUE(store->put({{"a", std::to_string(round)}, {"pad", std::string(60, 'p')}}).ok());
+      }
+    }
+    folder.flip("ring-1", at);
+    std::unique_ptr<Store> const store = open(folder);
+    EXPECT_TRUE(store->findings().damaged) << at;
+    EXPECT_TRUE(store->values().empty());
+    EXPECT_FALSE(store->put({{"a", "9"}}).ok());
+    ASSERT_TRUE(store->setAside().ok());
+    EXPECT_TRUE(store->put({{"a", "9"}}).ok());
+  }
+}
+
+TEST(Store, APowerLossWhileTheRingTurnsFallsBackToTheWholeFileBefore) {
+  Folder const folder;
+  {
+    std::unique_ptr<Store> const store = open(folder);
+    for (int round = 0; round < 8; ++round) {
+      ASSERT_TRUE(store->put({{"turn", std::to_string(round)}, {"bulk", std::string(900, 'x')}}).ok());
+    }
+  }
+  std::fstream file(folder.path + "/ring-2", std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(100);
+  file << std::string(8092, '\0');
+  file.close();
+  std::unique_ptr<Store> const store = open(folder);
+  EXPECT_FALSE(store->findings().damaged);
+  EXPECT_TRUE(store->values().contains("turn"));
+}
+
+TEST(Store, ARecordLargerThanAFileFailsForGood) {
+  Folder const folder;
+  std::unique_ptr<Store> const store = open(folder);
+  ASSERT_TRUE(store->put({{"a", "1"}}).ok());
+  EXPECT_FALSE(store->put({{"a", std::string(10'000, 'x')}}).ok());
+  EXPECT_FALSE(store->put({{"a", "2"}}).ok());
+}
+
+}
--- /dev/null
+++ b/testside/drydock/councils.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "drydock/sea.h"
+#include "limeramp/pledge/council.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limeramp::drydock {
+
+struct CouncilNode {
+  std::string id;
+  std::string address;
+  std::string zone;
+  pledge::Council council{pledge::Policy{}};
+  std::map<std::string, std::string> disk;
+  std::vector<std::pair<std::uint64_t, pledge::Puts>> unsynced;
+  std::uint64_t life = 0;
+  bool up = false;
+  bool frozen = false;
+  bool diskStuck = false;
+  std::vector<std::function<void()>> thawWork;
+  std::string word;
+};
+
+class Councils {
+ public:
+  Councils(std::uint64_t seed, std::size_t count, double loss);
+
+  Sea sea;
+  std::vector<CouncilNode> nodes;
+  std::vector<std::string> complaints;
+  std::size_t commits = 0;
+  std::size_t doubts = 0;
+  std::size_t takeovers = 0;
+  std::set<std::string> fleets;
+  bool mayFound = true;
+
+  void start(std::size_t index);
+  void kill(std::size_t index, bool powerLoss);
+  void wipe(std::size_t index);
+  void freeze(std::size_t index);
+  void thaw(std::size_t index);
+  void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
+  void mendAll() { cuts_.clear(); }
+  void offer();
+  std::optional<std::size_t> active() const;
+  void run(Ms time) { sea.runUntil(sea.now() + time); }
+  void setLoss(double loss) { loss_ = loss; }
+
+ private:
+  void step(std::size_t index, pledge::Event const& event);
+  void carry(std::size_t index, pledge::Effect const& effect);
+  void tick(std::size_t index, std::uint64_t life);
+  void witness(std::size_t index, cargo::State const& state, std::string const& what);
+  void checkAuthority();
+
+  double loss_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::uint64_t lastTicket_ = 0;
+  std::size_t renamed_ = 0;
+  std::string committed_;
+  std::map<std::uint64_t, TimePoint> firstCommit_;
+};
+
+}
