--- /dev/null
+++ b/libs/berth/include/limeramp/berth/desk.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "limeramp/berth/list.h"
+#include "limeramp/cargo/messages.h"
+#include "limeramp/fairway/views.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limeramp::berth {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+struct DeskPolicy {
+  std::chrono::milliseconds pollMs{250};
+  std::chrono::milliseconds replyMs{500};
+  std::chrono::milliseconds suspectMs{3000};
+  std::chrono::milliseconds oldNewsMs{1200};
+  std::chrono::milliseconds listMs{400};
+  std::chrono::milliseconds emptyHeldMs{10'000};
+  std::chrono::milliseconds followerMs{2000};
+};
+
+struct Around {
+  std::vector<std::string> zoneAddresses;
+  std::set<std::string> services;
+};
+
+struct DeskStep {
+  std::vector<fairway::Outgoing> sends;
+  std::vector<std::string> changed;
+  bool readList = false;
+  bool emptyHeld = false;
+};
+
+class Desk {
+ public:
+  Desk(DeskPolicy const& policy, std::string const& node, std::string const& address, std::string const& zone);
+  ~Desk();
+  Desk(Desk&&) noexcept;
+  Desk& operator=(Desk&&) noexcept;
+
+  DeskStep tick(TimePoint now, Around const& around);
+  DeskStep hear(TimePoint now, std::string const& address, cargo::TablePoll const& message);
+  DeskStep hear(TimePoint now, std::string const& address, cargo::TableNews const& message);
+  DeskStep listed(TimePoint now, List const& list);
+  void listFailed();
+
+  std::vector<shoal::ServerRow> rows(TimePoint now, std::string const& service) const;
+  std::optional<std::chrono::milliseconds> ageMs(TimePoint now, std::string const& service) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -195,6 +195,9 @@
   std::uint64_t configurationSequence = 0;
   std::string document;
   std::vector<RosterEntry> roster;
+  std::vector<RosterEntry> priorRoster;
+  std::uint64_t rosterEpoch = 0;
+  std::uint64_t rosterSequence = 0;
   std::vector<Receipt> receipts;
   bool operator==(State const&) const = default;
   template <typename V, typename T>
@@ -205,6 +208,9 @@
     visit("configurationSequence", self.configurationSequence);
     visit("document", self.document);
     visit("roster", self.roster);
+    visit("priorRoster", self.priorRoster);
+    visit("rosterEpoch", self.rosterEpoch);
+    visit("rosterSequence", self.rosterSequence);
     visit("receipts", self.receipts);
   }
 };
@@ -269,6 +275,7 @@
   static constexpr char const* name = "News";
   std::uint64_t token = 0;
   std::string node;
+  bool settled = false;
   bool hasAge = false;
   std::uint64_t ageMs = 0;
   std::uint64_t epoch = 0;
@@ -279,6 +286,7 @@
   static void describe(V& visit, T& self) {
     visit("token", self.token);
     visit("node", self.node);
+    visit("settled", self.settled);
     visit("hasAge", self.hasAge);
     visit("ageMs", self.ageMs);
     visit("epoch", self.epoch);
--- /dev/null
+++ b/libs/fairway/src/courier.cpp
@@ -0,0 +1,300 @@
+#include "limeramp/fairway/courier.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+namespace limeramp::fairway {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+using Mark = std::pair<std::uint64_t, std::uint64_t>;
+
+struct Asked {
+  std::string address;
+  TimePoint at{};
+};
+
+struct Listener {
+  cargo::Follower follower;
+  TimePoint at{};
+};
+
+}
+
+struct Courier::Impl {
+  CourierPolicy policy;
+  cargo::Follower self;
+  std::mt19937_64 dice;
+  std::optional<cargo::State> state;
+  std::string primaryAddress;
+  std::optional<TimePoint> anchor;
+  std::map<std::string, TimePoint> contacts;
+  std::map<std::uint64_t, Asked> asked;
+  std::map<std::string, TimePoint> suspects;
+  std::map<std::string, Listener> listeners;
+  std::uint64_t lastToken = 0;
+  TimePoint nextPollAt{};
+  TimePoint nextWideAt{};
+  std::size_t turn = 0;
+  bool hurry = false;
+  bool settled = false;
+
+  Mark mark() const { return state ? Mark(state->epoch, state->sequence) : Mark(0, 0); }
+
+  bool listed() const {
+    return state && std::any_of(state->roster.begin(), state->roster.end(), [&](cargo::RosterEntry const& entry) {
+             return entry.node == self.node && entry.address == self.address;
+           });
+  }
+
+  cargo::Poll makePoll(TimePoint now, std::string const& address) {
+    cargo::Poll poll;
+    poll.token = ++lastToken;
+    poll.self = self;
+    poll.self.epoch = mark().first;
+    poll.self.sequence = mark().second;
+    for (std::pair<std::string const, Listener> const& entry : listeners) {
+      poll.followers.push_back(entry.second.follower);
+    }
+    asked[poll.token] = {address, now};
+    return poll;
+  }
+
+  std::vector<std::string> homes(std::vector<cargo::Peer> const& peers) const {
+    std::map<std::string, std::string> zone;
+    if (state) {
+      for (cargo::RosterEntry const& entry : state->roster) {
+        if (entry.zone == self.zone) {
+          zone[entry.node] = entry.address;
+        }
+      }
+    }
+    for (cargo::Peer const& peer : peers) {
+      if (zone.empty() && peer.role == "quay" && peer.zone == self.zone) {
+        zone[peer.node] = peer.address;
+      }
+    }
+    zone[self.node] = self.address;
+    std::vector<std::string> names;
+    for (std::pair<std::string const, std::string> const& entry : zone) {
+      names.push_back(entry.first);
+    }
+    std::vector<std::string> out;
+    for (std::string const& name : rankHomes("configuration/" + self.zone, names)) {
+      out.push_back(zone[name]);
+    }
+    return out;
+  }
+
+  std::string controlAddress(std::vector<cargo::Peer> const& peers) {
+    if (!primaryAddress.empty() && !suspects.contains(primaryAddress)) {
+      return primaryAddress;
+    }
+    std::vector<std::string> known;
+    for (cargo::Peer const& peer : peers) {
+      if (peer.role == "harbourmaster") {
+        known.push_back(peer.address);
+      }
+    }
+    return known.empty() ? primaryAddress : known[++turn % known.size()];
+  }
+
+  bool adopt(cargo::State const& next) {
+    if (Mark(next.epoch, next.sequence) <= mark()) {
+      return false;
+    }
+    state = next;
+    hurry = true;
+    return true;
+  }
+
+  void pushTo(std::vector<Outgoing>& sends, TimePoint now) {
+    for (std::pair<std::string const, Listener> const& entry : listeners) {
+      Mark const has(entry.second.follower.epoch, entry.second.follower.sequence);
+      if (now - entry.second.at <= policy.followerMs && has < mark()) {
+        cargo::News news;
+        news.node = self.node;
+        news.epoch = mark().first;
+        news.sequence = mark().second;
+        news.state = state;
+        news.primaryAddress = primaryAddress;
+        sends.push_back({entry.second.follower.address, std::move(news)});
+      }
+    }
+  }
+
+  std::optional<TimePoint> upheldAt() const {
+    if (!listed()) {
+      return std::nullopt;
+    }
+    std::vector<TimePoint> times;
+    for (cargo::RosterEntry const& entry : state->roster) {
+      std::map<std::string, TimePoint>::const_iterator const found = contacts.find(entry.node);
+      if (entry.node != self.node && found != contacts.end()) {
+        times.push_back(found->second);
+      }
+    }
+    std::size_t const needed = state->roster.size() / 2;
+    if (times.size() < needed) {
+      return std::nullopt;
+    }
+    if (needed == 0) {
+      return TimePoint::max();
+    }
+    std::sort(times.rbegin(), times.rend());
+    return times[needed - 1];
+  }
+};
+
+Courier::Courier(CourierPolicy const& policy, cargo::Follower const& self, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->policy = policy;
+  impl_->self = self;
+  impl_->dice.seed(seed);
+  impl_->lastToken = impl_->dice() >> 20;
+}
+
+Courier::~Courier() = default;
+Courier::Courier(Courier&&) noexcept = default;
+Courier& Courier::operator=(Courier&&) noexcept = default;
+
+CourierStep Courier::tick(TimePoint now, std::vector<cargo::Peer> const& peers) {
+  Impl& impl = *impl_;
+  CourierStep out;
+  std::erase_if(impl.suspects, [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
+  std::erase_if(impl.asked, [&](std::pair<std::uint64_t const, Asked> const& entry) {
+    bool const late = now - entry.second.at > impl.policy.replyMs;
+    if (late) {
+      impl.suspects[entry.second.address] = now + impl.policy.suspectMs;
+    }
+    return late;
+  });
+  std::erase_if(impl.listeners, [&](std::pair<std::string const, Listener> const& entry) {
+    return now - entry.second.at > impl.policy.followerMs;
+  });
+  bool const worried = !impl.anchor || now - *impl.anchor > impl.policy.worriedMs;
+  if (now >= impl.nextPollAt || impl.hurry) {
+    impl.nextPollAt = now + impl.policy.pollMs;
+    impl.hurry = false;
+    std::string target;
+    for (std::string const& home : impl.homes(peers)) {
+      if (home == impl.self.address) {
+        break;
+      }
+      if (!impl.suspects.contains(home)) {
+        target = home;
+        break;
+      }
+    }
+    std::string const control = impl.controlAddress(peers);
+    if (target.empty() || (worried && impl.listeners.empty())) {
+      target = target.empty() ? control : target;
+    }
+    if (!target.empty()) {
+      out.sends.push_back({target, impl.makePoll(now, target)});
+    }
+    if (worried && !control.empty() && control != target) {
+      out.sends.push_back({control, impl.makePoll(now, control)});
+    }
+  }
+  if (worried && impl.state && now >= impl.nextWideAt) {
+    impl.nextWideAt = now + impl.policy.replyMs;
+    for (cargo::RosterEntry const& entry : impl.state->roster) {
+      if (entry.node != impl.self.node) {
+        out.sends.push_back({entry.address, impl.makePoll(now, entry.address)});
+      }
+    }
+  }
+  return out;
+}
+
+CourierStep Courier::hear(TimePoint now, std::string const&, cargo::Poll const& message) {
+  Impl& impl = *impl_;
+  CourierStep out;
+  Mark const has(message.self.epoch, message.self.sequence);
+  Listener& listener = impl.listeners[message.self.node];
+  Mark const had(listener.follower.epoch, listener.follower.sequence);
+  if (had != has && has == impl.mark()) {
+    impl.hurry = true;
+  }
+  listener = {message.self, now};
+  if (impl.listeners.size() > 1000) {
+    impl.listeners.erase(impl.listeners.begin());
+  }
+  cargo::News news;
+  news.token = message.token;
+  news.node = impl.self.node;
+  news.epoch = impl.mark().first;
+  news.sequence = impl.mark().second;
+  news.primaryAddress = impl.primaryAddress;
+  news.settled = impl.settled;
+  if (impl.anchor) {
+    news.hasAge = true;
+    news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *impl.anchor).count()) + 1;
+  }
+  if (impl.state && has < impl.mark()) {
+    news.state = impl.state;
+  }
+  out.sends.push_back({message.self.address, std::move(news)});
+  return out;
+}
+
+CourierStep Courier::hear(TimePoint now, std::string const& address, cargo::News const& message) {
+  Impl& impl = *impl_;
+  CourierStep out;
+  if (message.state) {
+    out.changed = impl.adopt(*message.state);
+  }
+  if (!message.primaryAddress.empty()) {
+    impl.primaryAddress = message.primaryAddress;
+  }
+  if (out.changed) {
+    impl.pushTo(out.sends, now);
+  }
+  std::map<std::uint64_t, Asked>::iterator const found = impl.asked.find(message.token);
+  if (message.token == 0 || found == impl.asked.end()) {
+    return out;
+  }
+  TimePoint const askedAt = found->second.at;
+  impl.suspects.erase(address);
+  impl.asked.erase(found);
+  if (Mark(message.epoch, message.sequence) > impl.mark()) {
+    return out;
+  }
+  if (message.hasAge && Mark(message.epoch, message.sequence) == impl.mark()) {
+    TimePoint const at = askedAt - Ms(static_cast<long>(message.ageMs));
+    impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
+  }
+  impl.settled = impl.settled || (impl.anchor && now - *impl.anchor <= impl.policy.currentMs);
+  if (message.settled) {
+    TimePoint& contact = impl.contacts[message.node];
+    contact = std::max(contact, askedAt);
+  }
+  return out;
+}
+
+Footing Courier::footing(TimePoint now) const {
+  Impl const& impl = *impl_;
+  Footing out;
+  if (!impl.state) {
+    return out;
+  }
+  out.ageMs = impl.anchor ? std::chrono::duration_cast<Ms>(now - *impl.anchor) : Ms::max();
+  if (!impl.listed()) {
+    out.standing = Standing::unlisted;
+  } else if (impl.anchor && now - *impl.anchor <= impl.policy.currentMs) {
+    out.standing = Standing::current;
+  } else {
+    std::optional<TimePoint> const upheld = impl.upheldAt();
+    bool const held = impl.settled && upheld && (*upheld == TimePoint::max() || now - *upheld <= impl.policy.currentMs);
+    out.standing = held ? Standing::upheld : Standing::stale;
+  }
+  return out;
+}
+
+std::optional<cargo::State> const& Courier::state() const { return impl_->state; }
+std::string const& Courier::primaryAddress() const { return impl_->primaryAddress; }
+
+}
--- /dev/null
+++ b/libs/fairway/src/views.cpp
@@ -0,0 +1,152 @@
+#include "limeramp/fairway/views.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace limeramp::fairway {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+struct Entry {
+  cargo::Peer peer;
+  TimePoint aliveAt{};
+};
+
+}
+
+struct Views::Impl {
+  ViewPolicy policy;
+  cargo::Peer self;
+  std::vector<std::string> seeds;
+  std::mt19937_64 dice;
+  std::map<std::string, Entry> entries;
+  std::map<std::string, TimePoint> heardAt;
+  TimePoint nextAt{};
+  std::size_t turn = 0;
+
+  void forget(TimePoint now) {
+    std::erase_if(entries, [&](std::pair<std::string const, Entry> const& entry) {
+      return now - entry.second.aliveAt > policy.forgetMs;
+    });
+    while (entries.size() > policy.mostPeers) {
+      entries.erase(std::min_element(entries.begin(), entries.end(), [](auto const& left, auto const& right) {
+        return left.second.aliveAt < right.second.aliveAt;
+      }));
+    }
+  }
+
+  std::vector<cargo::Peer> sample(TimePoint now) {
+    std::vector<cargo::Peer> out;
+    for (std::pair<std::string const, Entry> const& entry : entries) {
+      cargo::Peer peer = entry.second.peer;
+      peer.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - entry.second.aliveAt).count());
+      out.push_back(std::move(peer));
+    }
+    std::shuffle(out.begin(), out.end(), dice);
+    if (out.size() > policy.mostShuffled) {
+      out.resize(policy.mostShuffled);
+    }
+    out.push_back(self);
+    return out;
+  }
+};
+
+Views::Views(ViewPolicy const& policy, cargo::Peer const& self, std::vector<std::string> const& seeds,
+             std::uint64_t seed)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->policy = policy;
+  impl_->self = self;
+  impl_->self.ageMs = 0;
+  impl_->seeds = seeds;
+  impl_->dice.seed(seed);
+}
+
+Views::~Views() = default;
+Views::Views(Views&&) noexcept = default;
+Views& Views::operator=(Views&&) noexcept = default;
+
+std::vector<Outgoing> Views::tick(TimePoint now) {
+  std::vector<Outgoing> out;
+  if (now < impl_->nextAt) {
+    return out;
+  }
+  impl_->nextAt = now + impl_->policy.shuffleMs;
+  impl_->forget(now);
+  ++impl_->turn;
+  std::vector<std::string> targets;
+  if (!impl_->entries.empty()) {
+    std::map<std::string, Entry>::const_iterator const chosen =
+        std::next(impl_->entries.begin(), static_cast<long>(impl_->dice() % impl_->entries.size()));
+    targets.push_back(chosen->second.peer.address);
+  }
+  if (impl_->entries.size() < 3 || impl_->turn % 8 == 0) {
+    std::string const& seed = impl_->seeds[impl_->turn / (impl_->entries.size() < 3 ? 1 : 8) % impl_->seeds.size()];
+    if (seed != impl_->self.address) {
+      targets.push_back(seed);
+    }
+  }
+  for (std::string const& address : targets) {
+    out.push_back({address, cargo::Shuffle{false, impl_->sample(now)}});
+  }
+  return out;
+}
+
+std::vector<Outgoing> Views::hear(TimePoint now, std::string const&, std::string const& address,
+                                  cargo::Shuffle const& message) {
+  impl_->heardAt[address] = now;
+  if (impl_->heardAt.size() > 4 * impl_->policy.mostPeers) {
+    impl_->heardAt.erase(impl_->heardAt.begin());
+  }
+  for (cargo::Peer const& peer : message.peers) {
+    if (peer.node == impl_->self.node || peer.address == impl_->self.address ||
+        peer.ageMs > static_cast<std::uint64_t>(impl_->policy.forgetMs.count())) {
+      continue;
+    }
+    TimePoint const aliveAt = now - Ms(static_cast<long>(peer.ageMs));
+    std::map<std::string, Entry>::iterator const found = impl_->entries.find(peer.node);
+    if (found == impl_->entries.end() || found->second.aliveAt < aliveAt) {
+      impl_->entries[peer.node] = {peer, aliveAt};
+    }
+  }
+  impl_->forget(now);
+  if (message.reply) {
+    return {};
+  }
+  return {{address, cargo::Shuffle{true, impl_->sample(now)}}};
+}
+
+std::vector<cargo::Peer> Views::peers(TimePoint now) const {
+  std::vector<cargo::Peer> out;
+  for (std::pair<std::string const, Entry> const& entry : impl_->entries) {
+    cargo::Peer peer = entry.second.peer;
+    peer.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - entry.second.aliveAt).count());
+    out.push_back(std::move(peer));
+  }
+  return out;
+}
+
+bool Views::seedsHeard(TimePoint now, Ms within) const {
+  return std::all_of(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
+    if (seed == impl_->self.address) {
+      return true;
+    }
+    std::map<std::string, TimePoint>::const_iterator const found = impl_->heardAt.find(seed);
+    return found != impl_->heardAt.end() && now - found->second <= within;
+  });
+}
+
+std::vector<std::string> rankHomes(std::string const& topic, std::vector<std::string> nodes) {
+  std::sort(nodes.begin(), nodes.end(), [&](std::string const& left, std::string const& right) {
+    std::uint64_t const mark = XXH64(topic.data(), topic.size(), 0);
+    std::uint64_t const first = XXH64(left.data(), left.size(), mark);
+    std::uint64_t const second = XXH64(right.data(), right.size(), mark);
+    return first != second ? first > second : left < right;
+  });
+  return nodes;
+}
+
+}
--- /dev/null
+++ b/libs/harbour/include/limeramp/harbour/desk.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "limeramp/harbour/plane.h"
+#include "limeramp/rigging/http.h"
+
+#include <string>
+#include <variant>
+
+namespace limeramp::harbour {
+
+constexpr char const* configurationPath = "/limeramp/configuration";
+
+std::variant<Change, rigging::Answer> readChange(rigging::Request const& request, TimePoint now,
+                                                 std::string const& freshId);
+rigging::Answer answerOf(Decided const& decided, std::string const& change);
+rigging::Answer relayAnswer(rigging::Exchange const& exchange, std::string const& change);
+rigging::Answer plain(int status, std::string body);
+
+}
--- /dev/null
+++ b/libs/harbour/include/limeramp/harbour/office.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "limeramp/manifest/settings.h"
+
+#include <memory>
+#include <string>
+
+namespace limeramp::harbour {
+
+class Office {
+ public:
+  static std::unique_ptr<Office> start(manifest::Settings const& settings, std::string& error);
+  ~Office();
+  Office(Office const&) = delete;
+  Office& operator=(Office const&) = delete;
+
+  void drain();
+
+ private:
+  Office();
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/libs/harbour/include/limeramp/harbour/plane.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "limeramp/cargo/messages.h"
+#include "limeramp/fairway/views.h"
+#include "limeramp/manifest/configuration.h"
+#include "limeramp/pledge/council.h"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace limeramp::harbour {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+struct Policy {
+  std::chrono::milliseconds nodeCurrentMs{2000};
+  std::chrono::milliseconds silentGraceMs{400};
+  std::chrono::milliseconds rosterForgetMs{60'000};
+  std::chrono::milliseconds rosterBatchMs{100};
+  std::size_t mostChanges = 64;
+  std::size_t mostReceipts = 256;
+  std::size_t mostNodes = 1000;
+  std::size_t budgetSlots = 20;
+};
+
+struct Change {
+  std::uint64_t ticket = 0;
+  std::string id;
+  std::optional<manifest::Version> base;
+  bool patch = false;
+  std::string body;
+  TimePoint deadline;
+};
+
+struct Tick {};
+struct Polled {
+  std::string address;
+  cargo::Poll poll;
+};
+
+using Event = std::variant<pledge::Active, pledge::Inactive, pledge::Committed, pledge::Doubtful, Change, Polled, Tick>;
+
+enum class Verdict { taken, refused, conflict, notRun, unknown };
+
+struct Decided {
+  std::uint64_t ticket = 0;
+  Verdict verdict = Verdict::unknown;
+  manifest::Version version;
+  std::vector<manifest::Problem> problems;
+  std::string reason;
+};
+
+using Effect = std::variant<pledge::Offer, Decided, fairway::Outgoing, pledge::Note>;
+
+struct NodeView {
+  std::string node;
+  std::string address;
+  std::string zone;
+  std::uint64_t slot = 0;
+  manifest::Version confirmed;
+  std::chrono::milliseconds heardMs{0};
+  bool everHeard = false;
+};
+
+class Plane {
+ public:
+  Plane(Policy const& policy, std::string const& id);
+  ~Plane();
+  Plane(Plane&&) noexcept;
+  Plane& operator=(Plane&&) noexcept;
+
+  std::vector<Effect> step(TimePoint now, pledge::Council const& council, Event const& event);
+
+  bool active() const;
+  cargo::State const& published() const;
+  std::vector<NodeView> nodes(TimePoint now) const;
+  std::size_t pending() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/libs/harbour/src/office.cpp
@@ -0,0 +1,430 @@
+#include "limeramp/harbour/office.h"
+
+#include "limeramp/fairway/views.h"
+#include "limeramp/harbour/desk.h"
+#include "limeramp/hold/store.h"
+#include "limeramp/rigging/mail.h"
+#include "limeramp/rigging/ring.h"
+#include "limeramp/signal/signal.h"
+
+#include <map>
+#include <random>
+#include <thread>
+#include <unordered_map>
+
+namespace limeramp::harbour {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+struct Incoming {
+  rigging::Request content;
+  rigging::Responder respond;
+};
+struct DiskDone {
+  std::uint64_t token = 0;
+  bool good = false;
+  std::string reason;
+};
+struct Relayed {
+  std::uint64_t ticket = 0;
+  rigging::Exchange exchange;
+};
+
+using Letter = std::variant<Incoming, DiskDone, Relayed>;
+
+struct Work {
+  std::uint64_t token = 0;
+  hold::Puts puts;
+};
+
+struct Client {
+  rigging::Responder respond;
+  std::string change;
+};
+
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
+std::uint64_t randomWord() {
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32) | source();
+}
+
+}
+
+struct Office::Impl {
+  Impl(manifest::Settings const& settingsIn, std::unique_ptr<hold::Store> storeIn, std::string const& idIn)
+      : settings(settingsIn),
+        id(idIn),
+        store(std::move(storeIn)),
+        client(network, {}),
+        mail(network),
+        inbox(8192),
+        work(1024),
+        council(pledge::Policy{}),
+        plane(Policy{}, idIn),
+        views({}, cargo::Peer{idIn, settingsIn.listen, settingsIn.zone, "harbourmaster", randomWord() >> 1, 0},
+              settingsIn.seeds, randomWord()) {}
+
+  manifest::Settings settings;
+  std::string id;
+  std::unique_ptr<hold::Store> store;
+  rigging::Network network;
+  rigging::HttpClient client;
+  rigging::Mail mail;
+  rigging::Ring<Letter> inbox;
+  rigging::Ring<Work> work;
+  pledge::Council council;
+  Plane plane;
+  fairway::Views views;
+  std::unique_ptr<rigging::HttpServer> server;
+  std::thread core;
+  std::thread disk;
+  std::unordered_map<std::uint64_t, Client> clients;
+  std::uint64_t lastTicket = 0;
+  bool fleetElsewhere = false;
+  bool draining = false;
+
+  void runCore();
+  void runDisk();
+  void on(Incoming& letter);
+  void on(DiskDone& letter);
+  void on(Relayed& letter);
+  void hearParcel(std::string const& body);
+  void driveCouncil(pledge::Event const& event);
+  void drivePlane(Event const& event);
+  void send(std::string const& address, cargo::Message message);
+  void sendAll(std::vector<fairway::Outgoing> const& sends);
+  void reply(std::uint64_t ticket, rigging::Answer answer);
+  void change(Incoming& letter);
+  void tick();
+  rigging::Answer status() const;
+  rigging::Answer ready() const;
+  rigging::Answer current() const;
+};
+
+void Office::Impl::send(std::string const& address, cargo::Message message) {
+  mail.send(address, cargo::seal({council.decided().fleet, id, settings.listen, std::move(message)}));
+}
+
+void Office::Impl::sendAll(std::vector<fairway::Outgoing> const& sends) {
+  for (fairway::Outgoing const& outgoing : sends) {
+    send(outgoing.address, outgoing.message);
+  }
+}
+
+void Office::Impl::reply(std::uint64_t ticket, rigging::Answer answer) {
+  std::unordered_map<std::uint64_t, Client>::iterator const found = clients.find(ticket);
+  if (found != clients.end()) {
+    found->second.respond(std::move(answer));
+    clients.erase(found);
+  }
+}
+
+void Office::Impl::driveCouncil(pledge::Event const& event) {
+  for (pledge::Effect const& effect : council.step(Clock::now(), event)) {
+    if (pledge::Send const* const outgoing = std::get_if<pledge::Send>(&effect)) {
+      send(outgoing->address, outgoing->message);
+    } else if (pledge::Persist const* const persist = std::get_if<pledge::Persist>(&effect)) {
+      if (!work.tryPush({persist->token, persist->puts})) {
+        inbox.push(DiskDone{persist->token, false, "the disk's queue is full"});
+      }
+    } else if (pledge::Note const* const note = std::get_if<pledge::Note>(&effect)) {
+      signal::raise(note->event, {{"about", note->about}});
+    } else if (pledge::Committed const* const committed = std::get_if<pledge::Committed>(&effect)) {
+      drivePlane(*committed);
+    } else if (pledge::Doubtful const* const doubtful = std::get_if<pledge::Doubtful>(&effect)) {
+      drivePlane(*doubtful);
+    } else if (pledge::Active const* const active = std::get_if<pledge::Active>(&effect)) {
+      drivePlane(*active);
+    } else if (std::holds_alternative<pledge::Inactive>(effect)) {
+      drivePlane(pledge::Inactive{});
+    }
+  }
+}
+
+void Office::Impl::drivePlane(Event const& event) {
+  for (Effect const& effect : plane.step(Clock::now(), council, event)) {
+    if (pledge::Offer const* const offer = std::get_if<pledge::Offer>(&effect)) {
+      driveCouncil(*offer);
+    } else if (Decided const* const decided = std::get_if<Decided>(&effect)) {
+      std::unordered_map<std::uint64_t, Client>::iterator const found = clients.find(decided->ticket);
+      if (found != clients.end()) {
+        if (decided->verdict == Verdict::refused || decided->verdict == Verdict::conflict) {
+          signal::raise(signal::Event::configurationRefused, {{"change", found->second.change}});
+        }
+        reply(decided->ticket, answerOf(*decided, found->second.change));
+      }
+    } else if (fairway::Outgoing const* const outgoing = std::get_if<fairway::Outgoing>(&effect)) {
+      send(outgoing->address, outgoing->message);
+    } else if (pledge::Note const* const note = std::get_if<pledge::Note>(&effect)) {
+      signal::raise(note->event, {{"about", note->about}});
+    }
+  }
+}
+
+void Office::Impl::hearParcel(std::string const& body) {
+  absl::StatusOr<cargo::Parcel> parcel = cargo::unseal(body);
+  if (!parcel.ok()) {
+    signal::raise(signal::Event::peerStrange, {{"reason", std::string(parcel.status().message())}});
+    return;
+  }
+  std::string const& fleet = council.decided().fleet;
+  if (!parcel->fleet.empty() && fleet.empty()) {
+    fleetElsewhere = true;
+  }
+  if (!parcel->fleet.empty() && !fleet.empty() && parcel->fleet != fleet) {
+    signal::raise(signal::Event::peerStrange, {{"fleet", parcel->fleet}, {"from", parcel->from}});
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  if (cargo::Shuffle const* const shuffle = std::get_if<cargo::Shuffle>(&parcel->message)) {
+    sendAll(views.hear(now, parcel->from, parcel->address, *shuffle));
+  } else if (cargo::Poll const* const poll = std::get_if<cargo::Poll>(&parcel->message)) {
+    drivePlane(Polled{parcel->address, *poll});
+  } else {
+    driveCouncil(pledge::Received{parcel->from, parcel->address, std::move(parcel->message)});
+  }
+}
+
+rigging::Answer Office::Impl::ready() const {
+  bool const serving = !draining && !council.ailing() && council.decided().epoch > 0;
+  std::string const reason = draining ? "draining" : council.ailing() ? "disk" : council.decided().epoch == 0 ? "not founded" : "";
+  return plain(serving ? 200 : 503, "{\"ready\":" + std::string(serving ? "true" : "false") + ",\"reason\":" + json(reason) + "}");
+}
+
+rigging::Answer Office::Impl::current() const {
+  if (!plane.active()) {
+    return plain(503, "{\"reason\":\"this node is not the primary\"}");
+  }
+  cargo::State const& state = plane.published();
+  rigging::Answer answer = plain(200, state.document.empty() ? "{}" : state.document);
+  answer.headers.emplace_back("limeramp-version",
+                              manifest::Version{state.configurationEpoch, state.configurationSequence}.text());
+  return answer;
+}
+
+rigging::Answer Office::Impl::status() const {
+  Clock::time_point const now = Clock::now();
+  cargo::EpochRecord const& decided = council.decided();
+  cargo::State const& state = council.state();
+  std::string body = "{\"node\":" + json(settings.node) + ",\"role\":\"harbourmaster\",\"id\":" + json(id) +
+                     ",\"zone\":" + json(settings.zone) + ",\"fleet\":" + json(decided.fleet) +
+                     ",\"epoch\":" + std::to_string(decided.epoch) + ",\"primary\":" + json(decided.primary) +
+                     ",\"primary_address\":" + json(council.primaryAddress()) + ",\"backup\":" + json(decided.backup) +
+                     ",\"active\":" + (council.active() ? "true" : "false") +
+                     ",\"sealed\":" + std::to_string(council.sealed()) +
+                     ",\"ailing\":" + (council.ailing() ? "true" : "false") + ",\"state\":" +
+                     json(manifest::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
+                     json(manifest::Version{state.configurationEpoch, state.configurationSequence}.text()) +
+                     ",\"pending\":" + std::to_string(plane.pending()) + ",\"witnesses\":[";
+  bool first = true;
+  for (std::string const& witness : decided.witnesses) {
+    std::optional<Ms> const heard = witness == id ? Ms(0) : council.heardMs(now, witness);
+    body += std::string(first ? "" : ",") + "{\"id\":" + json(witness) +
+            ",\"heard_ms\":" + (heard ? std::to_string(heard->count()) : "null") + "}";
+    first = false;
+  }
+  body += "],\"nodes\":[";
+  first = true;
+  if (plane.active()) {
+    for (NodeView const& node : plane.nodes(now)) {
+      body += std::string(first ? "" : ",") + "{\"node\":" + json(node.node) + ",\"address\":" + json(node.address) +
+              ",\"zone\":" + json(node.zone) + ",\"slot\":" + std::to_string(node.slot) +
+              ",\"confirmed\":" + json(node.confirmed.text()) +
+              ",\"heard_ms\":" + (node.everHeard ? std::to_string(node.heardMs.count()) : "null") + "}";
+      first = false;
+    }
+  }
+  return plain(200, body + "]}");
+}
+
+void Office::Impl::change(Incoming& letter) {
+  char freshId[24];
+  std::snprintf(freshId, sizeof freshId, "%016llx", static_cast<unsigned long long>(randomWord()));
+  Clock::time_point const now = Clock::now();
+  std::variant<Change, rigging::Answer> read = readChange(letter.content, now, freshId);
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
+    letter.respond(std::move(*wrong));
+    return;
+  }
+  Change& wanted = std::get<Change>(read);
+  wanted.ticket = ++lastTicket;
+  if (plane.active()) {
+    clients.emplace(wanted.ticket, Client{std::move(letter.respond), wanted.id});
+    drivePlane(wanted);
+    return;
+  }
+  std::optional<rigging::Address> const primary = rigging::Address::parse(council.primaryAddress());
+  bool const relayed = rigging::findHeader(letter.content.headers, "limeramp-relayed").has_value();
+  if (relayed || !primary || council.decided().primary == id || clients.size() > 256) {
+    Decided decided;
+    decided.verdict = Verdict::notRun;
+    decided.reason = "no primary is known here";
+    letter.respond(answerOf(decided, wanted.id));
+    return;
+  }
+  std::uint64_t const ticket = wanted.ticket;
+  clients.emplace(ticket, Client{std::move(letter.respond), wanted.id});
+  rigging::Request request;
+  request.method = letter.content.method;
+  request.target = letter.content.target;
+  request.headers = rigging::withoutHopByHop(letter.content.headers);
+  std::erase_if(request.headers, [](std::pair<std::string, std::string> const& header) {
+    return rigging::findHeader({header}, "limeramp-change").has_value();
+  });
+  request.headers.emplace_back("limeramp-change", wanted.id);
+  request.headers.emplace_back("limeramp-relayed", "1");
+  request.body = std::move(letter.content.body);
+  client.begin(ticket, *primary, std::move(request), wanted.deadline + Ms(500), [this, ticket](rigging::Exchange exchange) {
+    inbox.push(Relayed{ticket, std::move(exchange)});
+  });
+}
+
+void Office::Impl::on(Relayed& letter) {
+  std::unordered_map<std::uint64_t, Client>::iterator const found = clients.find(letter.ticket);
+  if (found != clients.end()) {
+    reply(letter.ticket, relayAnswer(letter.exchange, found->second.change));
+  }
+}
+
+void Office::Impl::on(Incoming& letter) {
+  std::string const& target = letter.content.target;
+  std::string const& method = letter.content.method;
+  if (target == "/limeramp/inner" && method == "POST") {
+    hearParcel(letter.content.body);
+    letter.respond({204, {}, ""});
+  } else if (target == configurationPath && (method == "PUT" || method == "PATCH")) {
+    change(letter);
+  } else if (target == configurationPath && method == "GET") {
+    letter.respond(current());
+  } else if (target == "/limeramp/ready" && method == "GET") {
+    letter.respond(ready());
+  } else if (target == "/limeramp/status" && method == "GET") {
+    letter.respond(status());
+  } else if (target == "/limeramp/drain" && method == "POST") {
+    draining = true;
+    signal::raise(signal::Event::drainBegan, {});
+    letter.respond(plain(200, "{\"draining\":true}"));
+  } else {
+    letter.respond(plain(404, "{\"reason\":\"no such page\"}"));
+  }
+}
+
+void Office::Impl::on(DiskDone& letter) {
+  if (!letter.good) {
+    signal::raise(signal::Event::diskFailed, {{"reason", letter.reason}});
+  }
+  driveCouncil(pledge::Persisted{letter.token, letter.good});
+}
+
+void Office::Impl::tick() {
+  Clock::time_point const now = Clock::now();
+  sendAll(views.tick(now));
+  pledge::Known known;
+  for (cargo::Peer const& peer : views.peers(now)) {
+    if (peer.role == "harbourmaster") {
+      known.members.push_back({peer.node, peer.address, peer.zone});
+    }
+  }
+  known.mayFound = !fleetElsewhere && views.seedsHeard(now, Ms(5000));
+  driveCouncil(known);
+  driveCouncil(pledge::Tick{});
+  drivePlane(Tick{});
+}
+
+void Office::Impl::runCore() {
+  driveCouncil(pledge::Start{{id, settings.listen, settings.zone}, store->values(), randomWord()});
+  disk = std::thread([this] { runDisk(); });
+  Clock::time_point nextTick = Clock::now();
+  while (!inbox.closed()) {
+    std::optional<Letter> letter = inbox.popUntil(nextTick);
+    if (letter) {
+      std::visit([this](auto& concrete) { on(concrete); }, *letter);
+    }
+    Clock::time_point const now = Clock::now();
+    if (now >= nextTick) {
+      tick();
+      nextTick = now + Ms(20);
+    }
+  }
+}
+
+void Office::Impl::runDisk() {
+  while (std::optional<Work> job = work.pop()) {
+    absl::Status const status = store->put(job->puts);
+    inbox.push(DiskDone{job->token, status.ok(), std::string(status.message())});
+  }
+}
+
+Office::Office() = default;
+
+std::unique_ptr<Office> Office::start(manifest::Settings const& settings, std::string& error) {
+  absl::StatusOr<std::unique_ptr<hold::Store>> store = hold::Store::open(settings.data);
+  if (!store.ok()) {
+    error = std::string(store.status().message());
+    return nullptr;
+  }
+  if ((*store)->findings().tailCut) {
+    signal::raise(signal::Event::diskTailCut, {{"folder", settings.data}});
+  }
+  if ((*store)->findings().damaged) {
+    signal::raise(signal::Event::diskDamaged, {{"folder", settings.data}, {"detail", (*store)->findings().detail}});
+    absl::Status const aside = (*store)->setAside();
+    if (!aside.ok()) {
+      error = std::string(aside.message());
+      return nullptr;
+    }
+  }
+  std::map<std::string, std::string>::const_iterator const known = (*store)->values().find("id");
+  std::string id = known == (*store)->values().end() ? "" : known->second;
+  if (id.empty()) {
+    char mark[20];
+    std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(randomWord() & 0xffffffff));
+    id = settings.node + "/" + mark;
+    absl::Status const written = (*store)->put({{"id", id}});
+    if (!written.ok()) {
+      error = std::string(written.message());
+      return nullptr;
+    }
+  }
+  std::unique_ptr<Office> office(new Office());
+  office->impl_ = std::make_unique<Impl>(settings, *std::move(store), id);
+  Impl& impl = *office->impl_;
+  rigging::ServerBounds bounds;
+  bounds.maxConnections = settings.maxConnections;
+  bounds.maxBodyBytes = 4 << 20;
+  impl.server = rigging::HttpServer::listen(
+      impl.network, *rigging::Address::parse(settings.listen), bounds,
+      [&impl](rigging::Request request, rigging::Responder respond) {
+        if (!impl.inbox.tryPush(Incoming{std::move(request), respond}, 4096)) {
+          respond(plain(503, "{\"outcome\":\"not_run\",\"reason\":\"overloaded\"}"));
+        }
+      },
+      error);
+  if (impl.server == nullptr) {
+    return nullptr;
+  }
+  signal::raise(signal::Event::listening, {{"address", impl.server->address().text()}, {"id", id}});
+  impl.core = std::thread([&impl] { impl.runCore(); });
+  return office;
+}
+
+Office::~Office() {
+  if (impl_ != nullptr) {
+    impl_->inbox.close();
+    if (impl_->core.joinable()) {
+      impl_->core.join();
+    }
+    impl_->work.close();
+    if (impl_->disk.joinable()) {
+      impl_->disk.join();
+    }
+    impl_->network.stop();
+  }
+}
+
+void Office::drain() { impl_->server->stopAccepting(); }
+
+}
--- /dev/null
+++ b/libs/harbour/src/plane.cpp
@@ -0,0 +1,405 @@
+#include "limeramp/harbour/plane.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace limeramp::harbour {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+using Mark = std::pair<std::uint64_t, std::uint64_t>;
+
+struct Known {
+  cargo::Follower follower;
+  Mark confirmed{0, 0};
+  TimePoint heardAt{};
+  bool direct = false;
+};
+
+struct Waiting {
+  std::uint64_t ticket = 0;
+  Mark mark;
+  manifest::Version version;
+  TimePoint since{};
+  TimePoint deadline{};
+};
+
+std::string digestOf(Change const& change) {
+  return std::to_string(std::hash<std::string>{}(change.body)) + "/" + std::to_string(change.body.size()) +
+         (change.patch ? "/patch" : "/whole");
+}
+
+}
+
+struct Plane::Impl {
+  Policy policy;
+  std::string id;
+  TimePoint now{};
+  std::vector<Effect> effects;
+  bool active = false;
+  cargo::State published;
+  TimePoint publishedAt{};
+  std::map<std::string, Known> known;
+  std::deque<Change> queue;
+  std::optional<Change> working;
+  bool workingRoster = false;
+  std::uint64_t lastOwnTicket = 1ULL << 60;
+  std::uint64_t workingTicket = 0;
+  std::vector<Waiting> waiting;
+  bool stable = false;
+  TimePoint nextRosterAt{};
+  TimePoint activeAt{};
+
+  void on(pledge::Council const& council, pledge::Active const& event);
+  void on(pledge::Council const& council, pledge::Inactive const& event);
+  void on(pledge::Council const& council, pledge::Committed const& event);
+  void on(pledge::Council const& council, pledge::Doubtful const& event);
+  void on(pledge::Council const& council, Change const& event);
+  void on(pledge::Council const& council, Polled const& event);
+  void on(pledge::Council const& council, Tick const& event);
+
+  Mark mark() const { return {published.epoch, published.sequence}; }
+  void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", manifest::Version version = {},
+              std::vector<manifest::Problem> problems = {}) {
+    effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
+  }
+  bool majority(std::vector<cargo::RosterEntry> const& roster, Mark const& wanted) const;
+  bool everyone(Mark const& wanted) const;
+  void note(cargo::Follower const& follower, bool direct);
+  void publish(cargo::State const& state);
+  void pump(pledge::Council const& council);
+  bool offerRoster(pledge::Council const& council);
+  void offerChange(pledge::Council const& council, Change const& change);
+  void settle();
+  cargo::News news(std::uint64_t token, Mark const& has, pledge::Council const& council) const;
+};
+
+bool Plane::Impl::majority(std::vector<cargo::RosterEntry> const& roster, Mark const& wanted) const {
+  std::size_t const count = static_cast<std::size_t>(
+      std::count_if(roster.begin(), roster.end(), [&](cargo::RosterEntry const& entry) {
+        std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
+        return found != known.end() && found->second.confirmed >= wanted;
+      }));
+  return roster.empty() || count > roster.size() / 2;
+}
+
+bool Plane::Impl::everyone(Mark const& wanted) const {
+  return std::all_of(published.roster.begin(), published.roster.end(), [&](cargo::RosterEntry const& entry) {
+    std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
+    return found != known.end() && found->second.confirmed >= wanted;
+  });
+}
+
+void Plane::Impl::note(cargo::Follower const& follower, bool direct) {
+  if (known.size() >= policy.mostNodes && !known.contains(follower.node)) {
+    return;
+  }
+  Known& entry = known[follower.node];
+  entry.follower = follower;
+  entry.confirmed = std::max(entry.confirmed, Mark(follower.epoch, follower.sequence));
+  entry.heardAt = now;
+  entry.direct = direct;
+}
+
+cargo::News Plane::Impl::news(std::uint64_t token, Mark const& has, pledge::Council const& council) const {
+  cargo::News out;
+  out.token = token;
+  out.node = id;
+  out.primaryAddress = council.primaryAddress();
+  if (!active) {
+    return out;
+  }
+  out.epoch = published.epoch;
+  out.sequence = published.sequence;
+  if (std::optional<TimePoint> const authority = council.authority()) {
+    out.hasAge = true;
+    out.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *authority).count()) + 1;
+  }
+  if (has < mark()) {
+    out.state = published;
+  }
+  return out;
+}
+
+void Plane::Impl::publish(cargo::State const& state) {
+  published = state;
+  publishedAt = now;
+  for (std::pair<std::string const, Known> const& entry : known) {
+    if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
+      cargo::News out;
+      out.node = id;
+      out.epoch = published.epoch;
+      out.sequence = published.sequence;
+      out.state = published;
+      effects.emplace_back(fairway::Outgoing{entry.second.follower.address, std::move(out)});
+    }
+  }
+}
+
+void Plane::Impl::on(pledge::Council const&, pledge::Active const& event) {
+  active = true;
+  stable = false;
+  activeAt = now;
+  publish(event.state);
+}
+
+void Plane::Impl::on(pledge::Council const&, pledge::Inactive const&) {
+  active = false;
+  for (Change const& change : queue) {
+    decide(change.ticket, Verdict::notRun, "the primary changed before the change was begun");
+  }
+  queue.clear();
+  for (Waiting const& entry : waiting) {
+    decide(entry.ticket, Verdict::unknown, "the primary changed while the change was carried out");
+  }
+  waiting.clear();
+}
+
+void Plane::Impl::on(pledge::Council const&, pledge::Committed const& event) {
+  publish(event.state);
+  if (event.ticket == workingTicket && working) {
+    manifest::Version const version{published.configurationEpoch, published.configurationSequence};
+    waiting.push_back({working->ticket, mark(), version, now, working->deadline});
+    effects.emplace_back(pledge::Note{signal::Event::configurationTaken, version.text() + " change " + working->id});
+  }
+  if (event.ticket == workingTicket) {
+    working.reset();
+    workingTicket = 0;
+    workingRoster = false;
+  }
+  settle();
+}
+
+void Plane::Impl::on(pledge::Council const&, pledge::Doubtful const& event) {
+  if (event.ticket != workingTicket) {
+    return;
+  }
+  if (working) {
+    decide(working->ticket, Verdict::unknown, "the primary changed while the change was carried out");
+    effects.emplace_back(pledge::Note{signal::Event::configurationUnknown, working->id});
+  }
+  working.reset();
+  workingTicket = 0;
+  workingRoster = false;
+}
+
+void Plane::Impl::on(pledge::Council const& council, Change const& event) {
+  if (!active) {
+    decide(event.ticket, Verdict::notRun, "this node is not the primary");
+    return;
+  }
+  if (queue.size() >= policy.mostChanges) {
+    decide(event.ticket, Verdict::notRun, "too many changes wait");
+    return;
+  }
+  queue.push_back(event);
+  pump(council);
+}
+
+void Plane::Impl::on(pledge::Council const& council, Polled const& event) {
+  note(event.poll.self, true);
+  for (cargo::Follower const& follower : event.poll.followers) {
+    note(follower, false);
+  }
+  cargo::News out = news(event.poll.token, {event.poll.self.epoch, event.poll.self.sequence}, council);
+  effects.emplace_back(fairway::Outgoing{event.poll.self.address, std::move(out)});
+  settle();
+  pump(council);
+}
+
+void Plane::Impl::on(pledge::Council const& council, Tick const&) {
+  std::erase_if(known, [&](std::pair<std::string const, Known> const& entry) {
+    return now - entry.second.heardAt > policy.rosterForgetMs * 2;
+  });
+  settle();
+  pump(council);
+}
+
+void Plane::Impl::settle() {
+  if (!active) {
+    return;
+  }
+  Mark const rosterMark(published.rosterEpoch, published.rosterSequence);
+  if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
+    stable = true;
+  }
+  std::erase_if(waiting, [&](Waiting const& entry) {
+    bool const majorities =
+        majority(published.roster, entry.mark) && (stable || majority(published.priorRoster, entry.mark));
+    bool const lapsed = now - entry.since >= policy.nodeCurrentMs + policy.silentGraceMs;
+    if (majorities && (everyone(entry.mark) || lapsed)) {
+      decide(entry.ticket, Verdict::taken, "", entry.version);
+      return true;
+    }
+    if (now >= entry.deadline) {
+      decide(entry.ticket, Verdict::unknown, "the change is kept, but not known to be everywhere yet", entry.version);
+      return true;
+    }
+    return false;
+  });
+}
+
+bool Plane::Impl::offerRoster(pledge::Council const& council) {
+  if (now < nextRosterAt || !stable) {
+    return false;
+  }
+  nextRosterAt = now + policy.rosterBatchMs;
+  std::vector<cargo::RosterEntry> roster = published.roster;
+  std::string about;
+  std::erase_if(roster, [&](cargo::RosterEntry const& entry) {
+    std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
+    TimePoint const heardAt = found == known.end() ? activeAt : std::max(activeAt, found->second.heardAt);
+    bool const gone = now - heardAt > policy.rosterForgetMs;
+    about += gone ? " -" + entry.node : "";
+    return gone;
+  });
+  std::set<std::uint64_t> taken;
+  for (cargo::RosterEntry const& entry : roster) {
+    taken.insert(entry.slot);
+  }
+  for (std::pair<std::string const, Known> const& entry : known) {
+    cargo::Follower const& follower = entry.second.follower;
+    if (now - entry.second.heardAt > policy.nodeCurrentMs) {
+      continue;
+    }
+    std::vector<cargo::RosterEntry>::iterator const found =
+        std::find_if(roster.begin(), roster.end(),
+                     [&](cargo::RosterEntry const& listed) { return listed.node == follower.node; });
+    if (found == roster.end()) {
+      std::uint64_t slot = 0;
+      while (taken.contains(slot)) {
+        ++slot;
+      }
+      taken.insert(slot);
+      roster.push_back({follower.node, follower.address, follower.zone, slot});
+      about += " +" + follower.node;
+    } else if (found->address != follower.address || found->zone != follower.zone) {
+      found->address = follower.address;
+      found->zone = follower.zone;
+      about += " ~" + follower.node;
+    }
+  }
+  if (about.empty()) {
+    return false;
+  }
+  cargo::State next = published;
+  next.priorRoster = published.roster;
+  next.roster = std::move(roster);
+  next.rosterEpoch = council.decided().epoch;
+  next.rosterSequence = published.sequence + 1;
+  stable = false;
+  workingRoster = true;
+  workingTicket = ++lastOwnTicket;
+  effects.emplace_back(pledge::Note{signal::Event::rosterChanged, about});
+  effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
+  return true;
+}
+
+void Plane::Impl::offerChange(pledge::Council const& council, Change const& change) {
+  manifest::Version const current{published.configurationEpoch, published.configurationSequence};
+  std::string const digest = digestOf(change);
+  for (cargo::Receipt const& receipt : published.receipts) {
+    if (receipt.change != change.id) {
+      continue;
+    }
+    if (receipt.digest != digest) {
+      decide(change.ticket, Verdict::refused, "the change id was used for another change", current);
+    } else {
+      waiting.push_back({change.ticket, mark(), {receipt.epoch, receipt.sequence}, publishedAt, change.deadline});
+      settle();
+    }
+    return;
+  }
+  if (change.base && *change.base != current) {
+    decide(change.ticket, Verdict::conflict, "the version named is not the current one", current);
+    return;
+  }
+  absl::StatusOr<picojson::value> body = manifest::parseJson(change.body);
+  if (!body.ok()) {
+    decide(change.ticket, Verdict::refused, "", current, {{"/", std::string(body.status().message())}});
+    return;
+  }
+  picojson::value document = *body;
+  if (change.patch) {
+    absl::StatusOr<picojson::value> const before = manifest::parseJson(published.document.empty() ? "{}" : published.document);
+    document = manifest::mergePatch(before.ok() ? *before : picojson::value(picojson::object()), *body);
+  }
+  manifest::Checked checked = manifest::checkConfiguration(document);
+  if (!checked.configuration) {
+    decide(change.ticket, Verdict::refused, "", current, std::move(checked.problems));
+    return;
+  }
+  cargo::State next = published;
+  next.document = document.serialize();
+  if (next.document.size() > (1u << 20)) {
+    decide(change.ticket, Verdict::refused, "", current, {{"/", "longer than 1048576 bytes"}});
+    return;
+  }
+  next.configurationEpoch = council.decided().epoch;
+  next.configurationSequence = published.sequence + 1;
+  next.receipts.push_back({change.id, next.configurationEpoch, next.configurationSequence, digest});
+  if (next.receipts.size() > policy.mostReceipts) {
+    next.receipts.erase(next.receipts.begin());
+  }
+  working = change;
+  workingTicket = ++lastOwnTicket;
+  effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
+}
+
+void Plane::Impl::pump(pledge::Council const& council) {
+  while (active && workingTicket == 0) {
+    if (offerRoster(council)) {
+      return;
+    }
+    if (queue.empty()) {
+      return;
+    }
+    Change const change = std::move(queue.front());
+    queue.pop_front();
+    if (now >= change.deadline) {
+      decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
+      continue;
+    }
+    offerChange(council, change);
+  }
+}
+
+Plane::Plane(Policy const& policy, std::string const& id) : impl_(std::make_unique<Impl>()) {
+  impl_->policy = policy;
+  impl_->id = id;
+}
+
+Plane::~Plane() = default;
+Plane::Plane(Plane&&) noexcept = default;
+Plane& Plane::operator=(Plane&&) noexcept = default;
+
+std::vector<Effect> Plane::step(TimePoint now, pledge::Council const& council, Event const& event) {
+  impl_->now = now;
+  impl_->effects.clear();
+  std::visit([&](auto const& concrete) { impl_->on(council, concrete); }, event);
+  return std::move(impl_->effects);
+}
+
+bool Plane::active() const { return impl_->active; }
+cargo::State const& Plane::published() const { return impl_->published; }
+std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waiting.size(); }
+
+std::vector<NodeView> Plane::nodes(TimePoint now) const {
+  std::vector<NodeView> out;
+  for (cargo::RosterEntry const& entry : impl_->published.roster) {
+    NodeView view{entry.node, entry.address, entry.zone, entry.slot, {}, Ms(0), false};
+    std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
+    if (found != impl_->known.end()) {
+      view.confirmed = {found->second.confirmed.first, found->second.confirmed.second};
+      view.heardMs = std::chrono::duration_cast<Ms>(now - found->second.heardAt);
+      view.everHeard = true;
+    }
+    out.push_back(std::move(view));
+  }
+  return out;
+}
+
+}
--- a/libs/quayside/include/limeramp/quayside/front.h
+++ b/libs/quayside/include/limeramp/quayside/front.h
@@ -15,7 +15,6 @@
   Front& operator=(Front const&) = delete;
 
   void drain();
-  bool idle() const;
 
  private:
   Front();
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -1,12 +1,19 @@
 #include "limeramp/quayside/front.h"
 
-#include "limeramp/berth/list.h"
+#include "limeramp/berth/desk.h"
+#include "limeramp/fairway/courier.h"
+#include "limeramp/harbour/desk.h"
 #include "limeramp/quayside/plane.h"
+#include "limeramp/rigging/mail.h"
 #include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
 
 #include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 #include <unordered_map>
 
@@ -18,18 +25,73 @@
 
 constexpr std::size_t inboxSlots = 16'384;
 constexpr std::size_t inboxSpare = 8'192;
+constexpr std::size_t mostCallerBytes = 1 << 20;
+constexpr std::size_t mostRelays = 256;
 constexpr std::uint64_t listAttempt = 1ULL << 62;
+constexpr std::uint64_t relayAttempts = 1ULL << 61;
+constexpr std::uint64_t budgetSlots = 20;
+constexpr double budgetForFleet = 60;
+constexpr Ms noticeMs{1500};
+constexpr Ms finishMs{4000};
 
 struct Incoming {
   rigging::Request content;
   rigging::Responder respond;
 };
-
 struct ListRead {
   rigging::Exchange exchange;
 };
+struct Relayed {
+  std::uint64_t ticket = 0;
+  rigging::Exchange exchange;
+};
+struct DrainAsked {};
+
+using Letter = std::variant<Incoming, ListRead, Relayed, DrainAsked, quayside::Event>;
+
+struct Client {
+  rigging::Responder respond;
+  std::string change;
+};
 
-using Letter = std::variant<Incoming, ListRead, quayside::Event>;
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
+std::uint64_t randomWord() {
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32) | source();
+}
+
+std::string nameOf(fairway::Standing standing) {
+  switch (standing) {
+    case fairway::Standing::unknown:
+      return "unknown";
+    case fairway::Standing::unlisted:
+      return "unlisted";
+    case fairway::Standing::stale:
+      return "stale";
+    case fairway::Standing::current:
+      return "current";
+    case fairway::Standing::upheld:
+      return "upheld";
+  }
+  return "unknown";
+}
+
+std::vector<cargo::HeaderLine> toLines(rigging::Headers const& headers) {
+  std::vector<cargo::HeaderLine> out;
+  for (std::pair<std::string, std::string> const& header : headers) {
+    out.push_back({header.first, header.second});
+  }
+  return out;
+}
+
+rigging::Headers fromLines(std::vector<cargo::HeaderLine> const& lines) {
+  rigging::Headers out;
+  for (cargo::HeaderLine const& line : lines) {
+    out.emplace_back(line.key, line.value);
+  }
+  return out;
+}
 
 }
 
@@ -37,9 +99,15 @@
   explicit Impl(manifest::Settings const& settingsIn)
       : settings(settingsIn),
         client(network, {}),
+        mail(network),
         mill(settingsIn.hands),
         inbox(inboxSlots),
-        plane(Self{settingsIn.node, settingsIn.listen, settingsIn.zone, std::random_device{}()}, policyOf(settingsIn)) {}
+        boot(randomWord() >> 1),
+        plane(Self{settingsIn.node, settingsIn.listen, settingsIn.zone, boot}, policyOf(settingsIn)),
+        views({}, cargo::Peer{settingsIn.node, settingsIn.listen, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
+              randomWord()),
+        courier({}, cargo::Follower{settingsIn.node, settingsIn.listen, settingsIn.zone, 0, 0}, randomWord()),
+        desk({}, settingsIn.node, settingsIn.listen, settingsIn.zone) {}
 
   static shoal::Policy policyOf(manifest::Settings const& settings) {
     shoal::Policy policy;
@@ -51,21 +119,39 @@
   manifest::Settings settings;
   rigging::Network network;
   rigging::HttpClient client;
+  rigging::Mail mail;
   shoal::Mill mill;
   rigging::Ring<Letter> inbox;
+  std::uint64_t boot;
   Plane plane;
+  fairway::Views views;
+  fairway::Courier courier;
+  berth::Desk desk;
   std::unique_ptr<rigging::HttpServer> server;
   std::thread core;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
+  std::unordered_map<std::uint64_t, Client> relays;
   std::uint64_t lastRequest = 0;
-  Clock::time_point nextListAt{};
-  bool listPending = false;
-  std::string lastList;
-  std::atomic<std::size_t> held{0};
+  std::uint64_t lastRelay = relayAttempts;
+  std::string fleet;
+  std::set<std::string> services;
+  Clock::time_point startedAt = Clock::now();
+  bool draining = false;
+  bool wasReady = false;
+  bool unreadable = false;
+  std::uint64_t refusedStale = 0;
+  std::mutex heldMutex;
+  std::condition_variable heldChanged;
+  std::size_t held = 0;
 
   void run();
   void on(Incoming& letter);
   void on(ListRead& letter);
+  void on(Relayed& letter);
+  void on(DrainAsked&) {
+    draining = true;
+    signal::raise(signal::Event::drainBegan, {});
+  }
   void on(quayside::Event& event) { drive(event); }
   void drive(quayside::Event const& event);
   void carry(Reply const& effect);
@@ -76,10 +162,34 @@
   void carry(shoal::Note const& note) {
     signal::raise(note.event, {{"service", note.service}, {"about", note.server}});
   }
+  void hold(int change);
+  void admit(rigging::Request content, rigging::Responder respond, bool passed, std::optional<Ms> remainingMs);
+  void takeCarry(Incoming& letter);
+  void operate(Incoming& letter);
+  void relayChange(Incoming& letter);
+  void hearParcel(std::string const& body);
+  void send(std::string const& address, cargo::Message message);
+  void sendAll(std::vector<fairway::Outgoing> const& sends);
+  void follow(fairway::CourierStep const& step);
+  void enforce();
+  void place();
+  void spread(std::string const& service);
+  void follow(berth::DeskStep const& step);
   void readList();
-  rigging::Answer operate(rigging::Request const& request);
+  void tick();
+  std::string whyNotReady(Clock::time_point now) const;
+  rigging::Answer ready() const;
+  rigging::Answer status() const;
+  rigging::Answer metrics() const;
+  rigging::Answer current() const;
 };
 
+void Front::Impl::hold(int change) {
+  std::unique_lock<std::mutex> const lock(heldMutex);
+  held += static_cast<std::size_t>(change);
+  heldChanged.notify_all();
+}
+
 void Front::Impl::drive(quayside::Event const& event) {
   for (Effect const& effect : plane.step(Clock::now(), event)) {
     std::visit([this](auto const& concrete) { carry(concrete); }, effect);
@@ -91,15 +201,35 @@
   if (found != responders.end()) {
     found->second(effect.answer);
     responders.erase(found);
-    --held;
+    hold(-1);
   }
 }
 
 void Front::Impl::carry(SendOut const& effect) {
   std::optional<rigging::Address> const address = rigging::Address::parse(effect.server);
   std::uint64_t const attempt = effect.attempt;
-  client.begin(attempt, address.value_or(rigging::Address{}), effect.content, effect.deadline,
-               [this, attempt](rigging::Exchange exchange) {
+  bool const carried = effect.carried;
+  rigging::Request content = effect.content;
+  if (carried) {
+    cargo::Carry parcel;
+    parcel.remainingMs = static_cast<std::uint64_t>(std::max<long>(1, effect.remainingMs.count()));
+    parcel.method = content.method;
+    parcel.target = content.target;
+    parcel.headers = toLines(content.headers);
+    parcel.body = std::move(content.body);
+    content = {"POST", "/limeramp/carry", {{"content-type", "avro/binary"}}, cargo::pack(parcel), ""};
+  }
+  client.begin(attempt, address.value_or(rigging::Address{}), std::move(content), effect.deadline,
+               [this, attempt, carried](rigging::Exchange exchange) {
+                 if (carried && exchange.answer) {
+                   absl::StatusOr<cargo::Carried> const back = cargo::unpack<cargo::Carried>(exchange.answer->body);
+                   if (exchange.answer->status == 200 && back.ok() && back->status >= 200 && back->status <= 599) {
+                     exchange.answer = rigging::Answer{static_cast<int>(back->status), fromLines(back->headers), back->body};
+                   } else {
+                     exchange.answer.reset();
+                     exchange.verdict = tally::Verdict::mayHaveRun;
+                   }
+                 }
                  inbox.push(quayside::Event(Exchanged{attempt, std::move(exchange)}));
                });
 }
@@ -119,40 +249,145 @@
   });
 }
 
-rigging::Answer Front::Impl::operate(rigging::Request const& request) {
-  if (request.method == "PUT" && request.target == "/limeramp/configuration") {
-    absl::StatusOr<picojson::value> const document = manifest::parseJson(request.body);
-    if (!document.ok()) {
-      return refusal(400, std::string(document.status().message()), tally::Verdict::notRun);
+void Front::Impl::send(std::string const& address, cargo::Message message) {
+  mail.send(address, cargo::seal({fleet, settings.node, settings.listen, std::move(message)}));
+}
+
+void Front::Impl::sendAll(std::vector<fairway::Outgoing> const& sends) {
+  for (fairway::Outgoing const& outgoing : sends) {
+    send(outgoing.address, outgoing.message);
+  }
+}
+
+void Front::Impl::hearParcel(std::string const& body) {
+  absl::StatusOr<cargo::Parcel> const parcel = cargo::unseal(body);
+  if (!parcel.ok()) {
+    signal::raise(signal::Event::peerStrange, {{"reason", std::string(parcel.status().message())}});
+    return;
+  }
+  if (!fleet.empty() && !parcel->fleet.empty() && parcel->fleet != fleet) {
+    signal::raise(signal::Event::peerStrange, {{"fleet", parcel->fleet}, {"from", parcel->from}});
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  if (cargo::Shuffle const* const shuffle = std::get_if<cargo::Shuffle>(&parcel->message)) {
+    sendAll(views.hear(now, parcel->from, parcel->address, *shuffle));
+  } else if (cargo::Poll const* const poll = std::get_if<cargo::Poll>(&parcel->message)) {
+    follow(courier.hear(now, parcel->address, *poll));
+  } else if (cargo::News const* const news = std::get_if<cargo::News>(&parcel->message)) {
+    if (fleet.empty() && news->state) {
+      fleet = parcel->fleet;
+    }
+    follow(courier.hear(now, parcel->address, *news));
+  } else if (cargo::TablePoll const* const tablePoll = std::get_if<cargo::TablePoll>(&parcel->message)) {
+    follow(desk.hear(now, parcel->address, *tablePoll));
+  } else if (cargo::TableNews const* const tableNews = std::get_if<cargo::TableNews>(&parcel->message)) {
+    follow(desk.hear(now, parcel->address, *tableNews));
+  }
+}
+
+void Front::Impl::follow(fairway::CourierStep const& step) {
+  sendAll(step.sends);
+  if (step.changed) {
+    enforce();
+  }
+}
+
+void Front::Impl::enforce() {
+  cargo::State const& state = *courier.state();
+  place();
+  manifest::Version const version{state.configurationEpoch, state.configurationSequence};
+  if (version == manifest::Version{} || (plane.snapshot() != nullptr && plane.snapshot()->version >= version)) {
+    return;
+  }
+  absl::StatusOr<picojson::value> const document = manifest::parseJson(state.document);
+  manifest::Checked checked =
+      document.ok() ? manifest::checkConfiguration(*document) : manifest::Checked{std::nullopt, {{"/", "not JSON"}}};
+  unreadable = !checked.configuration;
+  if (unreadable) {
+    signal::raise(signal::Event::configurationUnreadable,
+                  {{"version", version.text()}, {"path", checked.problems.front().path}});
+    return;
+  }
+  std::shared_ptr<manifest::Snapshot> const snapshot = std::make_shared<manifest::Snapshot>();
+  snapshot->version = version;
+  snapshot->text = state.document;
+  snapshot->configuration = *std::move(checked.configuration);
+  std::set<std::string> next;
+  for (std::pair<std::string const, manifest::Service> const& entry : snapshot->configuration.services) {
+    next.insert(entry.first);
+  }
+  drive(InForce{snapshot});
+  for (std::string const& service : services) {
+    if (!next.contains(service)) {
+      drive(Tables{shoal::Servers{service, {}}});
     }
-    manifest::Checked checked = manifest::checkConfiguration(*document);
-    if (!checked.configuration) {
-      return refusal(400, checked.problems.front().path + ": " + checked.problems.front().reason, tally::Verdict::notRun);
+  }
+  services = std::move(next);
+  for (std::string const& service : services) {
+    spread(service);
+  }
+  place();
+  signal::raise(signal::Event::configurationInForce, {{"version", version.text()}});
+}
+
+void Front::Impl::place() {
+  cargo::State const& state = *courier.state();
+  shoal::Place own;
+  own.fronts = std::max<std::size_t>(1, state.roster.size());
+  std::size_t index = 0;
+  for (cargo::RosterEntry const& entry : state.roster) {
+    if (entry.node == settings.node && entry.address == settings.listen) {
+      own.rank = index;
+      own.budgetDepth = entry.slot < budgetSlots ? budgetForFleet / static_cast<double>(budgetSlots) : 0;
+    }
+    ++index;
+  }
+  drive(Placed{own});
+  if (plane.snapshot() == nullptr) {
+    return;
+  }
+  for (manifest::Cell const& cell : plane.snapshot()->configuration.cells) {
+    Owners owners{cell.name, {}};
+    for (cargo::RosterEntry const& entry : state.roster) {
+      if (cell.nodes.contains(entry.node) && entry.node != settings.node) {
+        owners.addresses.push_back(entry.address);
+      }
     }
-    manifest::Snapshot snapshot;
-    snapshot.version = {1, plane.snapshot() == nullptr ? 1 : plane.snapshot()->version.sequence + 1};
-    snapshot.text = request.body;
-    snapshot.configuration = *std::move(checked.configuration);
-    signal::raise(signal::Event::configurationInForce, {{"version", snapshot.version.text()}});
-    drive(InForce{std::make_shared<manifest::Snapshot const>(std::move(snapshot))});
-    return {200, {{"content-type", "application/json"}}, "{\"version\":\"" + plane.snapshot()->version.text() + "\"}\n"};
+    drive(owners);
   }
-  return refusal(404, "no such operator page", tally::Verdict::notRun);
 }
 
-void Front::Impl::on(Incoming& letter) {
-  if (letter.content.target.starts_with("/limeramp")) {
-    letter.respond(operate(letter.content));
+void Front::Impl::spread(std::string const& service) {
+  if (plane.snapshot() == nullptr || !services.contains(service)) {
     return;
   }
-  std::uint64_t const request = ++lastRequest;
-  responders.emplace(request, std::move(letter.respond));
-  ++held;
-  drive(Arrived{request, std::move(letter.content), false, std::nullopt});
+  manifest::Configuration const& configuration = plane.snapshot()->configuration;
+  Clock::time_point const now = Clock::now();
+  shoal::Servers servers{service, desk.rows(now, service)};
+  for (shoal::ServerRow& row : servers.rows) {
+    row.leaving = row.leaving || configuration.emptiedZones.contains(row.zone);
+    if (row.slowStartMs.count() == 0) {
+      row.slowStartMs = configuration.services.at(service).slowStartMs;
+    }
+  }
+  drive(Tables{std::move(servers)});
+}
+
+void Front::Impl::follow(berth::DeskStep const& step) {
+  sendAll(step.sends);
+  for (std::string const& service : step.changed) {
+    spread(service);
+  }
+  if (step.emptyHeld) {
+    signal::raise(signal::Event::listEmptyHeld, {{"platform", settings.platform}});
+  }
+  if (step.readList) {
+    readList();
+  }
 }
 
 void Front::Impl::readList() {
-  listPending = true;
   rigging::Request request;
   request.method = "GET";
   request.target = "/servers";
@@ -162,39 +397,263 @@
 }
 
 void Front::Impl::on(ListRead& letter) {
-  listPending = false;
-  nextListAt = Clock::now() + Ms(500);
-  if (!letter.exchange.answer || letter.exchange.answer->status != 200) {
-    signal::raise(signal::Event::listUnreachable, {{"platform", settings.platform}, {"reason", letter.exchange.reason}});
+  std::string reason = letter.exchange.reason;
+  if (letter.exchange.answer && letter.exchange.answer->status == 200) {
+    absl::StatusOr<berth::List> const list = berth::readList(letter.exchange.answer->body);
+    if (list.ok()) {
+      for (std::string const& dropped : list->dropped) {
+        signal::raise(signal::Event::listRowDropped, {{"row", dropped}});
+      }
+      follow(desk.listed(Clock::now(), *list));
+      return;
+    }
+    reason = std::string(list.status().message());
+  }
+  desk.listFailed();
+  signal::raise(signal::Event::listUnreachable, {{"platform", settings.platform}, {"reason", reason}});
+}
+
+std::string Front::Impl::whyNotReady(Clock::time_point now) const {
+  fairway::Footing const footing = courier.footing(now);
+  if (draining) {
+    return "draining";
+  }
+  if (footing.standing != fairway::Standing::current && footing.standing != fairway::Standing::upheld) {
+    return "configuration " + nameOf(footing.standing);
+  }
+  if (unreadable) {
+    return "configuration unreadable";
+  }
+  if (plane.snapshot() == nullptr) {
+    return "no configuration yet";
+  }
+  if (plane.snapshot()->configuration.emptiedZones.contains(settings.zone)) {
+    return "zone emptied";
+  }
+  for (std::string const& service : services) {
+    if (!desk.ageMs(now, service) && now - startedAt < Ms(5000)) {
+      return "servers of " + service + " unknown";
+    }
+  }
+  return "";
+}
+
+rigging::Answer Front::Impl::ready() const {
+  std::string const why = whyNotReady(Clock::now());
+  return harbour::plain(why.empty() ? 200 : 503,
+                        std::string("{\"ready\":") + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) + "}");
+}
+
+rigging::Answer Front::Impl::current() const {
+  fairway::Standing const standing = courier.footing(Clock::now()).standing;
+  if (standing != fairway::Standing::current && standing != fairway::Standing::upheld) {
+    return harbour::plain(503, "{\"reason\":\"configuration " + nameOf(standing) + "\"}");
+  }
+  manifest::SnapshotPtr const snapshot = plane.snapshot();
+  rigging::Answer answer = harbour::plain(200, snapshot == nullptr ? "{}" : snapshot->text);
+  answer.headers.emplace_back("limeramp-version", (snapshot == nullptr ? manifest::Version{} : snapshot->version).text());
+  return answer;
+}
+
+rigging::Answer Front::Impl::status() const {
+  Clock::time_point const now = Clock::now();
+  fairway::Footing const footing = courier.footing(now);
+  std::string const why = whyNotReady(now);
+  cargo::State const state = courier.state().value_or(cargo::State{});
+  std::string body =
+      "{\"node\":" + json(settings.node) + ",\"role\":\"quay\",\"zone\":" + json(settings.zone) + ",\"fleet\":" + json(fleet) +
+      ",\"ready\":" + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) + ",\"standing\":" +
+      json(nameOf(footing.standing)) + ",\"age_ms\":" + (footing.ageMs == Ms::max() ? "null" : std::to_string(footing.ageMs.count())) +
+      ",\"state\":" + json(manifest::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
+      json((plane.snapshot() == nullptr ? manifest::Version{} : plane.snapshot()->version).text()) +
+      ",\"primary_address\":" + json(courier.primaryAddress()) + ",\"roster\":" + std::to_string(state.roster.size()) +
+      ",\"requests\":" + std::to_string(plane.requests()) + ",\"peers\":[";
+  bool first = true;
+  for (cargo::Peer const& peer : views.peers(now)) {
+    body += std::string(first ? "" : ",") + "{\"node\":" + json(peer.node) + ",\"address\":" + json(peer.address) +
+            ",\"zone\":" + json(peer.zone) + ",\"role\":" + json(peer.role) + ",\"age_ms\":" + std::to_string(peer.ageMs) + "}";
+    first = false;
+  }
+  body += "],\"servers\":[";
+  first = true;
+  for (shoal::ServerView const& entry : plane.servers(now)) {
+    char numbers[96];
+    std::snprintf(numbers, sizeof numbers, ",\"latency_ms\":%.2f,\"load\":%.3f,\"in_flight\":%zu", entry.latencyMs,
+                  entry.load, entry.inFlight);
+    body += std::string(first ? "" : ",") + "{\"service\":" + json(entry.service) + ",\"address\":" + json(entry.address) +
+            ",\"zone\":" + json(entry.zone) + ",\"down\":" + (entry.down ? "true" : "false") + ",\"leaving\":" +
+            (entry.leaving ? "true" : "false") + ",\"fresh\":" + (entry.fresh ? "true" : "false") + numbers + "}";
+    first = false;
+  }
+  return harbour::plain(200, body + "]}");
+}
+
+rigging::Answer Front::Impl::metrics() const {
+  shoal::Counters const counters = plane.counters();
+  std::string body;
+  for (std::pair<char const*, std::uint64_t> const& entry :
+       {std::pair<char const*, std::uint64_t>("arrivals_total", counters.arrivals),
+        std::pair<char const*, std::uint64_t>("attempts_total", counters.attempts),
+        std::pair<char const*, std::uint64_t>("extra_attempts_total", counters.extras),
+        std::pair<char const*, std::uint64_t>("retries_total", counters.retries),
+        std::pair<char const*, std::uint64_t>("lost_races_total", counters.lostRaces),
+        std::pair<char const*, std::uint64_t>("missing_shards_total", counters.missing),
+        std::pair<char const*, std::uint64_t>("refused_total", counters.refused + refusedStale),
+        std::pair<char const*, std::uint64_t>("budget_spent_total", counters.budgetSpent)}) {
+    body += std::string("# TYPE limeramp_") + entry.first + " counter\nlimeramp_" + entry.first + " " +
+            std::to_string(entry.second) + "\n";
+  }
+  body += "# TYPE limeramp_requests gauge\nlimeramp_requests " + std::to_string(plane.requests()) + "\n";
+  body += std::string("# TYPE limeramp_ready gauge\nlimeramp_ready ") + (whyNotReady(Clock::now()).empty() ? "1" : "0") + "\n";
+  return {200, {{"content-type", "text/plain; version=0.0.4"}}, body};
+}
+
+void Front::Impl::relayChange(Incoming& letter) {
+  char freshId[24];
+  std::snprintf(freshId, sizeof freshId, "%016llx", static_cast<unsigned long long>(randomWord()));
+  Clock::time_point const now = Clock::now();
+  std::variant<harbour::Change, rigging::Answer> read = harbour::readChange(letter.content, now, freshId);
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
+    letter.respond(std::move(*wrong));
     return;
   }
-  if (letter.exchange.answer->body == lastList) {
+  harbour::Change const& wanted = std::get<harbour::Change>(read);
+  std::optional<rigging::Address> const primary = rigging::Address::parse(courier.primaryAddress());
+  if (!primary || relays.size() >= mostRelays) {
+    harbour::Decided decided;
+    decided.verdict = harbour::Verdict::notRun;
+    decided.reason = primary ? "too many changes wait" : "no primary is known here";
+    letter.respond(harbour::answerOf(decided, wanted.id));
     return;
   }
-  absl::StatusOr<berth::List> const list = berth::readList(letter.exchange.answer->body);
-  if (!list.ok()) {
-    signal::raise(signal::Event::listUnreachable, {{"reason", std::string(list.status().message())}});
+  std::uint64_t const ticket = ++lastRelay;
+  relays.emplace(ticket, Client{std::move(letter.respond), wanted.id});
+  rigging::Request request{letter.content.method, letter.content.target,
+                           rigging::withoutHopByHop(letter.content.headers), std::move(letter.content.body), ""};
+  std::erase_if(request.headers, [](std::pair<std::string, std::string> const& header) {
+    return rigging::findHeader({header}, "limeramp-change").has_value() || rigging::findHeader({header}, "host").has_value();
+  });
+  request.headers.emplace_back("limeramp-change", wanted.id);
+  client.begin(ticket, *primary, std::move(request), wanted.deadline + Ms(500), [this, ticket](rigging::Exchange exchange) {
+    inbox.push(Relayed{ticket, std::move(exchange)});
+  });
+}
+
+void Front::Impl::on(Relayed& letter) {
+  std::unordered_map<std::uint64_t, Client>::iterator const found = relays.find(letter.ticket);
+  if (found != relays.end()) {
+    found->second.respond(harbour::relayAnswer(letter.exchange, found->second.change));
+    relays.erase(found);
+  }
+}
+
+void Front::Impl::operate(Incoming& letter) {
+  std::string const& target = letter.content.target;
+  std::string const& method = letter.content.method;
+  if (target == "/limeramp/inner" && method == "POST") {
+    hearParcel(letter.content.body);
+    letter.respond({204, {}, ""});
+  } else if (target == "/limeramp/carry" && method == "POST") {
+    takeCarry(letter);
+  } else if (target == harbour::configurationPath && (method == "PUT" || method == "PATCH")) {
+    relayChange(letter);
+  } else if (target == harbour::configurationPath && method == "GET") {
+    letter.respond(current());
+  } else if (target == "/limeramp/ready" && method == "GET") {
+    letter.respond(ready());
+  } else if (target == "/limeramp/status" && method == "GET") {
+    letter.respond(status());
+  } else if (target == "/limeramp/metrics" && method == "GET") {
+    letter.respond(metrics());
+  } else if (target == "/limeramp/drain" && method == "POST") {
+    DrainAsked asked;
+    on(asked);
+    letter.respond(harbour::plain(200, "{\"draining\":true}"));
+  } else {
+    letter.respond(harbour::plain(404, "{\"reason\":\"no such page\"}"));
+  }
+}
+
+void Front::Impl::takeCarry(Incoming& letter) {
+  absl::StatusOr<cargo::Carry> const parcel = cargo::unpack<cargo::Carry>(letter.content.body);
+  if (!parcel.ok()) {
+    letter.respond(harbour::plain(400, "{\"reason\":\"not a carried request\"}"));
+    return;
+  }
+  rigging::Request content{parcel->method, parcel->target, fromLines(parcel->headers), parcel->body, letter.content.peer};
+  admit(std::move(content), [respond = std::move(letter.respond)](rigging::Answer const& answer) {
+    cargo::Carried const back{static_cast<std::uint64_t>(answer.status), toLines(answer.headers), answer.body};
+    respond({200, {{"content-type", "avro/binary"}}, cargo::pack(back)});
+  }, true, Ms(static_cast<long>(std::min<std::uint64_t>(parcel->remainingMs, 60'000))));
+}
+
+void Front::Impl::admit(rigging::Request content, rigging::Responder respond, bool passed, std::optional<Ms> remainingMs) {
+  fairway::Standing const standing = courier.footing(Clock::now()).standing;
+  if (standing != fairway::Standing::current && standing != fairway::Standing::upheld) {
+    ++refusedStale;
+    respond(refusal(503, "this node's configuration is " + nameOf(standing), tally::Verdict::notRun, std::chrono::seconds(1)));
+    return;
+  }
+  if (content.body.size() > mostCallerBytes) {
+    respond(refusal(413, "the body is longer than 1048576 bytes", tally::Verdict::notRun));
     return;
   }
-  lastList = letter.exchange.answer->body;
-  for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& entry : list->services) {
-    drive(Tables{shoal::Servers{entry.first, entry.second}});
+  std::uint64_t const request = ++lastRequest;
+  responders.emplace(request, std::move(respond));
+  hold(1);
+  drive(Arrived{request, std::move(content), passed, remainingMs});
+}
+
+void Front::Impl::on(Incoming& letter) {
+  std::string const& target = letter.content.target;
+  if (target == "/limeramp" || target.starts_with("/limeramp/")) {
+    operate(letter);
+  } else {
+    admit(std::move(letter.content), std::move(letter.respond), false, std::nullopt);
+  }
+}
+
+void Front::Impl::tick() {
+  Clock::time_point const now = Clock::now();
+  std::vector<cargo::Peer> const peers = views.peers(now);
+  sendAll(views.tick(now));
+  follow(courier.tick(now, peers));
+  berth::Around around;
+  around.services = services;
+  around.zoneAddresses.push_back(settings.listen);
+  if (courier.state()) {
+    for (cargo::RosterEntry const& entry : courier.state()->roster) {
+      if (entry.zone == settings.zone && entry.address != settings.listen) {
+        around.zoneAddresses.push_back(entry.address);
+      }
+    }
+  }
+  follow(desk.tick(now, around));
+  std::string const why = whyNotReady(now);
+  if (why.empty() != wasReady) {
+    wasReady = why.empty();
+    signal::raise(signal::Event::readinessChanged, {{"ready", wasReady ? "yes" : "no"}, {"reason", why}});
   }
 }
 
 void Front::Impl::run() {
+  Clock::time_point nextTick = Clock::now();
+  Clock::time_point nextPlane = Clock::now();
   while (!inbox.closed()) {
-    Clock::time_point const now = Clock::now();
-    if (!listPending && now >= nextListAt) {
-      readList();
-    }
-    Clock::time_point const wake = std::min(plane.nextWake(now).value_or(now + Ms(50)), now + Ms(50));
+    Clock::time_point const wake =
+        std::min(nextTick, std::max(nextPlane, plane.nextWake(Clock::now()).value_or(nextTick)));
     std::optional<Letter> letter = inbox.popUntil(wake);
     if (letter) {
       std::visit([this](auto& concrete) { on(concrete); }, *letter);
     }
-    if (Clock::now() >= wake) {
+    Clock::time_point const now = Clock::now();
+    if (now >= nextPlane && plane.nextWake(now)) {
       drive(Tick{});
+      nextPlane = now + Ms(4);
+    }
+    if (now >= nextTick) {
+      tick();
+      nextTick = now + Ms(20);
     }
   }
 }
@@ -207,6 +666,7 @@
   Impl& impl = *front->impl_;
   rigging::ServerBounds bounds;
   bounds.maxConnections = settings.maxConnections;
+  bounds.maxBodyBytes = 4 << 20;
   impl.server = rigging::HttpServer::listen(
       impl.network, *rigging::Address::parse(settings.listen), bounds,
       [&impl](rigging::Request request, rigging::Responder respond) {
@@ -233,7 +693,13 @@
   }
 }
 
-void Front::drain() { impl_->server->stopAccepting(); }
-bool Front::idle() const { return impl_->held == 0; }
+void Front::drain() {
+  impl_->inbox.push(DrainAsked{});
+  std::unique_lock<std::mutex> lock(impl_->heldMutex);
+  impl_->heldChanged.wait_for(lock, noticeMs, [] { return false; });
+  impl_->server->stopAccepting();
+  impl_->heldChanged.wait_for(lock, finishMs, [this] { return impl_->held == 0; });
+  impl_->heldChanged.wait_for(lock, Ms(100), [] { return false; });
+}
 
 }
--- /dev/null
+++ b/libs/rigging/include/limeramp/rigging/mail.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "limeramp/rigging/http.h"
+
+#include <memory>
+#include <string>
+
+namespace limeramp::rigging {
+
+class Mail {
+ public:
+  explicit Mail(Network& network);
+  ~Mail();
+  Mail(Mail const&) = delete;
+  Mail& operator=(Mail const&) = delete;
+
+  void send(std::string const& address, std::string body);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/libs/rigging/src/mail.cpp
@@ -0,0 +1,59 @@
+#include "limeramp/rigging/mail.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace limeramp::rigging {
+namespace {
+
+constexpr std::size_t mostOutstanding = 32;
+constexpr std::chrono::milliseconds patienceMs{1500};
+
+}
+
+struct Mail::Impl {
+  explicit Impl(Network& network) : client(network, {64 << 10, 4, std::chrono::milliseconds(5000)}) {}
+
+  HttpClient client;
+  std::mutex mutex;
+  std::map<std::string, std::shared_ptr<std::atomic<std::size_t>>> outstanding;
+  std::uint64_t last = 0;
+};
+
+Mail::Mail(Network& network) : impl_(std::make_unique<Impl>(network)) {}
+Mail::~Mail() = default;
+
+void Mail::send(std::string const& address, std::string body) {
+  std::optional<Address> const target = Address::parse(address);
+  if (!target) {
+    return;
+  }
+  std::shared_ptr<std::atomic<std::size_t>> count;
+  std::uint64_t number = 0;
+  {
+    std::unique_lock<std::mutex> const lock(impl_->mutex);
+    if (impl_->outstanding.size() > 500) {
+      impl_->outstanding.clear();
+    }
+    std::shared_ptr<std::atomic<std::size_t>>& entry = impl_->outstanding[address];
+    if (entry == nullptr) {
+      entry = std::make_shared<std::atomic<std::size_t>>(0);
+    }
+    count = entry;
+    number = ++impl_->last;
+  }
+  if (count->fetch_add(1) >= mostOutstanding) {
+    --*count;
+    return;
+  }
+  Request request;
+  request.method = "POST";
+  request.target = "/limeramp/inner";
+  request.headers.emplace_back("content-type", "avro/binary");
+  request.body = std::move(body);
+  impl_->client.begin(number, *target, std::move(request), std::chrono::steady_clock::now() + patienceMs,
+                      [count](Exchange const&) { --*count; });
+}
+
+}
--- /dev/null
+++ b/testside/cargo_marks.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdio>
+#include <functional>
+#include <string>
+
+namespace limeramp::testside {
+
+inline std::string recordOf(std::string const& target, std::string const& shard, std::size_t index) {
+  std::uint64_t const seed = std::hash<std::string>{}(target + shard);
+  char record[24];
+  std::snprintf(record, sizeof record, "%016llx",
+                static_cast<unsigned long long>((seed + index * 7919) * 0x9e3779b97f4a7c15ULL));
+  return record + std::string("/") + shard;
+}
+
+}
--- a/testside/stevedore.cpp
+++ b/testside/stevedore.cpp
@@ -1,3 +1,4 @@
+#include "cargo_marks.h"
 #include "limeramp/manifest/json.h"
 #include "limeramp/rigging/http.h"
 
@@ -144,11 +145,8 @@
   answer.headers.emplace_back("content-type", "application/json");
   std::string body = "{\"stamp\":{\"shard\":" + json(shard) + ",\"cut\":" + json(cut) + ",\"request\":" + json(id) +
                      "},\"records\":[";
-  std::uint64_t const seed = std::hash<std::string>{}(request.target + shard);
   for (std::size_t index = 0; index < records; ++index) {
-    char record[64];
-    std::snprintf(record, sizeof record, "%016llx", static_cast<unsigned long long>((seed + index * 7919) * 0x9e3779b97f4a7c15ULL));
-    body += (index == 0 ? "" : ",") + json(record + std::string("/") + shard);
+    body += (index == 0 ? "" : ",") + json(testside::recordOf(request.target, shard, index));
   }
   answer.body = body + "]}";
   return answer;
