--- /dev/null
+++ b/programs/tender.cpp
@@ -0,0 +1,182 @@
+#include "limeramp/manifest/json.h"
+#include "limeramp/rigging/http.h"
+
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace {
+
+using namespace limeramp;
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+enum Exit { done = 0, problem = 1, usage = 2, refused = 3, conflict = 4, notRun = 5, unknown = 6, notReady = 7 };
+
+char const* const purpose = R"(tender talks to any node of a limeramp fleet.
+
+  tender [flags] show                  the configuration in force, its version on stderr
+  tender [flags] put FILE              send a whole configuration
+  tender [flags] patch FILE            send a merge patch on --base VERSION
+  tender [flags] status                the node's own view
+  tender [flags] ready                 exit 0 if the node is ready, 7 if not
+  tender [flags] drain                 ask the node to finish and take nothing new
+
+FILE may be - for standard input. Exit: 0 taken or answered, 1 no answer, 2 wrong usage, 3 refused,
+4 the version is no longer current, 5 not carried out, 6 not known (ask again with the same --change).
+)";
+
+struct Outcome {
+  rigging::Exchange exchange;
+  std::string node;
+};
+
+Outcome ask(std::vector<rigging::Address> const& nodes, rigging::Request const& request, Ms waitMs) {
+  rigging::Network network;
+  rigging::HttpClient client(network, {});
+  Outcome outcome;
+  std::uint64_t number = 0;
+  for (rigging::Address const& node : nodes) {
+    std::promise<rigging::Exchange> promise;
+    std::future<rigging::Exchange> future = promise.get_future();
+    client.begin(++number, node, request, Clock::now() + waitMs,
+                 [&promise](rigging::Exchange exchange) { promise.set_value(std::move(exchange)); });
+    outcome = {future.get(), node.text()};
+    if (outcome.exchange.answer || outcome.exchange.verdict != tally::Verdict::notRun) {
+      break;
+    }
+  }
+  network.stop();
+  return outcome;
+}
+
+bool readFile(std::string const& path, std::string& text) {
+  std::stringstream all;
+  if (path == "-") {
+    all << std::cin.rdbuf();
+  } else {
+    std::ifstream file(path);
+    if (!file) {
+      return false;
+    }
+    all << file.rdbuf();
+  }
+  text = all.str();
+  return true;
+}
+
+int report(Outcome const& outcome, std::string const& verb, std::string const& change) {
+  if (!outcome.exchange.answer) {
+    bool const certain = outcome.exchange.verdict == tally::Verdict::notRun;
+    std::cerr << "tender: " << outcome.node << ": " << outcome.exchange.reason << '\n';
+    if (verb == "put" || verb == "patch") {
+      std::cerr << "tender: change " << change << (certain ? " was not carried out" : " may have been taken; ask again with --change")
+                << '\n';
+      return certain ? Exit::notRun : Exit::unknown;
+    }
+    return Exit::problem;
+  }
+  rigging::Answer const& answer = *outcome.exchange.answer;
+  std::cout << answer.body;
+  if (verb == "show") {
+    std::cerr << "version " << rigging::findHeader(answer.headers, "limeramp-version").value_or("unknown") << '\n';
+  }
+  switch (answer.status) {
+    case 200:
+      return Exit::done;
+    case 400:
+    case 413:
+      return Exit::refused;
+    case 409:
+      return Exit::conflict;
+    case 503:
+      return verb == "ready" ? Exit::notReady : Exit::notRun;
+    case 504:
+      return Exit::unknown;
+    default:
+      return Exit::problem;
+  }
+}
+
+}
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("tender", purpose);
+  options.add_options()("nodes", "IP:PORT of one or more nodes, tried in turn", cxxopts::value<std::vector<std::string>>())(
+      "base", "version that a patch, or a whole configuration, replaces", cxxopts::value<std::string>())(
+      "change", "id of the change; the same id never takes effect twice", cxxopts::value<std::string>())(
+      "wait-ms", "how long to wait", cxxopts::value<long>()->default_value("10000"))(
+      "verb", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::string>())("version", "print the version")(
+      "help", "print this text");
+  options.parse_positional({"verb", "file"});
+  options.positional_help("VERB [FILE]");
+  try {
+    cxxopts::ParseResult const flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help();
+      return Exit::done;
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "tender 0.1.0\n";
+      return Exit::done;
+    }
+    std::vector<rigging::Address> nodes;
+    if (flags.count("nodes") > 0) {
+      for (std::string const& text : flags["nodes"].as<std::vector<std::string>>()) {
+        std::optional<rigging::Address> const address = rigging::Address::parse(text);
+        if (!address) {
+          std::cerr << "tender: '" << text << "' must be an IP number and a port\n";
+          return Exit::usage;
+        }
+        nodes.push_back(*address);
+      }
+    }
+    std::string const verb = flags.count("verb") > 0 ? flags["verb"].as<std::string>() : "";
+    long const waitMs = flags["wait-ms"].as<long>();
+    bool const sends = verb == "put" || verb == "patch";
+    if (nodes.empty() || !flags.unmatched().empty() || waitMs <= 0 || waitMs > 60'000 ||
+        sends != (flags.count("file") > 0) || (verb == "patch" && flags.count("base") == 0)) {
+      std::cerr << "tender: " << (nodes.empty() ? "--nodes is needed" : "wrong usage") << "; see tender --help\n";
+      return Exit::usage;
+    }
+    rigging::Request request;
+    std::string change;
+    if (sends) {
+      if (!readFile(flags["file"].as<std::string>(), request.body)) {
+        std::cerr << "tender: " << flags["file"].as<std::string>() << " cannot be read\n";
+        return Exit::usage;
+      }
+      std::random_device source;
+      char fresh[24];
+      std::snprintf(fresh, sizeof fresh, "%08x%08x", source(), source());
+      change = flags.count("change") > 0 ? flags["change"].as<std::string>() : fresh;
+      request.method = verb == "put" ? "PUT" : "PATCH";
+      request.target = "/limeramp/configuration";
+      request.headers = {{"content-type", "application/json"}, {"limeramp-change", change},
+                         {"limeramp-deadline-ms", std::to_string(waitMs)}};
+      if (flags.count("base") > 0) {
+        request.headers.emplace_back("limeramp-base", flags["base"].as<std::string>());
+      }
+    } else if (verb == "show") {
+      request.method = "GET";
+      request.target = "/limeramp/configuration";
+    } else if (verb == "status" || verb == "ready") {
+      request.method = "GET";
+      request.target = "/limeramp/" + verb;
+    } else if (verb == "drain") {
+      request.method = "POST";
+      request.target = "/limeramp/drain";
+    } else {
+      std::cerr << "tender: '" << verb << "' is not a verb; see tender --help\n";
+      return Exit::usage;
+    }
+    return report(ask(nodes, request, Ms(waitMs + (sends ? 1000 : 0))), verb, change);
+  } catch (cxxopts::exceptions::exception const& wrong) {
+    std::cerr << "tender: " << wrong.what() << '\n';
+    return Exit::usage;
+  }
+}
--- /dev/null
+++ b/testside/drydock/roads.cpp
@@ -0,0 +1,293 @@
+#include "drydock/roads.h"
+
+#include <algorithm>
+
+namespace limeramp::drydock {
+namespace {
+
+constexpr Ms inForceMs{3000};
+
+}
+
+Roads::Roads(std::uint64_t seed, std::size_t masters, std::size_t quays, std::size_t zones) : sea(seed) {
+  for (std::size_t index = 0; index < masters + quays; ++index) {
+    Machine machine;
+    std::string const zone = "z" + std::to_string(index % zones);
+    std::string const address = "127.0.0." + std::to_string(index + 1) + ":7000";
+    if (index < masters) {
+      machine.master = Master{"h" + std::to_string(index), address, zone, {}, {}, {}, {}};
+    } else {
+      machine.quay = Quay{"m" + std::to_string(index), address, zone, {}, {}};
+    }
+    machines.push_back(std::move(machine));
+  }
+}
+
+void Roads::startAll() {
+  for (std::size_t index = 0; index < machines.size(); ++index) {
+    start(index);
+  }
+}
+
+std::vector<cargo::Peer> Roads::peers() const {
+  std::vector<cargo::Peer> out;
+  for (Machine const& machine : machines) {
+    if (machine.up && machine.quay) {
+      out.push_back({machine.quay->node, machine.quay->address, machine.quay->zone, "quay", machine.life, 0});
+    } else if (machine.up) {
+      out.push_back({machine.master->id, machine.master->address, machine.master->zone, "harbourmaster", machine.life, 0});
+    }
+  }
+  return out;
+}
+
+void Roads::start(std::size_t index) {
+  Machine& machine = machines[index];
+  machine.up = true;
+  machine.frozen = false;
+  machine.thawWork.clear();
+  ++machine.life;
+  if (machine.quay) {
+    Quay& quay = *machine.quay;
+    quay.courier.emplace(fairway::CourierPolicy{}, cargo::Follower{quay.node, quay.address, quay.zone, 0, 0}, sea.dice()());
+    quay.version = {};
+  } else {
+    Master& master = *machine.master;
+    master.unsynced.clear();
+    master.council.emplace(pledge::Policy{});
+    master.plane.emplace(harbour::Policy{}, master.id);
+    step(index, pledge::Start{{master.id, master.address, master.zone}, master.disk, sea.dice()()});
+  }
+  tick(index, machine.life);
+}
+
+void Roads::kill(std::size_t index) {
+  Machine& machine = machines[index];
+  machine.up = false;
+  ++machine.life;
+}
+
+void Roads::thaw(std::size_t index) {
+  Machine& machine = machines[index];
+  if (!machine.frozen) {
+    return;
+  }
+  machine.frozen = false;
+  judge(index);
+  std::vector<std::function<void()>> const work = std::move(machine.thawWork);
+  machine.thawWork.clear();
+  for (std::function<void()> const& one : work) {
+    one();
+  }
+}
+
+void Roads::split(std::set<std::size_t> const& side) {
+  for (std::size_t left = 0; left < machines.size(); ++left) {
+    for (std::size_t right = 0; right < machines.size(); ++right) {
+      if (side.contains(left) != side.contains(right)) {
+        cut(left, right);
+      }
+    }
+  }
+}
+
+bool Roads::serves(std::size_t index) const {
+  Machine const& machine = machines[index];
+  if (!machine.up || machine.frozen || !machine.quay) {
+    return false;
+  }
+  fairway::Standing const standing = machine.quay->courier->footing(sea.now()).standing;
+  return standing == fairway::Standing::current || standing == fairway::Standing::upheld;
+}
+
+std::size_t Roads::serving() const {
+  std::size_t count = 0;
+  for (std::size_t index = 0; index < machines.size(); ++index) {
+    count += serves(index) ? 1 : 0;
+  }
+  return count;
+}
+
+bool Roads::awaitServing(std::size_t wanted, Ms within) {
+  TimePoint const end = sea.now() + within;
+  while (sea.now() < end && serving() < wanted) {
+    run(Ms(50));
+  }
+  return serving() >= wanted;
+}
+
+void Roads::judge(std::size_t index) {
+  Machine& machine = machines[index];
+  if (!machine.quay || machine.frozen) {
+    return;
+  }
+  Quay& quay = *machine.quay;
+  std::optional<cargo::State> const& state = quay.courier->state();
+  if (state) {
+    manifest::Version const version{state->configurationEpoch, state->configurationSequence};
+    if (version < quay.version) {
+      complaints.push_back(quay.node + " slipped from " + quay.version.text() + " to " + version.text());
+    }
+    quay.version = version;
+  }
+  if (!serves(index)) {
+    ++withheld;
+    return;
+  }
+  ++served;
+  upheld += quay.courier->footing(sea.now()).standing == fairway::Standing::upheld ? 1 : 0;
+  for (std::pair<manifest::Version const, TimePoint> const& entry : acknowledged_) {
+    if (entry.first > quay.version && sea.now() > entry.second + inForceMs) {
+      complaints.push_back(quay.node + " serves under " + quay.version.text() + " later than 3 s after " +
+                           entry.first.text() + " was acknowledged");
+    }
+  }
+}
+
+void Roads::tick(std::size_t index, std::uint64_t life) {
+  Machine& machine = machines[index];
+  if (!machine.up || machine.life != life) {
+    return;
+  }
+  if (!machine.frozen) {
+    if (machine.quay) {
+      follow(index, machine.quay->courier->tick(sea.now(), peers()));
+    } else {
+      pledge::Known known;
+      known.mayFound = true;
+      for (cargo::Peer const& peer : peers()) {
+        if (peer.role == "harbourmaster") {
+          known.members.push_back({peer.node, peer.address, peer.zone});
+        }
+      }
+      step(index, known);
+      step(index, pledge::Tick{});
+      drivePlane(index, harbour::Tick{});
+    }
+    judge(index);
+  }
+  sea.after(Ms(20), [this, index, life] { tick(index, life); });
+}
+
+void Roads::follow(std::size_t index, fairway::CourierStep const& step) {
+  for (fairway::Outgoing const& outgoing : step.sends) {
+    send(index, outgoing.address, outgoing.message);
+  }
+  judge(index);
+}
+
+void Roads::send(std::size_t from, std::string const& address, cargo::Message const& message) {
+  for (std::size_t to = 0; to < machines.size(); ++to) {
+    if (machines[to].address() != address || cuts_.contains({from, to}) || !machines[to].up) {
+      continue;
+    }
+    std::uint64_t const life = machines[to].life;
+    std::chrono::microseconds const wait(200 + sea.roll(sea.chance(0.01) ? 300'000 : 3'000));
+    sea.after(wait, [this, to, life, from, message] {
+      Machine& machine = machines[to];
+      if (!machine.up || machine.life != life) {
+        return;
+      }
+      if (machine.frozen) {
+        machine.thawWork.push_back([this, to, from, message] { deliver(to, from, message); });
+      } else {
+        deliver(to, from, message);
+      }
+    });
+  }
+}
+
+void Roads::deliver(std::size_t to, std::size_t from, cargo::Message const& message) {
+  Machine& machine = machines[to];
+  std::string const address = machines[from].address();
+  if (machine.quay) {
+    if (cargo::Poll const* const poll = std::get_if<cargo::Poll>(&message)) {
+      follow(to, machine.quay->courier->hear(sea.now(), address, *poll));
+    } else if (cargo::News const* const news = std::get_if<cargo::News>(&message)) {
+      follow(to, machine.quay->courier->hear(sea.now(), address, *news));
+    }
+  } else if (cargo::Poll const* const poll = std::get_if<cargo::Poll>(&message)) {
+    drivePlane(to, harbour::Polled{address, *poll});
+  } else if (machines[from].master) {
+    step(to, pledge::Received{machines[from].master->id, address, message});
+  }
+}
+
+void Roads::step(std::size_t index, pledge::Event const& event) {
+  Master& master = *machines[index].master;
+  std::uint64_t const life = machines[index].life;
+  for (pledge::Effect const& effect : master.council->step(sea.now(), event)) {
+    if (pledge::Send const* const outgoing = std::get_if<pledge::Send>(&effect)) {
+      send(index, outgoing->address, outgoing->message);
+    } else if (pledge::Persist const* const persist = std::get_if<pledge::Persist>(&effect)) {
+      master.unsynced.emplace_back(persist->token, persist->puts);
+      std::uint64_t const token = persist->token;
+      sea.after(std::chrono::microseconds(500 + sea.roll(5'000)), [this, index, life, token] {
+        if (!machines[index].up || machines[index].life != life) {
+          return;
+        }
+        Master& owner = *machines[index].master;
+        while (!owner.unsynced.empty() && owner.unsynced.front().first <= token) {
+          std::pair<std::uint64_t, pledge::Puts> const done = std::move(owner.unsynced.front());
+          owner.unsynced.erase(owner.unsynced.begin());
+          for (std::pair<std::string, std::string> const& put : done.second) {
+            owner.disk[put.first] = put.second;
+          }
+          std::function<void()> const tell = [this, index, done] { step(index, pledge::Persisted{done.first, true}); };
+          if (machines[index].frozen) {
+            machines[index].thawWork.push_back(tell);
+          } else {
+            tell();
+          }
+        }
+      });
+    } else if (pledge::Committed const* const committed = std::get_if<pledge::Committed>(&effect)) {
+      drivePlane(index, *committed);
+    } else if (pledge::Doubtful const* const doubtful = std::get_if<pledge::Doubtful>(&effect)) {
+      drivePlane(index, *doubtful);
+    } else if (pledge::Active const* const active = std::get_if<pledge::Active>(&effect)) {
+      drivePlane(index, *active);
+    } else if (std::holds_alternative<pledge::Inactive>(effect)) {
+      drivePlane(index, pledge::Inactive{});
+    }
+  }
+}
+
+void Roads::drivePlane(std::size_t index, harbour::Event const& event) {
+  Master& master = *machines[index].master;
+  for (harbour::Effect const& effect : master.plane->step(sea.now(), *master.council, event)) {
+    if (pledge::Offer const* const offer = std::get_if<pledge::Offer>(&effect)) {
+      step(index, *offer);
+    } else if (harbour::Decided const* const decided = std::get_if<harbour::Decided>(&effect)) {
+      answers[decided->ticket] = {*decided, sea.now()};
+      if (decided->verdict == harbour::Verdict::taken) {
+        acknowledged_.emplace(decided->version, sea.now());
+      }
+    } else if (fairway::Outgoing const* const outgoing = std::get_if<fairway::Outgoing>(&effect)) {
+      send(index, outgoing->address, outgoing->message);
+    }
+  }
+}
+
+std::optional<std::size_t> Roads::primary() const {
+  for (std::size_t index = 0; index < machines.size(); ++index) {
+    Machine const& machine = machines[index];
+    if (machine.up && !machine.frozen && machine.master && machine.isActive()) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> Roads::change(std::string const& id, std::string const& body,
+                                           std::optional<manifest::Version> base, bool patch) {
+  std::optional<std::size_t> const index = primary();
+  if (!index) {
+    return std::nullopt;
+  }
+  std::uint64_t const ticket = ++lastTicket_;
+  drivePlane(*index, harbour::Change{ticket, id, base, patch, body, sea.now() + Ms(8000)});
+  return ticket;
+}
+
+}
