--- a/libs/fairway/include/limeramp/fairway/views.h
+++ b/libs/fairway/include/limeramp/fairway/views.h
@@ -33,7 +33,7 @@
   Views(Views&&) noexcept;
   Views& operator=(Views&&) noexcept;
 
-  std::vector<Outgoing> tick(TimePoint now);
+  std::vector<Outgoing> tick(TimePoint now, bool eager = false);
   std::vector<Outgoing> hear(TimePoint now, std::string const& from, std::string const& address,
                              cargo::Shuffle const& message);
   std::vector<cargo::Peer> peers(TimePoint now) const;
--- a/libs/fairway/src/views.cpp
+++ b/libs/fairway/src/views.cpp
@@ -69,7 +69,7 @@
 Views::Views(Views&&) noexcept = default;
 Views& Views::operator=(Views&&) noexcept = default;
 
-std::vector<Outgoing> Views::tick(TimePoint now) {
+std::vector<Outgoing> Views::tick(TimePoint now, bool eager) {
   std::vector<Outgoing> out;
   if (now < impl_->nextAt) {
     return out;
@@ -89,6 +89,10 @@
       targets.push_back(seed);
     }
   }
+  if (eager) {
+    targets.insert(targets.end(), impl_->seeds.begin(), impl_->seeds.end());
+    std::erase(targets, impl_->self.address);
+  }
   for (std::string const& address : targets) {
     out.push_back({address, cargo::Shuffle{false, impl_->sample(now)}});
   }
--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -321,7 +321,7 @@
 
 void Office::Impl::tick() {
   Clock::time_point const now = Clock::now();
-  sendAll(views.tick(now));
+  sendAll(views.tick(now, council.decided().epoch == 0));
   pledge::Known known;
   for (cargo::Peer const& peer : views.peers(now)) {
     if (peer.role == "harbourmaster") {
