--- /dev/null
+++ b/programs/wake.cpp
@@ -0,0 +1,214 @@
+#include "limeramp/manifest/json.h"
+#include "limeramp/manifest/configuration.h"
+#include "limeramp/rigging/http.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <condition_variable>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace {
+
+using namespace limeramp;
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+char const* const purpose = R"(wake follows one change through all nodes of a fleet.
+
+  wake --nodes IP:PORT[,...] [--want VERSION] [--wait-ms N] [--every-ms N]
+
+It asks the nodes given, finds the others through them, and prints for each node when the version was first seen
+there: stored (in the node's state) and in force. Without --want it follows the newest version that any node knows at
+the start. Times count from the start of wake; to trace one change, start wake just before it with the version that
+will come, or use --next to follow the first newer one. Exit: 0 everywhere in force, 1 some node lags or was not heard,
+2 wrong usage.
+)";
+
+struct Sight {
+  std::string node;
+  std::string role;
+  std::string zone;
+  bool heard = false;
+  bool ready = false;
+  std::string standing;
+  manifest::Version version;
+  std::optional<Clock::time_point> stored;
+  std::optional<Clock::time_point> inForce;
+  Clock::time_point lastHeard{};
+  bool pending = false;
+};
+
+struct Watch {
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, Sight> nodes;
+  std::optional<manifest::Version> want;
+  bool next = false;
+  manifest::Version newest;
+};
+
+std::string textOf(picojson::value const& body, std::string const& key) {
+  return body.contains(key) && body.get(key).is<std::string>() ? body.get(key).get<std::string>() : "";
+}
+
+void readStatus(Watch& watch, std::string const& address, picojson::value const& body) {
+  Clock::time_point const now = Clock::now();
+  Sight& sight = watch.nodes[address];
+  sight.node = textOf(body, "node");
+  sight.role = textOf(body, "role");
+  sight.zone = textOf(body, "zone");
+  sight.standing = textOf(body, "standing");
+  sight.heard = true;
+  sight.lastHeard = now;
+  sight.ready = body.contains("ready") && body.get("ready").evaluate_as_boolean();
+  sight.version = manifest::Version::parse(textOf(body, "version")).value_or(manifest::Version{});
+  if (watch.next && sight.version > watch.newest && !watch.want) {
+    watch.want = sight.version;
+  } else if (!watch.next || watch.want) {
+    watch.newest = std::max(watch.newest, sight.version);
+  }
+  if (watch.want && sight.version >= *watch.want) {
+    sight.stored = sight.stored.value_or(now);
+    bool const serves = sight.role != "quay" || sight.standing == "current" || sight.standing == "upheld";
+    if (serves) {
+      sight.inForce = sight.inForce.value_or(now);
+    }
+  }
+  for (char const* const list : {"peers", "nodes"}) {
+    if (!body.contains(list) || !body.get(list).is<picojson::array>()) {
+      continue;
+    }
+    for (picojson::value const& peer : body.get(list).get<picojson::array>()) {
+      std::string const other = textOf(peer, "address");
+      if (rigging::Address::parse(other) && watch.nodes.size() < 2000 && !watch.nodes.contains(other)) {
+        Sight fresh;
+        fresh.node = textOf(peer, "node");
+        fresh.role = textOf(peer, "role");
+        fresh.zone = textOf(peer, "zone");
+        watch.nodes.emplace(other, fresh);
+      }
+    }
+  }
+}
+
+}
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("wake", purpose);
+  options.add_options()("nodes", "IP:PORT of one or more nodes", cxxopts::value<std::vector<std::string>>())(
+      "want", "version to follow", cxxopts::value<std::string>())("next", "follow the first version newer than those known at the start")(
+      "wait-ms", "how long to watch", cxxopts::value<long>()->default_value("10000"))(
+      "every-ms", "how often each node is asked", cxxopts::value<long>()->default_value("20"))("version", "print the version")(
+      "help", "print this text");
+  try {
+    cxxopts::ParseResult const flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "wake 0.1.0\n";
+      return 0;
+    }
+    Watch watch;
+    if (flags.count("nodes") > 0) {
+      for (std::string const& text : flags["nodes"].as<std::vector<std::string>>()) {
+        if (!rigging::Address::parse(text)) {
+          std::cerr << "wake: '" << text << "' must be an IP number and a port\n";
+          return 2;
+        }
+        watch.nodes.emplace(text, Sight{});
+      }
+    }
+    long const waitMs = flags["wait-ms"].as<long>();
+    long const everyMs = flags["every-ms"].as<long>();
+    if (flags.count("want") > 0) {
+      watch.want = manifest::Version::parse(flags["want"].as<std::string>());
+    }
+    if (watch.nodes.empty() || !flags.unmatched().empty() || waitMs < 1 || waitMs > 600'000 || everyMs < 5 ||
+        (flags.count("want") > 0 && !watch.want)) {
+      std::cerr << "wake: --nodes is needed, --want is a version as in 3.14; see wake --help\n";
+      return 2;
+    }
+    watch.next = flags.count("next") > 0;
+    rigging::Network network;
+    rigging::HttpClient client(network, {4 << 20, 2, Ms(5000)});
+    Clock::time_point const start = Clock::now();
+    std::uint64_t number = 0;
+    std::unique_lock<std::mutex> lock(watch.mutex);
+    bool done = false;
+    for (Clock::time_point round = start; !done && round < start + Ms(waitMs); round += Ms(everyMs)) {
+      std::vector<std::string> due;
+      for (std::pair<std::string const, Sight>& entry : watch.nodes) {
+        if (!entry.second.pending && !entry.second.inForce) {
+          entry.second.pending = true;
+          due.push_back(entry.first);
+        }
+      }
+      for (std::string const& address : due) {
+        rigging::Request request{"GET", "/limeramp/status", {}, "", ""};
+        client.begin(++number, *rigging::Address::parse(address), request, Clock::now() + Ms(1000),
+                     [&watch, address](rigging::Exchange const& exchange) {
+                       std::unique_lock<std::mutex> const inner(watch.mutex);
+                       watch.nodes[address].pending = false;
+                       if (exchange.answer && exchange.answer->status == 200) {
+                         absl::StatusOr<picojson::value> const body = manifest::parseJson(exchange.answer->body, {4u << 20, 24, 400'000});
+                         if (body.ok() && body->is<picojson::object>()) {
+                           readStatus(watch, address, *body);
+                         }
+                       }
+                     });
+      }
+      watch.changed.wait_until(lock, round + Ms(everyMs), [] { return false; });
+      if (!watch.next && !watch.want && Clock::now() - start > Ms(500)) {
+        watch.want = watch.newest;
+      }
+      bool const all = std::all_of(watch.nodes.begin(), watch.nodes.end(), [](std::pair<std::string const, Sight> const& entry) {
+        return entry.second.inForce.has_value();
+      });
+      done = watch.want && all && Clock::now() - start > Ms(1000);
+    }
+    lock.unlock();
+    network.stop();
+    if (!watch.want) {
+      std::cout << "no newer version was seen\n";
+      return 1;
+    }
+    std::optional<Clock::time_point> first;
+    for (std::pair<std::string const, Sight> const& entry : watch.nodes) {
+      if (entry.second.stored && (!first || *entry.second.stored < *first)) {
+        first = entry.second.stored;
+      }
+    }
+    std::cout << "version " << watch.want->text() << ", times in ms after it was first seen, looked at every " << everyMs << " ms\n";
+    std::printf("%-22s %-14s %-14s %-6s %8s %9s  %s\n", "address", "node", "role", "zone", "stored", "in force", "state");
+    long worst = 0;
+    std::size_t lagging = 0;
+    std::size_t silent = 0;
+    for (std::pair<std::string const, Sight> const& entry : watch.nodes) {
+      Sight const& sight = entry.second;
+      std::function<std::string(std::optional<Clock::time_point> const&)> const since = [&](std::optional<Clock::time_point> const& at) {
+        return at ? std::to_string(std::chrono::duration_cast<Ms>(*at - *first).count()) : std::string("-");
+      };
+      std::string state = !sight.heard ? "not heard" : sight.inForce ? "in force" : "at " + sight.version.text() + " " + sight.standing;
+      silent += sight.heard ? 0 : 1;
+      lagging += sight.heard && !sight.inForce ? 1 : 0;
+      if (sight.inForce) {
+        worst = std::max<long>(worst, std::chrono::duration_cast<Ms>(*sight.inForce - *first).count());
+      }
+      std::printf("%-22s %-14s %-14s %-6s %8s %9s  %s\n", entry.first.c_str(), sight.node.c_str(), sight.role.c_str(),
+                  sight.zone.c_str(), since(sight.stored).c_str(), since(sight.inForce).c_str(), state.c_str());
+    }
+    std::printf("nodes %zu, lagging %zu, not heard %zu, last in force after %ld ms\n", watch.nodes.size(), lagging, silent, worst);
+    return lagging + silent == 0 ? 0 : 1;
+  } catch (cxxopts::exceptions::exception const& wrong) {
+    std::cerr << "wake: " << wrong.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/plane_test.cpp
@@ -0,0 +1,204 @@
+#include "limeramp/quayside/plane.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::quayside;
+using Ms = std::chrono::milliseconds;
+
+std::string const document = R"({
+  "services": {"p0": {}, "p1": {}, "logs": {}},
+  "searches": {"packages": {"tenant": "t", "prefix": "/packages", "result_size": 3, "minimum_shards": 1,
+    "shards": [{"service": "p0", "cut": "c1"}, {"service": "p1", "cut": "c1"}]}},
+  "routes": {"logs": {"tenant": "t", "prefix": "/logs", "service": "logs", "max_attempts": 2},
+             "away": {"tenant": "far", "prefix": "/", "service": "logs", "max_attempts": 2}},
+  "cells": {"north": {"tenants": ["far"], "nodes": ["m09"]}}})";
+
+manifest::SnapshotPtr snapshotOf(std::string const& text, std::uint64_t sequence) {
+  manifest::Snapshot snapshot;
+  snapshot.version = {1, sequence};
+  snapshot.text = text;
+  snapshot.configuration = *manifest::checkConfiguration(*manifest::parseJson(text)).configuration;
+  return std::make_shared<manifest::Snapshot const>(snapshot);
+}
+
+struct Front {
+  Plane plane{Self{"m01", "127.0.0.1:7000", "z1", 5}, shoal::Policy{}};
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<SendOut> sent;
+  std::vector<Reply> replies;
+  std::vector<CancelOut> cancelled;
+  std::uint64_t last = 0;
+
+  Front() {
+    step(InForce{snapshotOf(document, 2)});
+    for (std::string const service : {"p0", "p1", "logs"}) {
+      shoal::Servers servers{service, {}};
+      for (std::string const address : {"127.0.0.8:1", "127.0.0.9:1"}) {
+        shoal::ServerRow row;
+        row.address = address;
+        servers.rows.push_back(row);
+      }
+      step(Tables{servers});
+    }
+  }
+
+  void step(Event const& event) {
+    for (Effect const& effect : plane.step(now, event)) {
+      if (SendOut const* const send = std::get_if<SendOut>(&effect)) {
+        sent.push_back(*send);
+      } else if (Reply const* const reply = std::get_if<Reply>(&effect)) {
+        replies.push_back(*reply);
+      } else if (CancelOut const* const cancel = std::get_if<CancelOut>(&effect)) {
+        cancelled.push_back(*cancel);
+      } else if (Grind const* const grind = std::get_if<Grind>(&effect)) {
+        step(Ground{grind->attempt, shoal::readPart(grind->body, grind->expected, grind->result_size), grind->load});
+      } else if (Merge const* const merge = std::get_if<Merge>(&effect)) {
+        step(Merged{merge->request, shoal::mergeParts(merge->parts, merge->result_size)});
+      }
+    }
+  }
+  void arrive(std::string const& target, rigging::Headers headers = {{"limeramp-tenant", "t"}}, bool passed = false,
+              std::string const& body = "") {
+    step(Arrived{++last, {body.empty() ? "GET" : "POST", target, std::move(headers), body, ""}, passed, std::nullopt});
+  }
+  void answer(SendOut const& to, int status, std::string const& body) {
+    step(Exchanged{to.attempt, {rigging::Answer{status, {{"x-own", "1"}, {"limeramp-verdict", "not_run"}}, body}, tally::Verdict::ran, ""}});
+  }
+  void part(SendOut const& to, std::string const& cut, std::string const& record) {
+    answer(to, 200, "{\"stamp\":{\"shard\":\"" + *rigging::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
+                        "\",\"request\":\"" + *rigging::findHeader(to.content.headers, "limeramp-request") + "\"},\"records\":[\"" +
+                        record + "\"]}");
+  }
+};
+
+TEST(Arrival, MalformedRequestsAreRefusedAndReachNoServer) {
+  std::vector<std::pair<rigging::Headers, int>> const cases{
+      {{}, 400},
+      {{{"limeramp-tenant", "nobody"}}, 404},
+      {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "0"}}, 400},
+      {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "-5"}}, 400},
+      {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "soon"}}, 400},
+      {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "12x"}}, 400},
+      {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "99999999"}}, 400}};
+  for (std::pair<rigging::Headers, int> const& one : cases) {
+    Front front;
+    front.arrive("/logs/1", one.first);
+    ASSERT_EQ(front.replies.size(), 1u);
+    EXPECT_EQ(front.replies[0].answer.status, one.second);
+    EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "not_run");
+    EXPECT_TRUE(front.sent.empty());
+  }
+}
+
+TEST(Forwarding, KeepsTheRequestAndTheServersAnswerAndDropsHopByHopHeaders) {
+  Front front;
+  front.arrive("/logs/1?a=%20b&c", {{"Limeramp-Tenant", "t"}, {"connection", "close, x-hop"}, {"x-hop", "1"}, {"x-keep", "2"},
+                                     {"limeramp-request", "forged"}, {"limeramp-deadline-ms", "700"}}, false, "body");
+  ASSERT_EQ(front.sent.size(), 1u);
+  rigging::Request const& content = front.sent[0].content;
+  EXPECT_EQ(content.method, "POST");
+  EXPECT_EQ(content.target, "/logs/1?a=%20b&c");
+  EXPECT_EQ(content.body, "body");
+  EXPECT_FALSE(rigging::findHeader(content.headers, "x-hop").has_value());
+  EXPECT_EQ(rigging::findHeader(content.headers, "x-keep"), "2");
+  EXPECT_EQ(rigging::findHeader(content.headers, "limeramp-deadline-ms"), "700");
+  EXPECT_EQ(rigging::findHeader(content.headers, "limeramp-version"), "1.2");
+  EXPECT_EQ(std::count_if(content.headers.begin(), content.headers.end(),
+                          [](std::pair<std::string, std::string> const& header) { return header.first == "limeramp-request"; }), 1);
+  EXPECT_NE(rigging::findHeader(content.headers, "limeramp-request"), "forged");
+  front.answer(front.sent[0], 503, "busy");
+  ASSERT_EQ(front.replies.size(), 1u);
+  EXPECT_EQ(front.replies[0].answer.status, 503);
+  EXPECT_EQ(front.replies[0].answer.body, "busy");
+  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "ran");
+  EXPECT_EQ(front.sent.size(), 1u);
+}
+
+TEST(Pinning, ARequestKeepsItsConfigurationAndRefusesPartsOfAnother) {
+  Front front;
+  front.step(Placed{shoal::Place{1, 0, 3}});
+  for (std::size_t round = 0; round < 6; ++round) {
+    front.arrive("/packages");
+    front.part(front.sent[round * 2], "c1", "a");
+    front.part(front.sent[round * 2 + 1], "c1", "a");
+  }
+  front.sent.clear();
+  front.replies.clear();
+  front.arrive("/packages");
+  ASSERT_EQ(front.sent.size(), 2u);
+  std::string recut = document;
+  for (std::size_t at = recut.find("c1"); at != std::string::npos; at = recut.find("c1", at + 1)) {
+    recut.replace(at, 2, "c2");
+  }
+  front.step(InForce{snapshotOf(recut, 3)});
+  front.part(front.sent[0], "c2", "z");
+  front.part(front.sent[1], "c1", "a");
+  ASSERT_GE(front.sent.size(), 3u);
+  EXPECT_EQ(rigging::findHeader(front.sent[2].content.headers, "limeramp-version"), "1.2");
+  front.part(front.sent[2], "c1", "b");
+  ASSERT_EQ(front.replies.size(), 1u);
+  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-version"), "1.2");
+  EXPECT_NE(front.replies[0].answer.body.find(R"("records":["b","a"])"), std::string::npos);
+  EXPECT_EQ(front.replies[0].answer.body.find("c2"), std::string::npos);
+  front.arrive("/packages");
+  EXPECT_EQ(rigging::findHeader(front.sent.back().content.headers, "limeramp-version"), "1.3");
+}
+
+TEST(Search, AFailureIsNeverDressedAsAPart) {
+  Front front;
+  front.arrive("/packages");
+  front.answer(front.sent[0], 500, "{}");
+  front.answer(front.sent[1], 200, "not json");
+  while (front.replies.empty() && front.sent.size() < 8) {
+    std::size_t const before = front.sent.size();
+    front.answer(front.sent.back(), 204, "");
+    if (front.sent.size() == before) {
+      front.now += Ms(100);
+      front.step(Tick{});
+    }
+  }
+  front.now += Ms(600);
+  front.step(Tick{});
+  ASSERT_EQ(front.replies.size(), 1u);
+  EXPECT_GE(front.replies[0].answer.status, 500);
+  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
+}
+
+TEST(Cells, ANodeOutsidePassesOnceAndAnOwnerNever) {
+  Front front;
+  front.step(Owners{"north", {"127.0.0.7:7000", "127.0.0.6:7000"}});
+  rigging::Headers const far{{"limeramp-tenant", "far"}};
+  front.arrive("/x", far);
+  ASSERT_EQ(front.sent.size(), 1u);
+  EXPECT_TRUE(front.sent[0].carried);
+  front.step(Exchanged{front.sent[0].attempt, {std::nullopt, tally::Verdict::mayHaveRun, "broken"}});
+  ASSERT_EQ(front.replies.size(), 1u);
+  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
+  EXPECT_EQ(front.sent.size(), 1u);
+  front.arrive("/x", far);
+  front.step(Exchanged{front.sent[1].attempt, {std::nullopt, tally::Verdict::notRun, "refused"}});
+  EXPECT_EQ(front.sent.size(), 3u);
+  front.arrive("/x", far, true);
+  EXPECT_EQ(front.sent.size(), 3u);
+  EXPECT_EQ(rigging::findHeader(front.replies.back().answer.headers, "limeramp-verdict"), "not_run");
+}
+
+TEST(Late, AnAnswerOfAnEndedRequestGoesNowhere) {
+  Front front;
+  front.arrive("/logs/1", {{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "100"}});
+  front.now += Ms(100);
+  front.step(Tick{});
+  ASSERT_EQ(front.replies.size(), 1u);
+  EXPECT_EQ(front.replies[0].answer.status, 504);
+  EXPECT_EQ(front.cancelled.size(), 1u);
+  front.answer(front.sent[0], 200, "late");
+  EXPECT_EQ(front.replies.size(), 1u);
+  EXPECT_EQ(front.plane.requests(), 0u);
+}
+
+}
