--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -213,7 +213,7 @@
                      ",\"zone\":" + json(settings.zone) + ",\"fleet\":" + json(decided.fleet) +
                      ",\"epoch\":" + std::to_string(decided.epoch) + ",\"primary\":" + json(decided.primary) +
                      ",\"primary_address\":" + json(council.primaryAddress()) + ",\"backup\":" + json(decided.backup) +
-                     ",\"active\":" + (council.active() ? "true" : "false") +
+                     ",\"replica\":" + (decided.primary == id || decided.backup == id ? "true" : "false") + ",\"active\":" + (council.active() ? "true" : "false") +
                      ",\"sealed\":" + std::to_string(council.sealed()) +
                      ",\"ailing\":" + (council.ailing() ? "true" : "false") + ",\"state\":" +
                      json(manifest::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
--- a/programs/wake.cpp
+++ b/programs/wake.cpp
@@ -25,8 +25,7 @@
 
 It asks the nodes given, finds the others through them, and prints for each node when the version was first seen
 there: stored (in the node's state) and in force. Without --want it follows the newest version that any node knows at
-the start. Times count from the start of wake; to trace one change, start wake just before it with the version that
-will come, or use --next to follow the first newer one. Exit: 0 everywhere in force, 1 some node lags or was not heard,
+the start; with --next, the first newer one. Times count from the first sight of the version. Exit: 0 everywhere in force, 1 some node lags or was not heard,
 2 wrong usage.
 )";
 
@@ -35,6 +34,7 @@
   std::string role;
   std::string zone;
   bool heard = false;
+  bool replica = true;
   bool ready = false;
   std::string standing;
   manifest::Version version;
@@ -50,6 +50,7 @@
   std::map<std::string, Sight> nodes;
   std::optional<manifest::Version> want;
   bool next = false;
+  bool settled = false;
   manifest::Version newest;
 };
 
@@ -68,10 +69,11 @@
   sight.lastHeard = now;
   sight.ready = body.contains("ready") && body.get("ready").evaluate_as_boolean();
   sight.version = manifest::Version::parse(textOf(body, "version")).value_or(manifest::Version{});
-  if (watch.next && sight.version > watch.newest && !watch.want) {
-    watch.want = sight.version;
-  } else if (!watch.next || watch.want) {
+  sight.replica = sight.role == "quay" || (body.contains("replica") && body.get("replica").evaluate_as_boolean());
+  if (!watch.settled) {
     watch.newest = std::max(watch.newest, sight.version);
+  } else if (watch.next && !watch.want && sight.version > watch.newest) {
+    watch.want = sight.version;
   }
   if (watch.want && sight.version >= *watch.want) {
     sight.stored = sight.stored.value_or(now);
@@ -166,11 +168,14 @@
                      });
       }
       watch.changed.wait_until(lock, round + Ms(everyMs), [] { return false; });
-      if (!watch.next && !watch.want && Clock::now() - start > Ms(500)) {
-        watch.want = watch.newest;
+      if (!watch.settled && Clock::now() - start > Ms(500)) {
+        watch.settled = true;
+        if (!watch.next && !watch.want) {
+          watch.want = watch.newest;
+        }
       }
       bool const all = std::all_of(watch.nodes.begin(), watch.nodes.end(), [](std::pair<std::string const, Sight> const& entry) {
-        return entry.second.inForce.has_value();
+        return entry.second.inForce.has_value() || (entry.second.heard && !entry.second.replica);
       });
       done = watch.want && all && Clock::now() - start > Ms(1000);
     }
@@ -196,9 +201,10 @@
       std::function<std::string(std::optional<Clock::time_point> const&)> const since = [&](std::optional<Clock::time_point> const& at) {
         return at ? std::to_string(std::chrono::duration_cast<Ms>(*at - *first).count()) : std::string("-");
       };
-      std::string state = !sight.heard ? "not heard" : sight.inForce ? "in force" : "at " + sight.version.text() + " " + sight.standing;
+      bool const lags = sight.heard && sight.replica && !sight.inForce;
+      std::string const state = !sight.heard ? "not heard" : !sight.replica ? "keeps no copy" : sight.inForce ? "in force" : "at " + sight.version.text() + " " + sight.standing;
       silent += sight.heard ? 0 : 1;
-      lagging += sight.heard && !sight.inForce ? 1 : 0;
+      lagging += lags ? 1 : 0;
       if (sight.inForce) {
         worst = std::max<long>(worst, std::chrono::duration_cast<Ms>(*sight.inForce - *first).count());
       }
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,266 @@
+#include "drydock/sea.h"
+#include "limeramp/shoal/machine.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::shoal;
+using drydock::Sea;
+using Ms = std::chrono::milliseconds;
+
+struct Server {
+  double capacity = 200;
+  double latencyMs = 8;
+  bool dead = false;
+  bool silent = false;
+  TimePoint startedAt{};
+  Ms slowStartMs{0};
+  std::vector<TimePoint> arrivals;
+};
+
+struct Fleet {
+  Fleet(std::uint64_t seed, std::size_t fronts, Policy const& policyIn) : sea(seed), policy(policyIn) {
+    for (std::size_t index = 0; index < fronts; ++index) {
+      machines.emplace_back(policy);
+      lives.push_back(0);
+    }
+  }
+
+  Sea sea;
+  Policy policy;
+  std::vector<Machine> machines;
+  std::vector<std::uint64_t> lives;
+  std::map<std::string, std::map<std::string, Server>> services;
+  std::map<std::string, std::vector<std::pair<TimePoint, bool>>> arrivals;
+  std::map<std::pair<std::size_t, std::uint64_t>, std::vector<std::string>> asked;
+  std::set<std::tuple<std::size_t, std::uint64_t, std::size_t>> seen;
+  std::uint64_t lastRequest = 0;
+  std::size_t complete = 0;
+  std::size_t partial = 0;
+  std::size_t failed = 0;
+
+  void tables(std::size_t front) {
+    for (std::pair<std::string const, std::map<std::string, Server>> const& service : services) {
+      Servers event{service.first, {}};
+      for (std::pair<std::string const, Server> const& server : service.second) {
+        ServerRow row;
+        row.address = server.first;
+        row.capacity = server.second.capacity;
+        row.slowStartMs = server.second.slowStartMs;
+        row.ageMs = std::chrono::duration_cast<Ms>(sea.now() - server.second.startedAt);
+        event.rows.push_back(row);
+      }
+      step(front, event);
+    }
+  }
+
+  void start(std::size_t front) {
+    machines[front] = Machine(policy);
+    ++lives[front];
+    step(front, Place{machines.size(), front, 60.0 / 20});
+    tables(front);
+    tick(front, lives[front]);
+  }
+
+  void tick(std::size_t front, std::uint64_t life) {
+    if (lives[front] != life) {
+      return;
+    }
+    step(front, Tick{});
+    sea.after(Ms(5), [this, front, life] { tick(front, life); });
+  }
+
+  void arrive(std::size_t front, std::vector<std::string> const& names, std::size_t minimum, Ms deadlineMs) {
+    std::uint64_t const request = ++lastRequest;
+    asked[{front, request}] = names;
+    step(front, Arrive{request, "t", names, minimum, 3, true, sea.now() + deadlineMs});
+  }
+
+  void step(std::size_t front, Event const& event) {
+    for (Effect const& effect : machines[front].step(sea.now(), event)) {
+      if (Send const* const send = std::get_if<Send>(&effect)) {
+        std::string const service = asked.at({front, send->request})[send->leg];
+        Server& server = services[service][send->server];
+        std::uint64_t const attempt = send->attempt;
+        std::uint64_t const life = lives[front];
+        if (server.dead) {
+          sea.after(std::chrono::microseconds(300), [this, front, life, attempt] {
+            answer(front, life, Returned{attempt, false, false, tally::Verdict::notRun, {}});
+          });
+          continue;
+        }
+        bool const first = seen.emplace(front, send->request, send->leg).second;
+        arrivals[service].emplace_back(sea.now(), first);
+        server.arrivals.push_back(sea.now());
+        if (server.silent) {
+          continue;
+        }
+        double const waitMs = server.latencyMs * (0.7 + 0.6 * static_cast<double>(sea.roll(1000)) / 1000);
+        sea.after(std::chrono::microseconds(static_cast<long>(waitMs * 1000)), [this, front, life, attempt] {
+          answer(front, life, Returned{attempt, true, true, tally::Verdict::ran, {}});
+        });
+      } else if (Finish const* const finish = std::get_if<Finish>(&effect)) {
+        complete += finish->ending == Ending::complete ? 1 : 0;
+        partial += finish->ending == Ending::partial ? 1 : 0;
+        failed += finish->ending == Ending::failed || finish->ending == Ending::refused ? 1 : 0;
+        asked.erase({front, finish->request});
+      }
+    }
+  }
+
+  void answer(std::size_t front, std::uint64_t life, Returned const& event) {
+    if (lives[front] == life) {
+      step(front, event);
+    }
+  }
+
+  void load(double perSecond, Ms time, std::vector<std::string> const& names, std::size_t minimum, Ms deadlineMs) {
+    TimePoint const end = sea.now() + time;
+    while (sea.now() < end) {
+      double const gapMs = -std::log(1 - static_cast<double>(sea.roll(1'000'000)) / 1e6) * 1000 / perSecond;
+      sea.runUntil(sea.now() + std::chrono::microseconds(1 + static_cast<long>(gapMs * 1000)));
+      arrive(sea.roll(machines.size()), names, minimum, deadlineMs);
+    }
+  }
+
+  double worstExtra(std::string const& service) const {
+    double above = 0;
+    double worst = 0;
+    for (std::pair<TimePoint, bool> const& arrival : arrivals.at(service)) {
+      above = std::max(0.0, above + (arrival.second ? -0.2 : 1.0));
+      worst = std::max(worst, above);
+    }
+    return worst;
+  }
+};
+
+TEST(FleetBudget, HoldsOverEveryStretchWithShardsDeadAndFrontsRestarting) {
+  double worst = 0;
+  std::size_t extras = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    Fleet fleet(seed, 11, Policy{});
+    std::vector<std::string> const names{"p0", "p1", "p2", "p3"};
+    for (std::string const& name : names) {
+      for (int number = 0; number < 4; ++number) {
+        fleet.services[name][name + "-" + std::to_string(number)] = Server{};
+      }
+    }
+    for (std::size_t front = 0; front < 11; ++front) {
+      fleet.start(front);
+    }
+    fleet.load(300, Ms(4000), names, 1, Ms(400));
+    for (std::string const& name : names) {
+      std::size_t const hurt = fleet.sea.roll(5);
+      for (std::size_t number = 0; number < hurt; ++number) {
+        Server& server = fleet.services[name][name + "-" + std::to_string(number)];
+        (fleet.sea.chance(0.4) ? server.dead : server.silent) = true;
+      }
+    }
+    for (int round = 0; round < 12; ++round) {
+      fleet.load(round % 3 == 2 ? 20 : 300, Ms(800), names, 1, Ms(400));
+      fleet.start(fleet.sea.roll(11));
+      fleet.start(fleet.sea.roll(11));
+    }
+    for (std::string const& name : names) {
+      worst = std::max(worst, fleet.worstExtra(name));
+      for (std::pair<TimePoint, bool> const& arrival : fleet.arrivals.at(name)) {
+        extras += arrival.second ? 0 : 1;
+      }
+    }
+  }
+  std::printf("seeds 1 to 12: %zu extra attempts, at most %.1f above a fifth in any stretch\n", extras, worst);
+  EXPECT_LE(worst, 60.0);
+  EXPECT_GT(worst, 8.0);
+}
+
+TEST(FleetRamp, AFreshServerIsNeverPushedPastOneAndAHalfTimesWhatItBears) {
+  double worst = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(seed, 11, Policy{});
+    for (int number = 0; number < 4; ++number) {
+      fleet.services["p0"]["p0-" + std::to_string(number)] = Server{};
+    }
+    for (std::size_t front = 0; front < 11; ++front) {
+      fleet.start(front);
+    }
+    fleet.load(400, Ms(2000), {"p0"}, 1, Ms(400));
+    Server fresh;
+    fresh.capacity = 60;
+    fresh.slowStartMs = Ms(5000);
+    fresh.startedAt = fleet.sea.now();
+    for (int number = 0; number < 3; ++number) {
+      fleet.services["p0"]["p0-" + std::to_string(number)].dead = true;
+    }
+    fleet.services["p0"]["p0-9"] = fresh;
+    for (std::size_t front = 0; front < 11; ++front) {
+      fleet.tables(front);
+    }
+    fleet.load(400, Ms(5000), {"p0"}, 1, Ms(400));
+    std::vector<TimePoint> const& times = fleet.services["p0"]["p0-9"].arrivals;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+      while (times[last] - times[first] > Ms(1000)) {
+        ++first;
+      }
+      double const aged = std::chrono::duration<double>(times[last] - fresh.startedAt).count() / 5.0;
+      double const bears = 60 * std::min(1.0, 0.2 + 0.8 * aged);
+      worst = std::max(worst, static_cast<double>(last - first + 1) / bears);
+    }
+    EXPECT_GT(times.size(), 50u);
+  }
+  std::printf("seeds 1 to 10: at most %.2f times what it bears in any second\n", worst);
+  EXPECT_LE(worst, 1.5);
+  EXPECT_GT(worst, 0.5);
+}
+
+TEST(FleetHandOut, ADepartureIsHeededInEveryOrderWithAnAnswer) {
+  for (int order = 0; order < 6; ++order) {
+    Policy policy;
+    policy.concurrentPerServer = 1;
+    Machine machine(policy);
+    TimePoint const now{std::chrono::hours(1)};
+    std::vector<Send> sent;
+    std::function<void(Event const&)> const step = [&](Event const& event) {
+      for (Effect const& effect : machine.step(now, event)) {
+        if (Send const* const send = std::get_if<Send>(&effect)) {
+          sent.push_back(*send);
+        }
+      }
+    };
+    ServerRow stays;
+    stays.address = "stays";
+    ServerRow leaves;
+    leaves.address = "leaves";
+    step(Servers{"a", {stays, leaves}});
+    step(Arrive{1, "t", {"a"}, 1, 1, true, now + Ms(500)});
+    step(Arrive{2, "t", {"a"}, 1, 1, true, now + Ms(500)});
+    ASSERT_EQ(sent.size(), 2u);
+    std::uint64_t const atLeaving = sent[0].server == "leaves" ? sent[0].attempt : sent[1].attempt;
+    leaves.leaving = true;
+    std::vector<Event> const events{Servers{"a", {stays, leaves}}, Arrive{3, "t", {"a"}, 1, 1, true, now + Ms(500)},
+                                    Returned{atLeaving, true, true, tally::Verdict::ran, {}}};
+    std::vector<std::size_t> places{0, 1, 2};
+    for (int turn = 0; turn < order; ++turn) {
+      std::next_permutation(places.begin(), places.end());
+    }
+    bool departed = false;
+    for (std::size_t const place : places) {
+      std::size_t const before = sent.size();
+      departed = departed || place == 0;
+      step(events[place]);
+      for (std::size_t index = before; index < sent.size(); ++index) {
+        EXPECT_FALSE(departed && sent[index].server == "leaves") << order;
+      }
+    }
+  }
+}
+
+}
