--- a/libs/berth/src/desk.cpp
+++ b/libs/berth/src/desk.cpp
@@ -9,6 +9,8 @@
 
 using Ms = std::chrono::milliseconds;
 
+constexpr std::size_t mostSheets = 2000;
+
 struct Listener {
   std::string address;
   TimePoint at{};
@@ -193,6 +195,9 @@
   cargo::TableNews news;
   news.node = impl.node;
   for (cargo::Table const& has : message.have) {
+    if (impl.sheets.size() >= mostSheets && !impl.sheets.contains(has.service)) {
+      continue;
+    }
     Sheet& sheet = impl.sheets[has.service];
     sheet.servedUntil = now + impl.policy.followerMs;
     listener.has[has.service] = has.digest;
--- a/libs/fairway/src/courier.cpp
+++ b/libs/fairway/src/courier.cpp
@@ -283,7 +283,7 @@
     impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
   }
   impl.settled = impl.settled || (impl.anchor && impl.startedAt && *impl.anchor >= *impl.startedAt);
-  if (message.settled) {
+  if (message.settled && (impl.contacts.size() < 2000 || impl.contacts.contains(message.node))) {
     TimePoint& contact = impl.contacts[message.node];
     contact = std::max(contact, askedAt);
   }
--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -98,6 +98,14 @@
     return;
   }
   Known& entry = known[follower.node];
+  if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
+      now - entry.heardAt <= policy.nodeCurrentMs) {
+    effects.emplace_back(pledge::Note{signal::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
+    return;
+  }
+  if (entry.follower.address != follower.address) {
+    entry.confirmed = {0, 0};
+  }
   entry.follower = follower;
   entry.confirmed = std::max(entry.confirmed, Mark(follower.epoch, follower.sequence));
   entry.heardAt = now;
--- a/testside/lighthouse.cpp
+++ b/testside/lighthouse.cpp
@@ -1,9 +1,9 @@
 #include "limeramp/manifest/json.h"
 #include "limeramp/rigging/http.h"
+#include "stand.h"
 
 #include <cxxopts.hpp>
 
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <mutex>
@@ -76,37 +76,17 @@
       std::cout << options.help();
       return 0;
     }
-    std::optional<rigging::Address> const address = rigging::Address::parse(flags["listen"].as<std::string>());
-    if (!address) {
-      std::cerr << "lighthouse: --listen must be IP:PORT\n";
-      return 2;
-    }
-    sigset_t ends;
-    sigemptyset(&ends);
-    sigaddset(&ends, SIGTERM);
-    sigaddset(&ends, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
     Board board;
     std::ifstream file(flags["list"].as<std::string>());
     std::stringstream text;
     text << file.rdbuf();
     board.raw = text.str();
-    rigging::Network network;
-    std::string error;
-    std::unique_ptr<rigging::HttpServer> const server = rigging::HttpServer::listen(
-        network, *address, {}, [&board](rigging::Request request, rigging::Responder respond) {
-          respond(board.serve(request));
-        }, error);
-    if (server == nullptr) {
-      std::cerr << "lighthouse: " << error << '\n';
-      return 1;
-    }
-    int signal = 0;
-    sigwait(&ends, &signal);
-    network.stop();
+    return testside::standUntilEnded("lighthouse", flags["listen"].as<std::string>(),
+                                     [&board](rigging::Request request, rigging::Responder respond) {
+                                       respond(board.serve(request));
+                                     });
   } catch (cxxopts::exceptions::exception const& wrong) {
     std::cerr << "lighthouse: " << wrong.what() << '\n';
     return 2;
   }
-  return 0;
 }
--- /dev/null
+++ b/testside/stand.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "limeramp/rigging/http.h"
+
+#include <csignal>
+#include <iostream>
+#include <string>
+
+namespace limeramp::testside {
+
+inline int standUntilEnded(std::string const& program, std::string const& listen, rigging::HttpServer::Handler handler) {
+  std::optional<rigging::Address> const address = rigging::Address::parse(listen);
+  if (!address) {
+    std::cerr << program << ": --listen must be IP:PORT\n";
+    return 2;
+  }
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+  rigging::Network network;
+  std::string error;
+  std::unique_ptr<rigging::HttpServer> const server =
+      rigging::HttpServer::listen(network, *address, {}, std::move(handler), error);
+  if (server == nullptr) {
+    std::cerr << program << ": " << error << '\n';
+    return 1;
+  }
+  int number = 0;
+  sigwait(&ends, &number);
+  network.stop();
+  return 0;
+}
+
+}
--- a/testside/stevedore.cpp
+++ b/testside/stevedore.cpp
@@ -1,13 +1,13 @@
 #include "cargo_marks.h"
 #include "limeramp/manifest/json.h"
 #include "limeramp/rigging/http.h"
+#include "stand.h"
 
 
 #include <cxxopts.hpp>
 
 #include <cmath>
 #include <condition_variable>
-#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -222,18 +222,8 @@
       std::cout << options.help();
       return 0;
     }
-    std::optional<rigging::Address> const address = rigging::Address::parse(flags["listen"].as<std::string>());
-    if (!address) {
-      std::cerr << "stevedore: --listen must be IP:PORT\n";
-      return 2;
-    }
-    sigset_t ends;
-    sigemptyset(&ends);
-    sigaddset(&ends, SIGTERM);
-    sigaddset(&ends, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
     Stall stall;
-    stall.address = address->text();
+    stall.address = flags["listen"].as<std::string>();
     stall.service = flags["service"].as<std::string>();
     stall.mode = flags["mode"].as<std::string>();
     stall.cut = flags["cut"].as<std::string>();
@@ -245,22 +235,12 @@
     if (!flags["log"].as<std::string>().empty()) {
       stall.log.open(flags["log"].as<std::string>(), std::ios::app);
     }
-    rigging::Network network;
-    std::string error;
-    std::unique_ptr<rigging::HttpServer> const server = rigging::HttpServer::listen(
-        network, *address, {}, [&stall](rigging::Request request, rigging::Responder respond) {
-          stall.serve(std::move(request), std::move(respond));
-        }, error);
-    if (server == nullptr) {
-      std::cerr << "stevedore: " << error << '\n';
-      return 1;
-    }
-    int signal = 0;
-    sigwait(&ends, &signal);
-    network.stop();
+    return testside::standUntilEnded("stevedore", stall.address,
+                                     [&stall](rigging::Request request, rigging::Responder respond) {
+                                       stall.serve(std::move(request), std::move(respond));
+                                     });
   } catch (cxxopts::exceptions::exception const& wrong) {
     std::cerr << "stevedore: " << wrong.what() << '\n';
     return 2;
   }
-  return 0;
 }
