--- /dev/null
+++ b/libs/logbook/include/limeramp/logbook/logbook.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace limeramp::logbook {
+
+using Cell = std::variant<std::int64_t, double, std::string>;
+
+struct Sheet {
+  std::string name;
+  std::vector<std::string> columns;
+  std::vector<std::vector<Cell>> rows;
+};
+
+struct Bounds {
+  std::size_t maxQueryBytes = 4096;
+  std::size_t maxRows = 1000;
+  std::size_t maxAnswerBytes = 1 << 20;
+  std::size_t maxMemoryBytes = 64 << 20;
+  std::chrono::milliseconds waitMs{200};
+};
+
+absl::StatusOr<std::string> ask(std::vector<Sheet> const& sheets, std::string const& query, Bounds const& bounds = {});
+
+class Clerk {
+ public:
+  using Done = std::function<void(absl::StatusOr<std::string>)>;
+  Clerk();
+  ~Clerk();
+  Clerk(Clerk const&) = delete;
+  Clerk& operator=(Clerk const&) = delete;
+
+  bool ask(std::vector<Sheet> sheets, std::string query, Done done);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -3,6 +3,7 @@
 #include "limeramp/berth/desk.h"
 #include "limeramp/fairway/courier.h"
 #include "limeramp/harbour/desk.h"
+#include "limeramp/logbook/logbook.h"
 #include "limeramp/quayside/plane.h"
 #include "limeramp/rigging/mail.h"
 #include "limeramp/rigging/ring.h"
@@ -133,6 +134,7 @@
   fairway::Views views;
   fairway::Courier courier;
   berth::Desk desk;
+  logbook::Clerk clerk;
   std::unique_ptr<rigging::HttpServer> server;
   std::thread core;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
@@ -189,6 +191,8 @@
   rigging::Answer ready() const;
   rigging::Answer status() const;
   rigging::Answer metrics() const;
+  std::vector<logbook::Sheet> sheets() const;
+  void query(Incoming& letter);
   rigging::Answer current() const;
 };
 
@@ -517,6 +521,59 @@
   return {200, {{"content-type", "text/plain; version=0.0.4"}}, body};
 }
 
+std::vector<logbook::Sheet> Front::Impl::sheets() const {
+  Clock::time_point const now = Clock::now();
+  cargo::State const state = courier.state().value_or(cargo::State{});
+  logbook::Sheet nodes{"nodes", {"node", "address", "zone", "slot", "heard_ms"}, {}};
+  std::vector<cargo::Peer> const peers = views.peers(now);
+  for (cargo::RosterEntry const& entry : state.roster) {
+    std::int64_t heardMs = entry.node == settings.node ? 0 : -1;
+    for (cargo::Peer const& peer : peers) {
+      heardMs = peer.node == entry.node ? static_cast<std::int64_t>(peer.ageMs) : heardMs;
+    }
+    nodes.rows.push_back({entry.node, entry.address, entry.zone, static_cast<std::int64_t>(entry.slot), heardMs});
+  }
+  logbook::Sheet control{"harbourmasters", {"id", "address", "zone", "heard_ms"}, {}};
+  for (cargo::Peer const& peer : peers) {
+    if (peer.role == "harbourmaster") {
+      control.rows.push_back({peer.node, peer.address, peer.zone, static_cast<std::int64_t>(peer.ageMs)});
+    }
+  }
+  logbook::Sheet servers{"servers", {"service", "address", "zone", "in_flight", "latency_ms", "down", "leaving", "fresh", "load"}, {}};
+  for (shoal::ServerView const& view : plane.servers(now)) {
+    servers.rows.push_back({view.service, view.address, view.zone, static_cast<std::int64_t>(view.inFlight), view.latencyMs,
+                            static_cast<std::int64_t>(view.down), static_cast<std::int64_t>(view.leaving),
+                            static_cast<std::int64_t>(view.fresh), view.load});
+  }
+  logbook::Sheet entries{"entries", {"name", "kind", "tenant", "prefix", "deadline_ms", "max_attempts"}, {}};
+  logbook::Sheet shards{"shards", {"search", "service", "cut"}, {}};
+  if (manifest::SnapshotPtr const snapshot = plane.snapshot()) {
+    for (manifest::Search const& search : snapshot->configuration.searches) {
+      entries.rows.push_back({search.name, std::string("search"), search.tenant, search.prefix, search.deadlineMs.count(),
+                              static_cast<std::int64_t>(search.max_attempts)});
+      for (manifest::Shard const& shard : search.shards) {
+        shards.rows.push_back({search.name, shard.service, shard.cut});
+      }
+    }
+    for (manifest::Route const& route : snapshot->configuration.routes) {
+      entries.rows.push_back({route.name, std::string("route"), route.tenant, route.prefix, route.deadlineMs.count(),
+                              static_cast<std::int64_t>(route.max_attempts)});
+    }
+  }
+  return {std::move(nodes), std::move(control), std::move(servers), std::move(entries), std::move(shards)};
+}
+
+void Front::Impl::query(Incoming& letter) {
+  rigging::Responder const respond = letter.respond;
+  bool const taken = clerk.ask(sheets(), letter.content.body, [respond](absl::StatusOr<std::string> const& answer) {
+    respond(answer.ok() ? harbour::plain(200, *answer)
+                        : harbour::plain(400, "{\"reason\":" + json(std::string(answer.status().message())) + "}"));
+  });
+  if (!taken) {
+    respond(harbour::plain(503, "{\"reason\":\"too many queries wait\"}"));
+  }
+}
+
 void Front::Impl::relayChange(Incoming& letter) {
   char freshId[24];
   std::snprintf(freshId, sizeof freshId, "%016llx", static_cast<unsigned long long>(randomWord()));
@@ -616,6 +673,8 @@
     letter.respond(status());
   } else if (target == "/limeramp/metrics" && method == "GET") {
     letter.respond(metrics());
+  } else if (target == "/limeramp/query" && method == "POST") {
+    query(letter);
   } else if (target == "/limeramp/drain" && method == "POST") {
     DrainAsked asked;
     on(asked);
