--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -59,12 +59,12 @@
         id(idIn),
         store(std::move(storeIn)),
         client(network, {}),
-        mail(network),
+        mail(network, settingsIn.advertise),
         inbox(8192),
         work(1024),
         council(pledge::Policy{}),
         plane(Policy{}, idIn),
-        views({}, cargo::Peer{idIn, settingsIn.listen, settingsIn.zone, "harbourmaster", randomWord() >> 1, 0},
+        views({}, cargo::Peer{idIn, settingsIn.advertise, settingsIn.zone, "harbourmaster", randomWord() >> 1, 0},
               settingsIn.seeds, randomWord()) {}
 
   manifest::Settings settings;
@@ -105,7 +105,7 @@
 };
 
 void Office::Impl::send(std::string const& address, cargo::Message message) {
-  mail.send(address, cargo::seal({council.decided().fleet, id, settings.listen, std::move(message)}));
+  mail.send(address, cargo::seal({council.decided().fleet, id, settings.advertise, std::move(message)}));
 }
 
 void Office::Impl::sendAll(std::vector<fairway::Outgoing> const& sends) {
@@ -335,7 +335,7 @@
 }
 
 void Office::Impl::runCore() {
-  driveCouncil(pledge::Start{{id, settings.listen, settings.zone}, store->values(), randomWord()});
+  driveCouncil(pledge::Start{{id, settings.advertise, settings.zone}, store->values(), randomWord()});
   disk = std::thread([this] { runDisk(); });
   Clock::time_point nextTick = Clock::now();
   while (!inbox.closed()) {
--- a/libs/manifest/include/limeramp/manifest/settings.h
+++ b/libs/manifest/include/limeramp/manifest/settings.h
@@ -10,6 +10,7 @@
 struct Settings {
   std::string node;
   std::string listen;
+  std::string advertise;
   std::string zone;
   std::vector<std::string> seeds;
   std::string platform;
--- a/libs/manifest/src/flags.cpp
+++ b/libs/manifest/src/flags.cpp
@@ -15,6 +15,7 @@
   options.add_options()("settings", "settings file in JSON; flags go before it", cxxopts::value<std::string>())(
       "node", "name of this process, unique in the fleet", cxxopts::value<std::string>())(
       "listen", "IP:PORT for callers, operators and peers", cxxopts::value<std::string>())(
+      "advertise", "IP:PORT that peers use, if it is another one", cxxopts::value<std::string>())(
       "zone", "zone of this machine", cxxopts::value<std::string>())(
       "seeds", "IP:PORT of up to three processes, comma between", cxxopts::value<std::vector<std::string>>())(
       "platform", "IP:PORT of the platform's list", cxxopts::value<std::string>())(
@@ -51,7 +52,7 @@
       document = *parsed;
     }
     picojson::object& fields = document.get<picojson::object>();
-    for (char const* const name : {"node", "listen", "zone", "platform", "data", "log-level"}) {
+    for (char const* const name : {"node", "listen", "advertise", "zone", "platform", "data", "log-level"}) {
       if (flags.count(name) > 0) {
         std::string key(name);
         std::replace(key.begin(), key.end(), '-', '_');
--- a/libs/manifest/src/settings.cpp
+++ b/libs/manifest/src/settings.cpp
@@ -40,6 +40,7 @@
   Reader reader(document, "", out.problems);
   settings.node = reader.text("node", std::nullopt, 64);
   settings.listen = reader.text("listen", std::nullopt);
+  settings.advertise = reader.text("advertise", settings.listen);
   settings.zone = reader.text("zone", std::nullopt, 64);
   settings.seeds = reader.texts("seeds", 3);
   settings.platform = reader.text("platform", needs.platform ? std::nullopt : std::optional<std::string>(""));
@@ -52,8 +53,10 @@
   reader.rejectUnknown();
   for (std::pair<char const*, std::string const*> const& entry :
        {std::pair<char const*, std::string const*>("listen", &settings.listen),
+        std::pair<char const*, std::string const*>("advertise", &settings.advertise),
         std::pair<char const*, std::string const*>("platform", &settings.platform)}) {
-    if (!entry.second->empty() && !isAddress(*entry.second)) {
+    if (!entry.second->empty() && !isAddress(*entry.second) &&
+        (entry.second != &settings.advertise || settings.advertise != settings.listen)) {
       reader.complain(entry.first, "must be an IP number and a port, as in 10.0.0.1:7000");
     }
   }
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -106,15 +106,15 @@
   explicit Impl(manifest::Settings const& settingsIn)
       : settings(settingsIn),
         client(network, {}),
-        mail(network),
+        mail(network, settingsIn.advertise),
         mill(settingsIn.hands),
         inbox(inboxSlots),
         boot(randomWord() >> 1),
-        plane(Self{settingsIn.node, settingsIn.listen, settingsIn.zone, boot}, policyOf(settingsIn)),
-        views({}, cargo::Peer{settingsIn.node, settingsIn.listen, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
+        plane(Self{settingsIn.node, settingsIn.advertise, settingsIn.zone, boot}, policyOf(settingsIn)),
+        views({}, cargo::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
               randomWord()),
-        courier({}, cargo::Follower{settingsIn.node, settingsIn.listen, settingsIn.zone, 0, 0}, randomWord()),
-        desk({}, settingsIn.node, settingsIn.listen, settingsIn.zone) {}
+        courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, randomWord()),
+        desk({}, settingsIn.node, settingsIn.advertise, settingsIn.zone) {}
 
   static shoal::Policy policyOf(manifest::Settings const& settings) {
     shoal::Policy policy;
@@ -229,7 +229,7 @@
     parcel.target = content.target;
     parcel.headers = toLines(content.headers);
     parcel.body = std::move(content.body);
-    content = {"POST", "/limeramp/carry", {{"content-type", "avro/binary"}}, cargo::enclose(cargo::pack(parcel)), ""};
+    content = {"POST", "/limeramp/carry", {{"content-type", "avro/binary"}, {"limeramp-from", settings.advertise}}, cargo::enclose(cargo::pack(parcel)), ""};
   }
   client.begin(attempt, address.value_or(rigging::Address{}), std::move(content), effect.deadline,
                [this, attempt, carried](rigging::Exchange exchange) {
@@ -263,7 +263,7 @@
 }
 
 void Front::Impl::send(std::string const& address, cargo::Message message) {
-  mail.send(address, cargo::seal({fleet, settings.node, settings.listen, std::move(message)}));
+  mail.send(address, cargo::seal({fleet, settings.node, settings.advertise, std::move(message)}));
 }
 
 void Front::Impl::sendAll(std::vector<fairway::Outgoing> const& sends) {
@@ -350,7 +350,7 @@
   own.fronts = std::max<std::size_t>(1, state.roster.size());
   std::size_t index = 0;
   for (cargo::RosterEntry const& entry : state.roster) {
-    if (entry.node == settings.node && entry.address == settings.listen) {
+    if (entry.node == settings.node && entry.address == settings.advertise) {
       own.rank = index;
       own.budgetDepth = entry.slot < budgetSlots ? budgetForFleet / static_cast<double>(budgetSlots) : 0;
     }
@@ -632,6 +632,7 @@
   rigging::Request request = relay.content;
   long const leftMs = std::chrono::duration_cast<Ms>(relay.deadline - now).count();
   request.headers.emplace_back("limeramp-deadline-ms", std::to_string(std::max<long>(1, leftMs)));
+  request.headers.emplace_back("limeramp-from", settings.advertise);
   std::uint64_t const attempt = relay.attempt;
   client.begin(attempt, *primary, std::move(request), relay.deadline, [this, ticket, attempt](rigging::Exchange exchange) {
     inbox.push(Relayed{ticket, attempt, std::move(exchange)});
@@ -730,10 +731,10 @@
   follow(courier.tick(now, peers));
   berth::Around around;
   around.services = services;
-  around.zoneAddresses.push_back(settings.listen);
+  around.zoneAddresses.push_back(settings.advertise);
   if (courier.state()) {
     for (cargo::RosterEntry const& entry : courier.state()->roster) {
-      if (entry.zone == settings.zone && entry.address != settings.listen) {
+      if (entry.zone == settings.zone && entry.address != settings.advertise) {
         around.zoneAddresses.push_back(entry.address);
       }
     }
--- a/libs/rigging/include/limeramp/rigging/mail.h
+++ b/libs/rigging/include/limeramp/rigging/mail.h
@@ -9,7 +9,7 @@
 
 class Mail {
  public:
-  explicit Mail(Network& network);
+  Mail(Network& network, std::string const& from);
   ~Mail();
   Mail(Mail const&) = delete;
   Mail& operator=(Mail const&) = delete;
--- a/libs/rigging/src/mail.cpp
+++ b/libs/rigging/src/mail.cpp
@@ -13,15 +13,17 @@
 }
 
 struct Mail::Impl {
-  explicit Impl(Network& network) : client(network, {64 << 10, 4, std::chrono::milliseconds(5000)}) {}
+  Impl(Network& network, std::string const& fromIn)
+      : client(network, {64 << 10, 4, std::chrono::milliseconds(5000)}), from(fromIn) {}
 
   HttpClient client;
+  std::string from;
   std::mutex mutex;
   std::map<std::string, std::shared_ptr<std::atomic<std::size_t>>> outstanding;
   std::uint64_t last = 0;
 };
 
-Mail::Mail(Network& network) : impl_(std::make_unique<Impl>(network)) {}
+Mail::Mail(Network& network, std::string const& from) : impl_(std::make_unique<Impl>(network, from)) {}
 Mail::~Mail() = default;
 
 void Mail::send(std::string const& address, std::string body) {
@@ -51,6 +53,7 @@
   request.method = "POST";
   request.target = "/limeramp/inner";
   request.headers.emplace_back("content-type", "avro/binary");
+  request.headers.emplace_back("limeramp-from", impl_->from);
   request.body = std::move(body);
   impl_->client.begin(number, *target, std::move(request), std::chrono::steady_clock::now() + patienceMs,
                       [count](Exchange const&) { --*count; });
