--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -143,6 +143,8 @@
   std::uint64_t lastRelay = relayAttempts;
   std::string fleet;
   std::set<std::string> services;
+  std::vector<std::string> droppedRows;
+  std::string listTrouble;
   Clock::time_point startedAt = Clock::now();
   Clock::time_point nextRelayAt{};
   bool draining = false;
@@ -392,7 +394,8 @@
   for (std::string const& service : step.changed) {
     spread(service);
   }
-  if (step.emptyHeld) {
+  if (step.emptyHeld && listTrouble != "empty") {
+    listTrouble = "empty";
     signal::raise(signal::Event::listEmptyHeld, {{"platform", settings.platform}});
   }
   if (step.readList) {
@@ -414,8 +417,14 @@
   if (letter.exchange.answer && letter.exchange.answer->status == 200) {
     absl::StatusOr<berth::List> const list = berth::readList(letter.exchange.answer->body);
     if (list.ok()) {
-      for (std::string const& dropped : list->dropped) {
-        signal::raise(signal::Event::listRowDropped, {{"row", dropped}});
+      if (list->dropped != droppedRows) {
+        for (std::string const& dropped : list->dropped) {
+          signal::raise(signal::Event::listRowDropped, {{"row", dropped}});
+        }
+        droppedRows = list->dropped;
+      }
+      if (list->rows > 0) {
+        listTrouble.clear();
       }
       follow(desk.listed(Clock::now(), *list));
       return;
@@ -423,7 +432,10 @@
     reason = std::string(list.status().message());
   }
   desk.listFailed();
-  signal::raise(signal::Event::listUnreachable, {{"platform", settings.platform}, {"reason", reason}});
+  if (reason != listTrouble) {
+    listTrouble = reason;
+    signal::raise(signal::Event::listUnreachable, {{"platform", settings.platform}, {"reason", reason}});
+  }
 }
 
 std::string Front::Impl::whyNotReady(Clock::time_point now) const {
