--- a/testside/stevedore.cpp
+++ b/testside/stevedore.cpp
@@ -29,6 +29,8 @@
   double failShare = 0;
   double silentShare = 0;
   Clock::time_point pausedUntil{};
+  double serial = 0;
+  Clock::time_point busyUntil{};
 };
 
 struct Later {
@@ -131,6 +133,8 @@
       manner.failShare = entry.second.get<double>();
     } else if (entry.first == "silent") {
       manner.silentShare = entry.second.get<double>();
+    } else if (entry.first == "serial") {
+      manner.serial = entry.second.get<double>();
     } else if (entry.first == "capacity") {
       capacity = entry.second.get<double>();
     } else if (entry.first == "pause_ms") {
@@ -197,10 +201,14 @@
   std::snprintf(text, sizeof text, "%.3f", load);
   answer.headers.emplace_back("limeramp-load", text);
   double waitMs = manner.latencyMs + manner.jitterMs * unit(dice);
-  if (load > 1) {
+  Clock::time_point from = std::max(now, manner.pausedUntil);
+  if (manner.serial > 0 && capacity > 0) {
+    from = std::max(from, manner.busyUntil);
+    manner.busyUntil = from + std::chrono::microseconds(static_cast<long>(1e6 / capacity));
+  } else if (load > 1) {
     waitMs *= load * load;
   }
-  Clock::time_point const at = std::max(now, manner.pausedUntil) + std::chrono::microseconds(static_cast<long>(waitMs * 1000));
+  Clock::time_point const at = from + std::chrono::microseconds(static_cast<long>(waitMs * 1000));
   delays.at(at, [respond, answer] { respond(answer); });
 }
 
