One place for random names and for dropping a header; a plainer choice of whom to poll

Both planes drew random words and change ids with a copy of the same code, and three places dropped a header each in their own way; both now stand in rigging. The courier's choice of its target had a condition without effect, and ranking homes hashed the topic anew at every comparison.

--- a/libs/fairway/src/courier.cpp
+++ b/libs/fairway/src/courier.cpp
@@ -191,8 +191,8 @@
       }
     }
     std::string const control = impl.controlAddress(peers);
-    if (target.empty() || (worried && impl.listeners.empty())) {
-      target = target.empty() ? control : target;
+    if (target.empty()) {
+      target = control;
     }
     if (!target.empty()) {
       out.sends.push_back({target, impl.makePoll(now, target)});
--- a/libs/fairway/src/views.cpp
+++ b/libs/fairway/src/views.cpp
@@ -144,8 +144,8 @@
 }
 
 std::vector<std::string> rankHomes(std::string const& topic, std::vector<std::string> nodes) {
+  std::uint64_t const mark = XXH64(topic.data(), topic.size(), 0);
   std::sort(nodes.begin(), nodes.end(), [&](std::string const& left, std::string const& right) {
-    std::uint64_t const mark = XXH64(topic.data(), topic.size(), 0);
     std::uint64_t const first = XXH64(left.data(), left.size(), mark);
     std::uint64_t const second = XXH64(right.data(), right.size(), mark);
     return first != second ? first > second : left < right;
--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -3,12 +3,12 @@
 #include "limeramp/fairway/views.h"
 #include "limeramp/harbour/desk.h"
 #include "limeramp/hold/store.h"
+#include "limeramp/rigging/chance.h"
 #include "limeramp/rigging/mail.h"
 #include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
 
 #include <map>
-#include <random>
 #include <thread>
 #include <unordered_map>
 
@@ -46,11 +46,6 @@
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
-std::uint64_t randomWord() {
-  std::random_device source;
-  return (static_cast<std::uint64_t>(source()) << 32) | source();
-}
-
 }
 
 struct Office::Impl {
@@ -64,8 +59,8 @@
         work(1024),
         council(pledge::Policy{}),
         plane(Policy{}, idIn),
-        views({}, cargo::Peer{idIn, settingsIn.advertise, settingsIn.zone, "harbourmaster", randomWord() >> 1, 0},
-              settingsIn.seeds, randomWord()) {}
+        views({}, cargo::Peer{idIn, settingsIn.advertise, settingsIn.zone, "harbourmaster", rigging::randomWord() >> 1, 0},
+              settingsIn.seeds, rigging::randomWord()) {}
 
   manifest::Settings settings;
   std::string id;
@@ -241,10 +236,8 @@
 }
 
 void Office::Impl::change(Incoming& letter) {
-  char freshId[24];
-  std::snprintf(freshId, sizeof freshId, "%016llx", static_cast<unsigned long long>(randomWord()));
   Clock::time_point const now = Clock::now();
-  std::variant<Change, rigging::Answer> read = readChange(letter.content, now, freshId);
+  std::variant<Change, rigging::Answer> read = readChange(letter.content, now, rigging::randomName());
   if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
     letter.respond(std::move(*wrong));
     return;
@@ -271,9 +264,7 @@
   request.method = letter.content.method;
   request.target = letter.content.target;
   request.headers = rigging::withoutHopByHop(letter.content.headers);
-  std::erase_if(request.headers, [](std::pair<std::string, std::string> const& header) {
-    return rigging::findHeader({header}, "limeramp-change").has_value();
-  });
+  rigging::dropHeader(request.headers, "limeramp-change");
   request.headers.emplace_back("limeramp-change", wanted.id);
   request.headers.emplace_back("limeramp-relayed", "1");
   request.body = std::move(letter.content.body);
@@ -335,7 +326,7 @@
 }
 
 void Office::Impl::runCore() {
-  driveCouncil(pledge::Start{{id, settings.advertise, settings.zone}, store->values(), randomWord()});
+  driveCouncil(pledge::Start{{id, settings.advertise, settings.zone}, store->values(), rigging::randomWord()});
   disk = std::thread([this] { runDisk(); });
   Clock::time_point nextTick = Clock::now();
   while (!inbox.closed()) {
@@ -381,7 +372,7 @@
   std::string id = known == (*store)->values().end() ? "" : known->second;
   if (id.empty()) {
     char mark[20];
-    std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(randomWord() & 0xffffffff));
+    std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(rigging::randomWord() & 0xffffffff));
     id = settings.node + "/" + mark;
     absl::Status const written = (*store)->put({{"id", id}});
     if (!written.ok()) {
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -5,6 +5,7 @@
 #include "limeramp/harbour/desk.h"
 #include "limeramp/logbook/logbook.h"
 #include "limeramp/quayside/plane.h"
+#include "limeramp/rigging/chance.h"
 #include "limeramp/rigging/mail.h"
 #include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
@@ -13,7 +14,6 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
-#include <random>
 #include <set>
 #include <thread>
 #include <unordered_map>
@@ -63,11 +63,6 @@
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
-std::uint64_t randomWord() {
-  std::random_device source;
-  return (static_cast<std::uint64_t>(source()) << 32) | source();
-}
-
 std::string nameOf(fairway::Standing standing) {
   switch (standing) {
     case fairway::Standing::unknown:
@@ -109,11 +104,11 @@
         mail(network, settingsIn.advertise),
         mill(settingsIn.hands),
         inbox(inboxSlots),
-        boot(randomWord() >> 1),
+        boot(rigging::randomWord() >> 1),
         plane(Self{settingsIn.node, settingsIn.advertise, settingsIn.zone, boot}, policyOf(settingsIn)),
         views({}, cargo::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
-              randomWord()),
-        courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, randomWord()),
+              rigging::randomWord()),
+        courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, rigging::randomWord()),
         desk({}, settingsIn.node, settingsIn.advertise, settingsIn.zone) {}
 
   static shoal::Policy policyOf(manifest::Settings const& settings) {
@@ -587,10 +582,8 @@
 }
 
 void Front::Impl::relayChange(Incoming& letter) {
-  char freshId[24];
-  std::snprintf(freshId, sizeof freshId, "%016llx", static_cast<unsigned long long>(randomWord()));
   Clock::time_point const now = Clock::now();
-  std::variant<harbour::Change, rigging::Answer> read = harbour::readChange(letter.content, now, freshId);
+  std::variant<harbour::Change, rigging::Answer> read = harbour::readChange(letter.content, now, rigging::randomName());
   if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
     letter.respond(std::move(*wrong));
     return;
@@ -607,9 +600,7 @@
   rigging::Headers& headers = relay.content.headers;
   headers = rigging::withoutHopByHop(headers);
   for (char const* const name : {"limeramp-change", "limeramp-deadline-ms", "host"}) {
-    std::erase_if(headers, [&](std::pair<std::string, std::string> const& header) {
-      return rigging::findHeader({header}, name).has_value();
-    });
+    rigging::dropHeader(headers, name);
   }
   headers.emplace_back("limeramp-change", wanted.id);
   std::uint64_t const ticket = ++lastRelay;
--- a/libs/quayside/src/plane.cpp
+++ b/libs/quayside/src/plane.cpp
@@ -49,12 +49,6 @@
   return load;
 }
 
-void dropHeader(rigging::Headers& headers, std::string_view name) {
-  std::erase_if(headers, [&](std::pair<std::string, std::string> const& header) {
-    return rigging::findHeader({header}, std::string(name)).has_value();
-  });
-}
-
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
 }
@@ -226,7 +220,7 @@
     rigging::Headers& headers = out.content.headers;
     headers = rigging::withoutHopByHop(headers);
     for (std::string_view const name : {deadlineHeader, requestHeader, shardHeader, versionHeader}) {
-      dropHeader(headers, name);
+      rigging::dropHeader(headers, name);
     }
     headers.emplace_back(requestHeader, entry.id);
     headers.emplace_back(shardHeader, entry.services[send.leg]);
@@ -273,10 +267,10 @@
     rigging::Answer answer = std::move(*entry.answer);
     if (!entry.carried) {
       answer.headers = rigging::withoutHopByHop(answer.headers);
-      dropHeader(answer.headers, "limeramp-verdict");
-      dropHeader(answer.headers, requestHeader);
-      dropHeader(answer.headers, versionHeader);
-      dropHeader(answer.headers, loadHeader);
+      rigging::dropHeader(answer.headers, "limeramp-verdict");
+      rigging::dropHeader(answer.headers, requestHeader);
+      rigging::dropHeader(answer.headers, versionHeader);
+      rigging::dropHeader(answer.headers, loadHeader);
       answer.headers.emplace_back("limeramp-verdict", "ran");
       answer.headers.emplace_back(requestHeader, entry.id);
       answer.headers.emplace_back(versionHeader, entry.snapshot->version.text());
--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/rigging/include/limeramp/rigging/http.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,7 @@
 
 std::optional<std::string> findHeader(Headers const& headers, std::string const& name);
 Headers withoutHopByHop(Headers const& headers);
+void dropHeader(Headers& headers, std::string_view name);
 
 struct Request {
   std::string method;
--- a/libs/rigging/src/network.cpp
+++ b/libs/rigging/src/network.cpp
@@ -53,6 +53,12 @@
   return std::nullopt;
 }
 
+void dropHeader(Headers& headers, std::string_view name) {
+  std::erase_if(headers, [&](std::pair<std::string, std::string> const& header) {
+    return boost::beast::iequals(header.first, name);
+  });
+}
+
 Headers withoutHopByHop(Headers const& headers) {
   static constexpr std::array<std::string_view, 10> hop{
       "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
