Read messages and stored records by their writer's schema

Cause: a body was read by the reader's own schema, by position, so a field added or removed by a neighbouring version made the message unreadable, and a stored record could not outlive a change of its fields. Receipts compared across processes rested on std::hash, which another build may compute otherwise.

Ruled out: the resolving reader of libavro C, which knows no defaults for fields that the writer lacks; fetching schemas from a peer by fingerprint, which adds a message and a wait.

Now the envelope carries the writer's schema and fields are taken by name. Envelopes without one are still read. Receipts use XXH64.

Conclusion: fields may come and go between neighbouring versions.

--- a/libs/cargo/include/limeramp/cargo/codec.h
+++ b/libs/cargo/include/limeramp/cargo/codec.h
@@ -45,6 +45,7 @@
   Source& operator=(Source const&) = delete;
 
   bool good() const;
+  bool has(char const* name);
   bool enter(char const* name);
   std::size_t count();
   bool item(std::size_t index);
@@ -165,7 +166,7 @@
 
   template <typename T>
   void operator()(char const* name, T& value) {
-    if (source_.enter(name)) {
+    if (source_.has(name) && source_.enter(name)) {
       read(value);
       source_.leave();
     }
@@ -217,8 +218,8 @@
 }
 
 template <typename T>
-absl::StatusOr<T> unpack(std::string_view bytes) {
-  Source source(schemaOf<T>(), bytes);
+absl::StatusOr<T> unpack(std::string_view bytes, std::string const& writtenBy = schemaOf<T>()) {
+  Source source(writtenBy, bytes);
   T value{};
   if (source.good()) {
     Unpacker unpacker(source);
--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -396,6 +396,7 @@
   std::string address;
   std::string kind;
   std::string body;
+  std::string schema;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("protocol", self.protocol);
@@ -404,6 +405,7 @@
     visit("address", self.address);
     visit("kind", self.kind);
     visit("body", self.body);
+    visit("schema", self.schema);
   }
 };
 
--- a/libs/cargo/src/codec.cpp
+++ b/libs/cargo/src/codec.cpp
@@ -25,21 +25,61 @@
   avro_value_iface_t* face = nullptr;
 };
 
+constexpr std::size_t mostItems = 100'000;
+constexpr std::size_t mostSchemaBytes = 16'384;
+constexpr std::size_t mostSchemaParts = 2'000;
+constexpr std::size_t mostSchemaDepth = 16;
+constexpr std::size_t mostKinds = 256;
+
+bool isBounded(avro_schema_t schema, std::size_t depth, std::size_t& parts) {
+  if (depth > mostSchemaDepth || ++parts > mostSchemaParts) {
+    return false;
+  }
+  switch (avro_typeof(schema)) {
+    case AVRO_BOOLEAN:
+    case AVRO_INT64:
+    case AVRO_DOUBLE:
+    case AVRO_BYTES:
+      return true;
+    case AVRO_LINK:
+      return isBounded(avro_schema_link_target(schema), depth + 1, parts);
+    case AVRO_ARRAY:
+      return isBounded(avro_schema_array_items(schema), depth + 1, parts);
+    case AVRO_UNION:
+      return avro_schema_union_size(schema) == 2 && avro_typeof(avro_schema_union_branch(schema, 0)) == AVRO_NULL &&
+             isBounded(avro_schema_union_branch(schema, 1), depth + 1, parts);
+    case AVRO_RECORD: {
+      std::size_t const fields = avro_schema_record_size(schema);
+      for (std::size_t index = 0; index < fields; ++index) {
+        if (!isBounded(avro_schema_record_field_get_by_index(schema, static_cast<int>(index)), depth + 1, parts)) {
+          return false;
+        }
+      }
+      return fields > 0;
+    }
+    default:
+      return false;
+  }
+}
+
 Kind const& kindOf(std::string const& schema) {
   thread_local std::map<std::string, Kind> kinds;
   std::map<std::string, Kind>::iterator const found = kinds.find(schema);
   if (found != kinds.end()) {
     return found->second;
   }
+  if (kinds.size() >= mostKinds) {
+    kinds.clear();
+  }
   Kind& kind = kinds[schema];
-  if (avro_schema_from_json_length(schema.data(), schema.size(), &kind.schema) == 0) {
+  std::size_t parts = 0;
+  if (schema.size() <= mostSchemaBytes && avro_schema_from_json_length(schema.data(), schema.size(), &kind.schema) == 0 &&
+      is_avro_record(kind.schema) && isBounded(kind.schema, 0, parts)) {
     kind.face = avro_generic_class_from_schema(kind.schema);
   }
   return kind;
 }
 
-constexpr std::size_t mostItems = 100'000;
-
 }
 
 std::string enclose(std::string const& bytes) {
@@ -146,6 +186,12 @@
 bool Source::good() const { return impl_->good; }
 void Source::spoil() { impl_->good = false; }
 
+bool Source::has(char const* name) {
+  avro_value_t field{};
+  impl_->good = impl_->good && avro_value_get_type(&impl_->path.back()) == AVRO_RECORD;
+  return impl_->good && avro_value_get_by_name(&impl_->path.back(), name, &field, nullptr) == 0;
+}
+
 bool Source::enter(char const* name) {
   avro_value_t field{};
   if (!impl_->good || avro_value_get_by_name(&impl_->path.back(), name, &field, nullptr) != 0) {
--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -1,8 +1,9 @@
 #include "limeramp/harbour/plane.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <deque>
-#include <functional>
 #include <map>
 #include <set>
 
@@ -28,7 +29,7 @@
 };
 
 std::string digestOf(Change const& change) {
-  return std::to_string(std::hash<std::string>{}(change.body)) + "/" + std::to_string(change.body.size()) +
+  return std::to_string(XXH64(change.body.data(), change.body.size(), 0)) + "/" + std::to_string(change.body.size()) +
          (change.patch ? "/patch" : "/whole");
 }
 
--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -77,6 +77,7 @@
   std::uint64_t lastPersist = 0;
   std::map<std::uint64_t, std::vector<Effect>> afterPersist;
   std::map<std::uint64_t, TimePoint> persisting;
+  std::set<std::string> schemasStored;
   Regime regime = Regime::none;
   std::uint64_t regimeToken = 0;
   std::uint64_t regimePersist = 0;
@@ -117,6 +118,10 @@
   std::size_t quorum() const;
 
   void send(std::string const& to, cargo::Message message);
+  template <typename T>
+  void store(std::string const& key, T const& value, Puts& puts);
+  template <typename T>
+  void restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value);
   std::uint64_t persist(bool withVote, bool withState, std::vector<Effect> then);
   void learn(cargo::EpochRecord const& record);
   void beginRegime();
@@ -157,14 +162,37 @@
   }
 }
 
+template <typename T>
+void Council::Impl::store(std::string const& key, T const& value, Puts& puts) {
+  puts.emplace_back(key, cargo::pack(value));
+  if (schemasStored.insert(key).second) {
+    puts.emplace_back(key + "-schema", cargo::schemaOf<T>());
+  }
+}
+
+template <typename T>
+void Council::Impl::restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value) {
+  std::map<std::string, std::string>::const_iterator const found = stored.find(key);
+  if (found == stored.end()) {
+    return;
+  }
+  std::map<std::string, std::string>::const_iterator const schema = stored.find(key + "-schema");
+  absl::StatusOr<T> read =
+      schema == stored.end() ? cargo::unpack<T>(found->second) : cargo::unpack<T>(found->second, schema->second);
+  broken = broken || !read.ok();
+  if (read.ok()) {
+    value = *std::move(read);
+  }
+}
+
 std::uint64_t Council::Impl::persist(bool withVote, bool withState, std::vector<Effect> then) {
   std::uint64_t const token = ++lastPersist;
   Persist effect{token, {}};
   if (withVote) {
-    effect.puts.emplace_back("vote", cargo::pack(vote));
+    store("vote", vote, effect.puts);
   }
   if (withState) {
-    effect.puts.emplace_back("state", cargo::pack(state));
+    store("state", state, effect.puts);
   }
   if (withVote && isSealed()) {
     sealPersist = token;
@@ -181,22 +209,8 @@
   lastToken = dice() >> 20;
   started = true;
   quietSince = now;
-  std::map<std::string, std::string>::const_iterator const storedVote = event.stored.find("vote");
-  std::map<std::string, std::string>::const_iterator const storedState = event.stored.find("state");
-  if (storedVote != event.stored.end()) {
-    absl::StatusOr<Vote> read = cargo::unpack<Vote>(storedVote->second);
-    broken = !read.ok();
-    if (read.ok()) {
-      vote = *std::move(read);
-    }
-  }
-  if (storedState != event.stored.end()) {
-    absl::StatusOr<cargo::State> read = cargo::unpack<cargo::State>(storedState->second);
-    broken = broken || !read.ok();
-    if (read.ok()) {
-      state = *std::move(read);
-    }
-  }
+  restore("vote", event.stored, vote);
+  restore("state", event.stored, state);
   if (broken) {
     effects.emplace_back(Note{signal::Event::diskDamaged, "stored records do not read"});
     return;
--- a/tests/cargo_test.cpp
+++ b/tests/cargo_test.cpp
@@ -33,6 +33,113 @@
   EXPECT_EQ(std::get<News>(second->message).state->sequence, 12u);
 }
 
+struct Older {
+  static constexpr char const* name = "Follower";
+  std::string node;
+  std::string address;
+  std::uint64_t epoch = 0;
+  bool gone = false;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("gone", self.gone);
+    visit("epoch", self.epoch);
+    visit("address", self.address);
+  }
+};
+
+struct OlderPoll {
+  static constexpr char const* name = "Poll";
+  std::vector<Older> followers;
+  Older self;
+  std::uint64_t token = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("followers", self.followers);
+    visit("self", self.self);
+    visit("token", self.token);
+  }
+};
+
+struct FirstEnvelope {
+  static constexpr char const* name = "Envelope";
+  std::int64_t protocol = limeramp::cargo::protocol;
+  std::string fleet;
+  std::string from;
+  std::string address;
+  std::string kind;
+  std::string body;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("protocol", self.protocol);
+    visit("fleet", self.fleet);
+    visit("from", self.from);
+    visit("address", self.address);
+    visit("kind", self.kind);
+    visit("body", self.body);
+  }
+};
+
+Envelope envelopeOf(std::string const& kind, std::string const& body, std::string const& schema) {
+  Envelope envelope;
+  envelope.fleet = "f";
+  envelope.kind = kind;
+  envelope.body = body;
+  envelope.schema = schema;
+  return envelope;
+}
+
+TEST(Versions, FieldsAddedRemovedOrMovedAreResolvedByName) {
+  OlderPoll older;
+  older.token = 7;
+  older.self = {"m01", "127.0.0.1:1", 3, true};
+  older.followers = {{"m02", "127.0.0.1:2", 4, false}, {"m03", "127.0.0.1:3", 5, true}};
+  absl::StatusOr<Parcel> const back =
+      unseal(enclose(pack(envelopeOf("Poll", pack(older), schemaOf<OlderPoll>()))));
+  ASSERT_TRUE(back.ok()) << back.status();
+  Poll const& poll = std::get<Poll>(back->message);
+  EXPECT_EQ(poll.token, 7u);
+  EXPECT_EQ(poll.self.address, "127.0.0.1:1");
+  EXPECT_EQ(poll.self.zone, "");
+  ASSERT_EQ(poll.followers.size(), 2u);
+  EXPECT_EQ(poll.followers[1].node, "m03");
+  EXPECT_EQ(poll.followers[1].epoch, 5u);
+  absl::StatusOr<OlderPoll> const reverse = unpack<OlderPoll>(pack(poll), schemaOf<Poll>());
+  ASSERT_TRUE(reverse.ok());
+  EXPECT_EQ(reverse->followers[0].address, "127.0.0.1:2");
+  EXPECT_FALSE(reverse->self.gone);
+}
+
+TEST(Versions, AnEnvelopeFromBeforeSchemasWereSentIsRead) {
+  Hail hail;
+  hail.token = 41;
+  hail.ailing = true;
+  FirstEnvelope first;
+  first.fleet = "f";
+  first.kind = "Hail";
+  first.body = pack(hail);
+  absl::StatusOr<Parcel> const back = unseal(enclose(pack(first)));
+  ASSERT_TRUE(back.ok()) << back.status();
+  EXPECT_EQ(std::get<Hail>(back->message).token, 41u);
+  EXPECT_TRUE(std::get<Hail>(back->message).ailing);
+}
+
+TEST(Versions, SchemasThatDoNotFitOrHaveNoBoundAreRefused) {
+  std::string nested = "\"long\"";
+  for (int depth = 0; depth < 40; ++depth) {
+    nested = "{\"type\":\"array\",\"items\":" + nested + "}";
+  }
+  for (std::string const& schema :
+       {std::string(R"({"type":"record","name":"Poll","fields":[{"name":"self","type":"Poll"}]})"),
+        std::string(R"({"type":"record","name":"Poll","fields":[{"name":"followers","type":{"type":"array","items":"null"}}]})"),
+        std::string(R"({"type":"record","name":"Poll","fields":[{"name":"followers","type":{"type":"array","items":"long"}}]})"),
+        std::string(R"({"type":"record","name":"Poll","fields":[{"name":"token","type":"bytes"}]})"),
+        std::string(R"({"type":"record","name":"Poll","fields":[]})"), std::string("[\"long\"]"), std::string("nonsense"),
+        "{\"type\":\"record\",\"name\":\"Poll\",\"fields\":[{\"name\":\"followers\",\"type\":" + nested + "}]}"}) {
+    EXPECT_FALSE(unseal(enclose(pack(envelopeOf("Poll", std::string(40, '\x02'), schema)))).ok()) << schema;
+  }
+}
+
 TEST(Cargo, SpoiltBytesAreRefusedAndNeverCrash) {
   std::string const whole = seal(sample());
   for (std::size_t length = 0; length < whole.size(); ++length) {
--- a/tests/council_test.cpp
+++ b/tests/council_test.cpp
@@ -161,6 +161,23 @@
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
+TEST(Council, RecordsStoredByAnotherVersionAreReadByTheirOwnSchema) {
+  Councils group(29, 3, 0);
+  startAll(group);
+  expectAlive(group, "at first");
+  for (std::size_t index = 0; index < 3; ++index) {
+    group.kill(index, false);
+    std::map<std::string, std::string>& disk = group.nodes[index].disk;
+    ASSERT_EQ(disk.count("vote-schema") + disk.count("vote"), 2u);
+    disk["vote"] = std::string(1, '\x02') + disk["vote"];
+    disk["vote-schema"].insert(disk["vote-schema"].find('[') + 1, R"({"name":"dropped","type":"long"},)");
+    group.start(index);
+  }
+  expectAlive(group, "after the change of version");
+  EXPECT_EQ(group.complaints, std::vector<std::string>{});
+  EXPECT_EQ(group.fleets.size(), 1u);
+}
+
 TEST(Council, ADiskThatStallsHandsTheDutyOver) {
   Councils group(23, 3, 0);
   startAll(group);
