--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -248,16 +248,48 @@
   }
 };
 
+struct Vouch {
+  static constexpr char const* name = "Vouch";
+  std::string node;
+  std::uint64_t boot = 0;
+  std::uint64_t rank = 0;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("boot", self.boot);
+    visit("rank", self.rank);
+  }
+};
+
+struct Bearing {
+  static constexpr char const* name = "Bearing";
+  std::string node;
+  std::uint64_t boot = 0;
+  bool leaving = false;
+  std::vector<Vouch> vouched;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("node", self.node);
+    visit("boot", self.boot);
+    visit("leaving", self.leaving);
+    visit("vouched", self.vouched);
+  }
+};
+
 struct Poll {
   static constexpr char const* name = "Poll";
   std::uint64_t token = 0;
   Follower self;
   std::vector<Follower> followers;
+  std::vector<Bearing> bearings;
+  bool recover = false;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
     visit("self", self.self);
     visit("followers", self.followers);
+    visit("bearings", self.bearings);
+    visit("recover", self.recover);
   }
 };
 
@@ -272,6 +304,8 @@
   std::uint64_t sequence = 0;
   std::optional<State> state;
   std::string primaryAddress;
+  std::uint64_t boot = 0;
+  std::vector<Vouch> vouched;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -283,6 +317,8 @@
     visit("sequence", self.sequence);
     visit("state", self.state);
     visit("primaryAddress", self.primaryAddress);
+    visit("boot", self.boot);
+    visit("vouched", self.vouched);
   }
 };
 
--- a/libs/fairway/include/limeramp/fairway/courier.h
+++ b/libs/fairway/include/limeramp/fairway/courier.h
@@ -4,6 +4,7 @@
 #include "limeramp/fairway/views.h"
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +21,10 @@
   std::chrono::milliseconds followerMs{2000};
 };
 
+using Vouches = std::map<std::string, cargo::Vouch>;
+
+void mergeVouches(Vouches& known, std::vector<cargo::Vouch> const& heard);
+
 enum class Standing { unknown, unlisted, stale, current, upheld };
 
 struct Footing {
@@ -34,7 +39,7 @@
 
 class Courier {
  public:
-  Courier(CourierPolicy const& policy, cargo::Follower const& self, std::uint64_t seed);
+  Courier(CourierPolicy const& policy, cargo::Follower const& self, std::uint64_t boot, std::uint64_t seed);
   ~Courier();
   Courier(Courier&&) noexcept;
   Courier& operator=(Courier&&) noexcept;
@@ -43,6 +48,7 @@
   CourierStep hear(TimePoint now, std::string const& address, cargo::Poll const& message);
   CourierStep hear(TimePoint now, std::string const& address, cargo::News const& message);
 
+  void leave();
   Footing footing(TimePoint now) const;
   std::optional<cargo::State> const& state() const;
   std::string const& primaryAddress() const;
--- a/libs/fairway/src/courier.cpp
+++ b/libs/fairway/src/courier.cpp
@@ -11,18 +11,36 @@
 using Ms = std::chrono::milliseconds;
 using Mark = std::pair<std::uint64_t, std::uint64_t>;
 
+constexpr std::size_t mostVouches = 2000;
+
 struct Asked {
   std::string address;
   TimePoint at{};
+  bool recover = false;
 };
 
 struct Listener {
   cargo::Follower follower;
+  cargo::Bearing bearing;
   TimePoint at{};
 };
 
 }
 
+void mergeVouches(Vouches& known, std::vector<cargo::Vouch> const& heard) {
+  for (cargo::Vouch const& vouch : heard) {
+    if (known.size() >= mostVouches && !known.contains(vouch.node)) {
+      continue;
+    }
+    cargo::Vouch& entry = known[vouch.node];
+    if (vouch.rank > entry.rank) {
+      entry = vouch;
+    } else if (vouch.rank == entry.rank && vouch.boot != entry.boot) {
+      entry.boot = 0;
+    }
+  }
+}
+
 struct Courier::Impl {
   CourierPolicy policy;
   cargo::Follower self;
@@ -41,6 +59,9 @@
   bool hurry = false;
   std::optional<TimePoint> startedAt;
   bool settled = false;
+  cargo::Bearing bearing;
+  Vouches vouches;
+  std::map<std::string, std::uint64_t> recovering;
 
   Mark mark() const { return state ? Mark(state->epoch, state->sequence) : Mark(0, 0); }
 
@@ -50,19 +71,55 @@
            });
   }
 
-  cargo::Poll makePoll(TimePoint now, std::string const& address) {
+  std::vector<cargo::Vouch> vouchList() const {
+    std::vector<cargo::Vouch> out;
+    for (std::pair<std::string const, cargo::Vouch> const& entry : vouches) {
+      out.push_back(entry.second);
+    }
+    return out;
+  }
+
+  cargo::Poll makePoll(TimePoint now, std::string const& address, bool recover = false) {
     cargo::Poll poll;
     poll.token = ++lastToken;
     poll.self = self;
     poll.self.epoch = mark().first;
     poll.self.sequence = mark().second;
+    poll.recover = recover;
+    bearing.vouched = vouchList();
+    poll.bearings.push_back(bearing);
     for (std::pair<std::string const, Listener> const& entry : listeners) {
       poll.followers.push_back(entry.second.follower);
+      poll.bearings.push_back(entry.second.bearing);
     }
-    asked[poll.token] = {address, now};
+    asked[poll.token] = {address, now, recover};
     return poll;
   }
 
+  bool trusts(std::string const& node, std::uint64_t boot) const {
+    Vouches::const_iterator const found = vouches.find(node);
+    return found == vouches.end() || found->second.boot == boot;
+  }
+
+  void vouchFor(std::string const& node, std::uint64_t boot) {
+    cargo::Vouch& entry = vouches[node];
+    if (entry.boot != boot || entry.rank == 0) {
+      entry = {node, boot, entry.rank + 1};
+    }
+  }
+
+  bool recovered() const {
+    if (!listed() || !trusts(self.node, bearing.boot)) {
+      return false;
+    }
+    std::size_t const count = static_cast<std::size_t>(
+        std::count_if(state->roster.begin(), state->roster.end(), [&](cargo::RosterEntry const& entry) {
+          std::map<std::string, std::uint64_t>::const_iterator const found = recovering.find(entry.node);
+          return entry.node != self.node && found != recovering.end() && trusts(entry.node, found->second);
+        }));
+    return count >= (state->roster.size() + 1) / 2;
+  }
+
   std::vector<std::string> homes(std::vector<cargo::Peer> const& peers) const {
     std::map<std::string, std::string> zone;
     if (state) {
@@ -149,10 +206,11 @@
   }
 };
 
-Courier::Courier(CourierPolicy const& policy, cargo::Follower const& self, std::uint64_t seed)
+Courier::Courier(CourierPolicy const& policy, cargo::Follower const& self, std::uint64_t boot, std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->self = self;
+  impl_->bearing = {self.node, boot, false, {}};
   impl_->dice.seed(seed);
   impl_->lastToken = impl_->dice() >> 20;
 }
@@ -197,7 +255,7 @@
     if (!target.empty()) {
       out.sends.push_back({target, impl.makePoll(now, target)});
     }
-    if (worried && !control.empty() && control != target) {
+    if ((worried || impl.bearing.leaving) && !control.empty() && control != target) {
       out.sends.push_back({control, impl.makePoll(now, control)});
     }
   }
@@ -218,7 +276,7 @@
     impl.nextWideAt = now + impl.policy.replyMs;
     for (cargo::RosterEntry const& entry : impl.state->roster) {
       if (entry.node != impl.self.node) {
-        out.sends.push_back({entry.address, impl.makePoll(now, entry.address)});
+        out.sends.push_back({entry.address, impl.makePoll(now, entry.address, !impl.settled)});
       }
     }
   }
@@ -234,7 +292,20 @@
   if (had != has && has == impl.mark()) {
     impl.hurry = true;
   }
-  listener = {message.self, now};
+  cargo::Bearing bearing{message.self.node, 0, false, {}};
+  for (cargo::Bearing const& entry : message.bearings) {
+    if (entry.node == message.self.node) {
+      bearing = entry;
+      break;
+    }
+  }
+  mergeVouches(impl.vouches, bearing.vouched);
+  if (message.recover && impl.settled && bearing.boot != 0 && impl.state &&
+      std::any_of(impl.state->roster.begin(), impl.state->roster.end(),
+                  [&](cargo::RosterEntry const& entry) { return entry.node == bearing.node; })) {
+    impl.vouchFor(bearing.node, bearing.boot);
+  }
+  listener = {message.self, std::move(bearing), now};
   if (impl.listeners.size() > 1000) {
     impl.listeners.erase(impl.listeners.begin());
   }
@@ -245,6 +316,8 @@
   news.sequence = impl.mark().second;
   news.primaryAddress = impl.primaryAddress;
   news.settled = impl.settled;
+  news.boot = impl.bearing.boot;
+  news.vouched = impl.vouchList();
   if (impl.anchor) {
     news.hasAge = true;
     news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *impl.anchor).count()) + 1;
@@ -259,6 +332,7 @@
 CourierStep Courier::hear(TimePoint now, std::string const& address, cargo::News const& message) {
   Impl& impl = *impl_;
   CourierStep out;
+  mergeVouches(impl.vouches, message.vouched);
   if (message.state) {
     out.changed = impl.adopt(*message.state);
   }
@@ -273,6 +347,7 @@
     return out;
   }
   TimePoint const askedAt = found->second.at;
+  bool const recover = found->second.recover;
   impl.suspects.erase(address);
   impl.asked.erase(found);
   if (Mark(message.epoch, message.sequence) > impl.mark()) {
@@ -282,7 +357,17 @@
     TimePoint const at = askedAt - Ms(static_cast<long>(message.ageMs));
     impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
   }
-  impl.settled = impl.settled || (impl.anchor && impl.startedAt && *impl.anchor >= *impl.startedAt);
+  bool const vouched = std::any_of(message.vouched.begin(), message.vouched.end(), [&](cargo::Vouch const& vouch) {
+    return vouch.node == impl.self.node && vouch.boot == impl.bearing.boot;
+  });
+  if (recover && message.settled && vouched && !impl.settled) {
+    impl.recovering[message.node] = message.boot;
+  }
+  bool const caughtUp = impl.anchor && impl.startedAt && *impl.anchor >= *impl.startedAt;
+  if (caughtUp && !impl.trusts(impl.self.node, impl.bearing.boot)) {
+    impl.vouchFor(impl.self.node, impl.bearing.boot);
+  }
+  impl.settled = impl.settled || caughtUp || impl.recovered();
   if (message.settled && (impl.contacts.size() < 2000 || impl.contacts.contains(message.node))) {
     TimePoint& contact = impl.contacts[message.node];
     contact = std::max(contact, askedAt);
@@ -290,6 +375,11 @@
   return out;
 }
 
+void Courier::leave() {
+  impl_->bearing.leaving = true;
+  impl_->hurry = true;
+}
+
 Footing Courier::footing(TimePoint now) const {
   Impl const& impl = *impl_;
   Footing out;
@@ -297,7 +387,7 @@
     return out;
   }
   out.ageMs = impl.anchor ? std::chrono::duration_cast<Ms>(now - *impl.anchor) : Ms::max();
-  if (!impl.listed()) {
+  if (!impl.listed() && !impl.bearing.leaving) {
     out.standing = Standing::unlisted;
   } else if (impl.anchor && now - *impl.anchor <= impl.policy.currentMs) {
     out.standing = Standing::current;
--- a/libs/harbour/include/limeramp/harbour/desk.h
+++ b/libs/harbour/include/limeramp/harbour/desk.h
@@ -9,9 +9,12 @@
 namespace limeramp::harbour {
 
 constexpr char const* configurationPath = "/limeramp/configuration";
+constexpr char const* forgetPath = "/limeramp/forget";
 
 std::variant<Change, rigging::Answer> readChange(rigging::Request const& request, TimePoint now,
                                                  std::string const& freshId);
+std::variant<std::vector<std::string>, rigging::Answer> readForget(std::string const& body);
+bool provesGone(rigging::Exchange const& exchange, std::string const& node);
 rigging::Answer answerOf(Decided const& decided, std::string const& change);
 rigging::Answer relayAnswer(rigging::Exchange const& exchange, std::string const& change);
 rigging::Answer plain(int status, std::string body);
--- a/libs/harbour/include/limeramp/harbour/plane.h
+++ b/libs/harbour/include/limeramp/harbour/plane.h
@@ -21,6 +21,9 @@
   std::chrono::milliseconds silentGraceMs{500};
   std::chrono::milliseconds rosterForgetMs{60'000};
   std::chrono::milliseconds rosterBatchMs{100};
+  std::chrono::milliseconds probeAfterMs{450};
+  std::chrono::milliseconds probeEveryMs{250};
+  std::chrono::milliseconds gonePersistsMs{1000};
   std::size_t mostChanges = 64;
   std::size_t mostReceipts = 256;
   std::size_t mostNodes = 1000;
@@ -41,8 +44,18 @@
   std::string address;
   cargo::Poll poll;
 };
+struct Probed {
+  std::uint64_t token = 0;
+  bool gone = false;
+};
+struct Forget {
+  std::uint64_t ticket = 0;
+  std::vector<std::string> nodes;
+  TimePoint deadline;
+};
 
-using Event = std::variant<pledge::Active, pledge::Inactive, pledge::Committed, pledge::Doubtful, Change, Polled, Tick>;
+using Event = std::variant<pledge::Active, pledge::Inactive, pledge::Committed, pledge::Doubtful, Change, Polled, Probed,
+                           Forget, Tick>;
 
 enum class Verdict { taken, refused, conflict, notRun, unknown };
 
@@ -54,7 +67,13 @@
   std::string reason;
 };
 
-using Effect = std::variant<pledge::Offer, Decided, fairway::Outgoing, pledge::Note>;
+struct Probe {
+  std::uint64_t token = 0;
+  std::string node;
+  std::string address;
+};
+
+using Effect = std::variant<pledge::Offer, Decided, fairway::Outgoing, Probe, pledge::Note>;
 
 struct NodeView {
   std::string node;
@@ -64,6 +83,7 @@
   manifest::Version confirmed;
   std::chrono::milliseconds heardMs{0};
   bool everHeard = false;
+  bool gone = false;
 };
 
 class Plane {
--- a/libs/harbour/src/desk.cpp
+++ b/libs/harbour/src/desk.cpp
@@ -53,6 +53,42 @@
   return change;
 }
 
+std::variant<std::vector<std::string>, rigging::Answer> readForget(std::string const& body) {
+  absl::StatusOr<picojson::value> const read = manifest::parseJson(body);
+  if (!read.ok()) {
+    return refused("/", std::string(read.status().message()));
+  }
+  if (!read->is<picojson::object>()) {
+    return refused("/", "must be an object");
+  }
+  for (std::pair<std::string const, picojson::value> const& entry : read->get<picojson::object>()) {
+    if (entry.first != "nodes") {
+      return refused("/" + entry.first, "is not known");
+    }
+  }
+  picojson::value const& nodes = read->get("nodes");
+  if (!nodes.is<picojson::array>() || nodes.get<picojson::array>().empty() || nodes.get<picojson::array>().size() > 1000) {
+    return refused("/nodes", "must be an array of 1 to 1000 names of nodes");
+  }
+  std::vector<std::string> out;
+  for (picojson::value const& entry : nodes.get<picojson::array>()) {
+    if (!entry.is<std::string>() || entry.get<std::string>().empty()) {
+      return refused("/nodes/" + std::to_string(out.size()), "must be the name of a node");
+    }
+    out.push_back(entry.get<std::string>());
+  }
+  return out;
+}
+
+bool provesGone(rigging::Exchange const& exchange, std::string const& node) {
+  if (!exchange.answer) {
+    return exchange.refused;
+  }
+  absl::StatusOr<picojson::value> const read = manifest::parseJson(exchange.answer->body);
+  return read.ok() && read->is<picojson::object>() && read->contains("node") && read->get("node").is<std::string>() &&
+         read->get("node").get<std::string>() != node;
+}
+
 rigging::Answer answerOf(Decided const& decided, std::string const& change) {
   std::string const tail =
       ",\"version\":" + json(decided.version.text()) + ",\"change\":" + json(change) +
--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -2,6 +2,7 @@
 
 #include "limeramp/fairway/views.h"
 #include "limeramp/harbour/desk.h"
+#include "limeramp/harbour/runner.h"
 #include "limeramp/hold/store.h"
 #include "limeramp/rigging/chance.h"
 #include "limeramp/rigging/mail.h"
@@ -27,12 +28,10 @@
   bool good = false;
   std::string reason;
 };
-struct Relayed {
-  std::uint64_t ticket = 0;
-  rigging::Exchange exchange;
-};
 
-using Letter = std::variant<Incoming, DiskDone, Relayed>;
+using Letter = std::variant<Incoming, DiskDone, RunBack, Probed>;
+
+constexpr std::uint64_t probeAttempts = 1ULL << 61;
 
 struct Work {
   std::uint64_t token = 0;
@@ -60,7 +59,8 @@
         council(pledge::Policy{}),
         plane(Policy{}, idIn),
         views({}, cargo::Peer{idIn, settingsIn.advertise, settingsIn.zone, "harbourmaster", rigging::randomWord() >> 1, 0},
-              settingsIn.seeds, rigging::randomWord()) {}
+              settingsIn.seeds, rigging::randomWord()),
+        runner(client, settingsIn.advertise, 0, [this](RunBack back) { inbox.push(std::move(back)); }) {}
 
   manifest::Settings settings;
   std::string id;
@@ -76,6 +76,7 @@
   std::unique_ptr<rigging::HttpServer> server;
   std::thread core;
   std::thread disk;
+  Runner runner;
   std::unordered_map<std::uint64_t, Client> clients;
   std::uint64_t lastTicket = 0;
   bool fleetElsewhere = false;
@@ -85,7 +86,10 @@
   void runDisk();
   void on(Incoming& letter);
   void on(DiskDone& letter);
-  void on(Relayed& letter);
+  void on(RunBack& letter) { runner.hear(Clock::now(), letter); }
+  void on(Probed& letter) { drivePlane(letter); }
+  void probe(Probe const& effect);
+  void forget(Incoming& letter);
   void hearParcel(std::string const& body);
   void driveCouncil(pledge::Event const& event);
   void drivePlane(Event const& event);
@@ -93,6 +97,7 @@
   void sendAll(std::vector<fairway::Outgoing> const& sends);
   void reply(std::uint64_t ticket, rigging::Answer answer);
   void change(Incoming& letter);
+  void pass(Incoming& letter, std::string const& change, Clock::time_point deadline);
   void tick();
   rigging::Answer status() const;
   rigging::Answer ready() const;
@@ -151,6 +156,8 @@
         }
         reply(decided->ticket, answerOf(*decided, found->second.change));
       }
+    } else if (Probe const* const wanted = std::get_if<Probe>(&effect)) {
+      probe(*wanted);
     } else if (fairway::Outgoing const* const outgoing = std::get_if<fairway::Outgoing>(&effect)) {
       send(outgoing->address, outgoing->message);
     } else if (pledge::Note const* const note = std::get_if<pledge::Note>(&effect)) {
@@ -186,7 +193,8 @@
 rigging::Answer Office::Impl::ready() const {
   bool const serving = !draining && !council.ailing() && council.decided().epoch > 0;
   std::string const reason = draining ? "draining" : council.ailing() ? "disk" : council.decided().epoch == 0 ? "not founded" : "";
-  return plain(serving ? 200 : 503, "{\"ready\":" + std::string(serving ? "true" : "false") + ",\"reason\":" + json(reason) + "}");
+  return plain(serving ? 200 : 503, "{\"ready\":" + std::string(serving ? "true" : "false") + ",\"reason\":" + json(reason) +
+                                          ",\"node\":" + json(settings.node) + "}");
 }
 
 rigging::Answer Office::Impl::current() const {
@@ -227,7 +235,7 @@
     for (NodeView const& node : plane.nodes(now)) {
       body += std::string(first ? "" : ",") + "{\"node\":" + json(node.node) + ",\"address\":" + json(node.address) +
               ",\"zone\":" + json(node.zone) + ",\"slot\":" + std::to_string(node.slot) +
-              ",\"confirmed\":" + json(node.confirmed.text()) +
+              ",\"confirmed\":" + json(node.confirmed.text()) + ",\"gone\":" + (node.gone ? "true" : "false") +
               ",\"heard_ms\":" + (node.everHeard ? std::to_string(node.heardMs.count()) : "null") + "}";
       first = false;
     }
@@ -249,35 +257,50 @@
     drivePlane(wanted);
     return;
   }
-  std::optional<rigging::Address> const primary = rigging::Address::parse(council.primaryAddress());
-  bool const relayed = rigging::findHeader(letter.content.headers, "limeramp-relayed").has_value();
-  if (relayed || !primary || council.decided().primary == id || clients.size() > 256) {
+  pass(letter, wanted.id, wanted.deadline);
+}
+
+void Office::Impl::pass(Incoming& letter, std::string const& change, Clock::time_point deadline) {
+  if (rigging::findHeader(letter.content.headers, "limeramp-relayed")) {
     Decided decided;
     decided.verdict = Verdict::notRun;
-    decided.reason = "no primary is known here";
-    letter.respond(answerOf(decided, wanted.id));
+    decided.reason = "this node is not the primary";
+    letter.respond(answerOf(decided, change));
     return;
   }
-  std::uint64_t const ticket = wanted.ticket;
-  clients.emplace(ticket, Client{std::move(letter.respond), wanted.id});
-  rigging::Request request;
-  request.method = letter.content.method;
-  request.target = letter.content.target;
-  request.headers = rigging::withoutHopByHop(letter.content.headers);
-  rigging::dropHeader(request.headers, "limeramp-change");
-  request.headers.emplace_back("limeramp-change", wanted.id);
-  request.headers.emplace_back("limeramp-relayed", "1");
-  request.body = std::move(letter.content.body);
-  client.begin(ticket, *primary, std::move(request), wanted.deadline + Ms(500), [this, ticket](rigging::Exchange exchange) {
-    inbox.push(Relayed{ticket, std::move(exchange)});
-  });
+  runner.take(Clock::now(), std::move(letter.content), change, deadline, std::move(letter.respond));
 }
 
-void Office::Impl::on(Relayed& letter) {
-  std::unordered_map<std::uint64_t, Client>::iterator const found = clients.find(letter.ticket);
-  if (found != clients.end()) {
-    reply(letter.ticket, relayAnswer(letter.exchange, found->second.change));
+void Office::Impl::forget(Incoming& letter) {
+  Clock::time_point const now = Clock::now();
+  std::variant<Change, rigging::Answer> read = readChange(letter.content, now, rigging::randomName());
+  std::variant<std::vector<std::string>, rigging::Answer> nodes = readForget(letter.content.body);
+  for (rigging::Answer* const wrong : {std::get_if<rigging::Answer>(&read), std::get_if<rigging::Answer>(&nodes)}) {
+    if (wrong != nullptr) {
+      letter.respond(std::move(*wrong));
+      return;
+    }
+  }
+  Change const& wanted = std::get<Change>(read);
+  if (!plane.active()) {
+    pass(letter, wanted.id, wanted.deadline);
+    return;
   }
+  std::uint64_t const ticket = ++lastTicket;
+  clients.emplace(ticket, Client{std::move(letter.respond), wanted.id});
+  drivePlane(Forget{ticket, std::get<std::vector<std::string>>(nodes), wanted.deadline});
+}
+
+void Office::Impl::probe(Probe const& effect) {
+  std::uint64_t const token = effect.token;
+  std::string const node = effect.node;
+  rigging::Request request;
+  request.method = "GET";
+  request.target = "/limeramp/ready";
+  client.begin(probeAttempts + token, rigging::Address::parse(effect.address).value_or(rigging::Address{}), std::move(request),
+               Clock::now() + Ms(500), [this, token, node](rigging::Exchange const& exchange) {
+                 inbox.push(Probed{token, provesGone(exchange, node)});
+               });
 }
 
 void Office::Impl::on(Incoming& letter) {
@@ -288,6 +311,8 @@
     letter.respond({204, {}, ""});
   } else if (target == configurationPath && (method == "PUT" || method == "PATCH")) {
     change(letter);
+  } else if (target == forgetPath && method == "POST") {
+    forget(letter);
   } else if (target == configurationPath && method == "GET") {
     letter.respond(current());
   } else if (target == "/limeramp/ready" && method == "GET") {
@@ -323,6 +348,7 @@
   driveCouncil(known);
   driveCouncil(pledge::Tick{});
   drivePlane(Tick{});
+  runner.tick(now, council.decided().epoch == 0 ? "" : council.primaryAddress());
 }
 
 void Office::Impl::runCore() {
--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -1,9 +1,12 @@
 #include "limeramp/harbour/plane.h"
 
+#include "limeramp/fairway/courier.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -15,11 +18,28 @@
 
 struct Known {
   cargo::Follower follower;
+  std::uint64_t boot = 0;
+  std::uint64_t leftBoot = 0;
+  bool leaving = false;
   Mark confirmed{0, 0};
   TimePoint heardAt{};
   bool direct = false;
 };
 
+struct Proof {
+  std::uint64_t token = 0;
+  TimePoint probedAt{};
+  TimePoint firstGoneAt{};
+  TimePoint goneAt{};
+  bool forgotten = false;
+};
+
+struct Forgetting {
+  std::uint64_t ticket = 0;
+  std::set<std::string> nodes;
+  TimePoint deadline{};
+};
+
 struct Waiting {
   std::uint64_t ticket = 0;
   Mark mark;
@@ -44,6 +64,11 @@
   cargo::State published;
   TimePoint publishedAt{};
   std::map<std::string, Known> known;
+  std::map<std::string, Proof> proofs;
+  fairway::Vouches vouches;
+  std::vector<Forgetting> forgetting;
+  std::uint64_t lastProbe = 0;
+  std::map<Mark, TimePoint> publishings;
   std::deque<Change> queue;
   std::optional<Change> working;
   bool workingRoster = false;
@@ -60,6 +85,8 @@
   void on(pledge::Council const& council, pledge::Doubtful const& event);
   void on(pledge::Council const& council, Change const& event);
   void on(pledge::Council const& council, Polled const& event);
+  void on(pledge::Council const& council, Probed const& event);
+  void on(pledge::Council const& council, Forget const& event);
   void on(pledge::Council const& council, Tick const& event);
 
   Mark mark() const { return {published.epoch, published.sequence}; }
@@ -67,9 +94,15 @@
               std::vector<manifest::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
   }
+  bool confirmed(std::string const& node, Mark const& wanted) const;
+  bool gone(std::string const& node, Mark const& wanted) const;
+  bool persistentlyGone(std::string const& node) const;
+  TimePoint heardAt(std::string const& node) const;
   bool majority(std::vector<cargo::RosterEntry> const& roster, Mark const& wanted) const;
   bool everyone(Mark const& wanted) const;
-  void note(cargo::Follower const& follower, bool direct);
+  void note(cargo::Follower const& follower, cargo::Bearing const& bearing, bool direct);
+  void probe();
+  void settleForgetting();
   void publish(cargo::State const& state);
   void pump(pledge::Council const& council);
   bool offerRoster(pledge::Council const& council);
@@ -78,35 +111,167 @@
   cargo::News news(std::uint64_t token, Mark const& has, pledge::Council const& council) const;
 };
 
+bool Plane::Impl::confirmed(std::string const& node, Mark const& wanted) const {
+  std::map<std::string, Known>::const_iterator const found = known.find(node);
+  if (found == known.end() || found->second.confirmed < wanted) {
+    return false;
+  }
+  fairway::Vouches::const_iterator const vouch = vouches.find(node);
+  return vouch == vouches.end() || vouch->second.boot == found->second.boot;
+}
+
+bool Plane::Impl::gone(std::string const& node, Mark const& wanted) const {
+  std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
+  if (found == proofs.end()) {
+    return false;
+  }
+  std::map<Mark, TimePoint>::const_iterator const since = publishings.lower_bound(wanted);
+  return found->second.forgotten || (since != publishings.end() && found->second.goneAt > since->second);
+}
+
+TimePoint Plane::Impl::heardAt(std::string const& node) const {
+  std::map<std::string, Known>::const_iterator const found = known.find(node);
+  return found == known.end() ? activeAt : std::max(activeAt, found->second.heardAt);
+}
+
+bool Plane::Impl::persistentlyGone(std::string const& node) const {
+  std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
+  if (found == proofs.end()) {
+    return false;
+  }
+  Proof const& proof = found->second;
+  return proof.forgotten || (proof.goneAt > heardAt(node) && proof.goneAt - proof.firstGoneAt >= policy.gonePersistsMs &&
+                             now - heardAt(node) > policy.nodeCurrentMs);
+}
+
 bool Plane::Impl::majority(std::vector<cargo::RosterEntry> const& roster, Mark const& wanted) const {
   std::size_t const count = static_cast<std::size_t>(
       std::count_if(roster.begin(), roster.end(), [&](cargo::RosterEntry const& entry) {
-        std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
-        return found != known.end() && found->second.confirmed >= wanted;
+        return confirmed(entry.node, wanted) || gone(entry.node, wanted);
       }));
   return roster.empty() || count > roster.size() / 2;
 }
 
 bool Plane::Impl::everyone(Mark const& wanted) const {
   return std::all_of(published.roster.begin(), published.roster.end(), [&](cargo::RosterEntry const& entry) {
-    std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
-    return found != known.end() && found->second.confirmed >= wanted;
+    return confirmed(entry.node, wanted) || gone(entry.node, wanted);
   });
 }
 
-void Plane::Impl::note(cargo::Follower const& follower, bool direct) {
+void Plane::Impl::probe() {
+  if (!active) {
+    return;
+  }
+  std::vector<cargo::RosterEntry> wanted = published.roster;
+  if (!stable) {
+    wanted.insert(wanted.end(), published.priorRoster.begin(), published.priorRoster.end());
+  }
+  for (cargo::RosterEntry const& entry : wanted) {
+    if (now - heardAt(entry.node) < policy.probeAfterMs) {
+      continue;
+    }
+    Proof& proof = proofs[entry.node];
+    if (now - proof.probedAt >= policy.probeEveryMs) {
+      proof.probedAt = now;
+      proof.token = ++lastProbe;
+      effects.emplace_back(Probe{proof.token, entry.node, entry.address});
+    }
+  }
+}
+
+void Plane::Impl::on(pledge::Council const& council, Probed const& event) {
+  for (std::pair<std::string const, Proof>& entry : proofs) {
+    Proof& proof = entry.second;
+    if (proof.token != event.token || event.token == 0) {
+      continue;
+    }
+    if (event.gone) {
+      proof.firstGoneAt = proof.firstGoneAt <= heardAt(entry.first) ? proof.probedAt : proof.firstGoneAt;
+      proof.goneAt = std::max(proof.goneAt, proof.probedAt);
+    } else {
+      proof.firstGoneAt = {};
+    }
+  }
+  settle();
+  pump(council);
+}
+
+void Plane::Impl::on(pledge::Council const& council, Forget const& event) {
+  if (!active) {
+    decide(event.ticket, Verdict::notRun, "this node is not the primary");
+    return;
+  }
+  if (forgetting.size() >= policy.mostChanges) {
+    decide(event.ticket, Verdict::notRun, "too many changes wait");
+    return;
+  }
+  std::vector<manifest::Problem> problems;
+  for (std::string const& node : event.nodes) {
+    bool const listed = std::any_of(published.roster.begin(), published.roster.end(),
+                                    [&](cargo::RosterEntry const& entry) { return entry.node == node; });
+    bool const prior = std::any_of(published.priorRoster.begin(), published.priorRoster.end(),
+                                   [&](cargo::RosterEntry const& entry) { return entry.node == node; });
+    std::map<std::string, Known>::const_iterator const found = known.find(node);
+    if (!listed && !prior) {
+      problems.push_back({"/nodes/" + node, "is not on the roster"});
+    } else if (found != known.end() && now - found->second.heardAt <= policy.nodeCurrentMs) {
+      problems.push_back({"/nodes/" + node, "is alive"});
+    }
+  }
+  if (!problems.empty()) {
+    decide(event.ticket, Verdict::refused, "", {}, std::move(problems));
+    return;
+  }
+  for (std::string const& node : event.nodes) {
+    proofs[node].forgotten = true;
+  }
+  forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, event.deadline});
+  nextRosterAt = now;
+  settle();
+  pump(council);
+}
+
+void Plane::Impl::settleForgetting() {
+  std::erase_if(forgetting, [&](Forgetting const& entry) {
+    bool const listed = std::any_of(published.roster.begin(), published.roster.end(), [&](cargo::RosterEntry const& row) {
+      return entry.nodes.contains(row.node);
+    });
+    if (stable && !listed) {
+      decide(entry.ticket, Verdict::taken, "", {published.configurationEpoch, published.configurationSequence});
+      return true;
+    }
+    if (now >= entry.deadline) {
+      decide(entry.ticket, Verdict::unknown, "the roster without these nodes is not known to a majority yet");
+      return true;
+    }
+    return false;
+  });
+}
+
+void Plane::Impl::note(cargo::Follower const& follower, cargo::Bearing const& bearing, bool direct) {
   if (known.size() >= policy.mostNodes && !known.contains(follower.node)) {
     return;
   }
+  fairway::mergeVouches(vouches, bearing.vouched);
   Known& entry = known[follower.node];
+  if (bearing.boot != 0 && bearing.boot == entry.leftBoot && !direct && !bearing.leaving) {
+    return;
+  }
   if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
       now - entry.heardAt <= policy.nodeCurrentMs) {
     effects.emplace_back(pledge::Note{signal::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
     return;
   }
-  if (entry.follower.address != follower.address) {
+  if (entry.follower.address != follower.address || entry.boot != bearing.boot) {
     entry.confirmed = {0, 0};
   }
+  std::map<std::string, Proof>::iterator const proof = proofs.find(follower.node);
+  if (proof != proofs.end() && (bearing.boot != entry.boot || direct)) {
+    proof->second.forgotten = false;
+  }
+  entry.boot = bearing.boot;
+  entry.leaving = bearing.leaving;
+  entry.leftBoot = bearing.leaving ? bearing.boot : entry.leftBoot;
   entry.follower = follower;
   entry.confirmed = std::max(entry.confirmed, Mark(follower.epoch, follower.sequence));
   entry.heardAt = now;
@@ -118,6 +283,9 @@
   out.token = token;
   out.node = id;
   out.primaryAddress = council.primaryAddress();
+  for (std::pair<std::string const, cargo::Vouch> const& entry : vouches) {
+    out.vouched.push_back(entry.second);
+  }
   if (!active) {
     return out;
   }
@@ -136,6 +304,10 @@
 void Plane::Impl::publish(cargo::State const& state) {
   published = state;
   publishedAt = now;
+  publishings[mark()] = now;
+  if (publishings.size() > 4 * policy.mostChanges) {
+    publishings.erase(publishings.begin());
+  }
   for (std::pair<std::string const, Known> const& entry : known) {
     if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
       cargo::News out;
@@ -152,6 +324,7 @@
   active = true;
   stable = false;
   activeAt = now;
+  publishings.clear();
   publish(event.state);
 }
 
@@ -165,6 +338,13 @@
     decide(entry.ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   waiting.clear();
+  for (Forgetting const& entry : forgetting) {
+    decide(entry.ticket, Verdict::unknown, "the primary changed before the roster was known to be without these nodes");
+  }
+  forgetting.clear();
+  for (std::pair<std::string const, Proof>& entry : proofs) {
+    entry.second.forgotten = false;
+  }
 }
 
 void Plane::Impl::on(pledge::Council const&, pledge::Committed const& event) {
@@ -209,9 +389,17 @@
 }
 
 void Plane::Impl::on(pledge::Council const& council, Polled const& event) {
-  note(event.poll.self, true);
+  std::map<std::string, cargo::Bearing const*> bearings;
+  for (cargo::Bearing const& bearing : event.poll.bearings) {
+    bearings.emplace(bearing.node, &bearing);
+  }
+  cargo::Bearing const none;
+  std::function<cargo::Bearing const&(std::string const&)> const bearingOf = [&](std::string const& node) -> cargo::Bearing const& {
+    return bearings.contains(node) ? *bearings.at(node) : none;
+  };
+  note(event.poll.self, bearingOf(event.poll.self.node), true);
   for (cargo::Follower const& follower : event.poll.followers) {
-    note(follower, false);
+    note(follower, bearingOf(follower.node), false);
   }
   cargo::News out = news(event.poll.token, {event.poll.self.epoch, event.poll.self.sequence}, council);
   effects.emplace_back(fairway::Outgoing{event.poll.self.address, std::move(out)});
@@ -223,6 +411,10 @@
   std::erase_if(known, [&](std::pair<std::string const, Known> const& entry) {
     return now - entry.second.heardAt > policy.rosterForgetMs * 2;
   });
+  std::erase_if(proofs, [&](std::pair<std::string const, Proof> const& entry) {
+    return !entry.second.forgotten && now - entry.second.probedAt > policy.rosterForgetMs * 2;
+  });
+  probe();
   settle();
   pump(council);
 }
@@ -235,6 +427,7 @@
   if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
     stable = true;
   }
+  settleForgetting();
   std::erase_if(waiting, [&](Waiting const& entry) {
     bool const majorities =
         majority(published.roster, entry.mark) && (stable || majority(published.priorRoster, entry.mark));
@@ -260,10 +453,10 @@
   std::string about;
   std::erase_if(roster, [&](cargo::RosterEntry const& entry) {
     std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
-    TimePoint const heardAt = found == known.end() ? activeAt : std::max(activeAt, found->second.heardAt);
-    bool const gone = now - heardAt > policy.rosterForgetMs;
-    about += gone ? " -" + entry.node : "";
-    return gone;
+    bool const left = found != known.end() && found->second.leaving;
+    bool const out = left || now - heardAt(entry.node) > policy.rosterForgetMs || persistentlyGone(entry.node);
+    about += out ? " -" + entry.node : "";
+    return out;
   });
   std::set<std::uint64_t> taken;
   for (cargo::RosterEntry const& entry : roster) {
@@ -271,7 +464,7 @@
   }
   for (std::pair<std::string const, Known> const& entry : known) {
     cargo::Follower const& follower = entry.second.follower;
-    if (now - entry.second.heardAt > policy.nodeCurrentMs) {
+    if (now - entry.second.heardAt > policy.nodeCurrentMs || entry.second.leaving || persistentlyGone(entry.first)) {
       continue;
     }
     std::vector<cargo::RosterEntry>::iterator const found =
@@ -399,7 +592,7 @@
 std::vector<NodeView> Plane::nodes(TimePoint now) const {
   std::vector<NodeView> out;
   for (cargo::RosterEntry const& entry : impl_->published.roster) {
-    NodeView view{entry.node, entry.address, entry.zone, entry.slot, {}, Ms(0), false};
+    NodeView view{entry.node, entry.address, entry.zone, entry.slot, {}, Ms(0), false, impl_->persistentlyGone(entry.node)};
     std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
     if (found != impl_->known.end()) {
       view.confirmed = {found->second.confirmed.first, found->second.confirmed.second};
--- /dev/null
+++ b/libs/harbour/src/relay.cpp
@@ -0,0 +1,100 @@
+#include "limeramp/harbour/relay.h"
+
+#include <map>
+
+namespace limeramp::harbour {
+namespace {
+
+struct Entry {
+  TimePoint deadline;
+  TimePoint nextAt{};
+  std::string primary;
+  std::uint64_t attempt = 0;
+  bool mayHaveRun = false;
+};
+
+}
+
+struct Relay::Impl {
+  RelayPolicy policy;
+  std::uint64_t lastAttempt = 0;
+  std::string primary;
+  std::map<std::uint64_t, Entry> entries;
+  std::vector<RelayEffect> effects;
+  TimePoint now{};
+
+  void on(RelayAsked const& event) {
+    if (entries.size() >= policy.mostRelays) {
+      effects.emplace_back(Decided{event.ticket, Verdict::notRun, {}, {}, "too many changes wait"});
+      return;
+    }
+    entries.emplace(event.ticket, Entry{event.deadline, now, "", 0, false});
+    push();
+  }
+
+  void on(RelayPrimary const& event) {
+    primary = event.address;
+    push();
+  }
+
+  void on(RelayReturned const& event) {
+    std::map<std::uint64_t, Entry>::iterator const found = entries.find(event.ticket);
+    if (found == entries.end() || found->second.attempt != event.attempt) {
+      return;
+    }
+    if (event.outcome == RelayOutcome::final) {
+      effects.emplace_back(RelayDone{event.ticket});
+      entries.erase(found);
+      return;
+    }
+    Entry& entry = found->second;
+    entry.attempt = 0;
+    entry.nextAt = now + policy.againMs;
+    entry.mayHaveRun = entry.mayHaveRun || event.outcome == RelayOutcome::mayHaveRun;
+  }
+
+  void on(Tick const&) { push(); }
+
+  void push() {
+    for (std::map<std::uint64_t, Entry>::iterator row = entries.begin(); row != entries.end();) {
+      Entry& entry = row->second;
+      bool const open = entry.attempt != 0;
+      bool const ended = now >= entry.deadline;
+      bool const waits = open ? entry.primary == primary : entry.primary == primary && now < entry.nextAt;
+      if (open && (ended || !(waits || primary.empty()))) {
+        effects.emplace_back(RelayCancel{entry.attempt});
+        entry.mayHaveRun = true;
+      }
+      if (ended) {
+        effects.emplace_back(Decided{row->first, entry.mayHaveRun ? Verdict::unknown : Verdict::notRun, {}, {},
+                                     primary.empty() ? "no primary is known here" : "the primary gave no answer in time"});
+        row = entries.erase(row);
+        continue;
+      }
+      if (!waits && !primary.empty()) {
+        entry.primary = primary;
+        entry.attempt = ++lastAttempt;
+        effects.emplace_back(RelaySend{row->first, entry.attempt, primary, entry.deadline});
+      }
+      ++row;
+    }
+  }
+};
+
+Relay::Relay(RelayPolicy const& policy, std::uint64_t firstAttempt) : impl_(std::make_unique<Impl>()) {
+  impl_->policy = policy;
+  impl_->lastAttempt = firstAttempt;
+}
+
+Relay::~Relay() = default;
+Relay::Relay(Relay&&) noexcept = default;
+Relay& Relay::operator=(Relay&&) noexcept = default;
+
+std::vector<RelayEffect> Relay::step(TimePoint now, RelayEvent const& event) {
+  impl_->now = now;
+  impl_->effects.clear();
+  std::visit([this](auto const& concrete) { impl_->on(concrete); }, event);
+  return std::move(impl_->effects);
+}
+
+}
--- /dev/null
+++ b/libs/harbour/src/runner.cpp
@@ -0,0 +1,101 @@
+#include "limeramp/harbour/runner.h"
+
+#include "limeramp/harbour/desk.h"
+
+#include <unordered_map>
+
+namespace limeramp::harbour {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+struct Errand {
+  rigging::Request content;
+  std::string change;
+  rigging::Responder respond;
+};
+
+}
+
+struct Runner::Impl {
+  Impl(rigging::HttpClient& clientIn, std::string const& advertiseIn, std::uint64_t firstAttempt, Post postIn)
+      : client(clientIn), advertise(advertiseIn), post(std::move(postIn)), relay({}, firstAttempt) {}
+
+  rigging::HttpClient& client;
+  std::string advertise;
+  Post post;
+  Relay relay;
+  std::string primary;
+  std::uint64_t lastTicket = 0;
+  std::unordered_map<std::uint64_t, Errand> errands;
+
+  void finish(std::uint64_t ticket, rigging::Answer answer) {
+    std::unordered_map<std::uint64_t, Errand>::iterator const found = errands.find(ticket);
+    found->second.respond(std::move(answer));
+    errands.erase(found);
+  }
+
+  void drive(TimePoint now, RelayEvent const& event, rigging::Exchange const* exchange = nullptr) {
+    for (RelayEffect const& effect : relay.step(now, event)) {
+      if (RelaySend const* const send = std::get_if<RelaySend>(&effect)) {
+        begin(now, *send);
+      } else if (RelayCancel const* const cancel = std::get_if<RelayCancel>(&effect)) {
+        client.cancel(cancel->attempt);
+      } else if (RelayDone const* const done = std::get_if<RelayDone>(&effect)) {
+        finish(done->ticket, relayAnswer(*exchange, errands.at(done->ticket).change));
+      } else if (Decided const* const decided = std::get_if<Decided>(&effect)) {
+        finish(decided->ticket, answerOf(*decided, errands.at(decided->ticket).change));
+      }
+    }
+  }
+
+  void begin(TimePoint now, RelaySend const& send) {
+    rigging::Request request = errands.at(send.ticket).content;
+    long const leftMs = std::chrono::duration_cast<Ms>(send.deadline - now).count();
+    request.headers.emplace_back("limeramp-deadline-ms", std::to_string(std::max<long>(1, leftMs)));
+    std::uint64_t const ticket = send.ticket;
+    std::uint64_t const attempt = send.attempt;
+    client.begin(attempt, rigging::Address::parse(send.address).value_or(rigging::Address{}), std::move(request), send.deadline,
+                 [to = post, ticket, attempt](rigging::Exchange exchange) { to({ticket, attempt, std::move(exchange)}); });
+  }
+};
+
+Runner::Runner(rigging::HttpClient& client, std::string const& advertise, std::uint64_t firstAttempt, Post post)
+    : impl_(std::make_unique<Impl>(client, advertise, firstAttempt, std::move(post))) {}
+
+Runner::~Runner() = default;
+
+void Runner::take(TimePoint now, rigging::Request content, std::string const& change, TimePoint deadline,
+                  rigging::Responder respond) {
+  content.headers = rigging::withoutHopByHop(content.headers);
+  for (char const* const name : {"limeramp-change", "limeramp-deadline-ms", "host"}) {
+    rigging::dropHeader(content.headers, name);
+  }
+  content.headers.emplace_back("limeramp-change", change);
+  content.headers.emplace_back("limeramp-relayed", "1");
+  content.headers.emplace_back("limeramp-from", impl_->advertise);
+  std::uint64_t const ticket = ++impl_->lastTicket;
+  impl_->errands.emplace(ticket, Errand{std::move(content), change, std::move(respond)});
+  impl_->drive(now, RelayAsked{ticket, deadline});
+}
+
+void Runner::hear(TimePoint now, RunBack& back) {
+  rigging::Exchange const& exchange = back.exchange;
+  RelayOutcome outcome = RelayOutcome::final;
+  if (!exchange.answer) {
+    outcome = exchange.verdict == tally::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+  } else if (exchange.answer->status == 503 || exchange.answer->status == 504) {
+    outcome = exchange.answer->status == 503 ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+  }
+  impl_->drive(now, RelayReturned{back.ticket, back.attempt, outcome}, &exchange);
+}
+
+void Runner::tick(TimePoint now, std::string const& primaryAddress) {
+  if (primaryAddress != impl_->primary) {
+    impl_->primary = primaryAddress;
+    impl_->drive(now, RelayPrimary{primaryAddress});
+  }
+  impl_->drive(now, Tick{});
+}
+
+}
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -3,6 +3,7 @@
 #include "limeramp/berth/desk.h"
 #include "limeramp/fairway/courier.h"
 #include "limeramp/harbour/desk.h"
+#include "limeramp/harbour/runner.h"
 #include "limeramp/logbook/logbook.h"
 #include "limeramp/quayside/plane.h"
 #include "limeramp/rigging/chance.h"
@@ -27,11 +28,11 @@
 constexpr std::size_t inboxSlots = 16'384;
 constexpr std::size_t inboxSpare = 8'192;
 constexpr std::size_t mostCallerBytes = 1 << 20;
-constexpr std::size_t mostRelays = 256;
 constexpr std::uint64_t listAttempt = 1ULL << 62;
 constexpr std::uint64_t relayAttempts = 1ULL << 61;
 constexpr std::uint64_t budgetSlots = 20;
 constexpr double budgetForFleet = 60;
+constexpr std::size_t leavingFronts = 1'000'000;
 constexpr Ms noticeMs{1500};
 constexpr Ms finishMs{4000};
 
@@ -42,24 +43,9 @@
 struct ListRead {
   rigging::Exchange exchange;
 };
-struct Relayed {
-  std::uint64_t ticket = 0;
-  std::uint64_t attempt = 0;
-  rigging::Exchange exchange;
-};
 struct DrainAsked {};
 
-using Letter = std::variant<Incoming, ListRead, Relayed, DrainAsked, quayside::Event>;
-
-struct Relay {
-  rigging::Responder respond;
-  std::string change;
-  rigging::Request content;
-  Clock::time_point deadline;
-  std::string primary;
-  std::uint64_t attempt = 0;
-  bool mayHaveRun = false;
-};
+using Letter = std::variant<Incoming, ListRead, harbour::RunBack, DrainAsked, quayside::Event>;
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
@@ -108,8 +94,9 @@
         plane(Self{settingsIn.node, settingsIn.advertise, settingsIn.zone, boot}, policyOf(settingsIn)),
         views({}, cargo::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
               rigging::randomWord()),
-        courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, rigging::randomWord()),
-        desk({}, settingsIn.node, settingsIn.advertise, settingsIn.zone) {}
+        courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, boot, rigging::randomWord()),
+        desk({}, settingsIn.node, settingsIn.advertise, settingsIn.zone),
+        runner(client, settingsIn.advertise, relayAttempts, [this](harbour::RunBack back) { inbox.push(std::move(back)); }) {}
 
   static shoal::Policy policyOf(manifest::Settings const& settings) {
     shoal::Policy policy;
@@ -129,19 +116,17 @@
   fairway::Views views;
   fairway::Courier courier;
   berth::Desk desk;
+  harbour::Runner runner;
   logbook::Clerk clerk;
   std::unique_ptr<rigging::HttpServer> server;
   std::thread core;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
-  std::unordered_map<std::uint64_t, Relay> relays;
   std::uint64_t lastRequest = 0;
-  std::uint64_t lastRelay = relayAttempts;
   std::string fleet;
   std::set<std::string> services;
   std::vector<std::string> droppedRows;
   std::string listTrouble;
   Clock::time_point startedAt = Clock::now();
-  Clock::time_point nextRelayAt{};
   bool draining = false;
   bool wasReady = false;
   bool unreadable = false;
@@ -153,9 +138,13 @@
   void run();
   void on(Incoming& letter);
   void on(ListRead& letter);
-  void on(Relayed& letter);
+  void on(harbour::RunBack& letter) { runner.hear(Clock::now(), letter); }
   void on(DrainAsked&) {
     draining = true;
+    courier.leave();
+    if (courier.state()) {
+      place();
+    }
     signal::raise(signal::Event::drainBegan, {});
   }
   void on(quayside::Event& event) { drive(event); }
@@ -173,7 +162,6 @@
   void takeCarry(Incoming& letter);
   void operate(Incoming& letter);
   void relayChange(Incoming& letter);
-  void pushRelay(std::uint64_t ticket);
   void hearParcel(std::string const& body);
   void send(std::string const& address, cargo::Message message);
   void sendAll(std::vector<fairway::Outgoing> const& sends);
@@ -353,6 +341,10 @@
     }
     ++index;
   }
+  if (draining) {
+    own.fronts = leavingFronts;
+    own.budgetDepth = 0;
+  }
   drive(Placed{own});
   if (plane.snapshot() == nullptr) {
     return;
@@ -461,7 +453,8 @@
 rigging::Answer Front::Impl::ready() const {
   std::string const why = whyNotReady(Clock::now());
   return harbour::plain(why.empty() ? 200 : 503,
-                        std::string("{\"ready\":") + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) + "}");
+                        std::string("{\"ready\":") + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) +
+                            ",\"node\":" + json(settings.node) + "}");
 }
 
 rigging::Answer Front::Impl::current() const {
@@ -589,74 +582,7 @@
     return;
   }
   harbour::Change const& wanted = std::get<harbour::Change>(read);
-  if (relays.size() >= mostRelays) {
-    harbour::Decided decided;
-    decided.verdict = harbour::Verdict::notRun;
-    decided.reason = "too many changes wait";
-    letter.respond(harbour::answerOf(decided, wanted.id));
-    return;
-  }
-  Relay relay{std::move(letter.respond), wanted.id, std::move(letter.content), wanted.deadline, "", 0, false};
-  rigging::Headers& headers = relay.content.headers;
-  headers = rigging::withoutHopByHop(headers);
-  for (char const* const name : {"limeramp-change", "limeramp-deadline-ms", "host"}) {
-    rigging::dropHeader(headers, name);
-  }
-  headers.emplace_back("limeramp-change", wanted.id);
-  std::uint64_t const ticket = ++lastRelay;
-  relays.emplace(ticket, std::move(relay));
-  pushRelay(ticket);
-}
-
-void Front::Impl::pushRelay(std::uint64_t ticket) {
-  Relay& relay = relays.at(ticket);
-  Clock::time_point const now = Clock::now();
-  std::string const& known = courier.primaryAddress();
-  bool const idle = relay.attempt == 0;
-  if (now >= relay.deadline) {
-    harbour::Decided decided;
-    decided.verdict = relay.mayHaveRun || !idle ? harbour::Verdict::unknown : harbour::Verdict::notRun;
-    decided.reason = known.empty() ? "no primary is known here" : "the primary gave no answer in time";
-    client.cancel(relay.attempt);
-    relay.respond(harbour::answerOf(decided, relay.change));
-    relays.erase(ticket);
-    return;
-  }
-  std::optional<rigging::Address> const primary = rigging::Address::parse(known);
-  if (!primary || (!idle && relay.primary == known)) {
-    return;
-  }
-  if (!idle) {
-    client.cancel(relay.attempt);
-    relay.mayHaveRun = true;
-  }
-  relay.primary = known;
-  relay.attempt = ++lastRelay;
-  rigging::Request request = relay.content;
-  long const leftMs = std::chrono::duration_cast<Ms>(relay.deadline - now).count();
-  request.headers.emplace_back("limeramp-deadline-ms", std::to_string(std::max<long>(1, leftMs)));
-  request.headers.emplace_back("limeramp-from", settings.advertise);
-  std::uint64_t const attempt = relay.attempt;
-  client.begin(attempt, *primary, std::move(request), relay.deadline, [this, ticket, attempt](rigging::Exchange exchange) {
-    inbox.push(Relayed{ticket, attempt, std::move(exchange)});
-  });
-}
-
-void Front::Impl::on(Relayed& letter) {
-  std::unordered_map<std::uint64_t, Relay>::iterator const found = relays.find(letter.ticket);
-  if (found == relays.end() || found->second.attempt != letter.attempt) {
-    return;
-  }
-  Relay& relay = found->second;
-  if (letter.exchange.answer && letter.exchange.answer->status != 503 && letter.exchange.answer->status != 504) {
-    relay.respond(harbour::relayAnswer(letter.exchange, relay.change));
-    relays.erase(found);
-    return;
-  }
-  relay.attempt = 0;
-  bool const ran = letter.exchange.answer ? letter.exchange.answer->status == 504
-                                          : letter.exchange.verdict != tally::Verdict::notRun;
-  relay.mayHaveRun = relay.mayHaveRun || ran;
+  runner.take(now, std::move(letter.content), wanted.id, wanted.deadline, std::move(letter.respond));
 }
 
 void Front::Impl::operate(Incoming& letter) {
@@ -667,7 +593,8 @@
     letter.respond({204, {}, ""});
   } else if (target == "/limeramp/carry" && method == "POST") {
     takeCarry(letter);
-  } else if (target == harbour::configurationPath && (method == "PUT" || method == "PATCH")) {
+  } else if ((target == harbour::configurationPath && (method == "PUT" || method == "PATCH")) ||
+             (target == harbour::forgetPath && method == "POST")) {
     relayChange(letter);
   } else if (target == harbour::configurationPath && method == "GET") {
     letter.respond(current());
@@ -743,16 +670,7 @@
     }
   }
   follow(desk.tick(now, around));
-  if (now >= nextRelayAt) {
-    nextRelayAt = now + Ms(200);
-    std::vector<std::uint64_t> tickets;
-    for (std::pair<std::uint64_t const, Relay> const& entry : relays) {
-      tickets.push_back(entry.first);
-    }
-    for (std::uint64_t const ticket : tickets) {
-      pushRelay(ticket);
-    }
-  }
+  runner.tick(now, courier.primaryAddress());
   std::string const why = whyNotReady(now);
   if (why.empty() != wasReady) {
     wasReady = why.empty();
--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/rigging/include/limeramp/rigging/http.h
@@ -87,6 +87,7 @@
   std::optional<Answer> answer;
   tally::Verdict verdict = tally::Verdict::notRun;
   std::string reason;
+  bool refused = false;
 };
 
 struct ClientBounds {
--- a/libs/rigging/src/client.cpp
+++ b/libs/rigging/src/client.cpp
@@ -104,6 +104,7 @@
       co_await connection->stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
       if (error || connection->cancelled) {
         out.reason = "connect: " + error.message();
+        out.refused = error == boost::system::errc::connection_refused;
         co_return out;
       }
       connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
--- a/programs/tender.cpp
+++ b/programs/tender.cpp
@@ -25,11 +25,18 @@
   tender [flags] status                the node's own view
   tender [flags] ready                 exit 0 if the node is ready, 7 if not
   tender [flags] drain                 ask the node to finish and take nothing new
+  tender [flags] --yes forget NODE...  nodes that are gone for good and cannot prove it leave the roster at once
 
 FILE may be - for standard input. Exit: 0 taken or answered, 1 no answer, 2 wrong usage, 3 refused,
 4 the version is no longer current, 5 not carried out, 6 not known (ask again with the same --change).
 )";
 
+char const* const forgetWarning =
+    "tender: these nodes are then counted as dead. If one of them lives on, cut off from here together with others,\n"
+    "tender: it may serve callers under an old configuration for as long as the cut lasts. Say --yes if they are gone.\n";
+
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
 struct Outcome {
   rigging::Exchange exchange;
   std::string node;
@@ -73,7 +80,7 @@
   if (!outcome.exchange.answer) {
     bool const certain = outcome.exchange.verdict == tally::Verdict::notRun;
     std::cerr << "tender: " << outcome.node << ": " << outcome.exchange.reason << '\n';
-    if (verb == "put" || verb == "patch") {
+    if (verb == "put" || verb == "patch" || verb == "forget") {
       std::cerr << "tender: change " << change << (certain ? " was not carried out" : " may have been taken; ask again with --change")
                 << '\n';
       return certain ? Exit::notRun : Exit::unknown;
@@ -110,10 +117,11 @@
       "base", "version that a patch, or a whole configuration, replaces", cxxopts::value<std::string>())(
       "change", "id of the change; the same id never takes effect twice", cxxopts::value<std::string>())(
       "wait-ms", "how long to wait", cxxopts::value<long>()->default_value("10000"))(
-      "verb", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::string>())("version", "print the version")(
+      "yes", "the consequence was read and is wanted")("verb", "", cxxopts::value<std::string>())(
+      "rest", "", cxxopts::value<std::vector<std::string>>())("version", "print the version")(
       "help", "print this text");
-  options.parse_positional({"verb", "file"});
-  options.positional_help("VERB [FILE]");
+  options.parse_positional({"verb", "rest"});
+  options.positional_help("VERB [FILE | NODE...]");
   try {
     cxxopts::ParseResult const flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
@@ -137,25 +145,37 @@
     }
     std::string const verb = flags.count("verb") > 0 ? flags["verb"].as<std::string>() : "";
     long const waitMs = flags["wait-ms"].as<long>();
-    bool const sends = verb == "put" || verb == "patch";
+    std::vector<std::string> const rest =
+        flags.count("rest") > 0 ? flags["rest"].as<std::vector<std::string>>() : std::vector<std::string>{};
+    bool const writes = verb == "put" || verb == "patch";
+    bool const sends = writes || verb == "forget";
+    bool const counted = verb == "forget" ? !rest.empty() : rest.size() == (writes ? 1u : 0u);
     if (nodes.empty() || !flags.unmatched().empty() || waitMs <= 0 || waitMs > 60'000 ||
-        sends != (flags.count("file") > 0) || (verb == "patch" && flags.count("base") == 0)) {
+        !counted || (verb == "patch" && flags.count("base") == 0)) {
       std::cerr << "tender: " << (nodes.empty() ? "--nodes is needed" : "wrong usage") << "; see tender --help\n";
       return Exit::usage;
     }
     rigging::Request request;
     std::string change;
+    if (verb == "forget" && flags.count("yes") == 0) {
+      std::cerr << forgetWarning;
+      return Exit::usage;
+    }
+    if (writes && !readFile(rest.front(), request.body)) {
+      std::cerr << "tender: " << rest.front() << " cannot be read\n";
+      return Exit::usage;
+    }
+    for (std::string const& node : verb == "forget" ? rest : std::vector<std::string>{}) {
+      request.body += (request.body.empty() ? "{\"nodes\":[" : ",") + json(node);
+    }
+    request.body += verb == "forget" ? "]}" : "";
     if (sends) {
-      if (!readFile(flags["file"].as<std::string>(), request.body)) {
-        std::cerr << "tender: " << flags["file"].as<std::string>() << " cannot be read\n";
-        return Exit::usage;
-      }
       std::random_device source;
       char fresh[24];
       std::snprintf(fresh, sizeof fresh, "%08x%08x", source(), source());
       change = flags.count("change") > 0 ? flags["change"].as<std::string>() : fresh;
-      request.method = verb == "put" ? "PUT" : "PATCH";
-      request.target = "/limeramp/configuration";
+      request.method = verb == "put" ? "PUT" : verb == "patch" ? "PATCH" : "POST";
+      request.target = verb == "forget" ? "/limeramp/forget" : "/limeramp/configuration";
       request.headers = {{"content-type", "application/json"}, {"limeramp-change", change},
                          {"limeramp-deadline-ms", std::to_string(waitMs)}};
       if (flags.count("base") > 0) {
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -154,6 +154,177 @@
   EXPECT_EQ(roads.complaints, std::vector<std::string>{});
 }
 
+std::vector<std::size_t> herdOf(Roads& roads, std::size_t masters, std::size_t quays, std::size_t count) {
+  std::vector<std::size_t> out;
+  for (std::size_t index = masters; index < masters + quays; ++index) {
+    out.push_back(index);
+  }
+  std::shuffle(out.begin(), out.end(), roads.sea.dice());
+  out.resize(count);
+  return out;
+}
+
+TEST(Herd, MoreThanHalfKilledAtOnceAndReplacedByNewNamesLetsChangesGoOn) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 11, 4);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
+    for (std::size_t const index : herd) {
+      roads.kill(index);
+    }
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::taken) << seed;
+    roads.run(Ms(4000));
+    EXPECT_EQ(roads.machines[*roads.primary()].master->plane->published().roster.size(), 4u) << seed;
+    for (std::size_t const index : herd) {
+      roads.replace(index);
+      roads.start(index);
+    }
+    EXPECT_TRUE(roads.awaitServing(11, Ms(5000))) << seed;
+    EXPECT_EQ(insist(roads, "third", 3), harbour::Verdict::taken);
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Herd, WarnedNodesLeaveTheRosterServeOnAndAreNotMissed) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 11, 4);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
+    for (std::size_t const index : herd) {
+      roads.leave(index);
+    }
+    for (int round = 0; round < 30; ++round) {
+      roads.run(Ms(50));
+      EXPECT_EQ(roads.serving(), 11u);
+    }
+    EXPECT_EQ(roads.machines[*roads.primary()].master->plane->published().roster.size(), 4u) << seed;
+    for (std::size_t const index : herd) {
+      roads.loseHost(index);
+    }
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Herd, LostHostsThatProveNothingNeedTheOperatorsWord) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Roads roads(seed, 3, 11, 4);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    std::vector<std::string> names;
+    for (std::size_t const index : herdOf(roads, 3, 11, 7)) {
+      names.push_back(roads.machines[index].quay->node);
+      EXPECT_EQ(verdictOf(roads, roads.forget({names.back()})), harbour::Verdict::refused);
+      roads.loseHost(index);
+    }
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.forget({"nobody"})), harbour::Verdict::refused);
+    EXPECT_EQ(verdictOf(roads, roads.forget(names)), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.change("third", bodyOf(3))), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Herd, CutOffNodesThatUpholdOneAnotherAreNeverTakenForDead) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 11, 4);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
+    std::size_t const killed = seed % 3 == 2 ? 3 : seed % 3;
+    roads.split({herd.begin() + static_cast<long>(killed), herd.end()});
+    for (std::size_t index = 0; index < killed; ++index) {
+      roads.kill(herd[index]);
+    }
+    harbour::Verdict const verdict = verdictOf(roads, roads.change("second", bodyOf(2)));
+    EXPECT_EQ(verdict, killed < 2 ? harbour::Verdict::unknown : harbour::Verdict::taken) << seed;
+    roads.run(Ms(3000));
+    for (std::size_t index = 0; index < killed; ++index) {
+      roads.start(herd[index]);
+    }
+    roads.run(Ms(5000));
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+    roads.mendAll();
+    EXPECT_TRUE(roads.awaitServing(11, Ms(5000))) << seed;
+    EXPECT_EQ(insist(roads, "third", 3), harbour::Verdict::taken);
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Recovery, ARollingRestartWithoutAnyControlDarkensNobodyForLong) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 7, 3);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(7, Ms(10'000)));
+    for (std::size_t index = 0; index < 3; ++index) {
+      roads.kill(index);
+    }
+    roads.run(Ms(5000));
+    for (std::size_t index = 3; index < 10; ++index) {
+      roads.kill(index);
+      roads.run(Ms(1000));
+      roads.start(index);
+      ASSERT_TRUE(roads.awaitServing(7, Ms(6000))) << seed << " " << index;
+    }
+    for (std::size_t index = 0; index < 3; ++index) {
+      roads.start(index);
+    }
+    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken);
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Recovery, ANodeThatConfirmedAndForgotIsNotCountedWhenOthersVouchedForItsReturn) {
+  std::size_t acknowledged = 0;
+  std::size_t served = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    Roads roads(seed, 3, 3, 1);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(3, Ms(10'000)));
+    std::size_t const forgetful = 3 + roads.sea.roll(3);
+    std::size_t const other = 3 + (forgetful - 3 + 1) % 3;
+    std::size_t const late = 3 + (forgetful - 3 + 2) % 3;
+    roads.split({other, late});
+    std::optional<std::uint64_t> const ticket = roads.change("second", bodyOf(2));
+    ASSERT_TRUE(ticket.has_value());
+    roads.run(Ms(100));
+    roads.kill(forgetful);
+    roads.mendAll();
+    roads.split({other, late, forgetful});
+    roads.start(forgetful);
+    roads.run(Ms(1500 + static_cast<long>(roads.sea.roll(1500))));
+    served += roads.serves(forgetful) ? 1 : 0;
+    roads.split({other});
+    roads.run(Ms(2500));
+    roads.mendAll();
+    for (std::size_t const master : {0u, 1u, 2u}) {
+      for (std::size_t const away : {late, forgetful}) {
+        roads.cut(master, away);
+        roads.cut(away, master);
+      }
+    }
+    roads.cut(other, late);
+    roads.cut(other, forgetful);
+    roads.cut(late, other);
+    roads.cut(forgetful, other);
+    roads.run(Ms(7000));
+    bool const taken = roads.answers.contains(*ticket) && roads.answers.at(*ticket).decided.verdict == harbour::Verdict::taken;
+    acknowledged += taken ? 1 : 0;
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+  std::printf("seeds 1 to 300: %zu times the forgetful node served again, %zu changes acknowledged\n", served, acknowledged);
+  EXPECT_GT(served, 100u);
+  EXPECT_LT(acknowledged, 300u);
+}
+
 TEST(Delivery, AHomeThatDiesOrFreezesIsReplaced) {
   for (std::size_t victim = 3; victim < 11; ++victim) {
     for (bool const frozen : {false, true}) {
@@ -189,12 +360,14 @@
   std::size_t taken = 0;
   std::size_t unknown = 0;
   std::size_t upheld = 0;
+  std::size_t replacements = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::size_t const masters = 3 + seed % 2;
     Roads roads(seed, masters, 7, 3);
     roads.startAll();
     ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken) << seed;
     std::vector<std::uint64_t> tickets;
+    std::set<std::size_t> leaving;
     for (int round = 0; round < 250; ++round) {
       roads.run(Ms(20 + static_cast<long>(roads.sea.roll(120))));
       if (round % 3 == 0) {
@@ -206,7 +379,7 @@
       }
       std::size_t const index = roads.sea.roll(roads.machines.size());
       Machine& machine = roads.machines[index];
-      switch (roads.sea.roll(16)) {
+      switch (roads.sea.roll(19)) {
         case 0:
           if (machine.up) {
             roads.kill(index);
@@ -245,19 +418,38 @@
         case 10:
           roads.mendAll();
           break;
+        case 11:
+          if (machine.quay && !machine.up) {
+            roads.replace(index);
+            roads.start(index);
+            ++replacements;
+          }
+          break;
+        case 12:
+          if (machine.quay && machine.up) {
+            roads.leave(index);
+            leaving.insert(index);
+          }
+          break;
+        case 13:
+          roads.loseHost(index);
+          break;
         default:
           break;
       }
     }
     roads.mendAll();
     for (std::size_t index = 0; index < roads.machines.size(); ++index) {
+      if (leaving.contains(index) && roads.machines[index].up) {
+        roads.kill(index);
+      }
       if (!roads.machines[index].up) {
         roads.start(index);
       }
       roads.thaw(index);
     }
     EXPECT_EQ(insist(roads, "last", 7), harbour::Verdict::taken) << seed;
-    EXPECT_TRUE(roads.awaitServing(7, Ms(10'000))) << seed;
+    EXPECT_TRUE(roads.awaitServing(7, Ms(10'000))) << seed << roads.picture();
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << "seed " << seed;
     for (std::uint64_t const ticket : tickets) {
       if (roads.answers.contains(ticket)) {
@@ -267,7 +459,8 @@
     }
     upheld += roads.upheld;
   }
-  std::printf("seeds 1 to 60: %zu changes taken, %zu unknown, %zu looks at upheld nodes\n", taken, unknown, upheld);
+  std::printf("seeds 1 to 60: %zu changes taken, %zu unknown, %zu nodes replaced, %zu looks at upheld nodes\n", taken, unknown,
+              replacements, upheld);
   EXPECT_GT(taken, 500u);
   EXPECT_GT(unknown, 50u);
 }
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,147 @@
+#include "limeramp/harbour/desk.h"
+#include "limeramp/harbour/relay.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::harbour;
+using Ms = std::chrono::milliseconds;
+
+struct Bench {
+  Relay relay{RelayPolicy{}, 100};
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<RelaySend> sent;
+  std::set<std::uint64_t> open;
+  std::size_t finals = 0;
+  std::size_t done = 0;
+  bool doubt = false;
+  std::optional<Verdict> verdict;
+
+  void step(RelayEvent const& event) {
+    for (RelayEffect const& effect : relay.step(now, event)) {
+      if (RelaySend const* const send = std::get_if<RelaySend>(&effect)) {
+        sent.push_back(*send);
+        open.insert(send->attempt);
+        EXPECT_EQ(open.size(), 1u);
+      } else if (RelayCancel const* const cancel = std::get_if<RelayCancel>(&effect)) {
+        doubt = open.erase(cancel->attempt) == 1 || doubt;
+      } else if (std::holds_alternative<RelayDone>(effect)) {
+        ++finals;
+        ++done;
+      } else {
+        ++finals;
+        verdict = std::get<Decided>(effect).verdict;
+      }
+    }
+  }
+
+  void back(RelayOutcome outcome) {
+    if (!sent.empty() && open.contains(sent.back().attempt)) {
+      open.erase(sent.back().attempt);
+      doubt = doubt || outcome == RelayOutcome::mayHaveRun;
+      step(RelayReturned{1, sent.back().attempt, outcome});
+    }
+  }
+};
+
+TEST(Relay, InEveryOrderOneAnswerComesAndNotRunIsSaidOnlyIfSo) {
+  std::size_t unknown = 0;
+  std::size_t notRun = 0;
+  std::size_t answered = 0;
+  std::vector<int> order{0, 1, 2, 3, 4, 5, 6};
+  do {
+    Bench bench;
+    bench.step(RelayAsked{1, bench.now + Ms(5000)});
+    for (int const what : order) {
+      switch (what) {
+        case 0:
+          bench.step(RelayPrimary{"a"});
+          break;
+        case 1:
+          bench.step(RelayPrimary{"b"});
+          break;
+        case 2:
+          bench.back(RelayOutcome::notRun);
+          break;
+        case 3:
+          bench.back(RelayOutcome::mayHaveRun);
+          break;
+        case 4:
+          bench.back(RelayOutcome::final);
+          break;
+        default:
+          bench.now += Ms(300);
+          bench.step(Tick{});
+      }
+    }
+    std::size_t const before = bench.finals;
+    bench.now += Ms(5000);
+    bench.step(Tick{});
+    EXPECT_EQ(bench.finals, 1u);
+    if (bench.done == 0) {
+      EXPECT_EQ(before, 0u);
+      EXPECT_EQ(*bench.verdict, bench.doubt ? Verdict::unknown : Verdict::notRun);
+      (bench.doubt ? unknown : notRun) += 1;
+    }
+    answered += bench.done;
+  } while (std::next_permutation(order.begin(), order.end()));
+  EXPECT_GT(unknown, 100u);
+  EXPECT_GT(notRun, 20u);
+  EXPECT_GT(answered, 100u);
+}
+
+TEST(Relay, AfterANewPrimaryTheChangeGoesThereAtOnceAndAnOldAnswerIsLeftAside) {
+  Bench bench;
+  bench.step(RelayAsked{1, bench.now + Ms(5000)});
+  EXPECT_TRUE(bench.sent.empty());
+  bench.step(RelayPrimary{"a"});
+  ASSERT_EQ(bench.sent.size(), 1u);
+  bench.step(RelayPrimary{"b"});
+  ASSERT_EQ(bench.sent.size(), 2u);
+  EXPECT_EQ(bench.sent.back().address, "b");
+  bench.step(RelayReturned{1, bench.sent.front().attempt, RelayOutcome::final});
+  EXPECT_EQ(bench.finals, 0u);
+  bench.step(RelayReturned{1, bench.sent.back().attempt, RelayOutcome::final});
+  EXPECT_EQ(bench.done, 1u);
+}
+
+TEST(Relay, HasABound) {
+  Bench bench;
+  for (std::uint64_t ticket = 1; ticket <= 300; ++ticket) {
+    bench.step(RelayAsked{ticket, bench.now + Ms(5000)});
+  }
+  EXPECT_EQ(bench.finals, 44u);
+  EXPECT_EQ(*bench.verdict, Verdict::notRun);
+}
+
+TEST(Forgetting, MalformedWordsAreRefusedByPath) {
+  for (char const* const body : {"", "[]", "{}", R"({"nodes":[]})", R"({"nodes":["a",3]})", R"({"nodes":[""]})",
+                                  R"({"nodes":["a"],"now":true})", R"({"nodes":"a"})"}) {
+    std::variant<std::vector<std::string>, rigging::Answer> const read = readForget(body);
+    ASSERT_TRUE(std::holds_alternative<rigging::Answer>(read)) << body;
+    EXPECT_EQ(std::get<rigging::Answer>(read).status, 400);
+    EXPECT_NE(std::get<rigging::Answer>(read).body.find("\"path\""), std::string::npos);
+  }
+  EXPECT_EQ(std::get<std::vector<std::string>>(readForget(R"({"nodes":["a","b"]})")).size(), 2u);
+}
+
+TEST(Probing, OnlyARefusalOrAnotherNameProvesADeath) {
+  rigging::Exchange exchange;
+  EXPECT_FALSE(provesGone(exchange, "m01"));
+  exchange.refused = true;
+  EXPECT_TRUE(provesGone(exchange, "m01"));
+  exchange = {rigging::Answer{503, {}, R"({"ready":false,"node":"m01"})"}, tally::Verdict::ran, ""};
+  EXPECT_FALSE(provesGone(exchange, "m01"));
+  EXPECT_TRUE(provesGone(exchange, "m02"));
+  for (char const* const odd : {"", "{}", "nonsense", R"({"node":3})"}) {
+    exchange.answer->body = odd;
+    EXPECT_FALSE(provesGone(exchange, "m02")) << odd;
+  }
+}
+
+}
--- a/testside/drydock/roads.cpp
+++ b/testside/drydock/roads.cpp
@@ -44,12 +44,13 @@
 void Roads::start(std::size_t index) {
   Machine& machine = machines[index];
   machine.up = true;
+  machine.hostLost = false;
   machine.frozen = false;
   machine.thawWork.clear();
   ++machine.life;
   if (machine.quay) {
     Quay& quay = *machine.quay;
-    quay.courier.emplace(fairway::CourierPolicy{}, cargo::Follower{quay.node, quay.address, quay.zone, 0, 0}, sea.dice()());
+    quay.courier.emplace(fairway::CourierPolicy{}, cargo::Follower{quay.node, quay.address, quay.zone, 0, 0}, sea.dice()() | 1, sea.dice()());
     quay.version = {};
   } else {
     Master& master = *machine.master;
@@ -67,6 +68,59 @@
   ++machine.life;
 }
 
+void Roads::loseHost(std::size_t index) {
+  kill(index);
+  machines[index].hostLost = true;
+}
+
+void Roads::replace(std::size_t index) {
+  kill(index);
+  std::string const address = "127.0.1." + std::to_string(++replaced_) + ":7000";
+  if (machines[index].quay) {
+    machines[index].quay->node = "r" + std::to_string(replaced_);
+    machines[index].quay->address = address;
+  } else {
+    machines[index].master->address = address;
+    wipe(index);
+  }
+}
+
+void Roads::wipe(std::size_t index) {
+  kill(index);
+  Master& master = *machines[index].master;
+  master.disk.clear();
+  master.id = "h" + std::to_string(index) + "-" + std::to_string(++replaced_);
+}
+
+void Roads::probe(std::size_t from, harbour::Probe const& wanted) {
+  std::uint64_t const life = machines[from].life;
+  std::function<void(bool)> const tell = [this, from, life, token = wanted.token](bool gone) {
+    sea.after(std::chrono::microseconds(200 + sea.roll(3'000)), [this, from, life, token, gone] {
+      if (machines[from].up && machines[from].life == life) {
+        std::function<void()> const hear = [this, from, token, gone] { drivePlane(from, harbour::Probed{token, gone}); };
+        machines[from].frozen ? machines[from].thawWork.push_back(hear) : hear();
+      }
+    });
+  };
+  bool taken = false;
+  for (std::size_t to = 0; to < machines.size(); ++to) {
+    if (machines[to].address() != wanted.address) {
+      continue;
+    }
+    taken = true;
+    sea.after(std::chrono::microseconds(200 + sea.roll(3'000)), [this, to, from, tell, wanted] {
+      Machine const& machine = machines[to];
+      if (cuts_.contains({from, to}) || cuts_.contains({to, from}) || machine.hostLost || machine.frozen) {
+        return;
+      }
+      tell(!machine.up || (machine.quay && machine.quay->node != wanted.node));
+    });
+  }
+  if (!taken) {
+    tell(true);
+  }
+}
+
 void Roads::thaw(std::size_t index) {
   Machine& machine = machines[index];
   if (!machine.frozen) {
@@ -100,6 +154,35 @@
   return standing == fairway::Standing::current || standing == fairway::Standing::upheld;
 }
 
+std::string Roads::picture() const {
+  std::string out;
+  for (Machine const& machine : machines) {
+    std::string const end = std::string(machine.up ? " up" : " down") + (machine.frozen ? " frozen" : "");
+    if (machine.quay) {
+      std::optional<cargo::State> const& state = machine.quay->courier->state();
+      out += "\n" + machine.quay->node + end + " " + machine.quay->address + " standing " +
+             std::to_string(static_cast<int>(machine.quay->courier->footing(sea.now()).standing)) + " at " +
+             (state ? manifest::Version{state->epoch, state->sequence}.text() : "-");
+      continue;
+    }
+    cargo::EpochRecord const& decided = machine.master->council->decided();
+    out += "\n" + machine.master->id + end + " epoch " + std::to_string(decided.epoch) + " primary " + decided.primary +
+           " backup " + decided.backup;
+    if (machine.isActive()) {
+      cargo::State const& state = machine.master->plane->published();
+      out += " active, prior";
+      for (cargo::RosterEntry const& entry : state.priorRoster) {
+        out += " " + entry.node;
+      }
+      for (harbour::NodeView const& node : machine.master->plane->nodes(sea.now())) {
+        out += "\n    " + node.node + " " + node.address + " confirmed " + node.confirmed.text() + " heard " +
+               std::to_string(node.heardMs.count()) + (node.gone ? " gone" : "");
+      }
+    }
+  }
+  return out;
+}
+
 std::size_t Roads::serving() const {
   std::size_t count = 0;
   for (std::size_t index = 0; index < machines.size(); ++index) {
@@ -116,6 +199,12 @@
   return serving() >= wanted;
 }
 
+void Roads::complain(std::string const& text) {
+  if (complaints.empty() || complaints.back() != text) {
+    complaints.push_back(text);
+  }
+}
+
 void Roads::judge(std::size_t index) {
   Machine& machine = machines[index];
   if (!machine.quay || machine.frozen) {
@@ -126,7 +215,7 @@
   if (state) {
     manifest::Version const version{state->configurationEpoch, state->configurationSequence};
     if (version < quay.version) {
-      complaints.push_back(quay.node + " slipped from " + quay.version.text() + " to " + version.text());
+      complain(quay.node + " slipped from " + quay.version.text() + " to " + version.text());
     }
     quay.version = version;
   }
@@ -138,8 +227,8 @@
   upheld += quay.courier->footing(sea.now()).standing == fairway::Standing::upheld ? 1 : 0;
   for (std::pair<manifest::Version const, TimePoint> const& entry : acknowledged_) {
     if (entry.first > quay.version && sea.now() > entry.second + inForceMs) {
-      complaints.push_back(quay.node + " serves under " + quay.version.text() + " later than 2.1 s after " +
-                           entry.first.text() + " was acknowledged");
+      complain(quay.node + " serves under " + quay.version.text() + " later than 2.1 s after " + entry.first.text() +
+               " was acknowledged");
     }
   }
 }
@@ -260,15 +349,27 @@
       step(index, *offer);
     } else if (harbour::Decided const* const decided = std::get_if<harbour::Decided>(&effect)) {
       answers[decided->ticket] = {*decided, sea.now()};
-      if (decided->verdict == harbour::Verdict::taken) {
+      if (decided->verdict == harbour::Verdict::taken && decided->version != manifest::Version{}) {
         acknowledged_.emplace(decided->version, sea.now());
       }
     } else if (fairway::Outgoing const* const outgoing = std::get_if<fairway::Outgoing>(&effect)) {
       send(index, outgoing->address, outgoing->message);
+    } else if (harbour::Probe const* const wanted = std::get_if<harbour::Probe>(&effect)) {
+      probe(index, *wanted);
     }
   }
 }
 
+std::optional<std::uint64_t> Roads::forget(std::vector<std::string> const& nodes) {
+  std::optional<std::size_t> const index = primary();
+  if (!index) {
+    return std::nullopt;
+  }
+  std::uint64_t const ticket = ++lastTicket_;
+  drivePlane(*index, harbour::Forget{ticket, nodes, sea.now() + Ms(8000)});
+  return ticket;
+}
+
 std::optional<std::size_t> Roads::primary() const {
   for (std::size_t index = 0; index < machines.size(); ++index) {
     Machine const& machine = machines[index];
--- a/testside/drydock/roads.h
+++ b/testside/drydock/roads.h
@@ -37,6 +37,7 @@
   std::uint64_t life = 0;
   bool up = false;
   bool frozen = false;
+  bool hostLost = false;
   std::vector<std::function<void()>> thawWork;
   std::string address() const { return quay ? quay->address : master->address; }
   bool isActive() const { return master->plane->active() && master->council->active(); }
@@ -63,6 +64,10 @@
   void startAll();
   void start(std::size_t index);
   void kill(std::size_t index);
+  void loseHost(std::size_t index);
+  void replace(std::size_t index);
+  void wipe(std::size_t index);
+  void leave(std::size_t index) { machines[index].quay->courier->leave(); }
   void freeze(std::size_t index) { machines[index].frozen = true; }
   void thaw(std::size_t index);
   void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
@@ -71,9 +76,11 @@
   void run(Ms time) { sea.runUntil(sea.now() + time); }
   std::optional<std::uint64_t> change(std::string const& id, std::string const& body, std::optional<manifest::Version> base = {},
                                       bool patch = false);
+  std::optional<std::uint64_t> forget(std::vector<std::string> const& nodes);
   std::optional<std::size_t> primary() const;
   bool serves(std::size_t index) const;
   std::size_t serving() const;
+  std::string picture() const;
   bool awaitServing(std::size_t wanted, Ms within);
   manifest::Version newestAcknowledged() const { return acknowledged_.empty() ? manifest::Version{} : acknowledged_.rbegin()->first; }
 
@@ -81,15 +88,18 @@
   void step(std::size_t index, pledge::Event const& event);
   void drivePlane(std::size_t index, harbour::Event const& event);
   void send(std::size_t from, std::string const& address, cargo::Message const& message);
+  void probe(std::size_t from, harbour::Probe const& probe);
   void deliver(std::size_t to, std::size_t from, cargo::Message const& message);
   void follow(std::size_t index, fairway::CourierStep const& step);
   void tick(std::size_t index, std::uint64_t life);
+  void complain(std::string const& text);
   void judge(std::size_t index);
   std::vector<cargo::Peer> peers() const;
 
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::map<manifest::Version, TimePoint> acknowledged_;
   std::uint64_t lastTicket_ = 0;
+  std::size_t replaced_ = 0;
 };
 
 }
