--- a/libs/fairway/include/limeramp/fairway/views.h
+++ b/libs/fairway/include/limeramp/fairway/views.h
@@ -24,6 +24,8 @@
   std::size_t mostShuffled = 10;
   std::chrono::milliseconds shuffleMs{300};
   std::chrono::milliseconds forgetMs{6000};
+  std::chrono::milliseconds seedHeardMs{5000};
+  std::chrono::milliseconds loneFoundingMs{4000};
 };
 
 class Views {
@@ -37,7 +39,7 @@
   std::vector<Outgoing> hear(TimePoint now, std::string const& from, std::string const& address,
                              cargo::Shuffle const& message);
   std::vector<cargo::Peer> peers(TimePoint now) const;
-  bool seedsHeard(TimePoint now, std::chrono::milliseconds within) const;
+  bool mayFound(TimePoint now) const;
 
  private:
   struct Impl;
--- a/libs/fairway/src/courier.cpp
+++ b/libs/fairway/src/courier.cpp
@@ -183,6 +183,26 @@
     }
   }
 
+  cargo::News answer(TimePoint now, std::uint64_t token, Mark const& has) const {
+    cargo::News news;
+    news.token = token;
+    news.node = self.node;
+    news.epoch = mark().first;
+    news.sequence = mark().second;
+    news.primaryAddress = primaryAddress;
+    news.settled = settled;
+    news.boot = bearing.boot;
+    news.vouched = vouchList();
+    if (anchor) {
+      news.hasAge = true;
+      news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *anchor).count()) + 1;
+    }
+    if (state && has < mark()) {
+      news.state = state;
+    }
+    return news;
+  }
+
   std::optional<TimePoint> upheldAt() const {
     if (!listed()) {
       return std::nullopt;
@@ -287,6 +307,10 @@
   Impl& impl = *impl_;
   CourierStep out;
   Mark const has(message.self.epoch, message.self.sequence);
+  if (message.self.node.empty()) {
+    out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
+    return out;
+  }
   Listener& listener = impl.listeners[message.self.node];
   Mark const had(listener.follower.epoch, listener.follower.sequence);
   if (had != has && has == impl.mark()) {
@@ -309,23 +333,7 @@
   if (impl.listeners.size() > 1000) {
     impl.listeners.erase(impl.listeners.begin());
   }
-  cargo::News news;
-  news.token = message.token;
-  news.node = impl.self.node;
-  news.epoch = impl.mark().first;
-  news.sequence = impl.mark().second;
-  news.primaryAddress = impl.primaryAddress;
-  news.settled = impl.settled;
-  news.boot = impl.bearing.boot;
-  news.vouched = impl.vouchList();
-  if (impl.anchor) {
-    news.hasAge = true;
-    news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *impl.anchor).count()) + 1;
-  }
-  if (impl.state && has < impl.mark()) {
-    news.state = impl.state;
-  }
-  out.sends.push_back({message.self.address, std::move(news)});
+  out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
   return out;
 }
 
--- a/libs/fairway/src/views.cpp
+++ b/libs/fairway/src/views.cpp
@@ -26,6 +26,7 @@
   std::map<std::string, Entry> entries;
   std::map<std::string, TimePoint> heardAt;
   TimePoint nextAt{};
+  std::optional<TimePoint> startedAt;
   std::size_t turn = 0;
 
   void forget(TimePoint now) {
@@ -71,6 +72,7 @@
 
 std::vector<Outgoing> Views::tick(TimePoint now, bool eager) {
   std::vector<Outgoing> out;
+  impl_->startedAt = impl_->startedAt.value_or(now);
   if (now < impl_->nextAt) {
     return out;
   }
@@ -133,14 +135,14 @@
   return out;
 }
 
-bool Views::seedsHeard(TimePoint now, Ms within) const {
-  return std::all_of(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
-    if (seed == impl_->self.address) {
-      return true;
-    }
-    std::map<std::string, TimePoint>::const_iterator const found = impl_->heardAt.find(seed);
-    return found != impl_->heardAt.end() && now - found->second <= within;
-  });
+bool Views::mayFound(TimePoint now) const {
+  std::size_t const heard = static_cast<std::size_t>(
+      std::count_if(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
+        std::map<std::string, TimePoint>::const_iterator const found = impl_->heardAt.find(seed);
+        return seed == impl_->self.address || (found != impl_->heardAt.end() && now - found->second <= impl_->policy.seedHeardMs);
+      }));
+  bool const waited = impl_->startedAt && now - *impl_->startedAt >= impl_->policy.loneFoundingMs;
+  return heard == impl_->seeds.size() || (waited && 2 * heard > impl_->seeds.size());
 }
 
 std::vector<std::string> rankHomes(std::string const& topic, std::vector<std::string> nodes) {
--- a/libs/harbour/include/limeramp/harbour/desk.h
+++ b/libs/harbour/include/limeramp/harbour/desk.h
@@ -14,6 +14,7 @@
 std::variant<Change, rigging::Answer> readChange(rigging::Request const& request, TimePoint now,
                                                  std::string const& freshId);
 std::variant<std::vector<std::string>, rigging::Answer> readForget(std::string const& body);
+std::variant<std::string, rigging::Answer> readSalvage(std::string const& body);
 bool provesGone(rigging::Exchange const& exchange, std::string const& node);
 rigging::Answer answerOf(Decided const& decided, std::string const& change);
 rigging::Answer relayAnswer(rigging::Exchange const& exchange, std::string const& change);
--- a/libs/harbour/src/desk.cpp
+++ b/libs/harbour/src/desk.cpp
@@ -11,6 +11,22 @@
   return plain(400, "{\"outcome\":\"refused\",\"problems\":[{\"path\":" + json(path) + ",\"reason\":" + json(reason) + "}]}");
 }
 
+std::variant<picojson::value, rigging::Answer> readOneField(std::string const& body, std::string const& name) {
+  absl::StatusOr<picojson::value> const read = manifest::parseJson(body);
+  if (!read.ok()) {
+    return refused("/", std::string(read.status().message()));
+  }
+  if (!read->is<picojson::object>()) {
+    return refused("/", "must be an object");
+  }
+  for (std::pair<std::string const, picojson::value> const& entry : read->get<picojson::object>()) {
+    if (entry.first != name) {
+      return refused("/" + entry.first, "is not known");
+    }
+  }
+  return read->contains(name) ? read->get(name) : picojson::value();
+}
+
 }
 
 rigging::Answer plain(int status, std::string body) {
@@ -54,19 +70,11 @@
 }
 
 std::variant<std::vector<std::string>, rigging::Answer> readForget(std::string const& body) {
-  absl::StatusOr<picojson::value> const read = manifest::parseJson(body);
-  if (!read.ok()) {
-    return refused("/", std::string(read.status().message()));
+  std::variant<picojson::value, rigging::Answer> read = readOneField(body, "nodes");
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
+    return std::move(*wrong);
   }
-  if (!read->is<picojson::object>()) {
-    return refused("/", "must be an object");
-  }
-  for (std::pair<std::string const, picojson::value> const& entry : read->get<picojson::object>()) {
-    if (entry.first != "nodes") {
-      return refused("/" + entry.first, "is not known");
-    }
-  }
-  picojson::value const& nodes = read->get("nodes");
+  picojson::value const& nodes = std::get<picojson::value>(read);
   if (!nodes.is<picojson::array>() || nodes.get<picojson::array>().empty() || nodes.get<picojson::array>().size() > 1000) {
     return refused("/nodes", "must be an array of 1 to 1000 names of nodes");
   }
@@ -80,6 +88,18 @@
   return out;
 }
 
+std::variant<std::string, rigging::Answer> readSalvage(std::string const& body) {
+  std::variant<picojson::value, rigging::Answer> read = readOneField(body, "from");
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
+    return std::move(*wrong);
+  }
+  picojson::value const& from = std::get<picojson::value>(read);
+  if (!from.is<std::string>() || !rigging::Address::parse(from.get<std::string>())) {
+    return refused("/from", "must be the IP number and port of a node");
+  }
+  return from.get<std::string>();
+}
+
 bool provesGone(rigging::Exchange const& exchange, std::string const& node) {
   if (!exchange.answer) {
     return exchange.refused;
--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -9,7 +9,9 @@
 #include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
 
+#include <condition_variable>
 #include <map>
+#include <mutex>
 #include <thread>
 #include <unordered_map>
 
@@ -29,15 +31,25 @@
   std::string reason;
 };
 
-using Letter = std::variant<Incoming, DiskDone, RunBack, Probed>;
+struct RetireAsked {};
+
+using Letter = std::variant<Incoming, DiskDone, RunBack, Probed, RetireAsked>;
 
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
+constexpr Ms retireMs{3000};
 
 struct Work {
   std::uint64_t token = 0;
   hold::Puts puts;
 };
 
+struct Salvaging {
+  std::string from;
+  rigging::Responder respond;
+  Clock::time_point deadline;
+  Clock::time_point nextAt;
+};
+
 struct Client {
   rigging::Responder respond;
   std::string change;
@@ -81,15 +93,27 @@
   std::uint64_t lastTicket = 0;
   bool fleetElsewhere = false;
   bool draining = false;
+  std::optional<Salvaging> salvaging;
+  std::mutex retiredMutex;
+  std::condition_variable retiredChanged;
+  bool retired = false;
 
   void runCore();
   void runDisk();
   void on(Incoming& letter);
   void on(DiskDone& letter);
   void on(RunBack& letter) { runner.hear(Clock::now(), letter); }
+  void on(RetireAsked&) {
+    draining = true;
+    signal::raise(signal::Event::drainBegan, {});
+    driveCouncil(pledge::Retire{});
+  }
   void on(Probed& letter) { drivePlane(letter); }
   void probe(Probe const& effect);
   void forget(Incoming& letter);
+  void salvage(Incoming& letter);
+  void endSalvage(std::string const& refusal);
+  void pushSalvage(Clock::time_point now);
   void hearParcel(std::string const& body);
   void driveCouncil(pledge::Event const& event);
   void drivePlane(Event const& event);
@@ -140,6 +164,8 @@
       drivePlane(*active);
     } else if (std::holds_alternative<pledge::Inactive>(effect)) {
       drivePlane(pledge::Inactive{});
+    } else if (pledge::Salvaged const* const salvaged = std::get_if<pledge::Salvaged>(&effect)) {
+      endSalvage(salvaged->refusal);
     }
   }
 }
@@ -185,6 +211,10 @@
     sendAll(views.hear(now, parcel->from, parcel->address, *shuffle));
   } else if (cargo::Poll const* const poll = std::get_if<cargo::Poll>(&parcel->message)) {
     drivePlane(Polled{parcel->address, *poll});
+  } else if (cargo::News const* const news = std::get_if<cargo::News>(&parcel->message)) {
+    if (salvaging && parcel->address == salvaging->from && news->state && !parcel->fleet.empty()) {
+      driveCouncil(pledge::Salvage{parcel->fleet, *news->state});
+    }
   } else {
     driveCouncil(pledge::Received{parcel->from, parcel->address, std::move(parcel->message)});
   }
@@ -291,6 +321,48 @@
   drivePlane(Forget{ticket, std::get<std::vector<std::string>>(nodes), wanted.deadline});
 }
 
+void Office::Impl::salvage(Incoming& letter) {
+  std::variant<std::string, rigging::Answer> from = readSalvage(letter.content.body);
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&from)) {
+    letter.respond(std::move(*wrong));
+    return;
+  }
+  if (salvaging) {
+    letter.respond(plain(409, "{\"outcome\":\"conflict\",\"reason\":\"a salvage is under way\"}"));
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  salvaging = Salvaging{std::get<std::string>(from), std::move(letter.respond), now + Ms(5000), now};
+  pushSalvage(now);
+}
+
+void Office::Impl::pushSalvage(Clock::time_point now) {
+  if (salvaging && now >= salvaging->deadline) {
+    endSalvage("no configuration came from " + salvaging->from);
+  } else if (salvaging && now >= salvaging->nextAt) {
+    salvaging->nextAt = now + Ms(300);
+    cargo::Poll poll;
+    poll.token = 1;
+    poll.self.address = settings.advertise;
+    send(salvaging->from, std::move(poll));
+  }
+}
+
+void Office::Impl::endSalvage(std::string const& refusal) {
+  if (!salvaging) {
+    return;
+  }
+  rigging::Responder const respond = std::move(salvaging->respond);
+  salvaging.reset();
+  if (!refusal.empty()) {
+    respond(plain(409, "{\"outcome\":\"refused\",\"reason\":" + json(refusal) + "}"));
+    return;
+  }
+  signal::raise(signal::Event::salvaged, {{"epoch", std::to_string(council.decided().epoch)}});
+  respond(plain(200, "{\"outcome\":\"taken\",\"epoch\":" + std::to_string(council.decided().epoch) + ",\"state\":" +
+                         json(manifest::Version{council.state().epoch, council.state().sequence}.text()) + "}"));
+}
+
 void Office::Impl::probe(Probe const& effect) {
   std::uint64_t const token = effect.token;
   std::string const node = effect.node;
@@ -313,6 +385,8 @@
     change(letter);
   } else if (target == forgetPath && method == "POST") {
     forget(letter);
+  } else if (target == "/limeramp/salvage" && method == "POST") {
+    salvage(letter);
   } else if (target == configurationPath && method == "GET") {
     letter.respond(current());
   } else if (target == "/limeramp/ready" && method == "GET") {
@@ -320,8 +394,8 @@
   } else if (target == "/limeramp/status" && method == "GET") {
     letter.respond(status());
   } else if (target == "/limeramp/drain" && method == "POST") {
-    draining = true;
-    signal::raise(signal::Event::drainBegan, {});
+    RetireAsked asked;
+    on(asked);
     letter.respond(plain(200, "{\"draining\":true}"));
   } else {
     letter.respond(plain(404, "{\"reason\":\"no such page\"}"));
@@ -344,10 +418,16 @@
       known.members.push_back({peer.node, peer.address, peer.zone});
     }
   }
-  known.mayFound = !fleetElsewhere && views.seedsHeard(now, Ms(5000));
+  known.mayFound = !fleetElsewhere && views.mayFound(now);
   driveCouncil(known);
   driveCouncil(pledge::Tick{});
   drivePlane(Tick{});
+  pushSalvage(now);
+  if (draining && council.retired()) {
+    std::unique_lock<std::mutex> const lock(retiredMutex);
+    retired = true;
+    retiredChanged.notify_all();
+  }
   runner.tick(now, council.decided().epoch == 0 ? "" : council.primaryAddress());
 }
 
@@ -442,6 +522,11 @@
   }
 }
 
-void Office::drain() { impl_->server->stopAccepting(); }
+void Office::drain() {
+  impl_->inbox.push(RetireAsked{});
+  std::unique_lock<std::mutex> lock(impl_->retiredMutex);
+  impl_->retiredChanged.wait_for(lock, retireMs, [this] { return impl_->retired; });
+  impl_->server->stopAccepting();
+}
 
 }
--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -113,7 +113,7 @@
 
 bool Plane::Impl::confirmed(std::string const& node, Mark const& wanted) const {
   std::map<std::string, Known>::const_iterator const found = known.find(node);
-  if (found == known.end() || found->second.confirmed < wanted) {
+  if (found == known.end() || found->second.confirmed < wanted || found->second.confirmed.first > published.epoch) {
     return false;
   }
   fairway::Vouches::const_iterator const vouch = vouches.find(node);
--- a/libs/pledge/include/limeramp/pledge/council.h
+++ b/libs/pledge/include/limeramp/pledge/council.h
@@ -59,8 +59,13 @@
   cargo::State state;
 };
 struct Tick {};
+struct Retire {};
+struct Salvage {
+  std::string fleet;
+  cargo::State state;
+};
 
-using Event = std::variant<Start, Known, Received, Persisted, Offer, Tick>;
+using Event = std::variant<Start, Known, Received, Persisted, Offer, Tick, Retire, Salvage>;
 
 struct Send {
   std::string to;
@@ -88,7 +93,11 @@
   std::string about;
 };
 
-using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, Note>;
+struct Salvaged {
+  std::string refusal;
+};
+
+using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, Salvaged, Note>;
 
 class Council {
  public:
@@ -102,6 +111,7 @@
   bool active() const;
   bool busy() const;
   bool ailing() const;
+  bool retired() const;
   std::string const& id() const;
   cargo::EpochRecord const& decided() const;
   cargo::State const& state() const;
--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -38,9 +38,13 @@
 
 enum class Step { none, choosing, syncing, preparing, accepting };
 
+constexpr std::uint64_t salvageStride = 1'000'000;
+
 struct Proposal {
   Step step = Step::none;
-  std::string partner;
+  std::string primary;
+  std::string backup;
+  std::deque<std::string> toSync;
   std::uint64_t syncToken = 0;
   TimePoint sentAt{};
   cargo::Ballot ballot;
@@ -64,6 +68,7 @@
   std::vector<Effect> effects;
   bool started = false;
   bool broken = false;
+  bool retiring = false;
   Member self;
   std::mt19937_64 dice;
   Vote vote;
@@ -88,6 +93,7 @@
   std::optional<TimePoint> authorityAt;
   std::uint64_t highestRound = 0;
   std::uint64_t sealPersist = 0;
+  TimePoint yieldUntil{};
   Proposal proposal;
 
   void on(Start const& event);
@@ -96,6 +102,12 @@
   void on(Persisted const& event);
   void on(Offer const& event);
   void on(Tick const& event);
+  void on(Retire const&) {
+    retiring = true;
+    nextHailAt = now;
+    hail();
+  }
+  void on(Salvage const& event);
 
   void hear(std::string const& from, cargo::Hail const& message);
   void hear(std::string const& from, cargo::Prepare const& message);
@@ -123,15 +135,20 @@
   template <typename T>
   void restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value);
   std::uint64_t persist(bool withVote, bool withState, std::vector<Effect> then);
-  void learn(cargo::EpochRecord const& record);
+  void learn(cargo::EpochRecord const& record, bool withState = false);
   void beginRegime();
   void endRegime();
   void sendRegimeSync();
   void checkCommit();
   void sealSelf();
-  std::string choosePartner() const;
-  std::vector<std::string> chooseWitnesses(std::string const& partner) const;
+  std::string zoneOf(std::string const& id) const;
+  bool apart(std::string const& left, std::string const& right) const;
+  std::string choosePartner(std::string const& with) const;
+  std::vector<std::string> chooseWitnesses(std::string const& primary, std::string const& backup) const;
+  std::size_t zonesOf(std::vector<std::string> const& ids) const;
   bool witnessesNeedChange() const;
+  bool partnersFresh() const;
+  void syncNext();
   void pushProposal();
   void beginBallot();
   void beginAccept();
@@ -279,7 +296,35 @@
   }
 }
 
-void Council::Impl::learn(cargo::EpochRecord const& record) {
+void Council::Impl::on(Salvage const& event) {
+  std::string refusal;
+  std::string const partner = choosePartner(self.id);
+  if (broken || retiring) {
+    refusal = "this harbourmaster's disk failed, or it is ending";
+  } else if (vote.decided.epoch > 0 && event.fleet != vote.decided.fleet) {
+    refusal = "this harbourmaster is of another fleet";
+  } else if (vote.decided.epoch > 0 && fresh(vote.decided.primary, policy.lostMs) && fresh(vote.decided.backup, policy.lostMs)) {
+    refusal = "primary and backup are alive";
+  } else if (partner.empty()) {
+    refusal = "no other harbourmaster is heard that could be backup";
+  }
+  if (!refusal.empty()) {
+    effects.emplace_back(Salvaged{refusal});
+    return;
+  }
+  if (std::pair(event.state.epoch, event.state.sequence) > std::pair(state.epoch, state.sequence)) {
+    state = event.state;
+  }
+  std::uint64_t const generation = std::max(vote.decided.epoch, state.epoch) / salvageStride + 1;
+  cargo::EpochRecord record{generation * salvageStride + dice() % (salvageStride / 2), event.fleet, self.id, partner, {}};
+  record.witnesses = chooseWitnesses(self.id, partner);
+  learn(record, true);
+  effects.emplace_back(Salvaged{});
+  nextHailAt = now;
+  hail();
+}
+
+void Council::Impl::learn(cargo::EpochRecord const& record, bool withState) {
   if (record.epoch <= vote.decided.epoch) {
     return;
   }
@@ -302,7 +347,7 @@
   vote.acceptedBallot = {};
   vote.accepted.reset();
   quietSince = now;
-  persist(true, false, {});
+  persist(true, withState, {});
   beginRegime();
 }
 
@@ -352,7 +397,7 @@
 }
 
 void Council::Impl::on(Offer const& event) {
-  if (regime != Regime::active || ticket || isSealed() || !localDone || !backupDone) {
+  if (regime != Regime::active || ticket || retiring || isSealed() || !localDone || !backupDone) {
     effects.emplace_back(Doubtful{event.ticket});
     return;
   }
@@ -380,6 +425,7 @@
       sealSelf();
       withVote = true;
     }
+    yieldUntil = now + policy.lostMs;
   } else {
     std::strong_ordering const order = std::pair(message.state.epoch, message.state.sequence) <=> std::pair(state.epoch, state.sequence);
     if (isPrimary() && regime == Regime::joining && from == vote.decided.backup && order > 0 &&
@@ -420,8 +466,9 @@
     backupDone = true;
     checkCommit();
   }
-  if (proposal.step == Step::syncing && from == proposal.partner && message.token == proposal.syncToken) {
-    beginBallot();
+  if (proposal.step == Step::syncing && from == proposal.toSync.front() && message.token == proposal.syncToken) {
+    proposal.toSync.pop_front();
+    syncNext();
   }
 }
 
@@ -435,16 +482,25 @@
   authorityAt.reset();
 }
 
-std::string Council::Impl::choosePartner() const {
+std::string Council::Impl::zoneOf(std::string const& id) const {
+  std::map<std::string, Heard>::const_iterator const found = heard.find(id);
+  return id == self.id ? self.zone : found == heard.end() ? "" : found->second.member.zone;
+}
+
+bool Council::Impl::apart(std::string const& left, std::string const& right) const {
+  return !zoneOf(left).empty() && !zoneOf(right).empty() && zoneOf(left) != zoneOf(right);
+}
+
+std::string Council::Impl::choosePartner(std::string const& with) const {
   std::string best;
   int bestScore = -1;
   for (std::pair<std::string const, Heard> const& entry : heard) {
-    if (!fresh(entry.first, policy.lostMs)) {
+    if (entry.first == with || entry.first == self.id || !fresh(entry.first, policy.lostMs)) {
       continue;
     }
     int score = 0;
-    score += isPrimary() && entry.first == vote.decided.backup ? 4 : 0;
-    score += entry.second.member.zone != self.zone ? 2 : 0;
+    score += apart(entry.first, with) ? 4 : 0;
+    score += isPrimary() && entry.first == vote.decided.backup ? 2 : 0;
     score += std::count(vote.decided.witnesses.begin(), vote.decided.witnesses.end(), entry.first) > 0 ? 1 : 0;
     if (score > bestScore) {
       best = entry.first;
@@ -454,25 +510,39 @@
   return best;
 }
 
-std::vector<std::string> Council::Impl::chooseWitnesses(std::string const& partner) const {
-  std::vector<std::string> out{self.id, partner};
-  std::vector<std::string> spare;
-  for (std::string const& witness : vote.decided.witnesses) {
-    if (witness != self.id && witness != partner && fresh(witness, policy.witnessGoneMs)) {
-      spare.push_back(witness);
-    }
+std::size_t Council::Impl::zonesOf(std::vector<std::string> const& ids) const {
+  std::set<std::string> zones;
+  for (std::string const& id : ids) {
+    zones.insert(zoneOf(id));
   }
-  for (std::pair<std::string const, Heard> const& entry : heard) {
-    if (fresh(entry.first, policy.lostMs) && std::count(spare.begin(), spare.end(), entry.first) == 0) {
-      spare.push_back(entry.first);
+  return zones.size() - zones.count("");
+}
+
+std::vector<std::string> Council::Impl::chooseWitnesses(std::string const& primary, std::string const& backup) const {
+  std::vector<std::string> out{primary, backup};
+  std::vector<std::string> const& listed = vote.decided.witnesses;
+  while (out.size() < policy.founders) {
+    std::string best;
+    int bestScore = -1;
+    for (std::pair<std::string const, Heard> const& entry : heard) {
+      bool const witness = std::count(listed.begin(), listed.end(), entry.first) > 0;
+      if (!fresh(entry.first, witness ? policy.witnessGoneMs : policy.lostMs) ||
+          std::count(out.begin(), out.end(), entry.first) > 0) {
+        continue;
+      }
+      bool const newZone = std::all_of(out.begin(), out.end(), [&](std::string const& id) { return apart(id, entry.first); });
+      int const score = (newZone ? 2 : 0) + (witness ? 1 : 0);
+      if (score > bestScore) {
+        best = entry.first;
+        bestScore = score;
+      }
     }
-  }
-  for (std::string const& witness : vote.decided.witnesses) {
-    if (std::count(spare.begin(), spare.end(), witness) == 0) {
-      spare.push_back(witness);
+    if (best.empty()) {
+      break;
     }
+    out.push_back(best);
   }
-  for (std::string const& id : spare) {
+  for (std::string const& id : listed) {
     if (out.size() < policy.founders && std::count(out.begin(), out.end(), id) == 0) {
       out.push_back(id);
     }
@@ -482,18 +552,33 @@
 }
 
 bool Council::Impl::witnessesNeedChange() const {
-  for (std::string const& witness : vote.decided.witnesses) {
-    if (fresh(witness, policy.witnessGoneMs) || now - quietSince < policy.witnessGoneMs) {
-      continue;
-    }
-    for (std::pair<std::string const, Heard> const& entry : heard) {
-      std::vector<std::string> const& listed = vote.decided.witnesses;
-      if (fresh(entry.first, policy.lostMs) && std::count(listed.begin(), listed.end(), entry.first) == 0) {
-        return true;
-      }
-    }
+  if (now - quietSince < policy.witnessGoneMs) {
+    return false;
   }
-  return false;
+  std::vector<std::string> const wanted = chooseWitnesses(self.id, choosePartner(self.id));
+  std::vector<std::string> const& listed = vote.decided.witnesses;
+  bool const replaceable = std::any_of(wanted.begin(), wanted.end(), [&](std::string const& id) {
+    return std::count(listed.begin(), listed.end(), id) == 0;
+  });
+  bool const lost = std::any_of(listed.begin(), listed.end(),
+                                [&](std::string const& id) { return !fresh(id, policy.witnessGoneMs); });
+  bool const closer = !apart(self.id, vote.decided.backup) && apart(self.id, choosePartner(self.id));
+  return (replaceable && lost) || zonesOf(wanted) > zonesOf(listed) || closer;
+}
+
+bool Council::Impl::partnersFresh() const {
+  return fresh(proposal.primary, policy.lostMs) && fresh(proposal.backup, policy.lostMs);
+}
+
+void Council::Impl::syncNext() {
+  if (proposal.toSync.empty()) {
+    beginBallot();
+    return;
+  }
+  proposal.step = Step::syncing;
+  proposal.syncToken = ++lastToken;
+  proposal.sentAt = now;
+  send(proposal.toSync.front(), cargo::Sync{vote.decided, proposal.syncToken, true, state});
 }
 
 void Council::Impl::pushProposal() {
@@ -504,31 +589,37 @@
     case Step::none:
       return;
     case Step::choosing: {
-      std::string const partner = choosePartner();
+      bool const handsOver = retiring && isPrimary();
+      std::string const partner = handsOver && fresh(vote.decided.backup, policy.lostMs) ? vote.decided.backup : choosePartner(self.id);
       if (partner.empty()) {
         return;
       }
-      proposal.partner = partner;
-      proposal.step = Step::syncing;
-      proposal.syncToken = ++lastToken;
-      proposal.sentAt = now;
-      send(partner, cargo::Sync{vote.decided, proposal.syncToken, true, state});
+      std::string const second = handsOver ? choosePartner(partner) : partner;
+      proposal.primary = handsOver ? partner : self.id;
+      proposal.backup = second.empty() ? self.id : second;
+      proposal.toSync.clear();
+      for (std::string const& id : {proposal.primary, proposal.backup}) {
+        if (id != self.id) {
+          proposal.toSync.push_back(id);
+        }
+      }
+      syncNext();
       return;
     }
     case Step::syncing:
-      if (!fresh(proposal.partner, policy.lostMs)) {
+      if (!partnersFresh()) {
         proposal.step = Step::choosing;
         pushProposal();
       } else if (now - proposal.sentAt >= policy.resendMs) {
         proposal.sentAt = now;
-        send(proposal.partner, cargo::Sync{vote.decided, proposal.syncToken, true, state});
+        send(proposal.toSync.front(), cargo::Sync{vote.decided, proposal.syncToken, true, state});
       }
       return;
     case Step::preparing:
     case Step::accepting:
       if (now >= proposal.retryAt) {
         effects.emplace_back(Note{signal::Event::ballotLost, std::to_string(proposal.ballot.round)});
-        if (vote.decided.epoch > 0 && !fresh(proposal.partner, policy.lostMs)) {
+        if (vote.decided.epoch > 0 && !partnersFresh()) {
           proposal.step = Step::choosing;
           pushProposal();
         } else {
@@ -548,8 +639,8 @@
   proposal.retryAt = now + policy.ballotMs + Ms(static_cast<long>(dice() % static_cast<std::uint64_t>(policy.ballotMs.count())));
   if (vote.decided.epoch > 0) {
     proposal.voters = vote.decided.witnesses;
-    proposal.record = {vote.decided.epoch + 1, vote.decided.fleet, self.id, proposal.partner,
-                       chooseWitnesses(proposal.partner)};
+    proposal.record = {vote.decided.epoch + 1, vote.decided.fleet, proposal.primary, proposal.backup,
+                       chooseWitnesses(proposal.primary, proposal.backup)};
   }
   std::uint64_t const epoch = vote.decided.epoch;
   cargo::Prepare const message{vote.decided, proposal.ballot};
@@ -567,7 +658,7 @@
   if (message.decided.epoch < vote.decided.epoch) {
     cargo::Hail hint;
     hint.decided = vote.decided;
-    hint.ailing = ailing();
+    hint.ailing = ailing() || retiring;
     send(from, hint);
     return;
   }
@@ -688,13 +779,13 @@
     message.decided = vote.decided;
     message.token = token;
     message.echoed = entry.second.lastToken;
-    message.ailing = ailing();
+    message.ailing = ailing() || retiring;
     effects.emplace_back(Send{entry.first, entry.second.member.address, message});
   }
 }
 
 void Council::Impl::tryFounding() {
-  if (!mayFound || proposal.step != Step::none || now - quietSince < policy.lostMs) {
+  if (!mayFound || retiring || proposal.step != Step::none || now - quietSince < policy.lostMs) {
     return;
   }
   std::vector<std::pair<std::string, std::string>> around{{self.address, self.id}};
@@ -751,8 +842,11 @@
     }
     bool const settled = now - quietSince >= policy.lostMs;
     bool const backupGone = settled && !fresh(vote.decided.backup, policy.lostMs);
-    if (!isSealed() && !ailing() && (backupGone || witnessesNeedChange()) && !choosePartner().empty()) {
-      effects.emplace_back(Note{signal::Event::backupLost, vote.decided.backup});
+    bool const handsOver = retiring && !ticket;
+    if (!isSealed() && !ailing() && (handsOver || backupGone || witnessesNeedChange()) && !choosePartner(self.id).empty()) {
+      if (backupGone) {
+        effects.emplace_back(Note{signal::Event::backupLost, vote.decided.backup});
+      }
       sealSelf();
       persist(true, false, {});
       proposal.step = Step::choosing;
@@ -761,11 +855,11 @@
     }
   } else if (isBackup()) {
     bool const gone = now - quietSince >= policy.takeoverMs && !fresh(vote.decided.primary, policy.takeoverMs);
-    if (!isSealed() && !ailing() && gone && !choosePartner().empty()) {
+    if (!isSealed() && !ailing() && gone && !choosePartner(self.id).empty()) {
       sealSelf();
       persist(true, false, {});
       proposal.step = Step::choosing;
-    } else if (isSealed() && !ailing()) {
+    } else if (isSealed() && !ailing() && now >= yieldUntil) {
       proposal.step = Step::choosing;
     }
   }
@@ -789,6 +883,11 @@
 bool Council::active() const { return impl_->regime == Regime::active && !impl_->isSealed(); }
 bool Council::busy() const { return impl_->ticket.has_value(); }
 bool Council::ailing() const { return impl_->ailing(); }
+bool Council::retired() const {
+  std::map<std::string, Heard>::const_iterator const heir = impl_->heard.find(impl_->vote.decided.primary);
+  bool const known = heir != impl_->heard.end() && heir->second.hail.decided.epoch == impl_->vote.decided.epoch;
+  return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isSealed()));
+}
 std::string const& Council::id() const { return impl_->self.id; }
 cargo::EpochRecord const& Council::decided() const { return impl_->vote.decided; }
 cargo::State const& Council::state() const { return impl_->state; }
--- a/libs/signal/include/limeramp/signal/signal.h
+++ b/libs/signal/include/limeramp/signal/signal.h
@@ -38,6 +38,7 @@
   backupLost = 504,
   replicaRebuilt = 505,
   ballotLost = 506,
+  salvaged = 507,
   diskFailed = 510,
   diskDamaged = 511,
   diskTailCut = 512,
--- a/libs/signal/src/signal.cpp
+++ b/libs/signal/src/signal.cpp
@@ -10,7 +10,7 @@
 namespace limeramp::signal {
 namespace {
 
-constexpr std::array<EventInfo, 34> events{{
+constexpr std::array<EventInfo, 35> events{{
     {Event::processStarted, Level::info, "process_started", "the process read its settings and begins its duties"},
     {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
     {Event::settingsRefused, Level::error, "settings_refused", "the settings file or a flag is not usable"},
@@ -39,6 +39,7 @@
     {Event::backupLost, Level::warning, "backup_lost", "the primary does not hear its backup and looks for another"},
     {Event::replicaRebuilt, Level::info, "replica_rebuilt", "this replica took a snapshot from its peer"},
     {Event::ballotLost, Level::debug, "ballot_lost", "a ballot did not gather its votes and will be repeated"},
+    {Event::salvaged, Level::warning, "salvaged", "an operator began a new control group from what a node still held"},
     {Event::diskFailed, Level::error, "disk_failed", "a write or sync failed or took too long; the replica steps down"},
     {Event::diskDamaged, Level::error, "disk_damaged", "stored records are damaged and will not be served"},
     {Event::diskTailCut, Level::warning, "disk_tail_cut", "an unfinished last record was cut at start"},
--- a/programs/tender.cpp
+++ b/programs/tender.cpp
@@ -1,3 +1,4 @@
+#include "limeramp/manifest/configuration.h"
 #include "limeramp/manifest/json.h"
 #include "limeramp/rigging/http.h"
 
@@ -26,6 +27,8 @@
   tender [flags] ready                 exit 0 if the node is ready, 7 if not
   tender [flags] drain                 ask the node to finish and take nothing new
   tender [flags] --yes forget NODE...  nodes that are gone for good and cannot prove it leave the roster at once
+  tender [flags] --yes salvage IP:PORT begin a new control group at this harbourmaster, from the newest
+                                       configuration that any of --nodes holds
 
 FILE may be - for standard input. Exit: 0 taken or answered, 1 no answer, 2 wrong usage, 3 refused,
 4 the version is no longer current, 5 not carried out, 6 not known (ask again with the same --change).
@@ -35,6 +38,11 @@
     "tender: these nodes are then counted as dead. If one of them lives on, cut off from here together with others,\n"
     "tender: it may serve callers under an old configuration for as long as the cut lasts. Say --yes if they are gone.\n";
 
+char const* const salvageWarning =
+    "tender: only when most of the control group's disks are gone for good. Changes that none of --nodes has are lost,\n"
+    "tender: what is left of the old group is overruled when it returns. Do it at one harbourmaster only, once, and\n"
+    "tender: name all nodes you can reach. Say --yes if that is wanted.\n";
+
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
 struct Outcome {
@@ -42,6 +50,27 @@
   std::string node;
 };
 
+Outcome ask(std::vector<rigging::Address> const& nodes, rigging::Request const& request, Ms waitMs);
+
+std::optional<std::string> newestOf(std::vector<rigging::Address> const& nodes) {
+  std::optional<std::string> best;
+  manifest::Version newest;
+  for (rigging::Address const& node : nodes) {
+    Outcome const outcome = ask({node}, {"GET", "/limeramp/status", {}, "", ""}, Ms(2000));
+    absl::StatusOr<picojson::value> const body =
+        outcome.exchange.answer ? manifest::parseJson(outcome.exchange.answer->body, {4u << 20, 24, 400'000})
+                                : absl::UnavailableError("no answer");
+    bool const reads = body.ok() && body->is<picojson::object>() && body->get("role").to_str() == "quay";
+    std::optional<manifest::Version> const state = reads ? manifest::Version::parse(body->get("state").to_str()) : std::nullopt;
+    std::cerr << "tender: " << node.text() << (state ? " holds " + state->text() : " gives no state") << '\n';
+    if (state && *state > newest) {
+      newest = *state;
+      best = node.text();
+    }
+  }
+  return best;
+}
+
 Outcome ask(std::vector<rigging::Address> const& nodes, rigging::Request const& request, Ms waitMs) {
   rigging::Network network;
   rigging::HttpClient client(network, {});
@@ -149,7 +178,8 @@
         flags.count("rest") > 0 ? flags["rest"].as<std::vector<std::string>>() : std::vector<std::string>{};
     bool const writes = verb == "put" || verb == "patch";
     bool const sends = writes || verb == "forget";
-    bool const counted = verb == "forget" ? !rest.empty() : rest.size() == (writes ? 1u : 0u);
+    bool const salvages = verb == "salvage";
+    bool const counted = salvages ? rest.size() == 1 && rigging::Address::parse(rest.front()) : verb == "forget" ? !rest.empty() : rest.size() == (writes ? 1u : 0u);
     if (nodes.empty() || !flags.unmatched().empty() || waitMs <= 0 || waitMs > 60'000 ||
         !counted || (verb == "patch" && flags.count("base") == 0)) {
       std::cerr << "tender: " << (nodes.empty() ? "--nodes is needed" : "wrong usage") << "; see tender --help\n";
@@ -157,10 +187,19 @@
     }
     rigging::Request request;
     std::string change;
-    if (verb == "forget" && flags.count("yes") == 0) {
-      std::cerr << forgetWarning;
+    if ((verb == "forget" || salvages) && flags.count("yes") == 0) {
+      std::cerr << (salvages ? salvageWarning : forgetWarning);
       return Exit::usage;
     }
+    if (salvages) {
+      std::optional<std::string> const from = newestOf(nodes);
+      if (!from) {
+        std::cerr << "tender: none of the nodes holds a configuration\n";
+        return Exit::notRun;
+      }
+      request = {"POST", "/limeramp/salvage", {{"content-type", "application/json"}}, "{\"from\":" + json(*from) + "}", ""};
+      return report(ask({*rigging::Address::parse(rest.front())}, request, Ms(8000)), verb, "");
+    }
     if (writes && !readFile(rest.front(), request.body)) {
       std::cerr << "tender: " << rest.front() << " cannot be read\n";
       return Exit::usage;
--- a/tests/council_test.cpp
+++ b/tests/council_test.cpp
@@ -97,6 +97,148 @@
   }
 }
 
+std::size_t indexOf(Councils& group, std::string const& id) {
+  for (std::size_t index = 0; index < group.nodes.size(); ++index) {
+    if (group.nodes[index].id == id) {
+      return index;
+    }
+  }
+  return group.nodes.size();
+}
+
+TEST(Retiring, AWarnedPrimaryHandsOverWithoutTheSilenceOfATakeover) {
+  Ms worst{0};
+  Ms withoutWarning{1'000'000};
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    for (bool const warned : {true, false}) {
+      Councils group(seed, 3 + seed % 2, 0.01);
+      startAll(group);
+      expectAlive(group, "at first");
+      std::size_t const primary = primaryOf(group);
+      if (warned) {
+        group.retire(primary);
+        for (int round = 0; round < 200 && !group.nodes[primary].council.retired(); ++round) {
+          group.run(Ms(10));
+        }
+        EXPECT_TRUE(group.nodes[primary].council.retired()) << seed;
+      }
+      TimePoint const ended = group.sea.now();
+      group.kill(primary, false);
+      std::size_t const before = group.commits;
+      while (group.commits == before && group.sea.now() - ended < Ms(20'000)) {
+        group.run(Ms(10));
+        group.offer();
+      }
+      Ms const gap = std::chrono::duration_cast<Ms>(group.sea.now() - ended);
+      (warned ? worst : withoutWarning) = warned ? std::max(worst, gap) : std::min(withoutWarning, gap);
+      group.start(primary);
+      group.run(Ms(2000));
+      expectAlive(group, "after the return");
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+    }
+  }
+  std::printf("seeds 1 to 40: first change %ld ms at most after a warned end, %ld ms at least after a sudden one\n",
+              static_cast<long>(worst.count()), static_cast<long>(withoutWarning.count()));
+  EXPECT_LT(worst, Ms(700));
+  EXPECT_GT(withoutWarning, Ms(1200));
+}
+
+TEST(Retiring, KilledAtEveryStepOfItsHandOverLosesNothing) {
+  for (std::uint64_t stepUs = 0; stepUs < 60'000; stepUs += 500) {
+    Councils group(500 + stepUs, 3, 0);
+    startAll(group);
+    expectAlive(group, "at first");
+    std::size_t const primary = primaryOf(group);
+    group.offer();
+    group.retire(primary);
+    group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+    group.kill(primary, stepUs % 1000 == 0);
+    expectAlive(group, "after the end at " + std::to_string(stepUs));
+    group.start(primary);
+    group.run(Ms(3000));
+    expectAlive(group, "after the return");
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << stepUs;
+  }
+}
+
+TEST(Zones, ReplicasAndWitnessesSpreadAgainAfterReplacements) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Councils group(seed, 5, 0.01);
+    for (std::size_t index = 0; index < 5; ++index) {
+      group.nodes[index].zone = index < 3 ? "z" + std::to_string(index) : "z0";
+    }
+    startAll(group);
+    expectAlive(group, "at first");
+    std::vector<std::size_t> order{0, 1, 2, 3, 4};
+    std::shuffle(order.begin(), order.end(), group.sea.dice());
+    for (std::size_t const lost : order) {
+      group.wipe(lost);
+      expectAlive(group, "with one lost");
+      group.run(Ms(8000));
+      group.start(lost);
+      group.run(Ms(15'000));
+      std::size_t const primary = primaryOf(group);
+      cargo::EpochRecord const& record = group.nodes[primary].council.decided();
+      std::set<std::string> zones;
+      for (std::string const& id : record.witnesses) {
+        zones.insert(group.nodes[indexOf(group, id)].zone);
+      }
+      EXPECT_EQ(zones.size(), 3u) << seed << " " << lost;
+      EXPECT_NE(group.nodes[primary].zone, group.nodes[indexOf(group, record.backup)].zone) << seed << " " << lost;
+      std::uint64_t const epoch = record.epoch;
+      group.run(Ms(20'000));
+      EXPECT_EQ(group.nodes[primaryOf(group)].council.decided().epoch, epoch) << "without a reason";
+    }
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Salvage, AfterAMajorityOfWitnessesIsGoneANewGroupGoesOnAndTheOldOneComesTooLate) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    Councils group(seed, 4, 0);
+    startAll(group);
+    expectAlive(group, "at first");
+    std::size_t const primary = primaryOf(group);
+    cargo::EpochRecord const record = group.nodes[primary].council.decided();
+    cargo::State const newest = group.nodes[primary].council.state();
+    EXPECT_EQ(group.salvage(indexOf(group, record.backup), newest, record.fleet), "primary and backup are alive");
+    std::vector<std::size_t> lost;
+    for (std::string const& id : record.witnesses) {
+      lost.push_back(indexOf(group, id));
+    }
+    std::map<std::string, std::string> const oldDisk = group.nodes[primary].disk;
+    std::string const oldId = group.nodes[primary].id;
+    std::shuffle(lost.begin(), lost.end(), group.sea.dice());
+    bool const keepsOne = seed % 2 == 0;
+    for (std::size_t place = keepsOne ? 1 : 0; place < lost.size(); ++place) {
+      group.wipe(lost[place]);
+      group.start(lost[place]);
+    }
+    group.run(Ms(10'000));
+    EXPECT_FALSE(group.active().has_value());
+    std::size_t const chosen = lost.back();
+    if (keepsOne) {
+      EXPECT_EQ(group.salvage(lost.front(), newest, "another"), "this harbourmaster is of another fleet");
+    }
+    EXPECT_EQ(group.salvage(chosen, newest, record.fleet), "");
+    expectAlive(group, "after the salvage");
+    EXPECT_GT(group.nodes[primaryOf(group)].council.decided().epoch, record.epoch + 1000);
+    std::size_t const other = lost[lost.size() - 2];
+    group.kill(other, true);
+    group.nodes[other].id = oldId;
+    group.nodes[other].disk = oldDisk;
+    group.start(other);
+    for (int round = 0; round < 200; ++round) {
+      group.run(Ms(50));
+      group.offer();
+    }
+    expectAlive(group, "with one of the old group back");
+    EXPECT_GT(group.nodes[other].council.decided().epoch, record.epoch + 1000);
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+    EXPECT_EQ(group.fleets.size(), 1u);
+  }
+}
+
 TEST(Council, AFrozenPrimaryThatThawsAcknowledgesNothing) {
   for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 500) {
     Councils group(300 + stepUs, 3, 0);
@@ -321,6 +463,14 @@
           }
           break;
         }
+        case 11:
+          if (node.up && !node.frozen) {
+            group.retire(index);
+            group.run(Ms(static_cast<long>(group.sea.roll(400))));
+            group.kill(index, group.sea.chance(0.5));
+            group.start(index);
+          }
+          break;
         default:
           break;
       }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -129,6 +129,10 @@
     EXPECT_EQ(std::get<rigging::Answer>(read).status, 400);
     EXPECT_NE(std::get<rigging::Answer>(read).body.find("\"path\""), std::string::npos);
   }
+  for (char const* const body : {"", "{}", R"({"from":3})", R"({"from":"somewhere"})", R"({"from":"127.0.0.1:1","sure":true})"}) {
+    EXPECT_TRUE(std::holds_alternative<rigging::Answer>(readSalvage(body))) << body;
+  }
+  EXPECT_EQ(std::get<std::string>(readSalvage(R"({"from":"127.0.0.1:1"})")), "127.0.0.1:1");
   EXPECT_EQ(std::get<std::vector<std::string>>(readForget(R"({"nodes":["a","b"]})")).size(), 2u);
 }
 
--- /dev/null
+++ b/tests/views_test.cpp
@@ -0,0 +1,169 @@
+#include "drydock/sea.h"
+#include "limeramp/fairway/views.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::fairway;
+using drydock::Sea;
+using Ms = std::chrono::milliseconds;
+
+struct Crowd {
+  Crowd(std::uint64_t seed, std::size_t count) : sea(seed) {
+    for (std::size_t index = 0; index < count; ++index) {
+      addresses.push_back("127.0." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1) + ":7000");
+      views.emplace_back();
+      up.push_back(false);
+      sent.push_back(0);
+    }
+  }
+
+  Sea sea;
+  std::vector<std::string> addresses;
+  std::vector<std::optional<Views>> views;
+  std::vector<bool> up;
+  std::vector<std::size_t> sent;
+
+  std::string nameOf(std::size_t index) const { return "m" + std::to_string(index); }
+
+  void start(std::size_t index) {
+    std::vector<std::string> const seeds(addresses.begin(), addresses.begin() + 3);
+    views[index].emplace(ViewPolicy{}, cargo::Peer{nameOf(index), addresses[index], "z", "quay", sea.dice()(), 0}, seeds,
+                         sea.dice()());
+    up[index] = true;
+    tick(index);
+  }
+
+  void tick(std::size_t index) {
+    if (!up[index]) {
+      return;
+    }
+    send(index, views[index]->tick(sea.now()));
+    sea.after(Ms(20), [this, index] { tick(index); });
+  }
+
+  void send(std::size_t from, std::vector<Outgoing> const& sends) {
+    for (Outgoing const& outgoing : sends) {
+      ++sent[from];
+      std::size_t const to = static_cast<std::size_t>(std::find(addresses.begin(), addresses.end(), outgoing.address) - addresses.begin());
+      cargo::Shuffle const shuffle = std::get<cargo::Shuffle>(outgoing.message);
+      sea.after(std::chrono::microseconds(200 + sea.roll(3000)), [this, from, to, shuffle] {
+        if (to < up.size() && up[to]) {
+          send(to, views[to]->hear(sea.now(), nameOf(from), addresses[from], shuffle));
+        }
+      });
+    }
+  }
+
+  std::size_t holders(std::string const& node) const {
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+      if (up[index]) {
+        std::vector<cargo::Peer> const peers = views[index]->peers(sea.now());
+        count += std::any_of(peers.begin(), peers.end(), [&](cargo::Peer const& peer) { return peer.node == node; }) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  std::size_t reachedFrom(std::size_t first) const {
+    std::set<std::size_t> seen{first};
+    std::vector<std::size_t> left{first};
+    while (!left.empty()) {
+      std::size_t const at = left.back();
+      left.pop_back();
+      for (cargo::Peer const& peer : views[at]->peers(sea.now())) {
+        std::size_t const next = static_cast<std::size_t>(std::stoul(peer.node.substr(1)));
+        if (up[next] && seen.insert(next).second) {
+          left.push_back(next);
+        }
+      }
+    }
+    return seen.size();
+  }
+};
+
+TEST(Views, UnderChurnTheCrowdStaysOneAndTheDeadAreForgotten) {
+  for (std::size_t const count : {10u, 30u, 100u}) {
+    std::vector<long> forgotten;
+    std::vector<long> joined;
+    double messages = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      Crowd crowd(seed, count);
+      for (std::size_t index = 0; index < count; ++index) {
+        crowd.start(index);
+      }
+      crowd.sea.runUntil(crowd.sea.now() + Ms(10'000));
+      EXPECT_EQ(crowd.reachedFrom(count - 1), count);
+      std::fill(crowd.sent.begin(), crowd.sent.end(), 0);
+      drydock::TimePoint const before = crowd.sea.now();
+      crowd.sea.runUntil(before + Ms(10'000));
+      for (std::size_t const sent : crowd.sent) {
+        messages += static_cast<double>(sent) / static_cast<double>(count) / 10 / 5;
+      }
+      std::vector<std::size_t> dead;
+      for (std::size_t index = 3; index < count; ++index) {
+        if (crowd.sea.chance(0.4)) {
+          crowd.up[index] = false;
+          dead.push_back(index);
+        }
+      }
+      drydock::TimePoint const killed = crowd.sea.now();
+      std::set<std::size_t> held(dead.begin(), dead.end());
+      while (!held.empty() && crowd.sea.now() - killed < Ms(20'000)) {
+        crowd.sea.runUntil(crowd.sea.now() + Ms(100));
+        std::erase_if(held, [&](std::size_t index) {
+          bool const gone = crowd.holders(crowd.nameOf(index)) == 0;
+          if (gone) {
+            forgotten.push_back(std::chrono::duration_cast<Ms>(crowd.sea.now() - killed).count());
+          }
+          return gone;
+        });
+      }
+      EXPECT_TRUE(held.empty());
+      for (std::size_t const index : dead) {
+        drydock::TimePoint const began = crowd.sea.now();
+        crowd.start(index);
+        while (crowd.holders(crowd.nameOf(index)) < 3 && crowd.sea.now() - began < Ms(10'000)) {
+          crowd.sea.runUntil(crowd.sea.now() + Ms(50));
+        }
+        joined.push_back(std::chrono::duration_cast<Ms>(crowd.sea.now() - began).count());
+      }
+      crowd.sea.runUntil(crowd.sea.now() + Ms(3000));
+      EXPECT_EQ(crowd.reachedFrom(count - 1), count) << seed;
+    }
+    std::sort(forgotten.begin(), forgotten.end());
+    std::sort(joined.begin(), joined.end());
+    std::printf("%zu nodes, seeds 1 to 5: %.1f messages a second from each; forgotten by all after %ld / %ld / %ld ms, "
+                "known to three others after %ld / %ld / %ld ms (median, 95th, most)\n",
+                count, messages, forgotten[forgotten.size() / 2], forgotten[forgotten.size() * 95 / 100], forgotten.back(),
+                joined[joined.size() / 2], joined[joined.size() * 95 / 100], joined.back());
+    EXPECT_LE(forgotten.back(), 7000);
+    EXPECT_LE(joined.back(), 3000);
+    EXPECT_LT(messages, 20.0);
+  }
+}
+
+TEST(Founding, OneSeedOfThreeMayBeMissingButNotTwo) {
+  std::vector<std::string> const seeds{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"};
+  for (std::size_t heard = 0; heard < 3; ++heard) {
+    Views views({}, cargo::Peer{"m1", seeds[0], "z", "harbourmaster", 1, 0}, seeds, 5);
+    TimePoint const start{std::chrono::hours(1)};
+    for (long waitMs = 0; waitMs <= 8000; waitMs += 100) {
+      TimePoint const now = start + Ms(waitMs);
+      views.tick(now);
+      for (std::size_t seed = 1; seed <= heard; ++seed) {
+        views.hear(now, "m" + std::to_string(seed + 1), seeds[seed], cargo::Shuffle{true, {}});
+      }
+      EXPECT_EQ(views.mayFound(now), heard == 2 || (heard == 1 && waitMs >= 4000)) << heard << " " << waitMs;
+    }
+  }
+}
+
+}
--- a/testside/drydock/councils.cpp
+++ b/testside/drydock/councils.cpp
@@ -174,11 +174,19 @@
     witness(index, active->state, "begins with");
     fleets.insert(nodes[index].council.decided().fleet);
     ++takeovers;
+  } else if (pledge::Salvaged const* const salvaged = std::get_if<pledge::Salvaged>(&effect)) {
+    refusal_ = salvaged->refusal;
   } else if (std::holds_alternative<pledge::Doubtful>(effect)) {
     ++doubts;
   }
 }
 
+std::string Councils::salvage(std::size_t index, cargo::State const& state, std::string const& fleet) {
+  refusal_ = "no answer";
+  step(index, pledge::Salvage{fleet, state});
+  return refusal_;
+}
+
 void Councils::offer() {
   for (std::size_t index = 0; index < nodes.size(); ++index) {
     CouncilNode& node = nodes[index];
--- a/testside/drydock/councils.h
+++ b/testside/drydock/councils.h
@@ -46,6 +46,8 @@
   void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
   void mendAll() { cuts_.clear(); }
   void offer();
+  void retire(std::size_t index) { step(index, pledge::Retire{}); }
+  std::string salvage(std::size_t index, cargo::State const& state, std::string const& fleet);
   std::optional<std::size_t> active() const;
   void run(Ms time) { sea.runUntil(sea.now() + time); }
   void setLoss(double loss) { loss_ = loss; }
@@ -62,6 +64,7 @@
   std::uint64_t lastTicket_ = 0;
   std::size_t renamed_ = 0;
   std::string committed_;
+  std::string refusal_;
   std::map<std::uint64_t, TimePoint> firstCommit_;
   std::map<std::uint64_t, cargo::EpochRecord> records_;
 };
