--- a/libs/berth/include/limeramp/berth/desk.h
+++ b/libs/berth/include/limeramp/berth/desk.h
@@ -20,6 +20,7 @@
   std::chrono::milliseconds replyMs{500};
   std::chrono::milliseconds suspectMs{3000};
   std::chrono::milliseconds oldNewsMs{1200};
+  std::chrono::milliseconds youngMs{2000};
   std::chrono::milliseconds listMs{400};
   std::chrono::milliseconds emptyHeldMs{10'000};
   std::chrono::milliseconds followerMs{2000};
--- a/libs/berth/src/desk.cpp
+++ b/libs/berth/src/desk.cpp
@@ -47,6 +47,7 @@
   std::map<std::string, TimePoint> askedAt;
   std::map<std::string, TimePoint> suspects;
   TimePoint nextPollAt{};
+  std::optional<TimePoint> startedAt;
   TimePoint nextListAt{};
   bool listPending = false;
   std::size_t lastRows = 0;
@@ -75,6 +76,7 @@
   }
 
   bool adopt(TimePoint now, std::string const& service, std::vector<cargo::TableRow> const& rows) {
+    bool older = false;
     for (cargo::TableRow const& row : rows) {
       TimePoint const at = now - Ms(static_cast<long>(row.ageMs));
       std::pair<std::string, std::string> const key(service, row.address);
@@ -82,6 +84,7 @@
       if (seen == firstSeen.end()) {
         firstSeen.emplace(key, at);
       } else {
+        older = older || at + policy.listMs < seen->second;
         seen->second = std::min(seen->second, at);
       }
     }
@@ -92,7 +95,7 @@
     });
     Sheet& sheet = sheets[service];
     std::uint64_t const digest = digestOf(rows);
-    bool const changed = !sheet.asOf || sheet.digest != digest;
+    bool const changed = !sheet.asOf || sheet.digest != digest || older;
     sheet.rows = rows;
     sheet.digest = digest;
     sheet.asOf = now;
@@ -134,6 +137,7 @@
     return out;
   }
   impl.nextPollAt = now + impl.policy.pollMs;
+  impl.startedAt = impl.startedAt.value_or(now);
   std::erase_if(impl.suspects, [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
   std::erase_if(impl.askedAt, [&](std::pair<std::string const, TimePoint> const& entry) {
     bool const late = now - entry.second > impl.policy.replyMs;
@@ -149,24 +153,30 @@
   bool own = false;
   for (std::string const& service : around.services) {
     Sheet& sheet = impl.sheets[service];
-    std::string home = impl.address;
+    std::string home;
+    std::string elder;
     for (std::string const& candidate : fairway::rankHomes("service/" + service + "/" + impl.zone, around.zoneAddresses)) {
       if (candidate == impl.address || !impl.suspects.contains(candidate)) {
-        home = candidate;
-        break;
+        home = home.empty() ? candidate : home;
+        elder = elder.empty() && candidate != impl.address ? candidate : elder;
       }
     }
+    home = home.empty() ? impl.address : home;
     bool const old = !sheet.asOf || now - *sheet.asOf > impl.policy.oldNewsMs;
     if (home == impl.address || old) {
       sheet.servedUntil = std::max(sheet.servedUntil, now + impl.policy.pollMs * 2);
     }
-    if (home != impl.address) {
+    bool const young = now - *impl.startedAt <= impl.policy.youngMs;
+    if (home == impl.address && young) {
+      home = elder;
+    }
+    if (!home.empty() && home != impl.address) {
       cargo::TablePoll& poll = polls[home];
       poll.node = impl.node;
       poll.address = impl.address;
       cargo::Table has;
       has.service = service;
-      has.digest = sheet.asOf ? sheet.digest : 0;
+      has.digest = sheet.asOf && !young ? sheet.digest : 0;
       poll.have.push_back(std::move(has));
     }
   }
--- a/libs/shoal/src/machine.cpp
+++ b/libs/shoal/src/machine.cpp
@@ -21,6 +21,7 @@
 struct ServerState {
   ServerRow row;
   TimePoint startedAt;
+  TimePoint backAt{};
   std::size_t inFlight = 0;
   std::deque<TimePoint> ghosts;
   double latencyMs = 0;
@@ -30,6 +31,7 @@
   std::size_t unanswered = 0;
   TimePoint firstUnansweredAt;
   std::optional<TimePoint> downUntil;
+  bool wasAway = false;
   Ms downMs{0};
   double tokens = 0;
   TimePoint tokensAt;
@@ -137,7 +139,7 @@
   if (server.row.slowStartMs.count() <= 0) {
     return 1;
   }
-  double const share = FineMs(now - server.startedAt) / FineMs(server.row.slowStartMs);
+  double const share = FineMs(now - std::max(server.startedAt, server.backAt)) / FineMs(server.row.slowStartMs);
   return std::clamp(policy.freshShare + (1 - policy.freshShare) * share, policy.freshShare, 1.0);
 }
 
@@ -229,6 +231,7 @@
       state.limit = static_cast<double>(policy.concurrentPerServer);
     } else {
       state = std::move(old->second);
+      state.startedAt = std::min(state.startedAt, now - row.ageMs);
     }
     state.row = row;
     next.emplace(row.address, std::move(state));
@@ -527,10 +530,13 @@
     server.failures = 0;
     server.unanswered = 0;
     server.limit = std::min(static_cast<double>(policy.concurrentPerServer), server.limit + policy.limitGrowth);
+    if (server.downUntil || server.wasAway) {
+      server.backAt = now;
+    }
+    server.wasAway = false;
     if (server.downUntil) {
       server.downUntil.reset();
       server.downMs = Ms(0);
-      server.startedAt = now;
       effects.emplace_back(Note{signal::Event::serverBack, serviceName, server.row.address});
     }
     server.latencyMs = server.latencyMs <= 0 ? latencyMs : server.latencyMs * 0.8 + latencyMs * 0.2;
@@ -542,6 +548,7 @@
     server.firstFailureAt = now;
   }
   bool const refused = event.verdict == tally::Verdict::notRun;
+  server.wasAway = server.wasAway || refused;
   if (server.downUntil || (refused && server.failures >= 2) ||
       (server.failures >= 3 && now - server.firstFailureAt >= Ms(100))) {
     markDown(serviceName, server);
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -257,6 +257,110 @@
   }
 }
 
+TEST(Roster, WhileAChangeOfItIsOnItsWayTheOldMajorityCountsToo) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 9, 1);
+    for (std::size_t index = 0; index < 6; ++index) {
+      roads.start(index);
+    }
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(3, Ms(10'000)));
+    std::size_t const lonely = 3 + roads.sea.roll(3);
+    std::set<std::size_t> side{3, 4, 5};
+    side.erase(lonely);
+    roads.split(side);
+    for (std::size_t index = 6; index < 12; ++index) {
+      roads.start(index);
+    }
+    roads.run(Ms(1500));
+    EXPECT_GT(roads.machines[*roads.primary()].master->plane->published().roster.size(), 3u);
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
+    roads.run(Ms(3000));
+    for (std::size_t const index : side) {
+      EXPECT_TRUE(roads.serves(index)) << seed;
+    }
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+    roads.mendAll();
+    EXPECT_EQ(insist(roads, "third", 3), harbour::Verdict::taken);
+    EXPECT_TRUE(roads.awaitServing(9, Ms(5000))) << seed;
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Zone, EachOneMayBeLostWholeAndReturnWithAnEmptyDisk) {
+  for (std::size_t const zones : {3u, 4u}) {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      std::size_t const masters = zones;
+      Roads roads(seed, masters, 12 - zones, zones);
+      roads.startAll();
+      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+      ASSERT_TRUE(roads.awaitServing(12 - zones, Ms(10'000)));
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        std::size_t lost = 0;
+        for (std::size_t index = zone; index < roads.machines.size(); index += zones) {
+          seed % 2 == 0 ? roads.loseHost(index) : roads.kill(index);
+          lost += index >= masters ? 1 : 0;
+        }
+        std::string const name = "lost" + std::to_string(zone);
+        TimePoint const began = roads.sea.now();
+        EXPECT_EQ(insist(roads, name, 10 + zone), harbour::Verdict::taken) << seed << " zone " << zone;
+        EXPECT_LT(roads.sea.now() - began, Ms(5000)) << seed << " zone " << zone;
+        EXPECT_EQ(roads.serving(), 12 - zones - lost) << seed << " zone " << zone;
+        roads.run(Ms(6000));
+        roads.replace(zone);
+        for (std::size_t index = zone; index < roads.machines.size(); index += zones) {
+          roads.start(index);
+        }
+        EXPECT_TRUE(roads.awaitServing(12 - zones, Ms(5000))) << seed << " zone " << zone << roads.picture();
+        roads.run(Ms(10'000));
+      }
+      EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+    }
+  }
+}
+
+TEST(TotalLoss, WithAnyOneDiskLostServiceIsBackInTwelveSecondsInAnyOrder) {
+  Ms worst{0};
+  for (std::size_t lostDisk = 0; lostDisk <= 3; ++lostDisk) {
+    for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+      Roads roads(seed, 3, 8, 3);
+      roads.startAll();
+      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+      ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+      manifest::Version const before = roads.newestAcknowledged();
+      std::vector<std::size_t> order;
+      for (std::size_t index = 0; index < roads.machines.size(); ++index) {
+        roads.kill(index);
+        order.push_back(index);
+      }
+      roads.run(Ms(static_cast<long>(roads.sea.roll(4000))));
+      std::shuffle(order.begin(), order.end(), roads.sea.dice());
+      if (lostDisk < 3) {
+        roads.replace(lostDisk);
+      }
+      for (std::size_t const index : order) {
+        if (roads.machines[index].quay && roads.sea.chance(0.3)) {
+          roads.replace(index);
+        }
+        roads.start(index);
+        roads.run(Ms(static_cast<long>(roads.sea.roll(300))));
+      }
+      TimePoint const back = roads.sea.now();
+      EXPECT_TRUE(roads.awaitServing(8, Ms(12'000))) << lostDisk << " seed " << seed << roads.picture();
+      worst = std::max(worst, std::chrono::duration_cast<Ms>(roads.sea.now() - back));
+      for (Machine const& machine : roads.machines) {
+        if (machine.quay) {
+          EXPECT_GE(machine.quay->version, before);
+        }
+      }
+      EXPECT_EQ(insist(roads, "after", 3), harbour::Verdict::taken);
+      EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+    }
+  }
+  std::printf("seeds 1 to 25, each disk or none lost: all nodes serve %ld ms at most after the last start\n",
+              static_cast<long>(worst.count()));
+}
+
 TEST(Recovery, ARollingRestartWithoutAnyControlDarkensNobodyForLong) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 7, 3);
--- a/tests/shoal_test.cpp
+++ b/tests/shoal_test.cpp
@@ -285,6 +285,27 @@
   }
 }
 
+TEST(Restarted, AServerThatRefusedOnceAndAnswersAgainIsFresh) {
+  for (bool const refusedOnce : {false, true}) {
+    Bench bench;
+    ServerRow row;
+    row.address = "a0";
+    row.slowStartMs = Ms(4000);
+    row.ageMs = Ms(60'000);
+    bench.step(Servers{"a", {row}});
+    bench.arrive(1, {"a"}, 1, 2, true, Ms(500));
+    if (refusedOnce) {
+      bench.bad(bench.sent.back().attempt, tally::Verdict::notRun);
+    } else {
+      bench.good(bench.sent.back().attempt);
+    }
+    bench.now += Ms(300);
+    bench.arrive(2, {"a"}, 1, 2, true, Ms(500));
+    bench.good(bench.sent.back().attempt);
+    EXPECT_EQ(bench.machine.servers(bench.now).front().fresh, refusedOnce);
+  }
+}
+
 TEST(Leaving, GetsNoNewWorkAndFinishesWhatItHas) {
   Bench bench;
   bench.servers("a", 1);
