A primary whose disk failed no longer names itself primary

Cause: a harbourmaster with a failed disk left every message aside, so it never learnt the next epoch and told each node that polled it that it was primary; nodes that polled it directly went back to it again and again.

Ruled out: the takeover (done in 0.4 s), the relay (follows each address it is given).

Now it learns decided epochs without storing or voting, and an ailing primary names no address.

A test demands failure at the deadline with too few shards.

--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -260,6 +260,12 @@
   entry.member.address = event.address;
   if (!broken) {
     std::visit([&](auto const& concrete) { hear(event.from, concrete); }, event.message);
+  } else if (cargo::Hail const* const hail = std::get_if<cargo::Hail>(&event.message)) {
+    entry.at = now;
+    entry.ever = true;
+    entry.hail = *hail;
+    bool const later = hail->decided.epoch > vote.decided.epoch && hail->decided.fleet == vote.decided.fleet;
+    vote.decided = later ? hail->decided : vote.decided;
   }
 }
 
@@ -897,7 +903,7 @@
 std::string Council::primaryAddress() const {
   std::string const& primary = impl_->vote.decided.primary;
   if (primary == impl_->self.id) {
-    return impl_->self.address;
+    return impl_->ailing() ? "" : impl_->self.address;
   }
   std::map<std::string, Heard>::const_iterator const found = impl_->heard.find(primary);
   return found == impl_->heard.end() ? "" : found->second.member.address;
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <functional>
 
 namespace {
 
@@ -361,6 +363,105 @@
               static_cast<long>(worst.count()));
 }
 
+std::string spreadOf(std::vector<long> values) {
+  std::sort(values.begin(), values.end());
+  return std::to_string(values.front()) + " / " + std::to_string(values[values.size() / 2]) + " / " + std::to_string(values.back());
+}
+
+TEST(Detection, LostNodesHomesAndPrimariesAreReplacedInTimeAtAnySize) {
+  std::vector<std::size_t> sizes{10, 30};
+  if (std::getenv("LIMERAMP_LONG") != nullptr) {
+    sizes.push_back(100);
+  }
+  for (std::size_t const count : sizes) {
+    std::vector<long> offRoster;
+    std::vector<long> oldestAge;
+    std::vector<long> changeAgain;
+    std::vector<long> rate;
+    for (std::uint64_t seed = 1; seed <= (count == 100 ? 3u : 5u); ++seed) {
+      Roads roads(seed, 4, count, 4);
+      roads.startAll();
+      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+      ASSERT_TRUE(roads.awaitServing(count, Ms(15'000)));
+      roads.run(Ms(2000));
+      std::size_t const sent = roads.messages;
+      roads.run(Ms(5000));
+      rate.push_back(static_cast<long>((roads.messages - sent) / 5 / (count + 4)));
+      std::size_t const plain = 4 + roads.sea.roll(count);
+      std::string const name = roads.machines[plain].quay->node;
+      TimePoint began = roads.sea.now();
+      roads.kill(plain);
+      std::function<bool()> const listed = [&] {
+        std::vector<cargo::RosterEntry> const& roster = roads.machines[*roads.primary()].master->plane->published().roster;
+        return std::any_of(roster.begin(), roster.end(), [&](cargo::RosterEntry const& entry) { return entry.node == name; });
+      };
+      while (listed() && roads.sea.now() - began < Ms(20'000)) {
+        roads.run(Ms(20));
+      }
+      offRoster.push_back(std::chrono::duration_cast<Ms>(roads.sea.now() - began).count());
+      roads.start(plain);
+      ASSERT_TRUE(roads.awaitServing(count, Ms(10'000)));
+      std::vector<std::string> names;
+      for (std::size_t index = 4; index < count + 4; index += 4) {
+        names.push_back(roads.machines[index].quay->node);
+      }
+      std::string const home = fairway::rankHomes("configuration/z0", names).front();
+      for (std::size_t index = 4; index < count + 4; ++index) {
+        if (roads.machines[index].quay->node == home) {
+          roads.loseHost(index);
+        }
+      }
+      Ms oldest{0};
+      for (int round = 0; round < 200; ++round) {
+        roads.run(Ms(20));
+        for (Machine const& machine : roads.machines) {
+          if (machine.up && machine.quay) {
+            oldest = std::max(oldest, machine.quay->courier->footing(roads.sea.now()).ageMs);
+          }
+        }
+      }
+      EXPECT_EQ(roads.serving(), count - 1);
+      oldestAge.push_back(oldest.count());
+      began = roads.sea.now();
+      roads.loseHost(*roads.primary());
+      EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken);
+      changeAgain.push_back(std::chrono::duration_cast<Ms>(roads.sea.now() - began).count() - 200);
+      EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+    }
+    std::printf("%zu nodes: %s messages a second from each; killed node off the roster after %s ms; oldest news anywhere after a "
+                "lost home %s ms; a change taken %s ms after a lost primary (least / median / most)\n",
+                count, spreadOf(rate).c_str(), spreadOf(offRoster).c_str(), spreadOf(oldestAge).c_str(), spreadOf(changeAgain).c_str());
+    EXPECT_LE(*std::max_element(offRoster.begin(), offRoster.end()), 6000);
+    EXPECT_LE(*std::max_element(oldestAge.begin(), oldestAge.end()), 2000);
+    EXPECT_LE(*std::max_element(changeAgain.begin(), changeAgain.end()), 6000);
+    EXPECT_LE(*std::max_element(rate.begin(), rate.end()), 40);
+  }
+}
+
+TEST(Delivery, APrimaryWhoseDiskFailsIsNotTakenForThePrimaryAnyMore) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 8, 3);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+    std::size_t const failed = *roads.primary();
+    roads.machines[failed].master->diskFails = true;
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
+    TimePoint const began = roads.sea.now();
+    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken) << seed;
+    EXPECT_LT(roads.sea.now() - began, Ms(4000)) << seed;
+    roads.run(Ms(1000));
+    for (int round = 0; round < 20; ++round) {
+      roads.run(Ms(250));
+      for (Machine const& machine : roads.machines) {
+        EXPECT_TRUE(!machine.quay || machine.quay->courier->primaryAddress() == roads.machines[*roads.primary()].address())
+            << seed << " round " << round;
+      }
+    }
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
 TEST(Recovery, ARollingRestartWithoutAnyControlDarkensNobodyForLong) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 7, 3);
--- a/tests/shoal_test.cpp
+++ b/tests/shoal_test.cpp
@@ -200,6 +200,19 @@
   EXPECT_EQ(bench.cancelled, std::vector<std::uint64_t>{bench.sent[1].attempt});
 }
 
+TEST(Ending, AtTheDeadlineWithTooFewShardsItIsAFailureWhateverMightStillCome) {
+  Bench bench;
+  for (std::string const name : {"a", "b", "c"}) {
+    bench.servers(name, 1);
+  }
+  bench.arrive(1, {"a", "b", "c"}, 2, 1, true, Ms(300));
+  bench.good(bench.sent[0].attempt);
+  bench.pass(Ms(295));
+  ASSERT_EQ(bench.finished.size(), 1u);
+  EXPECT_EQ(bench.finished[0].ending, Ending::failed);
+  EXPECT_EQ(bench.finished[0].missing, (std::vector<std::size_t>{1, 2}));
+}
+
 TEST(Ending, BeforeTheDeadlineWithTheMinimumItAnswersWithoutTheSlowShard) {
   Bench bench;
   bench.servers("a", 1);
--- a/testside/drydock/roads.cpp
+++ b/testside/drydock/roads.cpp
@@ -15,7 +15,7 @@
     std::string const zone = "z" + std::to_string(index % zones);
     std::string const address = "127.0.0." + std::to_string(index + 1) + ":7000";
     if (index < masters) {
-      machine.master = Master{"h" + std::to_string(index), address, zone, {}, {}, {}, {}};
+      machine.master = Master{"h" + std::to_string(index), address, zone, {}, {}, {}, {}, false};
     } else {
       machine.quay = Quay{"m" + std::to_string(index), address, zone, {}, {}};
     }
@@ -55,6 +55,7 @@
   } else {
     Master& master = *machine.master;
     master.unsynced.clear();
+    master.diskFails = false;
     master.council.emplace(pledge::Policy{});
     master.plane.emplace(harbour::Policy{}, master.id);
     step(index, pledge::Start{{master.id, master.address, master.zone}, master.disk, sea.dice()()});
@@ -266,6 +267,7 @@
 }
 
 void Roads::send(std::size_t from, std::string const& address, cargo::Message const& message) {
+  ++messages;
   for (std::size_t to = 0; to < machines.size(); ++to) {
     if (machines[to].address() != address || cuts_.contains({from, to}) || !machines[to].up) {
       continue;
@@ -316,6 +318,10 @@
           return;
         }
         Master& owner = *machines[index].master;
+        if (owner.diskFails) {
+          step(index, pledge::Persisted{token, false});
+          return;
+        }
         while (!owner.unsynced.empty() && owner.unsynced.front().first <= token) {
           std::pair<std::uint64_t, pledge::Puts> const done = std::move(owner.unsynced.front());
           owner.unsynced.erase(owner.unsynced.begin());
--- a/testside/drydock/roads.h
+++ b/testside/drydock/roads.h
@@ -29,6 +29,7 @@
   std::optional<harbour::Plane> plane;
   std::map<std::string, std::string> disk;
   std::vector<std::pair<std::uint64_t, pledge::Puts>> unsynced;
+  bool diskFails = false;
 };
 
 struct Machine {
@@ -59,6 +60,7 @@
   std::size_t served = 0;
   std::size_t withheld = 0;
   std::size_t upheld = 0;
+  std::size_t messages = 0;
   std::chrono::milliseconds slowestMs{0};
 
   void startAll();
