--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -259,6 +259,34 @@
   }
 }
 
+TEST(Herd, ADeathProvedBeforeAChangeSaysNothingAboutIt) {
+  std::size_t upheld = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 11, 4);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
+    for (std::size_t const index : herd) {
+      roads.kill(index);
+    }
+    roads.run(Ms(1200));
+    for (std::size_t const index : herd) {
+      roads.start(index);
+    }
+    ASSERT_TRUE(roads.awaitServing(11, Ms(5000))) << seed;
+    roads.run(Ms(800));
+    roads.split({herd.begin(), herd.end()});
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
+    roads.run(Ms(2500));
+    for (std::size_t const index : herd) {
+      upheld += roads.serves(index) ? 1 : 0;
+    }
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+  EXPECT_GT(upheld, 100u);
+}
+
 TEST(Roster, WhileAChangeOfItIsOnItsWayTheOldMajorityCountsToo) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 9, 1);
