--- a/tests/plane_test.cpp
+++ b/tests/plane_test.cpp
@@ -69,8 +69,8 @@
   void answer(SendOut const& to, int status, std::string const& body) {
     step(Exchanged{to.attempt, {rigging::Answer{status, {{"x-own", "1"}, {"limeramp-verdict", "not_run"}}, body}, tally::Verdict::ran, ""}});
   }
-  void part(SendOut const& to, std::string const& cut, std::string const& record) {
-    answer(to, 200, "{\"stamp\":{\"shard\":\"" + *rigging::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
+  void part(SendOut const& to, std::string const& cut, std::string const& record, int status = 200) {
+    answer(to, status, "{\"stamp\":{\"shard\":\"" + *rigging::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
                         "\",\"request\":\"" + *rigging::findHeader(to.content.headers, "limeramp-request") + "\"},\"records\":[\"" +
                         record + "\"]}");
   }
@@ -169,6 +169,20 @@
   EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
 }
 
+TEST(Search, AFailingStatusWithAWholePartIsStillAFailure) {
+  Front front;
+  front.arrive("/packages");
+  for (std::size_t index = 0; index < front.sent.size() && index < 8; ++index) {
+    SendOut const to = front.sent[index];
+    front.part(to, "c1", "spoilt", 500);
+  }
+  front.now += Ms(600);
+  front.step(Tick{});
+  ASSERT_EQ(front.replies.size(), 1u);
+  EXPECT_GE(front.replies[0].answer.status, 500);
+  EXPECT_EQ(front.replies[0].answer.body.find("spoilt"), std::string::npos);
+}
+
 TEST(Cells, ANodeOutsidePassesOnceAndAnOwnerNever) {
   Front front;
   front.step(Owners{"north", {"127.0.0.7:7000", "127.0.0.6:7000"}});
