Tests of delivery share one opening

Fifteen tests and more began with the same three lines: start all, take a first configuration, wait until every quay serves. One function does it now; each test still asserts that it succeeded.

--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -38,11 +38,14 @@
   return verdict;
 }
 
+bool startServing(Roads& roads, std::size_t quays, Ms within = Ms(10'000)) {
+  roads.startAll();
+  return insist(roads, "first", 1) == harbour::Verdict::taken && roads.awaitServing(quays, within);
+}
+
 TEST(Delivery, AChangeIsEverywhereWhenItIsAcknowledged) {
   Roads roads(3, 3, 8, 3);
-  roads.startAll();
-  ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-  ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+  ASSERT_TRUE(startServing(roads, 8));
   std::optional<std::uint64_t> const ticket = roads.change("second", bodyOf(2));
   TimePoint const asked = roads.sea.now();
   ASSERT_EQ(verdictOf(roads, ticket), harbour::Verdict::taken);
@@ -89,9 +92,7 @@
 
 TEST(Delivery, LossOfTheControlGroupAloneStopsNobody) {
   Roads roads(6, 3, 8, 3);
-  roads.startAll();
-  ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-  ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+  ASSERT_TRUE(startServing(roads, 8));
   for (std::size_t index = 0; index < 3; ++index) {
     roads.kill(index);
   }
@@ -110,9 +111,7 @@
 TEST(Delivery, ACutOffNodeStopsBeforeAnythingIsAcknowledgedWithoutIt) {
   for (std::size_t cutCount = 1; cutCount <= 8; ++cutCount) {
     Roads roads(80 + cutCount, 3, 8, 3);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 8));
     std::set<std::size_t> side;
     for (std::size_t index = 0; index < cutCount; ++index) {
       side.insert(3 + index);
@@ -135,9 +134,7 @@
 
 TEST(Delivery, ANodeThatForgotDoesNotUpholdOneThatWasCutOff) {
   Roads roads(9, 3, 3, 1);
-  roads.startAll();
-  ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-  ASSERT_TRUE(roads.awaitServing(3, Ms(10'000)));
+  ASSERT_TRUE(startServing(roads, 3));
   std::size_t const cutOff = 3;
   std::size_t const forgetful = 4;
   roads.split({cutOff});
@@ -169,9 +166,7 @@
 TEST(Herd, MoreThanHalfKilledAtOnceAndReplacedByNewNamesLetsChangesGoOn) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 11, 4);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     for (std::size_t const index : herd) {
       roads.kill(index);
@@ -192,9 +187,7 @@
 TEST(Herd, WarnedNodesLeaveTheRosterServeOnAndAreNotMissed) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 11, 4);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     for (std::size_t const index : herd) {
       roads.leave(index);
@@ -215,9 +208,7 @@
 TEST(Herd, LostHostsThatProveNothingNeedTheOperatorsWord) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     Roads roads(seed, 3, 11, 4);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::string> names;
     for (std::size_t const index : herdOf(roads, 3, 11, 7)) {
       names.push_back(roads.machines[index].quay->node);
@@ -235,9 +226,7 @@
 TEST(Herd, CutOffNodesThatUpholdOneAnotherAreNeverTakenForDead) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 11, 4);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     std::size_t const killed = seed % 3 == 2 ? 3 : seed % 3;
     roads.split({herd.begin() + static_cast<long>(killed), herd.end()});
@@ -263,9 +252,7 @@
   std::size_t upheld = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 11, 4);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(11, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     for (std::size_t const index : herd) {
       roads.kill(index);
@@ -322,9 +309,7 @@
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       std::size_t const masters = zones;
       Roads roads(seed, masters, 12 - zones, zones);
-      roads.startAll();
-      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-      ASSERT_TRUE(roads.awaitServing(12 - zones, Ms(10'000)));
+      ASSERT_TRUE(startServing(roads, 12 - zones));
       for (std::size_t zone = 0; zone < zones; ++zone) {
         std::size_t lost = 0;
         for (std::size_t index = zone; index < roads.machines.size(); index += zones) {
@@ -354,9 +339,7 @@
   for (std::size_t lostDisk = 0; lostDisk <= 3; ++lostDisk) {
     for (std::uint64_t seed = 1; seed <= 25; ++seed) {
       Roads roads(seed, 3, 8, 3);
-      roads.startAll();
-      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-      ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+      ASSERT_TRUE(startServing(roads, 8));
       manifest::Version const before = roads.newestAcknowledged();
       std::vector<std::size_t> order;
       for (std::size_t index = 0; index < roads.machines.size(); ++index) {
@@ -408,9 +391,7 @@
     std::vector<long> rate;
     for (std::uint64_t seed = 1; seed <= (count == 100 ? 3u : count == 30 ? 2u : 5u); ++seed) {
       Roads roads(seed, 4, count, 4);
-      roads.startAll();
-      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-      ASSERT_TRUE(roads.awaitServing(count, Ms(15'000)));
+      ASSERT_TRUE(startServing(roads, count, Ms(15'000)));
       roads.run(Ms(2000));
       std::size_t const sent = roads.messages;
       roads.run(Ms(5000));
@@ -469,9 +450,7 @@
 TEST(Delivery, APrimaryWhoseDiskFailsIsNotTakenForThePrimaryAnyMore) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 8, 3);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 8));
     std::size_t const failed = *roads.primary();
     roads.machines[failed].master->diskFails = true;
     EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
@@ -493,9 +472,7 @@
 TEST(Recovery, ARollingRestartWithoutAnyControlDarkensNobodyForLong) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Roads roads(seed, 3, 7, 3);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(7, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 7));
     for (std::size_t index = 0; index < 3; ++index) {
       roads.kill(index);
     }
@@ -519,9 +496,7 @@
   std::size_t served = 0;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     Roads roads(seed, 3, 3, 1);
-    roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-    ASSERT_TRUE(roads.awaitServing(3, Ms(10'000)));
+    ASSERT_TRUE(startServing(roads, 3));
     std::size_t const forgetful = 3 + roads.sea.roll(3);
     std::size_t const other = 3 + (forgetful - 3 + 1) % 3;
     std::size_t const late = 3 + (forgetful - 3 + 2) % 3;
@@ -562,9 +537,7 @@
   for (std::size_t victim = 3; victim < 11; ++victim) {
     for (bool const frozen : {false, true}) {
       Roads roads(victim, 3, 8, 2);
-      roads.startAll();
-      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-      ASSERT_TRUE(roads.awaitServing(8, Ms(10'000)));
+      ASSERT_TRUE(startServing(roads, 8));
       if (frozen) {
         roads.freeze(victim);
       } else {
