Look a closing attempt's tenant up once

closeAttempt found the same request by the same attempt three times on the way of every cancelled query.

--- a/libs/shoal/src/machine.cpp
+++ b/libs/shoal/src/machine.cpp
@@ -557,6 +557,7 @@
 
 void Machine::Impl::closeAttempt(Leg& leg, tally::Attempt const& attempt, bool lost) {
   std::uint64_t const id = attempt.id;
+  std::string const& tenant = requests.at(attempts.at(id).request).asked.tenant;
   ServiceState& service = services[leg.service];
   std::map<std::string, ServerState>::iterator const found = service.servers.find(attempt.server);
   if (found != service.servers.end()) {
@@ -566,7 +567,7 @@
     }
     Ms const heldMs = std::min(policy.ghostMostMs, std::chrono::duration_cast<Ms>(now - attempt.began));
     server.ghosts.push_back(now + heldMs);
-    tenantOf(service, requests.at(attempts.at(id).request).asked.tenant).ghosts.push_back(now + heldMs);
+    tenantOf(service, tenant).ghosts.push_back(now + heldMs);
     if (!lost) {
       server.limit = std::max(1.0, server.limit * policy.limitShrink);
     }
@@ -575,7 +576,7 @@
     }
     double const seenMs = FineMs(now - attempt.began).count();
     if (!lost) {
-      narrow(service, requests.at(attempts.at(id).request).asked.tenant, seenMs);
+      narrow(service, tenant, seenMs);
     }
     server.latencyMs = std::max(server.latencyMs, server.latencyMs * 0.8 + seenMs * 0.2);
     server.latencyAt = now;
@@ -586,7 +587,7 @@
   if (lost) {
     ++counters.lostRaces;
   }
-  release(service, requests.at(attempts.at(id).request).asked.tenant);
+  release(service, tenant);
   attempts.erase(id);
   leg.ledger.cancel(id);
   effects.emplace_back(Cancel{id});
