Grow the seams: hosts, splits, aims, lives, revisions; -O3 builds again

Cause: users run the front behind other wires and lists; the product had no host, weighted split, aim, priority, server life or operator's number. GCC 12 at -O3 warned inside operator+ of a path in hold; the path is now appended. Change: fields and their checks in manifest, shoal, cargo and berth; a dialect header for the front.

--- a/libs/berth/src/desk.cpp
+++ b/libs/berth/src/desk.cpp
@@ -264,7 +264,8 @@
     if (found != list.services.end()) {
       for (shoal::ServerRow const& row : found->second) {
         rows.push_back({row.address, row.zone, row.capacity, row.leaving,
-                        static_cast<std::uint64_t>(row.slowStartMs.count()), 0});
+                        static_cast<std::uint64_t>(row.slowStartMs.count()), 0, row.life,
+                        static_cast<std::uint64_t>(row.coldMs.count())});
       }
     }
     if (impl.adopt(now, entry.first, rows)) {
@@ -285,7 +286,7 @@
   }
   for (cargo::TableRow const& row : impl_->tableOf(now, service, true).rows) {
     out.push_back({row.address, row.zone, row.capacity, row.leaving, Ms(static_cast<long>(row.slowStartMs)),
-                   Ms(static_cast<long>(row.ageMs))});
+                   Ms(static_cast<long>(row.ageMs)), row.life, Ms(static_cast<long>(row.coldMs)), 0});
   }
   return out;
 }
--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -189,6 +189,8 @@
   std::uint64_t rosterEpoch = 0;
   std::uint64_t rosterSequence = 0;
   std::vector<Receipt> receipts;
+  std::uint64_t revision = 0;
+  std::vector<std::string> emptiedZones;
   bool operator==(State const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
@@ -202,6 +204,8 @@
     visit("rosterEpoch", self.rosterEpoch);
     visit("rosterSequence", self.rosterSequence);
     visit("receipts", self.receipts);
+    visit("revision", self.revision);
+    visit("emptiedZones", self.emptiedZones);
   }
 };
 
@@ -330,6 +334,8 @@
   bool leaving = false;
   std::uint64_t slowStartMs = 0;
   std::uint64_t ageMs = 0;
+  std::string life{};
+  std::uint64_t coldMs = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("address", self.address);
@@ -338,6 +344,8 @@
     visit("leaving", self.leaving);
     visit("slowStartMs", self.slowStartMs);
     visit("ageMs", self.ageMs);
+    visit("life", self.life);
+    visit("coldMs", self.coldMs);
   }
 };
 
--- a/libs/hold/src/store.cpp
+++ b/libs/hold/src/store.cpp
@@ -159,7 +159,12 @@
     files.clear();
   }
 
-  std::string pathOf(std::size_t index) const { return folder + "/ring-" + std::to_string(index); }
+  std::string pathOf(std::size_t index) const {
+    std::string path = folder;
+    path += "/ring-";
+    path += std::to_string(index);
+    return path;
+  }
 
   absl::Status syncFolder() const {
     int const handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
--- a/libs/libraries.cmake
+++ b/libs/libraries.cmake
@@ -1,5 +1,5 @@
 limeramp_library(manifest absl::status absl::statusor)
-target_link_libraries(manifest PRIVATE $<BUILD_INTERFACE:cxxopts::cxxopts>)
+target_link_libraries(manifest PRIVATE $<BUILD_INTERFACE:cxxopts::cxxopts> PkgConfig::XXHASH)
 target_include_directories(manifest SYSTEM PUBLIC $<BUILD_INTERFACE:${PICOJSON_INCLUDE}>)
 limeramp_library(signal spdlog::spdlog)
 limeramp_library(tally absl::status)
--- a/libs/manifest/include/limeramp/manifest/configuration.h
+++ b/libs/manifest/include/limeramp/manifest/configuration.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,8 @@
 struct Service {
   double capacity = 50;
   std::chrono::milliseconds slowStartMs{0};
+  std::size_t maxConnections = 0;
+  double coldPerSecond = 0;
 };
 
 struct Shard {
@@ -35,6 +38,7 @@
 
 struct Search {
   std::string name;
+  std::string host;
   std::string tenant;
   std::string prefix;
   std::vector<Shard> shards;
@@ -42,16 +46,33 @@
   std::size_t minimum_shards = 1;
   std::size_t max_attempts = 2;
   std::chrono::milliseconds deadlineMs{500};
+  std::chrono::milliseconds aimMs{0};
+  std::size_t priority = 0;
+};
+
+struct Choice {
+  std::string service;
+  double weight = 1;
 };
 
 struct Route {
   std::string name;
+  std::string host;
   std::string tenant;
   std::string prefix;
-  std::string service;
+  std::vector<Choice> choices;
   std::size_t max_attempts = 1;
   bool repeatable = false;
   std::chrono::milliseconds deadlineMs{2000};
+  std::chrono::milliseconds aimMs{0};
+  std::size_t priority = 0;
+};
+
+struct CallerLimits {
+  std::size_t maxHeaderBytes = 16 << 10;
+  std::size_t maxBodyBytes = 1 << 20;
+  std::chrono::milliseconds headerMs{30'000};
+  std::chrono::milliseconds idleMs{30'000};
 };
 
 struct Cell {
@@ -61,6 +82,8 @@
 };
 
 struct Configuration {
+  std::uint64_t revision = 0;
+  CallerLimits limits;
   std::map<std::string, Service> services;
   std::vector<Search> searches;
   std::vector<Route> routes;
@@ -71,7 +94,9 @@
 };
 
 using Target = std::variant<std::monostate, Search const*, Route const*>;
-Target findTarget(Configuration const& configuration, std::string const& tenant, std::string_view path);
+Target findTarget(Configuration const& configuration, std::string_view host, std::string const& tenant,
+                  std::string_view path);
+std::string const& chooseService(Route const& route, std::string_view request);
 
 struct Problem {
   std::string path;
@@ -85,6 +110,12 @@
 
 Checked checkConfiguration(picojson::value const& document);
 
+struct Language {
+  std::function<Checked(std::string const& document)> check;
+  std::function<absl::StatusOr<std::string>(std::string const& document, std::string const& patch)> merge;
+};
+Language ownLanguage();
+
 struct Snapshot {
   Version version;
   std::string text;
--- a/libs/manifest/include/limeramp/manifest/settings.h
+++ b/libs/manifest/include/limeramp/manifest/settings.h
@@ -20,6 +20,15 @@
   std::size_t maxConnections = 2000;
   std::size_t maxRequests = 4000;
   bool rerun = true;
+  bool mayFound = true;
+  std::size_t storeFileBytes = 16 << 20;
+  std::size_t machineLosses = 1;
+  double extraSlack = 60;
+  double extraRatio = 0.2;
+  std::chrono::milliseconds graceMs{6000};
+  std::vector<std::string> operatorListens;
+  std::vector<std::string> readinessListens;
+  std::vector<std::string> callerListens;
 };
 
 struct SettingsNeeds {
--- a/libs/manifest/src/configuration.cpp
+++ b/libs/manifest/src/configuration.cpp
@@ -2,7 +2,10 @@
 
 #include "limeramp/manifest/reader.h"
 
+#include <xxhash.h>
+
 #include <charconv>
+#include <tuple>
 
 namespace limeramp::manifest {
 namespace {
@@ -25,6 +28,28 @@
   }
 }
 
+void readChoices(Reader& reader, Configuration const& configuration, Route& route) {
+  std::string const service = reader.text("service", std::string());
+  if (!service.empty()) {
+    checkService(reader, configuration, service);
+    route.choices.push_back({service, 1});
+  }
+  double total = 0;
+  reader.eachItem("split", 0, 64, [&](Reader& inner) {
+    Choice choice{inner.text("service", std::nullopt), inner.number("weight", 1, 0, 1e6)};
+    checkService(inner, configuration, choice.service);
+    total += choice.weight;
+    route.choices.push_back(std::move(choice));
+  });
+  if (service.empty() && route.choices.empty()) {
+    reader.complain("service", "is missing");
+  } else if (!service.empty() && route.choices.size() > 1) {
+    reader.complain("split", "stands beside service");
+  } else if (service.empty() && total <= 0) {
+    reader.complain("split", "has no weight above 0");
+  }
+}
+
 bool covers(std::string const& prefix, std::string_view path) {
   if (!path.starts_with(prefix)) {
     return false;
@@ -32,6 +57,22 @@
   return prefix.back() == '/' || path.size() == prefix.size() || path[prefix.size()] == '/';
 }
 
+template <typename Entry>
+bool applies(Entry const& entry, std::string_view host, std::string const& tenant, std::string_view path) {
+  return (entry.host.empty() || entry.host == host) && entry.tenant == tenant && covers(entry.prefix, path);
+}
+
+void readPlace(Reader& reader, std::set<std::tuple<std::string, std::string, std::string>>& places, std::string& host,
+               std::string& tenant, std::string& prefix) {
+  host = reader.text("host", std::string());
+  tenant = reader.text("tenant", std::nullopt);
+  prefix = reader.text("prefix", std::nullopt);
+  checkPrefix(reader, prefix);
+  if (!places.emplace(host, tenant, prefix).second) {
+    reader.complain("prefix", "is taken by another entry of the tenant");
+  }
+}
+
 }
 
 std::string Version::text() const { return std::to_string(epoch) + "." + std::to_string(sequence); }
@@ -59,17 +100,18 @@
   return nullptr;
 }
 
-Target findTarget(Configuration const& configuration, std::string const& tenant, std::string_view path) {
+Target findTarget(Configuration const& configuration, std::string_view host, std::string const& tenant,
+                  std::string_view path) {
   Target best;
   std::size_t bestLength = 0;
   for (Search const& search : configuration.searches) {
-    if (search.tenant == tenant && covers(search.prefix, path) && search.prefix.size() > bestLength) {
+    if (applies(search, host, tenant, path) && search.prefix.size() > bestLength) {
       best = &search;
       bestLength = search.prefix.size();
     }
   }
   for (Route const& route : configuration.routes) {
-    if (route.tenant == tenant && covers(route.prefix, path) && route.prefix.size() > bestLength) {
+    if (applies(route, host, tenant, path) && route.prefix.size() > bestLength) {
       best = &route;
       bestLength = route.prefix.size();
     }
@@ -77,6 +119,22 @@
   return best;
 }
 
+std::string const& chooseService(Route const& route, std::string_view request) {
+  double total = 0;
+  for (Choice const& choice : route.choices) {
+    total += choice.weight;
+  }
+  double const unit = static_cast<double>(XXH64(request.data(), request.size(), 0) >> 11) * 0x1.0p-53;
+  double left = unit * total;
+  for (Choice const& choice : route.choices) {
+    if (left < choice.weight) {
+      return choice.service;
+    }
+    left -= choice.weight;
+  }
+  return route.choices.back().service;
+}
+
 Checked checkConfiguration(picojson::value const& document) {
   Checked out;
   Configuration configuration;
@@ -84,23 +142,20 @@
   if (!root.isObject()) {
     return out;
   }
-  std::set<std::pair<std::string, std::string>> places;
+  std::set<std::tuple<std::string, std::string, std::string>> places;
   root.eachField("services", 1000, [&](std::string const& name, Reader& reader) {
     Service service;
     service.capacity = reader.number("capacity", service.capacity, 0.1, 1e6);
     service.slowStartMs = reader.durationMs("slow_start_ms", service.slowStartMs, std::chrono::milliseconds(0),
                                             std::chrono::minutes(60));
+    service.maxConnections = reader.whole("max_connections", service.maxConnections, 0, 1'000'000);
+    service.coldPerSecond = reader.number("cold_per_second", service.coldPerSecond, 0, 1e6);
     configuration.services.emplace(name, service);
   });
   root.eachField("searches", 1000, [&](std::string const& name, Reader& reader) {
     Search search;
     search.name = name;
-    search.tenant = reader.text("tenant", std::nullopt);
-    search.prefix = reader.text("prefix", std::nullopt);
-    checkPrefix(reader, search.prefix);
-    if (!places.emplace(search.tenant, search.prefix).second) {
-      reader.complain("prefix", "is taken by another entry of the tenant");
-    }
+    readPlace(reader, places, search.host, search.tenant, search.prefix);
     std::set<std::string> services;
     reader.eachItem("shards", 1, 64, [&](Reader& inner) {
       Shard shard{inner.text("service", std::nullopt), inner.text("cut", std::nullopt)};
@@ -117,22 +172,20 @@
     }
     search.max_attempts = reader.whole("max_attempts", search.max_attempts, 1, 8);
     search.deadlineMs = reader.durationMs("deadline_ms", search.deadlineMs, leastDeadlineMs, mostDeadlineMs);
+    search.aimMs = reader.durationMs("aim_ms", search.aimMs, std::chrono::milliseconds(0), mostDeadlineMs);
+    search.priority = reader.whole("priority", search.priority, 0, 100);
     configuration.searches.push_back(std::move(search));
   });
   root.eachField("routes", 1000, [&](std::string const& name, Reader& reader) {
     Route route;
     route.name = name;
-    route.tenant = reader.text("tenant", std::nullopt);
-    route.prefix = reader.text("prefix", std::nullopt);
-    checkPrefix(reader, route.prefix);
-    if (!places.emplace(route.tenant, route.prefix).second) {
-      reader.complain("prefix", "is taken by another entry of the tenant");
-    }
-    route.service = reader.text("service", std::nullopt);
-    checkService(reader, configuration, route.service);
+    readPlace(reader, places, route.host, route.tenant, route.prefix);
+    readChoices(reader, configuration, route);
     route.max_attempts = reader.whole("max_attempts", route.max_attempts, 1, 8);
     route.repeatable = reader.flag("repeatable", false);
     route.deadlineMs = reader.durationMs("deadline_ms", route.deadlineMs, leastDeadlineMs, mostDeadlineMs);
+    route.aimMs = reader.durationMs("aim_ms", route.aimMs, std::chrono::milliseconds(0), mostDeadlineMs);
+    route.priority = reader.whole("priority", route.priority, 0, 100);
     configuration.routes.push_back(std::move(route));
   });
   std::set<std::string> owned;
@@ -149,6 +202,7 @@
     configuration.cells.push_back(std::move(cell));
   });
   configuration.emptiedZones = root.names("emptied_zones", 100);
+  configuration.revision = root.whole("revision", 0, 0, 1ULL << 53);
   root.rejectUnknown();
   if (out.problems.empty()) {
     out.configuration = std::move(configuration);
@@ -156,4 +210,21 @@
   return out;
 }
 
+Language ownLanguage() {
+  Language out;
+  out.check = [](std::string const& document) {
+    absl::StatusOr<picojson::value> const parsed = parseJson(document);
+    return parsed.ok() ? checkConfiguration(*parsed) : Checked{std::nullopt, {{"/", std::string(parsed.status().message())}}};
+  };
+  out.merge = [](std::string const& document, std::string const& patch) -> absl::StatusOr<std::string> {
+    absl::StatusOr<picojson::value> const before = parseJson(document.empty() ? "{}" : document);
+    absl::StatusOr<picojson::value> const change = parseJson(patch);
+    if (!change.ok()) {
+      return change.status();
+    }
+    return mergePatch(before.ok() ? *before : picojson::value(picojson::object()), *change).serialize();
+  };
+  return out;
+}
+
 }
--- a/libs/quayside/include/limeramp/quayside/plane.h
+++ b/libs/quayside/include/limeramp/quayside/plane.h
@@ -91,7 +91,7 @@
 using Effect = std::variant<Reply, SendOut, CancelOut, Grind, Merge, shoal::Note>;
 
 rigging::Answer refusal(int status, std::string const& reason, tally::Verdict verdict,
-                        std::optional<std::chrono::seconds> retryAfter = std::nullopt);
+                        std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
 
 class Plane {
  public:
--- a/libs/quayside/src/plane.cpp
+++ b/libs/quayside/src/plane.cpp
@@ -54,14 +54,14 @@
 }
 
 rigging::Answer refusal(int status, std::string const& reason, tally::Verdict verdict,
-                        std::optional<std::chrono::seconds> retryAfter) {
+                        std::optional<std::chrono::milliseconds> retryAfter) {
   rigging::Answer answer;
   answer.status = status;
   std::string const name(tally::nameOf(verdict));
   answer.headers.emplace_back("content-type", "application/json");
   answer.headers.emplace_back("limeramp-verdict", name);
   if (retryAfter) {
-    answer.headers.emplace_back("retry-after", std::to_string(retryAfter->count()));
+    answer.headers.emplace_back("retry-after", std::to_string((retryAfter->count() + 999) / 1000));
   }
   answer.body = "{\"verdict\":\"" + name + "\",\"reason\":" + json(reason) + "}";
   return answer;
@@ -140,7 +140,8 @@
   std::string const& target = event.content.target;
   std::string_view const path = std::string_view(target).substr(0, target.find('?'));
   manifest::Configuration const& configuration = snapshot->configuration;
-  manifest::Target const found = manifest::findTarget(configuration, *tenant, path);
+  std::string const host = rigging::findHeader(headers, "host").value_or("");
+  manifest::Target const found = manifest::findTarget(configuration, host, *tenant, path);
   if (std::holds_alternative<std::monostate>(found)) {
     reply(event.request, refusal(404, "no entry or route of this tenant has this path", Verdict::notRun));
     return;
@@ -165,7 +166,7 @@
   } else {
     manifest::Route const* const route = std::get<manifest::Route const*>(found);
     waitMs = route->deadlineMs;
-    entry.services.push_back(route->service);
+    entry.services.push_back(manifest::chooseService(*route, entry.id));
     arrive.max_attempts = route->max_attempts;
     arrive.repeatable = route->repeatable;
   }
--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -48,6 +48,9 @@
   bool leaving = false;
   std::chrono::milliseconds slowStartMs{0};
   std::chrono::milliseconds ageMs{0};
+  std::string life{};
+  std::chrono::milliseconds coldMs{0};
+  double coldPerSecond = 0;
 };
 
 struct Servers {
@@ -69,6 +72,8 @@
   std::size_t max_attempts = 1;
   bool repeatable = false;
   TimePoint deadline;
+  TimePoint aim{};
+  std::size_t priority = 0;
 };
 
 struct Returned {
@@ -77,6 +82,9 @@
   bool healthy = false;
   tally::Verdict verdict = tally::Verdict::mayHaveRun;
   std::optional<double> load;
+  bool otherLife = false;
+  bool full = false;
+  std::optional<std::chrono::milliseconds> coldMs{};
 };
 
 struct Tick {};
@@ -88,6 +96,7 @@
   std::uint64_t request = 0;
   std::size_t leg = 0;
   std::string server;
+  std::string life;
   TimePoint deadline;
   bool extra = false;
 };
@@ -110,7 +119,7 @@
   tally::Verdict verdict = tally::Verdict::mayHaveRun;
   std::vector<std::size_t> missing;
   std::string reason;
-  std::optional<std::chrono::seconds> retryAfter;
+  std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 struct Note {
--- a/libs/shoal/include/limeramp/shoal/part.h
+++ b/libs/shoal/include/limeramp/shoal/part.h
@@ -21,6 +21,7 @@
 struct Part {
   Stamp stamp;
   std::vector<std::string> records;
+  std::string seal{};
 };
 
 using PartPtr = std::shared_ptr<Part const>;
@@ -28,6 +29,8 @@
 absl::StatusOr<Part> readPart(std::string_view body, Stamp const& expected, std::size_t result_size);
 std::vector<std::string> mergeParts(std::vector<PartPtr> const& parts, std::size_t result_size);
 
+using PartReader = std::function<absl::StatusOr<Part>(std::string_view body, Stamp const& expected, std::size_t result_size)>;
+
 class Mill {
  public:
   explicit Mill(std::size_t hands);
--- a/libs/shoal/src/machine.cpp
+++ b/libs/shoal/src/machine.cpp
@@ -446,7 +446,7 @@
     state.tokens -= 1;
   }
   ++counters.attempts;
-  effects.emplace_back(Send{attempt, key.request, key.leg, server->first, request.asked.deadline, extra});
+  effects.emplace_back(Send{attempt, key.request, key.leg, server->first, state.row.life, request.asked.deadline, extra});
 }
 
 TenantState& Machine::Impl::tenantOf(ServiceState& service, std::string const& tenant) {
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -129,7 +129,10 @@
       }
     }
     for (manifest::Route const& route : checked.configuration->routes) {
-      EXPECT_TRUE(checked.configuration->services.contains(route.service));
+      ASSERT_FALSE(route.choices.empty());
+      for (manifest::Choice const& choice : route.choices) {
+        EXPECT_TRUE(checked.configuration->services.contains(choice.service));
+      }
     }
     absl::StatusOr<picojson::value> const again = manifest::parseJson(value.serialize());
     ASSERT_TRUE(again.ok());
--- a/tests/manifest_test.cpp
+++ b/tests/manifest_test.cpp
@@ -48,11 +48,11 @@
   Checked const checked = checkConfiguration(*parseJson(good));
   ASSERT_TRUE(checked.configuration.has_value());
   Configuration const& configuration = *checked.configuration;
-  EXPECT_TRUE(std::holds_alternative<Search const*>(findTarget(configuration, "kelaniya", "/packages/zlib")));
-  EXPECT_TRUE(std::holds_alternative<Route const*>(findTarget(configuration, "kelaniya", "/packages/logs/7")));
-  EXPECT_TRUE(std::holds_alternative<Search const*>(findTarget(configuration, "kelaniya", "/packages/logsx")));
-  EXPECT_TRUE(std::holds_alternative<std::monostate>(findTarget(configuration, "kelaniya", "/packagesx")));
-  EXPECT_TRUE(std::holds_alternative<std::monostate>(findTarget(configuration, "kiln", "/packages")));
+  EXPECT_TRUE(std::holds_alternative<Search const*>(findTarget(configuration, "", "kelaniya", "/packages/zlib")));
+  EXPECT_TRUE(std::holds_alternative<Route const*>(findTarget(configuration, "", "kelaniya", "/packages/logs/7")));
+  EXPECT_TRUE(std::holds_alternative<Search const*>(findTarget(configuration, "", "kelaniya", "/packages/logsx")));
+  EXPECT_TRUE(std::holds_alternative<std::monostate>(findTarget(configuration, "", "kelaniya", "/packagesx")));
+  EXPECT_TRUE(std::holds_alternative<std::monostate>(findTarget(configuration, "", "kiln", "/packages")));
 }
 
 TEST(Configuration, NamesThePathOfEachError) {
