--- a/libs/harbour/include/limeramp/harbour/office.h
+++ b/libs/harbour/include/limeramp/harbour/office.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "limeramp/harbour/dialect.h"
+#include "limeramp/manifest/configuration.h"
 #include "limeramp/manifest/settings.h"
 
 #include <memory>
@@ -9,7 +11,9 @@
 
 class Office {
  public:
-  static std::unique_ptr<Office> start(manifest::Settings const& settings, std::string& error);
+  static std::unique_ptr<Office> start(manifest::Settings const& settings, std::string& error,
+                                       OperatorDialect const& dialect = {},
+                                       manifest::Language const& language = manifest::ownLanguage());
   ~Office();
   Office(Office const&) = delete;
   Office& operator=(Office const&) = delete;
--- a/libs/harbour/include/limeramp/harbour/plane.h
+++ b/libs/harbour/include/limeramp/harbour/plane.h
@@ -19,6 +19,7 @@
 struct Policy {
   std::chrono::milliseconds nodeCurrentMs{2000};
   std::chrono::milliseconds silentGraceMs{500};
+  std::chrono::milliseconds authorityMs{1200};
   std::chrono::milliseconds rosterForgetMs{60'000};
   std::chrono::milliseconds rosterBatchMs{100};
   std::chrono::milliseconds probeAfterMs{450};
@@ -27,9 +28,16 @@
   std::size_t mostChanges = 64;
   std::size_t mostReceipts = 256;
   std::size_t mostNodes = 1000;
+  std::size_t mostEmptiedZones = 100;
+  std::size_t mostDocumentBytes = 1 << 20;
   std::size_t budgetSlots = 20;
 };
 
+struct ZoneOrder {
+  std::string zone;
+  bool emptied = false;
+};
+
 struct Change {
   std::uint64_t ticket = 0;
   std::string id;
@@ -37,6 +45,13 @@
   bool patch = false;
   std::string body;
   TimePoint deadline;
+  std::optional<std::uint64_t> baseRevision{};
+  std::optional<ZoneOrder> zone{};
+};
+
+struct Read {
+  std::uint64_t ticket = 0;
+  TimePoint deadline;
 };
 
 struct Tick {};
@@ -54,8 +69,8 @@
   TimePoint deadline;
 };
 
-using Event = std::variant<pledge::Active, pledge::Inactive, pledge::Committed, pledge::Doubtful, Change, Polled, Probed,
-                           Forget, Tick>;
+using Event = std::variant<pledge::Active, pledge::Inactive, pledge::Committed, pledge::Doubtful, Change, Read, Polled,
+                           Probed, Forget, Tick>;
 
 enum class Verdict { taken, refused, conflict, notRun, unknown };
 
@@ -67,13 +82,20 @@
   std::string reason;
 };
 
+struct ReadBack {
+  std::uint64_t ticket = 0;
+  manifest::Version version;
+  std::uint64_t revision = 0;
+  std::string document;
+};
+
 struct Probe {
   std::uint64_t token = 0;
   std::string node;
   std::string address;
 };
 
-using Effect = std::variant<pledge::Offer, Decided, fairway::Outgoing, Probe, pledge::Note>;
+using Effect = std::variant<pledge::Offer, Decided, ReadBack, fairway::Outgoing, Probe, pledge::Note>;
 
 struct NodeView {
   std::string node;
@@ -88,7 +110,7 @@
 
 class Plane {
  public:
-  Plane(Policy const& policy, std::string const& id);
+  Plane(Policy const& policy, std::string const& id, manifest::Language language = manifest::ownLanguage());
   ~Plane();
   Plane(Plane&&) noexcept;
   Plane& operator=(Plane&&) noexcept;
--- a/libs/harbour/include/limeramp/harbour/runner.h
+++ b/libs/harbour/include/limeramp/harbour/runner.h
@@ -23,7 +23,7 @@
   Runner(Runner const&) = delete;
   Runner& operator=(Runner const&) = delete;
 
-  void take(TimePoint now, rigging::Request content, std::string const& change, TimePoint deadline, rigging::Responder respond);
+  void take(TimePoint now, rigging::Request content, rigging::Responder respond);
   void hear(TimePoint now, RunBack& back);
   void tick(TimePoint now, std::string const& primaryAddress);
 
--- a/libs/harbour/src/desk.cpp
+++ b/libs/harbour/src/desk.cpp
@@ -1,6 +1,11 @@
 #include "limeramp/harbour/desk.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace limeramp::harbour {
 namespace {
@@ -27,6 +32,42 @@
   return read->contains(name) ? read->get(name) : picojson::value();
 }
 
+constexpr std::string_view zonesPath = "/limeramp/zones/";
+constexpr std::string_view emptiedEnd = "/emptied";
+
+std::optional<std::string> zoneOf(std::string_view target) {
+  if (!target.starts_with(zonesPath) || !target.ends_with(emptiedEnd) || target.size() <= zonesPath.size() + emptiedEnd.size()) {
+    return std::nullopt;
+  }
+  return std::string(target.substr(zonesPath.size(), target.size() - zonesPath.size() - emptiedEnd.size()));
+}
+
+bool isZoneName(std::string const& name) {
+  return name.size() <= 64 && std::all_of(name.begin(), name.end(), [](char const letter) {
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') ||
+           letter == '-' || letter == '_' || letter == '.';
+  });
+}
+
+template <typename Number>
+bool readNumber(std::string const& text, Number& value) {
+  char const* const last = text.data() + text.size();
+  std::from_chars_result const read = std::from_chars(text.data(), last, value);
+  return read.ec == std::errc() && read.ptr == last;
+}
+
+std::string derivedId(rigging::Request const& request, std::string const& base) {
+  std::string whole;
+  for (std::string const* const part : {&request.method, &base, &request.body}) {
+    whole += std::to_string(part->size()) + ":" + *part;
+  }
+  XXH128_hash_t const digest = XXH3_128bits(whole.data(), whole.size());
+  std::array<char, 48> text{};
+  std::snprintf(text.data(), text.size(), "derived-%016llx%016llx", static_cast<unsigned long long>(digest.high64),
+                static_cast<unsigned long long>(digest.low64));
+  return text.data();
+}
+
 }
 
 rigging::Answer plain(int status, std::string body) {
@@ -40,31 +81,61 @@
   return answer;
 }
 
+Errand errandOf(rigging::Request const& request) {
+  std::string const& method = request.method;
+  if (request.target == configurationPath) {
+    return method == "PUT" || method == "PATCH" ? Errand::change : method == "GET" ? Errand::read : Errand::none;
+  }
+  if (request.target == forgetPath) {
+    return method == "POST" ? Errand::forget : Errand::none;
+  }
+  return zoneOf(request.target) && (method == "PUT" || method == "DELETE") ? Errand::change : Errand::none;
+}
+
+std::variant<TimePoint, rigging::Answer> readDeadline(rigging::Request const& request, TimePoint now) {
+  long waitMs = 10'000;
+  if (std::optional<std::string> const text = rigging::findHeader(request.headers, deadlineHeader)) {
+    if (!readNumber(*text, waitMs) || waitMs <= 0 || waitMs > 60'000) {
+      return refused(deadlineHeader, "must be a whole number from 1 to 60000");
+    }
+  }
+  return now + std::chrono::milliseconds(waitMs);
+}
+
 std::variant<Change, rigging::Answer> readChange(rigging::Request const& request, TimePoint now,
                                                  std::string const& freshId) {
   Change change;
   change.patch = request.method == "PATCH";
-  change.id = rigging::findHeader(request.headers, "limeramp-change").value_or(freshId);
-  if (change.id.empty() || change.id.size() > 128) {
-    return refused("limeramp-change", "must have 1 to 128 bytes");
-  }
-  if (std::optional<std::string> const base = rigging::findHeader(request.headers, "limeramp-base")) {
+  std::optional<std::string> const base = rigging::findHeader(request.headers, "limeramp-base");
+  std::optional<std::string> const baseRevision = rigging::findHeader(request.headers, "limeramp-base-revision");
+  if (base) {
     change.base = manifest::Version::parse(*base);
     if (!change.base) {
       return refused("limeramp-base", "must be a version, as in 3.14");
     }
-  } else if (change.patch) {
-    return refused("limeramp-base", "a patch must name the version it changes");
   }
-  long waitMs = 10'000;
-  if (std::optional<std::string> const text = rigging::findHeader(request.headers, "limeramp-deadline-ms")) {
-    char const* const last = text->data() + text->size();
-    std::from_chars_result const read = std::from_chars(text->data(), last, waitMs);
-    if (read.ec != std::errc() || read.ptr != last || waitMs <= 0 || waitMs > 60'000) {
-      return refused("limeramp-deadline-ms", "must be a whole number from 1 to 60000");
+  if (baseRevision && !readNumber(*baseRevision, change.baseRevision.emplace())) {
+    return refused("limeramp-base-revision", "must be a whole number");
+  }
+  if (change.patch && !base && !baseRevision) {
+    return refused("limeramp-base", "a patch must name the version or the revision it changes");
+  }
+  std::string const ownId = base || baseRevision ? derivedId(request, base.value_or("") + "/" + baseRevision.value_or("")) : freshId;
+  change.id = rigging::findHeader(request.headers, "limeramp-change").value_or(ownId);
+  if (change.id.empty() || change.id.size() > 128) {
+    return refused("limeramp-change", "must have 1 to 128 bytes");
+  }
+  if (std::optional<std::string> const zone = zoneOf(request.target)) {
+    if (!isZoneName(*zone)) {
+      return refused("/", "a zone's name has 1 to 64 letters, digits, dots, dashes and underscores");
     }
+    change.zone = ZoneOrder{*zone, request.method == "PUT"};
+  }
+  std::variant<TimePoint, rigging::Answer> deadline = readDeadline(request, now);
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&deadline)) {
+    return std::move(*wrong);
   }
-  change.deadline = now + std::chrono::milliseconds(waitMs);
+  change.deadline = std::get<TimePoint>(deadline);
   change.body = request.body;
   return change;
 }
@@ -133,6 +204,15 @@
   return plain(400, "{\"outcome\":\"refused\",\"problems\":[" + problems + "]" + tail);
 }
 
+rigging::Answer answerOf(ReadBack const& back) {
+  rigging::Answer answer;
+  answer.headers = {{"content-type", "application/json"},
+                    {"limeramp-version", back.version.text()},
+                    {revisionHeader, std::to_string(back.revision)}};
+  answer.body = back.document.empty() ? "{}" : back.document;
+  return answer;
+}
+
 rigging::Answer relayAnswer(rigging::Exchange const& exchange, std::string const& change) {
   if (exchange.answer) {
     rigging::Answer answer = *exchange.answer;
--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -57,25 +57,59 @@
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
+absl::Status openStore(manifest::Settings const& settings, std::unique_ptr<hold::Store>& store) {
+  hold::Shape shape;
+  shape.fileBytes = settings.storeFileBytes;
+  absl::StatusOr<std::unique_ptr<hold::Store>> opened = hold::Store::open(settings.data, shape);
+  if (!opened.ok()) {
+    return opened.status();
+  }
+  store = *std::move(opened);
+  if (store->findings().tailCut) {
+    signal::raise(signal::Event::diskTailCut, {{"folder", settings.data}});
+  }
+  if (store->findings().damaged) {
+    signal::raise(signal::Event::diskDamaged, {{"folder", settings.data}, {"detail", store->findings().detail}});
+    return store->setAside();
+  }
+  return absl::OkStatus();
+}
+
+absl::Status readIdentity(hold::Store& store, std::string& id, bool& mayFound) {
+  std::map<std::string, std::string>::const_iterator const known = store.values().find("id");
+  if (known == store.values().end() || known->second.empty()) {
+    return store.put({{"id", id}, {"mayFound", mayFound ? "yes" : "no"}});
+  }
+  std::map<std::string, std::string>::const_iterator const founds = store.values().find("mayFound");
+  id = known->second;
+  mayFound = founds == store.values().end() ? mayFound : founds->second == "yes";
+  return absl::OkStatus();
+}
+
 }
 
 struct Office::Impl {
-  Impl(manifest::Settings const& settingsIn, std::unique_ptr<hold::Store> storeIn, std::string const& idIn)
+  Impl(manifest::Settings const& settingsIn, OperatorDialect const& dialectIn, manifest::Language const& languageIn,
+       std::unique_ptr<hold::Store> storeIn, std::string const& idIn, bool mayFoundIn)
       : settings(settingsIn),
+        dialect(dialectIn),
         id(idIn),
+        mayFound(mayFoundIn),
         store(std::move(storeIn)),
         client(network, {}),
         mail(network, settingsIn.advertise),
         inbox(8192),
         work(1024),
         council(pledge::Policy{}),
-        plane(Policy{}, idIn),
+        plane(Policy{}, idIn, languageIn),
         views({}, cargo::Peer{idIn, settingsIn.advertise, settingsIn.zone, "harbourmaster", rigging::randomWord() >> 1, 0},
               settingsIn.seeds, rigging::randomWord()),
         runner(client, settingsIn.advertise, 0, [this](RunBack back) { inbox.push(std::move(back)); }) {}
 
   manifest::Settings settings;
+  OperatorDialect dialect;
   std::string id;
+  bool mayFound = false;
   std::unique_ptr<hold::Store> store;
   rigging::Network network;
   rigging::HttpClient client;
@@ -85,7 +119,7 @@
   pledge::Council council;
   Plane plane;
   fairway::Views views;
-  std::unique_ptr<rigging::HttpServer> server;
+  std::vector<std::unique_ptr<rigging::HttpServer>> servers;
   std::thread core;
   std::thread disk;
   Runner runner;
@@ -121,11 +155,13 @@
   void sendAll(std::vector<fairway::Outgoing> const& sends);
   void reply(std::uint64_t ticket, rigging::Answer answer);
   void change(Incoming& letter);
-  void pass(Incoming& letter, std::string const& change, Clock::time_point deadline);
+  void read(Incoming& letter);
+  void pass(Incoming& letter) { runner.take(Clock::now(), std::move(letter.content), std::move(letter.respond)); }
+  bool listen(std::string const& address, rigging::HttpServer::Handler handler, std::string& error);
+  void take(rigging::Request request, rigging::Responder respond);
   void tick();
   rigging::Answer status() const;
   rigging::Answer ready() const;
-  rigging::Answer current() const;
 };
 
 void Office::Impl::send(std::string const& address, cargo::Message message) {
@@ -182,6 +218,8 @@
         }
         reply(decided->ticket, answerOf(*decided, found->second.change));
       }
+    } else if (ReadBack const* const back = std::get_if<ReadBack>(&effect)) {
+      reply(back->ticket, answerOf(*back));
     } else if (Probe const* const wanted = std::get_if<Probe>(&effect)) {
       probe(*wanted);
     } else if (fairway::Outgoing const* const outgoing = std::get_if<fairway::Outgoing>(&effect)) {
@@ -227,15 +265,19 @@
                                           ",\"node\":" + json(settings.node) + "}");
 }
 
-rigging::Answer Office::Impl::current() const {
+void Office::Impl::read(Incoming& letter) {
   if (!plane.active()) {
-    return plain(503, "{\"reason\":\"this node is not the primary\"}");
+    pass(letter);
+    return;
+  }
+  std::variant<TimePoint, rigging::Answer> deadline = readDeadline(letter.content, Clock::now());
+  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&deadline)) {
+    letter.respond(std::move(*wrong));
+    return;
   }
-  cargo::State const& state = plane.published();
-  rigging::Answer answer = plain(200, state.document.empty() ? "{}" : state.document);
-  answer.headers.emplace_back("limeramp-version",
-                              manifest::Version{state.configurationEpoch, state.configurationSequence}.text());
-  return answer;
+  std::uint64_t const ticket = ++lastTicket;
+  clients.emplace(ticket, Client{std::move(letter.respond), ""});
+  drivePlane(Read{ticket, std::get<TimePoint>(deadline)});
 }
 
 rigging::Answer Office::Impl::status() const {
@@ -274,6 +316,10 @@
 }
 
 void Office::Impl::change(Incoming& letter) {
+  if (!plane.active()) {
+    pass(letter);
+    return;
+  }
   Clock::time_point const now = Clock::now();
   std::variant<Change, rigging::Answer> read = readChange(letter.content, now, rigging::randomName());
   if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
@@ -282,23 +328,8 @@
   }
   Change& wanted = std::get<Change>(read);
   wanted.ticket = ++lastTicket;
-  if (plane.active()) {
-    clients.emplace(wanted.ticket, Client{std::move(letter.respond), wanted.id});
-    drivePlane(wanted);
-    return;
-  }
-  pass(letter, wanted.id, wanted.deadline);
-}
-
-void Office::Impl::pass(Incoming& letter, std::string const& change, Clock::time_point deadline) {
-  if (rigging::findHeader(letter.content.headers, "limeramp-relayed")) {
-    Decided decided;
-    decided.verdict = Verdict::notRun;
-    decided.reason = "this node is not the primary";
-    letter.respond(answerOf(decided, change));
-    return;
-  }
-  runner.take(Clock::now(), std::move(letter.content), change, deadline, std::move(letter.respond));
+  clients.emplace(wanted.ticket, Client{std::move(letter.respond), wanted.id});
+  drivePlane(wanted);
 }
 
 void Office::Impl::forget(Incoming& letter) {
@@ -313,7 +344,7 @@
   }
   Change const& wanted = std::get<Change>(read);
   if (!plane.active()) {
-    pass(letter, wanted.id, wanted.deadline);
+    pass(letter);
     return;
   }
   std::uint64_t const ticket = ++lastTicket;
@@ -381,14 +412,14 @@
   if (target == "/limeramp/inner" && method == "POST") {
     hearParcel(letter.content.body);
     letter.respond({204, {}, ""});
-  } else if (target == configurationPath && (method == "PUT" || method == "PATCH")) {
+  } else if (errandOf(letter.content) == Errand::change) {
     change(letter);
-  } else if (target == forgetPath && method == "POST") {
+  } else if (errandOf(letter.content) == Errand::forget) {
     forget(letter);
+  } else if (errandOf(letter.content) == Errand::read) {
+    read(letter);
   } else if (target == "/limeramp/salvage" && method == "POST") {
     salvage(letter);
-  } else if (target == configurationPath && method == "GET") {
-    letter.respond(current());
   } else if (target == "/limeramp/ready" && method == "GET") {
     letter.respond(ready());
   } else if (target == "/limeramp/status" && method == "GET") {
@@ -418,7 +449,7 @@
       known.members.push_back({peer.node, peer.address, peer.zone});
     }
   }
-  known.mayFound = !fleetElsewhere && views.mayFound(now);
+  known.mayFound = mayFound && !fleetElsewhere && views.mayFound(now);
   driveCouncil(known);
   driveCouncil(pledge::Tick{});
   drivePlane(Tick{});
@@ -432,7 +463,11 @@
 }
 
 void Office::Impl::runCore() {
-  driveCouncil(pledge::Start{{id, settings.advertise, settings.zone}, store->values(), rigging::randomWord()});
+  pledge::Start start{{id, settings.advertise, settings.zone}, {}, rigging::randomWord(), store == nullptr};
+  if (store != nullptr) {
+    start.stored = store->values();
+  }
+  driveCouncil(start);
   disk = std::thread([this] { runDisk(); });
   Clock::time_point nextTick = Clock::now();
   while (!inbox.closed()) {
@@ -450,60 +485,67 @@
 
 void Office::Impl::runDisk() {
   while (std::optional<Work> job = work.pop()) {
-    absl::Status const status = store->put(job->puts);
+    absl::Status const status = store == nullptr ? absl::OkStatus() : store->put(job->puts);
     inbox.push(DiskDone{job->token, status.ok(), std::string(status.message())});
   }
 }
 
 Office::Office() = default;
 
-std::unique_ptr<Office> Office::start(manifest::Settings const& settings, std::string& error) {
-  absl::StatusOr<std::unique_ptr<hold::Store>> store = hold::Store::open(settings.data);
-  if (!store.ok()) {
-    error = std::string(store.status().message());
-    return nullptr;
-  }
-  if ((*store)->findings().tailCut) {
-    signal::raise(signal::Event::diskTailCut, {{"folder", settings.data}});
-  }
-  if ((*store)->findings().damaged) {
-    signal::raise(signal::Event::diskDamaged, {{"folder", settings.data}, {"detail", (*store)->findings().detail}});
-    absl::Status const aside = (*store)->setAside();
-    if (!aside.ok()) {
-      error = std::string(aside.message());
-      return nullptr;
-    }
+bool Office::Impl::listen(std::string const& address, rigging::HttpServer::Handler handler, std::string& error) {
+  rigging::ServerBounds bounds;
+  bounds.maxConnections = settings.maxConnections;
+  bounds.maxBodyBytes = 4 << 20;
+  std::optional<rigging::Address> const parsed = rigging::Address::parse(address);
+  if (!parsed) {
+    error = "'" + address + "' is no IP number and port";
+    return false;
+  }
+  std::unique_ptr<rigging::HttpServer> server = rigging::HttpServer::listen(network, *parsed, bounds, std::move(handler), error);
+  if (server == nullptr) {
+    return false;
+  }
+  signal::raise(signal::Event::listening, {{"address", server->address().text()}, {"id", id}});
+  servers.push_back(std::move(server));
+  return true;
+}
+
+void Office::Impl::take(rigging::Request request, rigging::Responder respond) {
+  if (!inbox.tryPush(Incoming{std::move(request), respond}, 4096)) {
+    respond(plain(503, "{\"outcome\":\"not_run\",\"reason\":\"overloaded\"}"));
   }
-  std::map<std::string, std::string>::const_iterator const known = (*store)->values().find("id");
-  std::string id = known == (*store)->values().end() ? "" : known->second;
-  if (id.empty()) {
-    char mark[20];
-    std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(rigging::randomWord() & 0xffffffff));
-    id = settings.node + "/" + mark;
-    absl::Status const written = (*store)->put({{"id", id}});
-    if (!written.ok()) {
-      error = std::string(written.message());
-      return nullptr;
-    }
+}
+
+std::unique_ptr<Office> Office::start(manifest::Settings const& settings, std::string& error,
+                                      OperatorDialect const& dialect, manifest::Language const& language) {
+  std::unique_ptr<hold::Store> store;
+  absl::Status opened = settings.data.empty() ? absl::OkStatus() : openStore(settings, store);
+  char mark[20];
+  std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(rigging::randomWord() & 0xffffffff));
+  std::string id = settings.node + "/" + mark;
+  bool mayFound = settings.mayFound;
+  if (opened.ok() && store != nullptr) {
+    opened = readIdentity(*store, id, mayFound);
+  }
+  if (!opened.ok()) {
+    error = std::string(opened.message());
+    return nullptr;
   }
   std::unique_ptr<Office> office(new Office());
-  office->impl_ = std::make_unique<Impl>(settings, *std::move(store), id);
+  office->impl_ = std::make_unique<Impl>(settings, dialect, language, std::move(store), id, mayFound);
   Impl& impl = *office->impl_;
-  rigging::ServerBounds bounds;
-  bounds.maxConnections = settings.maxConnections;
-  bounds.maxBodyBytes = 4 << 20;
-  impl.server = rigging::HttpServer::listen(
-      impl.network, *rigging::Address::parse(settings.listen), bounds,
-      [&impl](rigging::Request request, rigging::Responder respond) {
-        if (!impl.inbox.tryPush(Incoming{std::move(request), respond}, 4096)) {
-          respond(plain(503, "{\"outcome\":\"not_run\",\"reason\":\"overloaded\"}"));
-        }
-      },
-      error);
-  if (impl.server == nullptr) {
+  Serve const own = [&impl](rigging::Request request, rigging::Responder respond) {
+    impl.take(std::move(request), std::move(respond));
+  };
+  bool listens = impl.listen(settings.listen, own, error);
+  for (std::string const& address : settings.operatorListens) {
+    listens = listens && impl.listen(address, [&impl, own](rigging::Request asked, rigging::Responder respond) {
+      serveOperator(impl.dialect, std::move(asked), std::move(respond), own);
+    }, error);
+  }
+  if (!listens) {
     return nullptr;
   }
-  signal::raise(signal::Event::listening, {{"address", impl.server->address().text()}, {"id", id}});
   impl.core = std::thread([&impl] { impl.runCore(); });
   return office;
 }
@@ -525,8 +567,11 @@
 void Office::drain() {
   impl_->inbox.push(RetireAsked{});
   std::unique_lock<std::mutex> lock(impl_->retiredMutex);
-  impl_->retiredChanged.wait_for(lock, retireMs, [this] { return impl_->retired; });
-  impl_->server->stopAccepting();
+  Ms const waitMs = std::min(retireMs, impl_->settings.graceMs / 2);
+  impl_->retiredChanged.wait_for(lock, waitMs, [this] { return impl_->retired; });
+  for (std::unique_ptr<rigging::HttpServer> const& server : impl_->servers) {
+    server->stopAccepting();
+  }
 }
 
 }
--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -15,6 +15,7 @@
 
 using Ms = std::chrono::milliseconds;
 using Mark = std::pair<std::uint64_t, std::uint64_t>;
+using manifest::Problem;
 
 struct Known {
   cargo::Follower follower;
@@ -48,16 +49,25 @@
   TimePoint deadline{};
 };
 
+struct Reading {
+  std::uint64_t ticket = 0;
+  TimePoint askedAt{};
+  TimePoint deadline{};
+};
+
 std::string digestOf(Change const& change) {
   return std::to_string(XXH64(change.body.data(), change.body.size(), 0)) + "/" + std::to_string(change.body.size()) +
          (change.patch ? "/patch" : "/whole");
 }
 
+Problem tooLong(std::size_t most) { return {"/", "longer than " + std::to_string(most) + " bytes"}; }
+
 }
 
 struct Plane::Impl {
   Policy policy;
   std::string id;
+  manifest::Language language;
   TimePoint now{};
   std::vector<Effect> effects;
   bool active = false;
@@ -71,10 +81,11 @@
   std::map<Mark, TimePoint> publishings;
   std::deque<Change> queue;
   std::optional<Change> working;
-  bool workingRoster = false;
+  bool workingAnswered = false;
   std::uint64_t lastOwnTicket = 1ULL << 60;
   std::uint64_t workingTicket = 0;
   std::vector<Waiting> waiting;
+  std::vector<Reading> reading;
   bool stable = false;
   TimePoint nextRosterAt{};
   TimePoint activeAt{};
@@ -84,6 +95,7 @@
   void on(pledge::Council const& council, pledge::Committed const& event);
   void on(pledge::Council const& council, pledge::Doubtful const& event);
   void on(pledge::Council const& council, Change const& event);
+  void on(pledge::Council const& council, Read const& event);
   void on(pledge::Council const& council, Polled const& event);
   void on(pledge::Council const& council, Probed const& event);
   void on(pledge::Council const& council, Forget const& event);
@@ -94,6 +106,10 @@
               std::vector<manifest::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
   }
+  bool alone(pledge::Council const& council) const {
+    std::optional<TimePoint> const authority = council.authority();
+    return authority && now - *authority > policy.authorityMs;
+  }
   bool confirmed(std::string const& node, Mark const& wanted) const;
   bool gone(std::string const& node, Mark const& wanted) const;
   bool persistentlyGone(std::string const& node) const;
@@ -107,7 +123,13 @@
   void pump(pledge::Council const& council);
   bool offerRoster(pledge::Council const& council);
   void offerChange(pledge::Council const& council, Change const& change);
+  void offerZone(Change const& change);
+  void offer(Change const& change, cargo::State next);
+  std::optional<std::string> documentOf(Change const& change, std::vector<Problem>& problems) const;
+  void awaitInForce(std::uint64_t ticket, manifest::Version const& version, TimePoint deadline);
   void settle();
+  void settleReading(pledge::Council const& council);
+  void expire();
   cargo::News news(std::uint64_t token, Mark const& has, pledge::Council const& council) const;
 };
 
@@ -338,6 +360,10 @@
     decide(entry.ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   waiting.clear();
+  for (Reading const& entry : reading) {
+    decide(entry.ticket, Verdict::notRun, "this node is not the primary");
+  }
+  reading.clear();
   for (Forgetting const& entry : forgetting) {
     decide(entry.ticket, Verdict::unknown, "the primary changed before the roster was known to be without these nodes");
   }
@@ -351,13 +377,14 @@
   publish(event.state);
   if (event.ticket == workingTicket && working) {
     manifest::Version const version{published.configurationEpoch, published.configurationSequence};
-    waiting.push_back({working->ticket, mark(), version, now, working->deadline});
+    if (!workingAnswered) {
+      waiting.push_back({working->ticket, mark(), version, now, working->deadline});
+    }
     effects.emplace_back(pledge::Note{signal::Event::configurationTaken, version.text() + " change " + working->id});
   }
   if (event.ticket == workingTicket) {
     working.reset();
     workingTicket = 0;
-    workingRoster = false;
   }
   settle();
 }
@@ -366,18 +393,19 @@
   if (event.ticket != workingTicket) {
     return;
   }
-  if (working) {
+  if (working && !workingAnswered) {
     decide(working->ticket, Verdict::unknown, "the primary changed while the change was carried out");
+  }
+  if (working) {
     effects.emplace_back(pledge::Note{signal::Event::configurationUnknown, working->id});
   }
   working.reset();
   workingTicket = 0;
-  workingRoster = false;
 }
 
 void Plane::Impl::on(pledge::Council const& council, Change const& event) {
-  if (!active) {
-    decide(event.ticket, Verdict::notRun, "this node is not the primary");
+  if (!active || alone(council)) {
+    decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
     return;
   }
   if (queue.size() >= policy.mostChanges) {
@@ -388,6 +416,46 @@
   pump(council);
 }
 
+void Plane::Impl::on(pledge::Council const& council, Read const& event) {
+  if (!active || alone(council)) {
+    decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
+  } else if (reading.size() >= policy.mostChanges) {
+    decide(event.ticket, Verdict::notRun, "too many reads wait");
+  } else {
+    reading.push_back({event.ticket, now, event.deadline});
+  }
+}
+
+void Plane::Impl::settleReading(pledge::Council const& council) {
+  std::optional<TimePoint> const authority = council.authority();
+  std::erase_if(reading, [&](Reading const& entry) {
+    if (authority && *authority >= entry.askedAt) {
+      effects.emplace_back(ReadBack{entry.ticket, {published.configurationEpoch, published.configurationSequence},
+                                    published.revision, published.document});
+      return true;
+    }
+    if (now >= entry.deadline) {
+      decide(entry.ticket, Verdict::notRun, "the backup has not confirmed that this node is the primary");
+      return true;
+    }
+    return false;
+  });
+}
+
+void Plane::Impl::expire() {
+  if (working && !workingAnswered && now >= working->deadline) {
+    workingAnswered = true;
+    decide(working->ticket, Verdict::unknown, "the backup has not confirmed the change yet");
+  }
+  std::erase_if(queue, [&](Change const& change) {
+    bool const late = now >= change.deadline;
+    if (late) {
+      decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
+    }
+    return late;
+  });
+}
+
 void Plane::Impl::on(pledge::Council const& council, Polled const& event) {
   std::map<std::string, cargo::Bearing const*> bearings;
   for (cargo::Bearing const& bearing : event.poll.bearings) {
@@ -416,6 +484,8 @@
   });
   probe();
   settle();
+  settleReading(council);
+  expire();
   pump(council);
 }
 
@@ -493,14 +563,78 @@
   next.rosterEpoch = council.decided().epoch;
   next.rosterSequence = published.sequence + 1;
   stable = false;
-  workingRoster = true;
   workingTicket = ++lastOwnTicket;
   effects.emplace_back(pledge::Note{signal::Event::rosterChanged, about});
   effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
   return true;
 }
 
+void Plane::Impl::awaitInForce(std::uint64_t ticket, manifest::Version const& version, TimePoint deadline) {
+  waiting.push_back({ticket, mark(), version, publishedAt, deadline});
+  settle();
+}
+
+void Plane::Impl::offer(Change const& change, cargo::State next) {
+  working = change;
+  workingAnswered = false;
+  workingTicket = ++lastOwnTicket;
+  effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
+}
+
+void Plane::Impl::offerZone(Change const& change) {
+  std::vector<std::string> zones = published.emptiedZones;
+  std::vector<std::string>::iterator const found = std::find(zones.begin(), zones.end(), change.zone->zone);
+  manifest::Version const current{published.configurationEpoch, published.configurationSequence};
+  if ((found != zones.end()) == change.zone->emptied) {
+    awaitInForce(change.ticket, current, change.deadline);
+    return;
+  }
+  if (!change.zone->emptied) {
+    zones.erase(found);
+  } else if (zones.size() >= policy.mostEmptiedZones) {
+    decide(change.ticket, Verdict::refused, "", current,
+           {{"/", "more than " + std::to_string(policy.mostEmptiedZones) + " zones would be emptied"}});
+    return;
+  } else {
+    zones.push_back(change.zone->zone);
+  }
+  cargo::State next = published;
+  next.emptiedZones = std::move(zones);
+  offer(change, std::move(next));
+}
+
+std::optional<std::string> Plane::Impl::documentOf(Change const& change, std::vector<Problem>& problems) const {
+  if (change.body.size() > policy.mostDocumentBytes) {
+    problems.push_back(tooLong(policy.mostDocumentBytes));
+    return std::nullopt;
+  }
+  if (!change.patch && language.verbatim) {
+    return change.body;
+  }
+  if (!change.patch) {
+    manifest::Checked checked = language.check(change.body);
+    if (!checked.configuration) {
+      problems = std::move(checked.problems);
+      return std::nullopt;
+    }
+  }
+  absl::StatusOr<std::string> merged = language.merge(change.patch ? published.document : "", change.body);
+  if (!merged.ok()) {
+    problems.push_back({"/", std::string(merged.status().message())});
+    return std::nullopt;
+  }
+  if (merged->size() > policy.mostDocumentBytes) {
+    problems.push_back(tooLong(policy.mostDocumentBytes));
+    return std::nullopt;
+  }
+  return *std::move(merged);
+}
+
 void Plane::Impl::offerChange(pledge::Council const& council, Change const& change) {
+  if (change.zone) {
+    offerZone(change);
+    return;
+  }
   manifest::Version const current{published.configurationEpoch, published.configurationSequence};
   std::string const digest = digestOf(change);
   for (cargo::Receipt const& receipt : published.receipts) {
@@ -510,8 +644,7 @@
     if (receipt.digest != digest) {
       decide(change.ticket, Verdict::refused, "the change id was used for another change", current);
     } else {
-      waiting.push_back({change.ticket, mark(), {receipt.epoch, receipt.sequence}, publishedAt, change.deadline});
-      settle();
+      awaitInForce(change.ticket, {receipt.epoch, receipt.sequence}, change.deadline);
     }
     return;
   }
@@ -519,36 +652,37 @@
     decide(change.ticket, Verdict::conflict, "the version named is not the current one", current);
     return;
   }
-  absl::StatusOr<picojson::value> body = manifest::parseJson(change.body);
-  if (!body.ok()) {
-    decide(change.ticket, Verdict::refused, "", current, {{"/", std::string(body.status().message())}});
+  if (change.baseRevision && *change.baseRevision != published.revision) {
+    decide(change.ticket, Verdict::conflict, "the revision named is not the current one", current);
     return;
   }
-  picojson::value document = *body;
-  if (change.patch) {
-    absl::StatusOr<picojson::value> const before = manifest::parseJson(published.document.empty() ? "{}" : published.document);
-    document = manifest::mergePatch(before.ok() ? *before : picojson::value(picojson::object()), *body);
+  std::vector<Problem> problems;
+  std::optional<std::string> document = documentOf(change, problems);
+  if (!document) {
+    decide(change.ticket, Verdict::refused, "", current, std::move(problems));
+    return;
   }
-  manifest::Checked checked = manifest::checkConfiguration(document);
+  manifest::Checked checked = language.check(*document);
   if (!checked.configuration) {
     decide(change.ticket, Verdict::refused, "", current, std::move(checked.problems));
     return;
   }
-  cargo::State next = published;
-  next.document = document.serialize();
-  if (next.document.size() > (1u << 20)) {
-    decide(change.ticket, Verdict::refused, "", current, {{"/", "longer than 1048576 bytes"}});
+  std::uint64_t const revision = checked.configuration->revision;
+  if (revision > 0 && revision <= published.revision) {
+    decide(change.ticket, Verdict::refused, "", current,
+           {{"/revision", "is not above the current one, " + std::to_string(published.revision)}});
     return;
   }
+  cargo::State next = published;
+  next.document = *std::move(document);
+  next.revision = revision > 0 ? revision : published.revision;
   next.configurationEpoch = council.decided().epoch;
   next.configurationSequence = published.sequence + 1;
   next.receipts.push_back({change.id, next.configurationEpoch, next.configurationSequence, digest});
   if (next.receipts.size() > policy.mostReceipts) {
     next.receipts.erase(next.receipts.begin());
   }
-  working = change;
-  workingTicket = ++lastOwnTicket;
-  effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
+  offer(change, std::move(next));
 }
 
 void Plane::Impl::pump(pledge::Council const& council) {
@@ -569,9 +703,11 @@
   }
 }
 
-Plane::Plane(Policy const& policy, std::string const& id) : impl_(std::make_unique<Impl>()) {
+Plane::Plane(Policy const& policy, std::string const& id, manifest::Language language)
+    : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->id = id;
+  impl_->language = std::move(language);
 }
 
 Plane::~Plane() = default;
--- a/libs/harbour/src/runner.cpp
+++ b/libs/harbour/src/runner.cpp
@@ -1,6 +1,7 @@
 #include "limeramp/harbour/runner.h"
 
 #include "limeramp/harbour/desk.h"
+#include "limeramp/rigging/chance.h"
 
 #include <unordered_map>
 
@@ -9,10 +10,13 @@
 
 using Ms = std::chrono::milliseconds;
 
-struct Errand {
+constexpr char const* relayedHeader = "limeramp-relayed";
+
+struct Job {
   rigging::Request content;
   std::string change;
   rigging::Responder respond;
+  bool reads = false;
 };
 
 }
@@ -27,12 +31,12 @@
   Relay relay;
   std::string primary;
   std::uint64_t lastTicket = 0;
-  std::unordered_map<std::uint64_t, Errand> errands;
+  std::unordered_map<std::uint64_t, Job> jobs;
 
   void finish(std::uint64_t ticket, rigging::Answer answer) {
-    std::unordered_map<std::uint64_t, Errand>::iterator const found = errands.find(ticket);
+    std::unordered_map<std::uint64_t, Job>::iterator const found = jobs.find(ticket);
     found->second.respond(std::move(answer));
-    errands.erase(found);
+    jobs.erase(found);
   }
 
   void drive(TimePoint now, RelayEvent const& event, rigging::Exchange const* exchange = nullptr) {
@@ -42,17 +46,19 @@
       } else if (RelayCancel const* const cancel = std::get_if<RelayCancel>(&effect)) {
         client.cancel(cancel->attempt);
       } else if (RelayDone const* const done = std::get_if<RelayDone>(&effect)) {
-        finish(done->ticket, relayAnswer(*exchange, errands.at(done->ticket).change));
+        finish(done->ticket, relayAnswer(*exchange, jobs.at(done->ticket).change));
       } else if (Decided const* const decided = std::get_if<Decided>(&effect)) {
-        finish(decided->ticket, answerOf(*decided, errands.at(decided->ticket).change));
+        Decided said = *decided;
+        said.verdict = jobs.at(said.ticket).reads ? Verdict::notRun : said.verdict;
+        finish(said.ticket, answerOf(said, jobs.at(said.ticket).change));
       }
     }
   }
 
   void begin(TimePoint now, RelaySend const& send) {
-    rigging::Request request = errands.at(send.ticket).content;
+    rigging::Request request = jobs.at(send.ticket).content;
     long const leftMs = std::chrono::duration_cast<Ms>(send.deadline - now).count();
-    request.headers.emplace_back("limeramp-deadline-ms", std::to_string(std::max<long>(1, leftMs)));
+    request.headers.emplace_back(deadlineHeader, std::to_string(std::max<long>(1, leftMs)));
     std::uint64_t const ticket = send.ticket;
     std::uint64_t const attempt = send.attempt;
     client.begin(attempt, rigging::Address::parse(send.address).value_or(rigging::Address{}), std::move(request), send.deadline,
@@ -65,18 +71,33 @@
 
 Runner::~Runner() = default;
 
-void Runner::take(TimePoint now, rigging::Request content, std::string const& change, TimePoint deadline,
-                  rigging::Responder respond) {
+void Runner::take(TimePoint now, rigging::Request content, rigging::Responder respond) {
+  bool const reads = errandOf(content) == Errand::read;
+  std::variant<Change, rigging::Answer> change = reads ? Change{} : readChange(content, now, rigging::randomName());
+  std::variant<TimePoint, rigging::Answer> deadline = readDeadline(content, now);
+  for (rigging::Answer* const wrong : {std::get_if<rigging::Answer>(&change), std::get_if<rigging::Answer>(&deadline)}) {
+    if (wrong != nullptr) {
+      respond(std::move(*wrong));
+      return;
+    }
+  }
+  std::string const& id = std::get<Change>(change).id;
+  if (rigging::findHeader(content.headers, relayedHeader)) {
+    respond(answerOf(Decided{0, Verdict::notRun, {}, {}, "this node is not the primary"}, id));
+    return;
+  }
   content.headers = rigging::withoutHopByHop(content.headers);
-  for (char const* const name : {"limeramp-change", "limeramp-deadline-ms", "host"}) {
+  for (char const* const name : {"limeramp-change", deadlineHeader, "host"}) {
     rigging::dropHeader(content.headers, name);
   }
-  content.headers.emplace_back("limeramp-change", change);
-  content.headers.emplace_back("limeramp-relayed", "1");
+  if (!reads) {
+    content.headers.emplace_back("limeramp-change", id);
+  }
+  content.headers.emplace_back(relayedHeader, "1");
   content.headers.emplace_back("limeramp-from", impl_->advertise);
   std::uint64_t const ticket = ++impl_->lastTicket;
-  impl_->errands.emplace(ticket, Errand{std::move(content), change, std::move(respond)});
-  impl_->drive(now, RelayAsked{ticket, deadline});
+  impl_->jobs.emplace(ticket, Job{std::move(content), id, std::move(respond), reads});
+  impl_->drive(now, RelayAsked{ticket, std::get<TimePoint>(deadline)});
 }
 
 void Runner::hear(TimePoint now, RunBack& back) {
--- a/libs/manifest/include/limeramp/manifest/configuration.h
+++ b/libs/manifest/include/limeramp/manifest/configuration.h
@@ -113,6 +113,7 @@
 struct Language {
   std::function<Checked(std::string const& document)> check;
   std::function<absl::StatusOr<std::string>(std::string const& document, std::string const& patch)> merge;
+  bool verbatim = false;
 };
 Language ownLanguage();
 
--- a/libs/pledge/include/limeramp/pledge/council.h
+++ b/libs/pledge/include/limeramp/pledge/council.h
@@ -40,6 +40,7 @@
   Member self;
   std::map<std::string, std::string> stored;
   std::uint64_t seed = 0;
+  bool diskless = false;
 };
 struct Known {
   std::vector<Member> members;
--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -68,6 +68,7 @@
   std::vector<Effect> effects;
   bool started = false;
   bool broken = false;
+  bool diskless = false;
   bool retiring = false;
   Member self;
   std::mt19937_64 dice;
@@ -226,6 +227,11 @@
   lastToken = dice() >> 20;
   started = true;
   quietSince = now;
+  diskless = event.diskless;
+  if (diskless) {
+    broken = true;
+    return;
+  }
   restore("vote", event.stored, vote);
   restore("state", event.stored, state);
   if (broken) {
@@ -264,7 +270,8 @@
     entry.at = now;
     entry.ever = true;
     entry.hail = *hail;
-    bool const later = hail->decided.epoch > vote.decided.epoch && hail->decided.fleet == vote.decided.fleet;
+    bool const known = vote.decided.epoch == 0 || hail->decided.fleet == vote.decided.fleet;
+    bool const later = hail->decided.epoch > vote.decided.epoch && known;
     vote.decided = later ? hail->decided : vote.decided;
   }
 }
@@ -888,7 +895,7 @@
 
 bool Council::active() const { return impl_->regime == Regime::active && !impl_->isSealed(); }
 bool Council::busy() const { return impl_->ticket.has_value(); }
-bool Council::ailing() const { return impl_->ailing(); }
+bool Council::ailing() const { return impl_->ailing() && !impl_->diskless; }
 bool Council::retired() const {
   std::map<std::string, Heard>::const_iterator const heir = impl_->heard.find(impl_->vote.decided.primary);
   bool const known = heir != impl_->heard.end() && heir->second.hail.decided.epoch == impl_->vote.decided.epoch;
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -575,14 +575,7 @@
 }
 
 void Front::Impl::relayChange(Incoming& letter) {
-  Clock::time_point const now = Clock::now();
-  std::variant<harbour::Change, rigging::Answer> read = harbour::readChange(letter.content, now, rigging::randomName());
-  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
-    letter.respond(std::move(*wrong));
-    return;
-  }
-  harbour::Change const& wanted = std::get<harbour::Change>(read);
-  runner.take(now, std::move(letter.content), wanted.id, wanted.deadline, std::move(letter.respond));
+  runner.take(Clock::now(), std::move(letter.content), std::move(letter.respond));
 }
 
 void Front::Impl::operate(Incoming& letter) {
@@ -593,11 +586,10 @@
     letter.respond({204, {}, ""});
   } else if (target == "/limeramp/carry" && method == "POST") {
     takeCarry(letter);
-  } else if ((target == harbour::configurationPath && (method == "PUT" || method == "PATCH")) ||
-             (target == harbour::forgetPath && method == "POST")) {
-    relayChange(letter);
-  } else if (target == harbour::configurationPath && method == "GET") {
+  } else if (harbour::errandOf(letter.content) == harbour::Errand::read) {
     letter.respond(current());
+  } else if (harbour::errandOf(letter.content) != harbour::Errand::none) {
+    relayChange(letter);
   } else if (target == "/limeramp/ready" && method == "GET") {
     letter.respond(ready());
   } else if (target == "/limeramp/status" && method == "GET") {
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -1,4 +1,5 @@
 #include "drydock/roads.h"
+#include "limeramp/harbour/zones.h"
 
 #include <gtest/gtest.h>
 
@@ -90,6 +91,193 @@
   EXPECT_EQ(verdictOf(roads, roads.change("first", bodyOf(9))), harbour::Verdict::refused);
 }
 
+std::string revised(std::uint64_t revision, std::string const& service) {
+  return "{ \"revision\": " + std::to_string(revision) + ", \"services\": {\"" + service + "\": {}} }";
+}
+
+harbour::Change onRevision(Roads& roads, std::uint64_t base, std::string const& body, bool patch = false) {
+  std::string const id = "on" + std::to_string(base) + (patch ? "patch" : "whole") + body;
+  return {0, id, {}, patch, body, roads.sea.now() + Ms(8000), base, {}};
+}
+
+std::optional<harbour::ReadBack> readBack(Roads& roads, std::size_t index, Ms wait = Ms(900)) {
+  std::uint64_t const ticket = roads.read(index, wait);
+  roads.run(wait + Ms(50));
+  return roads.readBacks.contains(ticket) ? std::optional(roads.readBacks.at(ticket)) : std::nullopt;
+}
+
+TEST(Revisions, RiseAndEachIsTheBaseOfOneChangeOnly) {
+  Roads roads(61, 3, 4, 2);
+  roads.startAll();
+  roads.run(Ms(4000));
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 1, revised(2, "x")))), harbour::Verdict::conflict);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(5, "x")))), harbour::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(5, "x")))), harbour::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(6, "y")))), harbour::Verdict::conflict);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(5, "y")))), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(4, "y")))), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, "{\"revision\":9,\"services\":{\"z\":{}}}", true))),
+            harbour::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(12, "w")))), harbour::Verdict::conflict);
+  std::optional<harbour::ReadBack> const back = readBack(roads, *roads.primary());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->revision, 9u);
+  EXPECT_EQ(back->document, R"({"revision":9,"services":{"x":{},"z":{}}})");
+  EXPECT_EQ(insist(roads, "without a revision", 3), harbour::Verdict::taken);
+  EXPECT_EQ(roads.machines[*roads.primary()].master->plane->published().revision, 9u);
+}
+
+TEST(Revisions, OfTwoOperatorsOnOneRevisionExactlyOneWinsInEveryOrder) {
+  for (bool const swapped : {false, true}) {
+    for (int gapMs = 0; gapMs <= 40; gapMs += 4) {
+      Roads roads(170 + static_cast<std::uint64_t>(gapMs), 3, 4, 2);
+      roads.startAll();
+      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+      std::optional<std::uint64_t> const one = roads.change(onRevision(roads, 0, revised(swapped ? 7 : 8, "x")));
+      roads.run(Ms(gapMs));
+      std::optional<std::uint64_t> const two = roads.change(onRevision(roads, 0, revised(swapped ? 8 : 7, "never")));
+      std::optional<std::uint64_t> const same = roads.change(onRevision(roads, 0, revised(swapped ? 7 : 8, "x")));
+      EXPECT_EQ(verdictOf(roads, one), harbour::Verdict::taken);
+      EXPECT_EQ(verdictOf(roads, two), harbour::Verdict::conflict);
+      EXPECT_EQ(verdictOf(roads, same), harbour::Verdict::taken);
+    }
+  }
+}
+
+TEST(Revisions, ALanguageDecidesWhatIsStoredAndHowAChangeIsMerged) {
+  Roads roads(62, 3, 2, 2);
+  roads.language.verbatim = true;
+  roads.language.check = [](std::string const& document) {
+    manifest::Checked out;
+    if (document.starts_with("#")) {
+      out.configuration.emplace().revision = document.size();
+    } else {
+      out.problems.push_back({"/", "must begin with #"});
+    }
+    return out;
+  };
+  roads.language.merge = [](std::string const& document, std::string const& patch) -> absl::StatusOr<std::string> {
+    return patch.empty() ? absl::StatusOr<std::string>(absl::InvalidArgumentError("nothing to add")) : document + patch;
+  };
+  roads.startAll();
+  roads.run(Ms(4000));
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, "no"))), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, "#  1"))), harbour::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 4, "", true))), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 4, " 2", true))), harbour::Verdict::taken);
+  std::optional<harbour::ReadBack> const back = readBack(roads, *roads.primary());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->document, "#  1 2");
+  EXPECT_EQ(back->revision, 6u);
+}
+
+TEST(ReadBack, IsTheNewestTakenAlsoFromAPrimaryThatHasLostItsPlace) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    Roads roads(seed, 3, 4, 3);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken) << seed;
+    std::size_t const old = *roads.primary();
+    ASSERT_TRUE(readBack(roads, old)) << seed;
+    roads.split({old});
+    roads.run(Ms(static_cast<long>(roads.sea.roll(1200))));
+    std::optional<harbour::ReadBack> const early = readBack(roads, old);
+    EXPECT_FALSE(early) << seed;
+    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken) << seed;
+    EXPECT_FALSE(readBack(roads, old)) << seed;
+    ASSERT_TRUE(roads.primary()) << seed;
+    for (std::size_t index = 0; index < 3; ++index) {
+      if (roads.machines[index].isActive() && index != old) {
+        EXPECT_TRUE(readBack(roads, index)) << seed;
+      }
+    }
+    roads.freeze(old);
+    roads.mendAll();
+    roads.thaw(old);
+    readBack(roads, old);
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(EmptiedZones, AreOrderedTakenBackAndOutliveAWholeConfiguration) {
+  Roads roads(63, 3, 6, 3);
+  ASSERT_TRUE(startServing(roads, 6));
+  for (int round = 0; round < 2; ++round) {
+    ASSERT_EQ(verdictOf(roads, roads.order("z1", true)), harbour::Verdict::taken);
+  }
+  EXPECT_EQ(insist(roads, "whole", 5), harbour::Verdict::taken);
+  for (Machine const& machine : roads.machines) {
+    if (machine.quay) {
+      EXPECT_EQ(machine.quay->courier->state()->emptiedZones, std::vector<std::string>{"z1"});
+    }
+  }
+  manifest::Configuration configuration;
+  configuration.emptiedZones = {"z2"};
+  EXPECT_EQ(harbour::emptiedZones(roads.machines[*roads.primary()].master->plane->published(), configuration),
+            (std::set<std::string>{"z1", "z2"}));
+  for (int round = 0; round < 2; ++round) {
+    ASSERT_EQ(verdictOf(roads, roads.order("z1", false)), harbour::Verdict::taken);
+  }
+  EXPECT_TRUE(roads.machines[*roads.primary()].master->plane->published().emptiedZones.empty());
+  for (int number = 0; number < 100; ++number) {
+    ASSERT_EQ(verdictOf(roads, roads.order("n" + std::to_string(number), true)), harbour::Verdict::taken) << number;
+  }
+  EXPECT_EQ(verdictOf(roads, roads.order("one more", true)), harbour::Verdict::refused);
+  EXPECT_EQ(roads.complaints, std::vector<std::string>{});
+}
+
+TEST(EmptiedZones, AnAcknowledgedOrderOutlivesTheLossOfAnyReplicaAndAllPowerAtOnce) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Roads roads(seed, 3, 6, 3);
+    ASSERT_TRUE(startServing(roads, 6)) << seed;
+    ASSERT_EQ(verdictOf(roads, roads.order("z1", true)), harbour::Verdict::taken) << seed;
+    std::size_t const lost = seed % 4 == 3 ? roads.machines.size() : seed % 4;
+    for (std::size_t index = 0; index < roads.machines.size(); ++index) {
+      roads.kill(index);
+    }
+    for (std::size_t index = 0; index < roads.machines.size(); ++index) {
+      if (index != lost) {
+        roads.start(index);
+      }
+    }
+    EXPECT_TRUE(roads.awaitServing(6, Ms(12'000))) << seed;
+    for (Machine const& machine : roads.machines) {
+      if (machine.up && machine.quay) {
+        EXPECT_EQ(machine.quay->courier->state()->emptiedZones, std::vector<std::string>{"z1"}) << seed;
+      }
+    }
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
+TEST(Orders, ACallIsAnsweredWithinItsTimeAlsoByAPrimaryWithoutItsBackup) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Roads roads(seed, 3, 4, 3);
+    roads.startAll();
+    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken) << seed;
+    std::size_t const old = *roads.primary();
+    roads.split({old});
+    std::vector<std::uint64_t> tickets;
+    TimePoint const asked = roads.sea.now();
+    for (char const* const id : {"a", "b"}) {
+      std::optional<std::uint64_t> const ticket = roads.change({0, id, {}, false, bodyOf(7), asked + Ms(900), {}, {}});
+      ASSERT_TRUE(ticket);
+      tickets.push_back(*ticket);
+    }
+    roads.run(Ms(950));
+    ASSERT_TRUE(roads.answers.contains(tickets[0]) && roads.answers.contains(tickets[1])) << seed;
+    EXPECT_EQ(roads.answers.at(tickets[0]).decided.verdict, harbour::Verdict::unknown);
+    EXPECT_EQ(roads.answers.at(tickets[1]).decided.verdict, harbour::Verdict::notRun);
+    roads.run(Ms(400));
+    std::uint64_t const late = roads.read(old, Ms(900));
+    ASSERT_TRUE(roads.answers.contains(late)) << seed;
+    EXPECT_EQ(roads.answers.at(late).decided.verdict, harbour::Verdict::notRun);
+    roads.mendAll();
+    EXPECT_EQ(insist(roads, "a", 7), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(insist(roads, "b", 7), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
+  }
+}
+
 TEST(Delivery, LossOfTheControlGroupAloneStopsNobody) {
   Roads roads(6, 3, 8, 3);
   ASSERT_TRUE(startServing(roads, 8));
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,4 +1,5 @@
 #include "limeramp/harbour/desk.h"
+#include "limeramp/harbour/dialect.h"
 #include "limeramp/harbour/relay.h"
 
 #include <gtest/gtest.h>
@@ -150,4 +151,73 @@
   }
 }
 
+rigging::Request requestOf(std::string const& method, std::string const& target, rigging::Headers const& headers = {},
+                           std::string const& body = "") {
+  return {method, target, headers, body, ""};
+}
+
+Change changeOf(rigging::Request const& request) {
+  return std::get<Change>(readChange(request, TimePoint(std::chrono::hours(1)), "fresh"));
+}
+
+TEST(Orders, TheSameCallOnABaseHasTheSameIdAtEveryNodeAndAnotherCallHasAnother) {
+  std::string const path = configurationPath;
+  rigging::Headers const onFive{{"limeramp-base-revision", "5"}};
+  std::set<std::string> ids;
+  for (rigging::Request const& request :
+       {requestOf("PUT", path, onFive, "{}"), requestOf("PATCH", path, onFive, "{}"), requestOf("PUT", path, onFive, "{ }"),
+        requestOf("PUT", path, {{"limeramp-base-revision", "6"}}, "{}"), requestOf("PUT", path, {{"limeramp-base", "5.1"}}, "{}")}) {
+    EXPECT_EQ(changeOf(request).id, changeOf(request).id);
+    EXPECT_TRUE(ids.insert(changeOf(request).id).second) << changeOf(request).id;
+  }
+  EXPECT_EQ(changeOf(requestOf("PUT", path, onFive)).baseRevision, std::optional<std::uint64_t>(5));
+  EXPECT_EQ(changeOf(requestOf("PUT", path)).id, "fresh");
+  EXPECT_EQ(changeOf(requestOf("PUT", path, {{"limeramp-base", "5.1"}, {"limeramp-change", "mine"}})).id, "mine");
+  for (rigging::Request const& wrong :
+       {requestOf("PATCH", path), requestOf("PUT", path, {{"limeramp-base-revision", "5x"}}),
+        requestOf("PUT", path, {{"limeramp-base-revision", ""}}), requestOf("PUT", "/limeramp/zones/a b/emptied")}) {
+    EXPECT_TRUE(std::holds_alternative<rigging::Answer>(readChange(wrong, TimePoint(), "fresh")));
+  }
+}
+
+TEST(Orders, AZoneIsNamedByThePath) {
+  EXPECT_TRUE(changeOf(requestOf("PUT", "/limeramp/zones/north-1/emptied")).zone->emptied);
+  EXPECT_EQ(changeOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")).zone->zone, "north-1");
+  EXPECT_FALSE(changeOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")).zone->emptied);
+  EXPECT_FALSE(changeOf(requestOf("PUT", configurationPath)).zone);
+  EXPECT_EQ(errandOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")), Errand::change);
+  EXPECT_EQ(errandOf(requestOf("GET", configurationPath)), Errand::read);
+  for (char const* const odd : {"/limeramp/zones//emptied", "/limeramp/zones/emptied", "/limeramp/zones/a", "/limeramp/zones/"}) {
+    EXPECT_EQ(errandOf(requestOf("PUT", odd)), Errand::none) << odd;
+  }
+}
+
+TEST(Orders, AnOperatorsWordsAreTranslatedBothWaysAndBounded) {
+  OperatorDialect dialect;
+  dialect.toOwn = [](rigging::Request const& asked) {
+    return asked.target == "/zones" ? std::optional(requestOf("PUT", "/limeramp/zones/a/emptied")) : std::nullopt;
+  };
+  dialect.fromOwn = [](rigging::Request const& asked, rigging::Answer own) {
+    own.headers.emplace_back("to", asked.target);
+    own.status += 1;
+    return own;
+  };
+  std::vector<rigging::Request> ran;
+  std::optional<rigging::Answer> answer;
+  Serve const own = [&](rigging::Request request, rigging::Responder const& respond) {
+    ran.push_back(std::move(request));
+    respond({200, {}, "own"});
+  };
+  serveOperator(dialect, requestOf("GET", "/other"), [&](rigging::Answer got) { answer = std::move(got); }, own);
+  EXPECT_TRUE(ran.empty());
+  EXPECT_EQ(answer->status, 404);
+  serveOperator(dialect, requestOf("POST", "/zones"), [&](rigging::Answer got) { answer = std::move(got); }, own);
+  ASSERT_EQ(ran.size(), 1u);
+  EXPECT_EQ(rigging::findHeader(ran[0].headers, deadlineHeader), std::optional<std::string>("900"));
+  EXPECT_EQ(answer->status, 201);
+  EXPECT_EQ(rigging::findHeader(answer->headers, "to"), std::optional<std::string>("/zones"));
+  serveOperator({}, requestOf("GET", "/as/is"), [&](rigging::Answer got) { answer = std::move(got); }, own);
+  EXPECT_EQ(ran.back().target, "/as/is");
+}
+
 }
--- a/testside/drydock/roads.cpp
+++ b/testside/drydock/roads.cpp
@@ -57,7 +57,7 @@
     master.unsynced.clear();
     master.diskFails = false;
     master.council.emplace(pledge::Policy{});
-    master.plane.emplace(harbour::Policy{}, master.id);
+    master.plane.emplace(harbour::Policy{}, master.id, language);
     step(index, pledge::Start{{master.id, master.address, master.zone}, master.disk, sea.dice()()});
   }
   tick(index, machine.life);
@@ -232,6 +232,14 @@
                " was acknowledged");
     }
   }
+  for (std::pair<std::string const, std::pair<harbour::ZoneOrder, TimePoint>> const& entry : orderedZones_) {
+    std::vector<std::string> const& zones = state->emptiedZones;
+    bool const emptied = std::find(zones.begin(), zones.end(), entry.first) != zones.end();
+    if (emptied != entry.second.first.emptied && sea.now() > entry.second.second + inForceMs) {
+      complain(quay.node + " serves with " + entry.first + (emptied ? " emptied" : " in use") +
+               " later than 2.1 s after the opposite was acknowledged");
+    }
+  }
 }
 
 void Roads::tick(std::size_t index, std::uint64_t life) {
@@ -358,6 +366,15 @@
       if (decided->verdict == harbour::Verdict::taken && decided->version != manifest::Version{}) {
         acknowledged_.emplace(decided->version, sea.now());
       }
+      if (decided->verdict == harbour::Verdict::taken && orders_.contains(decided->ticket)) {
+        harbour::ZoneOrder const& order = orders_.at(decided->ticket);
+        orderedZones_[order.zone] = {order, sea.now()};
+      }
+    } else if (harbour::ReadBack const* const back = std::get_if<harbour::ReadBack>(&effect)) {
+      if (back->version < newestAcknowledged()) {
+        complain(master.id + " reads back " + back->version.text() + " after " + newestAcknowledged().text());
+      }
+      readBacks[back->ticket] = *back;
     } else if (fairway::Outgoing const* const outgoing = std::get_if<fairway::Outgoing>(&effect)) {
       send(index, outgoing->address, outgoing->message);
     } else if (harbour::Probe const* const wanted = std::get_if<harbour::Probe>(&effect)) {
@@ -377,24 +394,44 @@
 }
 
 std::optional<std::size_t> Roads::primary() const {
+  std::optional<std::size_t> best;
   for (std::size_t index = 0; index < machines.size(); ++index) {
     Machine const& machine = machines[index];
-    if (machine.up && !machine.frozen && machine.master && machine.isActive()) {
-      return index;
+    bool const active = machine.up && !machine.frozen && machine.master && machine.isActive();
+    if (active && (!best || machine.master->council->decided().epoch > machines[*best].master->council->decided().epoch)) {
+      best = index;
     }
   }
-  return std::nullopt;
+  return best;
 }
 
 std::optional<std::uint64_t> Roads::change(std::string const& id, std::string const& body,
                                            std::optional<manifest::Version> base, bool patch) {
+  return change({0, id, base, patch, body, sea.now() + Ms(8000), {}, {}});
+}
+
+std::optional<std::uint64_t> Roads::order(std::string const& zone, bool emptied) {
+  orderedZones_.erase(zone);
+  return change({0, "", {}, false, "", sea.now() + Ms(8000), {}, harbour::ZoneOrder{zone, emptied}});
+}
+
+std::uint64_t Roads::read(std::size_t index, Ms wait) {
+  std::uint64_t const ticket = ++lastTicket_;
+  drivePlane(index, harbour::Read{ticket, sea.now() + wait});
+  return ticket;
+}
+
+std::optional<std::uint64_t> Roads::change(harbour::Change change) {
   std::optional<std::size_t> const index = primary();
   if (!index) {
     return std::nullopt;
   }
-  std::uint64_t const ticket = ++lastTicket_;
-  drivePlane(*index, harbour::Change{ticket, id, base, patch, body, sea.now() + Ms(8000)});
-  return ticket;
+  change.ticket = ++lastTicket_;
+  if (change.zone) {
+    orders_.emplace(change.ticket, *change.zone);
+  }
+  drivePlane(*index, change);
+  return change.ticket;
 }
 
 }
--- a/testside/drydock/roads.h
+++ b/testside/drydock/roads.h
@@ -57,6 +57,8 @@
   std::vector<Machine> machines;
   std::vector<std::string> complaints;
   std::map<std::uint64_t, Answered> answers;
+  std::map<std::uint64_t, harbour::ReadBack> readBacks;
+  manifest::Language language = manifest::ownLanguage();
   std::size_t served = 0;
   std::size_t withheld = 0;
   std::size_t upheld = 0;
@@ -78,6 +80,9 @@
   void run(Ms time) { sea.runUntil(sea.now() + time); }
   std::optional<std::uint64_t> change(std::string const& id, std::string const& body, std::optional<manifest::Version> base = {},
                                       bool patch = false);
+  std::optional<std::uint64_t> change(harbour::Change change);
+  std::optional<std::uint64_t> order(std::string const& zone, bool emptied);
+  std::uint64_t read(std::size_t index, Ms wait);
   std::optional<std::uint64_t> forget(std::vector<std::string> const& nodes);
   std::optional<std::size_t> primary() const;
   bool serves(std::size_t index) const;
@@ -100,6 +105,8 @@
 
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::map<manifest::Version, TimePoint> acknowledged_;
+  std::map<std::uint64_t, harbour::ZoneOrder> orders_;
+  std::map<std::string, std::pair<harbour::ZoneOrder, TimePoint>> orderedZones_;
   std::uint64_t lastTicket_ = 0;
   std::size_t replaced_ = 0;
 };
