--- a/libs/harbour/include/limeramp/harbour/office.h
+++ b/libs/harbour/include/limeramp/harbour/office.h
@@ -11,8 +11,9 @@
 
 class Office {
  public:
-  static std::unique_ptr<Office> start(manifest::Settings const& settings, std::string& error, OperatorDialect dialect = {},
-                                       manifest::Language language = manifest::ownLanguage());
+  static std::unique_ptr<Office> start(manifest::Settings const& settings, std::string& error,
+                                       OperatorDialect const& dialect = {},
+                                       manifest::Language const& language = manifest::ownLanguage());
   ~Office();
   Office(Office const&) = delete;
   Office& operator=(Office const&) = delete;
