--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -4,6 +4,7 @@
 #include "limeramp/fairway/courier.h"
 #include "limeramp/harbour/desk.h"
 #include "limeramp/harbour/runner.h"
+#include "limeramp/harbour/zones.h"
 #include "limeramp/logbook/logbook.h"
 #include "limeramp/quayside/plane.h"
 #include "limeramp/rigging/chance.h"
@@ -381,8 +382,7 @@
     return;
   }
   manifest::Configuration const& configuration = plane.snapshot()->configuration;
-  std::set<std::string> emptied = configuration.emptiedZones;
-  emptied.insert(courier.state()->emptiedZones.begin(), courier.state()->emptiedZones.end());
+  std::set<std::string> const emptied = harbour::emptiedZones(*courier.state(), configuration);
   Clock::time_point const now = Clock::now();
   shoal::Servers servers{service, desk.rows(now, service)};
   for (shoal::ServerRow& row : servers.rows) {
@@ -607,14 +607,7 @@
 }
 
 void Front::Impl::relayChange(Incoming& letter) {
-  Clock::time_point const now = Clock::now();
-  std::variant<harbour::Change, rigging::Answer> read = harbour::readChange(letter.content, now, rigging::randomName());
-  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
-    letter.respond(std::move(*wrong));
-    return;
-  }
-  harbour::Change const& wanted = std::get<harbour::Change>(read);
-  runner.take(now, std::move(letter.content), wanted.id, wanted.deadline, std::move(letter.respond));
+  runner.take(Clock::now(), std::move(letter.content), std::move(letter.respond));
 }
 
 void Front::Impl::operate(Incoming& letter) {
@@ -625,11 +618,10 @@
     letter.respond({204, {}, ""});
   } else if (target == "/limeramp/carry" && method == "POST") {
     takeCarry(letter);
-  } else if ((target == harbour::configurationPath && (method == "PUT" || method == "PATCH")) ||
-             (target == harbour::forgetPath && method == "POST")) {
-    relayChange(letter);
-  } else if (target == harbour::configurationPath && method == "GET") {
+  } else if (harbour::errandOf(letter.content) == harbour::Errand::read) {
     letter.respond(current());
+  } else if (harbour::errandOf(letter.content) != harbour::Errand::none) {
+    relayChange(letter);
   } else if (target == "/limeramp/ready" && method == "GET") {
     letter.respond(ready());
   } else if (target == "/limeramp/status" && method == "GET") {
@@ -802,15 +794,8 @@
   rigging::HttpServer::Handler const takeCaller = [&impl](rigging::Request request, rigging::Responder respond) {
     impl.deliver(Incoming{std::move(request), std::move(respond), true});
   };
-  rigging::HttpServer::Handler const takeOperator = [&impl](rigging::Request request, rigging::Responder respond) {
-    std::optional<rigging::Request> own = impl.operators.toOwn(request);
-    if (!own) {
-      respond(harbour::plain(404, "{\"reason\":\"no such page\"}"));
-      return;
-    }
-    impl.deliver(Incoming{std::move(*own), [&impl, request, respond](rigging::Answer answer) {
-                            respond(impl.operators.fromOwn(request, std::move(answer)));
-                          }, false});
+  rigging::HttpServer::Handler const takeOperator = [&impl, take](rigging::Request request, rigging::Responder respond) {
+    harbour::serveOperator(impl.operators, std::move(request), std::move(respond), take);
   };
   if (!impl.listen({settings.listen}, 4 << 20, take, error) ||
       !impl.listen(settings.callerListens, 4 << 20, takeCaller, error) ||
