Lives of servers, unrun refusals elsewhere at a price, cold servers within a bound

Cause: a reused address kept its former server's marks; a request a server had turned away unrun went on without charge although the server had received it, and one with max_attempts 1 ended on a refused connection; a cold server got what any other gets. Ruled out: slots by the clock (clocks differ and jump), a bucket for each front (with more fronts than slots its least burst is too much). Change: rows are keyed by address and life; Returned.otherLife retires a row until the list shows a new life; attempts that reached a server cost budget and attempts, others neither, five at most; slots of a cold server are dealt out by rank and a front uses the least share of its last 3.2 s.

--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -38,6 +38,12 @@
   std::chrono::milliseconds downMostMs{4000};
   std::chrono::milliseconds stallMs{1000};
   double freshShare = 0.2;
+  double coldOverrun = 1.25;
+  double coldSlack = 4;
+  std::chrono::milliseconds coldWindowMs{1100};
+  std::chrono::milliseconds placeSettleMs{3200};
+  std::chrono::milliseconds retryLeastMs{20};
+  std::chrono::milliseconds retryMostMs{300};
   bool rerun = true;
 };
 
@@ -62,6 +68,8 @@
   std::size_t fronts = 1;
   std::size_t rank = 0;
   double budgetDepth = 0;
+  double budgetRatio = 0.2;
+  std::string zone{};
 };
 
 struct Arrive {
--- a/libs/shoal/src/machine.cpp
+++ b/libs/shoal/src/machine.cpp
@@ -37,8 +37,21 @@
   TimePoint tokensAt;
   double load = 0;
   double limit = 0;
+  bool otherLife = false;
+  TimePoint coldUntil{};
+  TimePoint coldSentAt{};
 };
 
+std::size_t turnOf(std::string const& text) {
+  std::uint64_t hash = 14695981039346656037u;
+  for (char const letter : text) {
+    hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211u;
+  }
+  return hash % 1'000'003;
+}
+
+std::string keyOf(ServerRow const& row) { return row.life.empty() ? row.address : row.address + " " + row.life; }
+
 struct TenantState {
   double window = 0;
   std::size_t inFlight = 0;
@@ -86,6 +99,8 @@
 
   Policy policy;
   Place place;
+  std::deque<std::pair<TimePoint, Place>> places;
+  TimePoint firstPlacedAt{};
   std::map<std::string, ServiceState> services;
   std::unordered_map<std::uint64_t, RequestState> requests;
   std::unordered_map<std::uint64_t, LegKey> attempts;
@@ -104,6 +119,11 @@
   double freshness(ServerState const& server) const;
   void refill(ServerState& server) const;
   bool isDown(ServerState const& server) const { return server.downUntil && now < *server.downUntil; }
+  bool isCold(ServerState const& server) const { return now < server.coldUntil; }
+  bool isLastResort(ServerState const& server) const { return isCold(server) && server.row.coldPerSecond <= 0; }
+  bool hasWarm(ServiceState const& service) const;
+  std::size_t coldShare(ServerState const& server) const;
+  bool mayTake(ServerState const& server, bool warm) const;
   bool isIdle(ServerState& server, std::size_t spare) const;
   bool hasCandidate(ServiceState const& service, tally::Ledger const& ledger) const;
   std::map<std::string, ServerState>::iterator chooseIdle(ServiceState& service, tally::Ledger const& ledger, bool repeatable,
@@ -127,6 +147,7 @@
   void markDown(std::string const& serviceName, ServerState& server);
   void settle(std::uint64_t request);
   void finish(std::uint64_t request, Ending ending, std::string const& reason);
+  Ms retryAfter(ServiceState const& service) const;
   Ms stragglerMs(ServiceState const& service, RequestState const& request) const;
 };
 
@@ -151,13 +172,39 @@
   server.tokensAt = now;
 }
 
-bool Machine::Impl::isIdle(ServerState& server, std::size_t spare) const {
-  if (server.row.leaving || isDown(server)) {
-    return false;
+std::size_t Machine::Impl::coldShare(ServerState const& server) const {
+  double const whole = std::floor(std::max(0.0, server.row.coldPerSecond) * policy.coldOverrun + policy.coldSlack);
+  std::size_t const slots = static_cast<std::size_t>(std::clamp(whole, 1.0, 1e6));
+  std::size_t const shift = turnOf(server.row.address);
+  std::size_t share = now - firstPlacedAt < policy.placeSettleMs ? 0 : slots;
+  for (std::pair<TimePoint, Place> const& held : places) {
+    std::size_t const fronts = std::max<std::size_t>(1, held.second.fronts);
+    std::size_t const turn = (held.second.rank + shift % fronts) % fronts;
+    share = std::min(share, slots / fronts + (turn < slots % fronts ? 1 : 0));
   }
+  return share;
+}
+
+bool Machine::Impl::hasWarm(ServiceState const& service) const {
+  return std::any_of(service.servers.begin(), service.servers.end(),
+                     [&](std::pair<std::string const, ServerState> const& entry) {
+                       ServerState const& server = entry.second;
+                       return !server.row.leaving && !server.otherLife && !isDown(server) && !isLastResort(server);
+                     });
+}
+
+bool Machine::Impl::mayTake(ServerState const& server, bool warm) const {
+  return !server.row.leaving && !server.otherLife && !isDown(server) && !(warm && isLastResort(server)) &&
+         (!isCold(server) || coldShare(server) > 0);
+}
+
+bool Machine::Impl::isIdle(ServerState& server, std::size_t spare) const {
   while (!server.ghosts.empty() && server.ghosts.front() <= now) {
     server.ghosts.pop_front();
   }
+  if (isCold(server) && now - server.coldSentAt < policy.coldWindowMs / std::max<std::size_t>(1, coldShare(server))) {
+    return false;
+  }
   std::size_t const busy = server.inFlight + (spare > 0 ? 0 : server.ghosts.size());
   if (server.downUntil) {
     return busy == 0;
@@ -173,9 +220,10 @@
 }
 
 bool Machine::Impl::hasCandidate(ServiceState const& service, tally::Ledger const& ledger) const {
+  bool const warm = hasWarm(service);
   return std::any_of(service.servers.begin(), service.servers.end(),
                      [&](std::pair<std::string const, ServerState> const& entry) {
-                       return !entry.second.row.leaving && !isDown(entry.second) && !ledger.hasTried(entry.first);
+                       return mayTake(entry.second, warm) && !ledger.hasTried(entry.first);
                      });
 }
 
@@ -197,13 +245,14 @@
   if (count == 0) {
     return best;
   }
+  bool const warm = hasWarm(service);
   std::size_t const turn = (lastAttempt + place.rank) % count;
   std::map<std::string, ServerState>::iterator at = std::next(service.servers.begin(), static_cast<long>(turn));
   for (std::size_t seen = 0; seen < count; ++seen, ++at) {
     if (at == service.servers.end()) {
       at = service.servers.begin();
     }
-    if (ledger.hasTried(at->first) || !isIdle(at->second, spare)) {
+    if (!mayTake(at->second, warm) || ledger.hasTried(at->first) || !isIdle(at->second, spare)) {
       continue;
     }
     bool const onTrial = at->second.downUntil.has_value();
@@ -218,10 +267,11 @@
 
 void Machine::Impl::on(Servers const& event) {
   ServiceState& service = services[event.service];
-  service.budget.setDepth(place.budgetDepth);
+  service.budget.set(place.budgetDepth, place.budgetRatio);
   std::map<std::string, ServerState> next;
   for (ServerRow const& row : event.rows) {
-    std::map<std::string, ServerState>::iterator const old = service.servers.find(row.address);
+    std::string const key = keyOf(row);
+    std::map<std::string, ServerState>::iterator const old = service.servers.find(key);
     ServerState state;
     if (old == service.servers.end()) {
       state.startedAt = now - row.ageMs;
@@ -234,7 +284,10 @@
       state.startedAt = std::min(state.startedAt, now - row.ageMs);
     }
     state.row = row;
-    next.emplace(row.address, std::move(state));
+    if (row.coldMs.count() > 0) {
+      state.coldUntil = std::max(state.coldUntil, now + row.coldMs);
+    }
+    next.emplace(key, std::move(state));
   }
   service.servers = std::move(next);
   dispatch(event.service);
@@ -251,8 +304,15 @@
 
 void Machine::Impl::on(Place const& event) {
   place = event;
+  if (firstPlacedAt == TimePoint{}) {
+    firstPlacedAt = now;
+  }
+  places.emplace_back(now, place);
+  while (places.size() > 1 && now - places[1].first >= policy.placeSettleMs) {
+    places.pop_front();
+  }
   for (std::pair<std::string const, ServiceState>& entry : services) {
-    entry.second.budget.setDepth(place.budgetDepth);
+    entry.second.budget.set(place.budgetDepth, place.budgetRatio);
   }
 }
 
@@ -267,7 +327,7 @@
   std::size_t crowded = 0;
   for (std::string const& name : event.services) {
     ServiceState& service = services[name];
-    service.budget.setDepth(place.budgetDepth);
+    service.budget.set(place.budgetDepth, place.budgetRatio);
     Leg leg;
     leg.service = name;
     std::map<std::string, std::deque<LegKey>>::const_iterator const mine = service.waiting.find(event.tenant);
@@ -291,7 +351,7 @@
     refusal.ending = Ending::refused;
     refusal.verdict = tally::Verdict::notRun;
     refusal.reason = "overloaded";
-    refusal.retryAfter = std::chrono::seconds(1);
+    refusal.retryAfter = retryAfter(services[event.services.front()]);
     effects.emplace_back(refusal);
     effects.emplace_back(Note{signal::Event::overloadRefused, event.services.front(), event.tenant});
     return;
@@ -372,8 +432,13 @@
       if (server != service.servers.end()) {
         service.lastTenant = queue->first;
         dropWaiting(key);
-        assign(service, key, server, false);
         moved = true;
+        if (findLeg(key)->ledger.hasReached() && !service.budget.spend()) {
+          findLeg(key)->givenUp = true;
+          late.push_back(key.request);
+          break;
+        }
+        assign(service, key, server, false);
       } else {
         ++queue;
       }
@@ -387,6 +452,12 @@
   }
 }
 
+Ms Machine::Impl::retryAfter(ServiceState const& service) const {
+  double const slots = static_cast<double>(std::max<std::size_t>(1, service.servers.size()));
+  double const drainMs = service.typicalMs * (1 + static_cast<double>(service.waitingCount) / slots);
+  return std::clamp(Ms(static_cast<long>(drainMs)), policy.retryLeastMs, policy.retryMostMs);
+}
+
 Ms Machine::Impl::stragglerMs(ServiceState const& service, RequestState const& request) const {
   FineMs const wholeMs = request.asked.deadline - request.arrivedAt;
   double const mostMs = wholeMs.count() * policy.stragglerShareOfDeadline;
@@ -418,7 +489,7 @@
     }
     if (!service.budget.spend()) {
       ++counters.budgetSpent;
-      effects.emplace_back(Note{signal::Event::budgetSpent, name, server->first});
+      effects.emplace_back(Note{signal::Event::budgetSpent, name, server->second.row.address});
       return;
     }
     ++counters.extras;
@@ -446,7 +517,10 @@
     state.tokens -= 1;
   }
   ++counters.attempts;
-  effects.emplace_back(Send{attempt, key.request, key.leg, server->first, state.row.life, request.asked.deadline, extra});
+  if (isCold(state)) {
+    state.coldSentAt = now;
+  }
+  effects.emplace_back(Send{attempt, key.request, key.leg, state.row.address, state.row.life, request.asked.deadline, extra});
 }
 
 TenantState& Machine::Impl::tenantOf(ServiceState& service, std::string const& tenant) {
@@ -526,6 +600,18 @@
   if (event.load) {
     server.load = std::clamp(*event.load, 0.0, 10.0);
   }
+  if (event.coldMs) {
+    server.coldUntil = now + *event.coldMs;
+  }
+  if (event.otherLife) {
+    server.otherLife = true;
+    return;
+  }
+  if (event.full && event.verdict == tally::Verdict::notRun) {
+    server.unanswered = 0;
+    server.limit = std::max(1.0, server.limit * policy.limitShrink);
+    return;
+  }
   if (event.healthy) {
     server.failures = 0;
     server.unanswered = 0;
@@ -637,13 +723,14 @@
     effects.emplace_back(Keep{event.attempt, key.request, key.leg});
     closeOthers(request, key.leg);
   } else {
-    leg.ledger.fail(event.attempt, event.verdict);
+    leg.ledger.fail(event.attempt, event.verdict,
+                    event.verdict != tally::Verdict::notRun || event.full || event.otherLife);
     if (!leg.ledger.hasOpen()) {
       std::erase_if(service.open,
                     [&](LegKey const& entry) { return entry.request == key.request && entry.leg == key.leg; });
       bool const again = leg.ledger.mayAttemptAgain(request.asked.max_attempts, request.asked.repeatable) &&
                          hasCandidate(service, leg.ledger) &&
-                         (!leg.ledger.mayHaveRun() || service.budget.spend());
+                         (!leg.ledger.hasReached() || service.budget.left() >= 1);
       if (again) {
         ++counters.retries;
         enqueue(key, true);
@@ -724,7 +811,8 @@
   out.verdict = answered ? tally::Verdict::ran : touched ? tally::Verdict::mayHaveRun : tally::Verdict::notRun;
   if (!answered) {
     out.reason = reason;
-    out.retryAfter = std::chrono::seconds(1);
+    out.retryAfter = retryAfter(services[request.legs.front().service]);
+    out.ending = touched ? Ending::failed : Ending::refused;
   }
   effects.emplace_back(std::move(out));
   requests.erase(id);
@@ -738,6 +826,9 @@
 std::vector<Effect> Machine::step(TimePoint now, Event const& event) {
   impl_->now = now;
   impl_->effects.clear();
+  if (impl_->places.empty()) {
+    impl_->on(Place{});
+  }
   std::visit([this](auto const& concrete) { impl_->on(concrete); }, event);
   return std::move(impl_->effects);
 }
@@ -752,7 +843,7 @@
   for (std::pair<std::string const, ServiceState> const& service : impl_->services) {
     for (std::pair<std::string const, ServerState> const& entry : service.second.servers) {
       ServerState const& server = entry.second;
-      out.push_back({service.first, entry.first, server.row.zone, server.inFlight, server.latencyMs,
+      out.push_back({service.first, server.row.address, server.row.zone, server.inFlight, server.latencyMs,
                      server.downUntil.has_value(), server.row.leaving, impl_->freshness(server) < 1, server.load});
     }
   }
--- a/libs/tally/include/limeramp/tally/ledger.h
+++ b/libs/tally/include/limeramp/tally/ledger.h
@@ -20,13 +20,16 @@
   TimePoint began;
   Phase phase = Phase::assigned;
   Verdict verdict = Verdict::mayHaveRun;
+  bool reached = true;
 };
 
 class Ledger {
  public:
+  static constexpr std::size_t mostUnreached = 4;
+
   void assign(std::uint64_t attempt, std::string const& server, TimePoint now);
   void complete(std::uint64_t attempt);
-  void fail(std::uint64_t attempt, Verdict verdict);
+  void fail(std::uint64_t attempt, Verdict verdict, bool reached = true);
   void cancel(std::uint64_t attempt);
 
   bool hasOpen() const;
@@ -34,26 +37,26 @@
   bool hasTried(std::string const& server) const;
   bool mayAttemptAgain(std::size_t mostAttempts, bool repeatable) const;
   bool mayHaveRun() const;
+  bool hasReached() const;
   TimePoint lastBegan() const;
   std::vector<Attempt> const& attempts() const { return attempts_; }
 
  private:
-  void close(std::uint64_t attempt, Phase phase, Verdict verdict);
+  void close(std::uint64_t attempt, Phase phase, Verdict verdict, bool reached);
 
   std::vector<Attempt> attempts_;
 };
 
 class Budget {
  public:
-  static constexpr double earnedPerArrival = 0.2;
-
-  void setDepth(double depth);
+  void set(double depth, double ratio);
   void earn();
   bool spend();
   double left() const { return left_; }
 
  private:
   double depth_ = 0;
+  double ratio_ = 0;
   double left_ = 0;
 };
 
--- a/libs/tally/src/ledger.cpp
+++ b/libs/tally/src/ledger.cpp
@@ -5,21 +5,24 @@
 namespace limeramp::tally {
 
 void Ledger::assign(std::uint64_t attempt, std::string const& server, TimePoint now) {
-  attempts_.push_back({attempt, server, now, Phase::assigned, Verdict::mayHaveRun});
+  attempts_.push_back({attempt, server, now, Phase::assigned, Verdict::mayHaveRun, true});
 }
 
-void Ledger::close(std::uint64_t attempt, Phase phase, Verdict verdict) {
+void Ledger::close(std::uint64_t attempt, Phase phase, Verdict verdict, bool reached) {
   for (Attempt& entry : attempts_) {
     if (entry.id == attempt && entry.phase == Phase::assigned) {
       entry.phase = phase;
       entry.verdict = verdict;
+      entry.reached = reached;
     }
   }
 }
 
-void Ledger::complete(std::uint64_t attempt) { close(attempt, Phase::complete, Verdict::ran); }
-void Ledger::fail(std::uint64_t attempt, Verdict verdict) { close(attempt, Phase::failed, verdict); }
-void Ledger::cancel(std::uint64_t attempt) { close(attempt, Phase::cancelled, Verdict::mayHaveRun); }
+void Ledger::complete(std::uint64_t attempt) { close(attempt, Phase::complete, Verdict::ran, true); }
+void Ledger::fail(std::uint64_t attempt, Verdict verdict, bool reached) {
+  close(attempt, Phase::failed, verdict, reached);
+}
+void Ledger::cancel(std::uint64_t attempt) { close(attempt, Phase::cancelled, Verdict::mayHaveRun, true); }
 
 bool Ledger::hasOpen() const {
   return std::any_of(attempts_.begin(), attempts_.end(),
@@ -41,18 +44,26 @@
                      [](Attempt const& entry) { return entry.verdict != Verdict::notRun; });
 }
 
+bool Ledger::hasReached() const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [](Attempt const& entry) { return entry.reached; });
+}
+
 bool Ledger::mayAttemptAgain(std::size_t mostAttempts, bool repeatable) const {
-  return !isComplete() && attempts_.size() < mostAttempts && (repeatable || !mayHaveRun());
+  std::size_t const reached = static_cast<std::size_t>(
+      std::count_if(attempts_.begin(), attempts_.end(), [](Attempt const& entry) { return entry.reached; }));
+  return !isComplete() && reached < mostAttempts && attempts_.size() - reached <= mostUnreached &&
+         (repeatable || !mayHaveRun());
 }
 
 TimePoint Ledger::lastBegan() const { return attempts_.empty() ? TimePoint{} : attempts_.back().began; }
 
-void Budget::setDepth(double depth) {
+void Budget::set(double depth, double ratio) {
   depth_ = depth;
+  ratio_ = ratio;
   left_ = std::min(left_, depth_);
 }
 
-void Budget::earn() { left_ = std::min(depth_, left_ + earnedPerArrival); }
+void Budget::earn() { left_ = std::min(depth_, left_ + ratio_); }
 
 bool Budget::spend() {
   if (left_ < 1) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -29,6 +29,8 @@
   TimePoint pausedUntil{};
   TimePoint startedAt{};
   Ms slowStartMs{0};
+  TimePoint coldUntil{};
+  double coldPerSecond = 0;
   std::vector<TimePoint> arrivals;
 };
 
@@ -44,6 +46,7 @@
   Policy policy;
   std::vector<Machine> machines;
   std::vector<std::uint64_t> lives;
+  std::set<std::pair<std::size_t, std::uint64_t>> ticking;
   std::map<std::string, std::map<std::string, Server>> services;
   std::map<std::string, std::vector<std::pair<TimePoint, bool>>> arrivals;
   std::map<std::pair<std::size_t, std::uint64_t>, std::vector<std::string>> asked;
@@ -67,17 +70,22 @@
         row.capacity = server.second.capacity;
         row.slowStartMs = server.second.slowStartMs;
         row.ageMs = std::chrono::duration_cast<Ms>(sea.now() - server.second.startedAt);
+        row.coldMs = std::max(Ms(0), std::chrono::duration_cast<Ms>(server.second.coldUntil - sea.now()));
+        row.coldPerSecond = server.second.coldPerSecond;
         event.rows.push_back(row);
       }
       step(front, event);
     }
   }
 
+  bool live(std::size_t front) const { return ticking.contains({front, lives[front]}); }
+
   void start(std::size_t front) {
     machines[front] = Machine(policy);
     ++lives[front];
     step(front, Place{machines.size(), front, 60.0 / 20});
     tables(front);
+    ticking.insert({front, lives[front]});
     tick(front, lives[front]);
   }
 
@@ -166,7 +174,10 @@
     while (sea.now() < end) {
       double const gapMs = -std::log(1 - static_cast<double>(sea.roll(1'000'000)) / 1e6) * 1000 / perSecond;
       sea.runUntil(sea.now() + std::chrono::microseconds(1 + static_cast<long>(gapMs * 1000)));
-      arrive(sea.roll(machines.size()), names, minimum, deadlineMs);
+      std::size_t const front = sea.roll(machines.size());
+      if (live(front)) {
+        arrive(front, names, minimum, deadlineMs);
+      }
     }
   }
 
@@ -261,6 +272,75 @@
   EXPECT_GT(worst, 0.5);
 }
 
+std::size_t mostInASecond(std::vector<TimePoint> const& times) {
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] > Ms(1000)) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+TEST(FleetCold, NoSecondBringsMoreThanTheBoundWhileFrontsJoinLeaveAndRestart) {
+  for (double const perSecond : {0.0, 4.0, 40.0}) {
+    std::size_t most = 0;
+    std::size_t least = 1'000'000;
+    for (std::size_t const fronts : {1u, 10u, 30u, 90u}) {
+      for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        Fleet fleet(seed * 1000 + fronts, fronts, Policy{});
+        Server cold;
+        cold.coldUntil = fleet.sea.now() + Ms(1'000'000);
+        cold.coldPerSecond = perSecond;
+        fleet.services["p0"]["p0-0"] = cold;
+        std::vector<std::size_t> roster;
+        for (std::size_t front = 0; front < fronts; ++front) {
+          fleet.start(front);
+          roster.push_back(front);
+        }
+        fleet.load(200, Ms(6000), {"p0"}, 1, Ms(400));
+        std::size_t const calm = fleet.services["p0"]["p0-0"].arrivals.size();
+        least = std::min(least, calm);
+        for (int round = 0; round < 14; ++round) {
+          std::size_t const front = fleet.sea.roll(fronts);
+          std::vector<std::size_t>::iterator const place = std::find(roster.begin(), roster.end(), front);
+          if (fleet.sea.chance(0.3) && place != roster.end()) {
+            fleet.start(front);
+          } else if (place == roster.end()) {
+            roster.insert(roster.begin() + static_cast<long>(fleet.sea.roll(roster.size() + 1)), front);
+          } else if (roster.size() > 1) {
+            roster.erase(place);
+          }
+          for (std::size_t other = 0; other < fronts; ++other) {
+            std::vector<std::size_t>::iterator const at = std::find(roster.begin(), roster.end(), other);
+            Place const own{roster.size(), static_cast<std::size_t>(at - roster.begin()), 3.0};
+            bool const in = at != roster.end();
+            std::uint64_t const life = fleet.lives[other];
+            fleet.sea.after(Ms(static_cast<long>(fleet.sea.roll(2000))), [&fleet, other, own, in, life] {
+              if (!in) {
+                ++fleet.lives[other];
+              } else if (fleet.lives[other] == life && fleet.live(other)) {
+                fleet.step(other, own);
+              } else if (fleet.lives[other] == life) {
+                fleet.start(other);
+                fleet.step(other, own);
+              }
+            });
+          }
+          fleet.load(200, Ms(400 + static_cast<long>(fleet.sea.roll(6000))), {"p0"}, 1, Ms(400));
+        }
+        most = std::max(most, mostInASecond(fleet.services["p0"]["p0-0"].arrivals));
+      }
+    }
+    std::printf("%.0f a second, seeds 1 to 6 with 1, 10, 30 and 90 fronts: at most %zu in any second, at least %zu in the first 6 s\n",
+                perSecond, most, least);
+    EXPECT_LE(static_cast<double>(most), perSecond * 1.5 + 5);
+    EXPECT_GE(static_cast<double>(least), 2 * (perSecond + 1));
+  }
+}
+
 TEST(FleetOverload, ServersAskedForTwiceWhatTheyBearGoOnAnsweringInTime) {
   std::size_t least = 100'000;
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
--- a/tests/shoal_test.cpp
+++ b/tests/shoal_test.cpp
@@ -319,6 +319,176 @@
   }
 }
 
+ServerRow rowOf(std::string const& address, std::string const& life = "") {
+  ServerRow row;
+  row.address = address;
+  row.life = life;
+  return row;
+}
+
+Returned refusedBy(std::uint64_t attempt, bool full, bool otherLife) {
+  Returned returned;
+  returned.attempt = attempt;
+  returned.verdict = tally::Verdict::notRun;
+  returned.full = full;
+  returned.otherLife = otherLife;
+  return returned;
+}
+
+TEST(Life, AnotherLifeAtTheSameAddressIsAnotherServerWithoutMarks) {
+  Bench bench;
+  bench.step(Servers{"a", {rowOf("s", "l1"), rowOf("t", "l9")}});
+  for (std::uint64_t request = 1; request <= 4; ++request) {
+    bench.arrive(request, {"a"}, 1, 2, true, Ms(500));
+    while (bench.machine.requests() > 0) {
+      Send const last = bench.sent.back();
+      EXPECT_EQ(last.life, last.server == "s" ? "l1" : "l9");
+      if (last.server == "s") {
+        bench.bad(last.attempt, tally::Verdict::notRun);
+      } else {
+        bench.good(last.attempt);
+      }
+    }
+  }
+  std::vector<ServerView> before = bench.machine.servers(bench.now);
+  EXPECT_TRUE(before[0].down);
+  bench.arrive(5, {"a"}, 1, 1, true, Ms(500));
+  std::uint64_t const old = bench.sent.back().attempt;
+  bench.step(Servers{"a", {rowOf("s", "l2")}});
+  EXPECT_FALSE(bench.machine.servers(bench.now)[0].down);
+  EXPECT_EQ(bench.machine.servers(bench.now)[0].inFlight, 0u);
+  bench.arrive(6, {"a"}, 1, 1, true, Ms(500));
+  EXPECT_EQ(bench.sent.back().life, "l2");
+  bench.good(old);
+  EXPECT_EQ(bench.machine.servers(bench.now)[0].inFlight, 1u);
+  EXPECT_EQ(bench.machine.requests(), 1u);
+}
+
+TEST(Life, AServerThatIsAnotherOneTakesNoMoreWorkUntilTheListShowsItsNewLife) {
+  for (bool const repeatable : {true, false}) {
+    Bench bench;
+    bench.step(Servers{"a", {rowOf("s", "l1"), rowOf("t", "l2")}});
+    bench.warm("a", 5);
+    bench.arrive(1, {"a"}, 1, 2, repeatable, Ms(500));
+    std::string const gone = bench.sent[0].server;
+    bench.step(refusedBy(bench.sent[0].attempt, false, true));
+    ASSERT_EQ(bench.sent.size(), 2u);
+    EXPECT_NE(bench.sent[1].server, gone);
+    bench.good(bench.sent[1].attempt);
+    for (int round = 0; round < 200; ++round) {
+      bench.now += Ms(100);
+      bench.step(Servers{"a", {rowOf("s", "l1"), rowOf("t", "l2")}});
+      bench.arrive(static_cast<std::uint64_t>(10 + round), {"a"}, 1, 2, true, Ms(500));
+      EXPECT_NE(bench.sent.back().server, gone);
+      bench.good(bench.sent.back().attempt);
+    }
+    bench.step(Servers{"a", {rowOf("s", gone == "s" ? "l3" : "l1"), rowOf("t", gone == "t" ? "l3" : "l2")}});
+    bool used = false;
+    for (int round = 0; round < 20; ++round) {
+      bench.arrive(static_cast<std::uint64_t>(1000 + round), {"a"}, 1, 2, true, Ms(500));
+      used = used || bench.sent.back().server == gone;
+      bench.good(bench.sent.back().attempt);
+    }
+    EXPECT_TRUE(used);
+  }
+}
+
+TEST(Retry, WhatAServerRefusedUnrunGoesToAnotherOneIfAttemptsAndBudgetAllow) {
+  for (bool const repeatable : {true, false}) {
+    for (std::size_t const most : {1u, 2u}) {
+      for (double const depth : {0.0, 5.0}) {
+        Bench bench;
+        bench.servers("a", 3);
+        bench.warm("a", depth);
+        bench.arrive(1, {"a"}, 1, most, repeatable, Ms(500));
+        bench.step(refusedBy(bench.sent[0].attempt, true, false));
+        if (most == 2 && depth > 0) {
+          ASSERT_EQ(bench.sent.size(), 2u);
+          EXPECT_NE(bench.sent[0].server, bench.sent[1].server);
+          EXPECT_TRUE(bench.finished.empty());
+          bench.step(refusedBy(bench.sent[1].attempt, true, false));
+          EXPECT_EQ(bench.sent.size(), 2u);
+        }
+        ASSERT_EQ(bench.finished.size(), 1u);
+        EXPECT_EQ(bench.finished[0].ending, Ending::refused);
+        EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::notRun);
+        ASSERT_TRUE(bench.finished[0].retryAfter.has_value());
+        EXPECT_GE(*bench.finished[0].retryAfter, Ms(20));
+        EXPECT_LE(*bench.finished[0].retryAfter, Ms(300));
+      }
+    }
+  }
+}
+
+TEST(Retry, AServerNotReachedCostsNeitherBudgetNorAttemptsButTriesAreBounded) {
+  for (bool const repeatable : {true, false}) {
+    Bench bench;
+    bench.place(0);
+    bench.servers("a", 9);
+    bench.arrive(1, {"a"}, 1, 1, repeatable, Ms(500));
+    bench.bad(bench.sent[0].attempt, tally::Verdict::notRun);
+    ASSERT_EQ(bench.sent.size(), 2u);
+    bench.good(bench.sent[1].attempt);
+    EXPECT_EQ(bench.finished.back().ending, Ending::complete);
+    bench.arrive(2, {"a"}, 1, 1, repeatable, Ms(500));
+    while (bench.machine.requests() > 0) {
+      bench.bad(bench.sent.back().attempt, tally::Verdict::notRun);
+    }
+    EXPECT_EQ(bench.finished.back().ending, Ending::refused);
+    EXPECT_EQ(bench.sent.size(), 2u + tally::Ledger::mostUnreached + 1);
+  }
+}
+
+TEST(Cold, IsTheLastResortWhenItBearsNothingAndTakesItsShareOtherwise) {
+  for (double const perSecond : {0.0, 20.0}) {
+    Bench bench;
+    ServerRow cold = rowOf("cold", "l1");
+    cold.coldMs = Ms(20'000);
+    cold.coldPerSecond = perSecond;
+    bench.step(Servers{"a", {cold, rowOf("warm", "l2")}});
+    bench.pass(Ms(4000));
+    std::size_t atCold = 0;
+    for (std::uint64_t request = 1; request <= 400; ++request) {
+      bench.arrive(request, {"a"}, 1, 1, true, Ms(500));
+      atCold += bench.sent.back().server == "cold" ? 1 : 0;
+      bench.good(bench.sent.back().attempt);
+      bench.now += Ms(10);
+    }
+    EXPECT_EQ(atCold > 0, perSecond > 0);
+    ServerRow leaving = rowOf("warm", "l2");
+    leaving.leaving = true;
+    bench.step(Servers{"a", {cold, leaving}});
+    bench.arrive(1000, {"a"}, 1, 1, true, Ms(500));
+    bench.pass(Ms(500));
+    EXPECT_EQ(bench.sent.back().server, "cold");
+  }
+}
+
+TEST(Cold, AnAnswerMayTellItAtAnyMoment) {
+  Bench bench;
+  bench.servers("a", 2);
+  bench.pass(Ms(4000));
+  bench.arrive(1, {"a"}, 1, 1, true, Ms(500));
+  std::string const cold = bench.sent.back().server;
+  Returned returned{bench.sent.back().attempt, true, true, tally::Verdict::ran, {}};
+  returned.coldMs = Ms(1000);
+  bench.step(returned);
+  for (std::uint64_t request = 2; request <= 90; ++request) {
+    bench.arrive(request, {"a"}, 1, 1, true, Ms(500));
+    EXPECT_NE(bench.sent.back().server, cold) << request;
+    bench.good(bench.sent.back().attempt);
+    bench.now += Ms(10);
+  }
+  bool again = false;
+  for (std::uint64_t request = 100; request <= 140; ++request) {
+    bench.arrive(request, {"a"}, 1, 1, true, Ms(500));
+    again = again || bench.sent.back().server == cold;
+    bench.good(bench.sent.back().attempt);
+    bench.now += Ms(10);
+  }
+  EXPECT_TRUE(again);
+}
+
 TEST(Leaving, GetsNoNewWorkAndFinishesWhatItHas) {
   Bench bench;
   bench.servers("a", 1);
