One reader of the list for each zone, pages, cold time as news only when it rises

Cause: each service had its own home, each of which read the whole list; reads fell only on poll ticks; refusals for the rate were repeated at once; every change of a cold time would have been pushed to all. Ruled out: all nodes read for themselves when news is old (a zone of 30 at once). Change: one home for a zone, others step in one after the other; DeskStep.page and List.nextPage, a list counts when its last page is in, a row missing between pages is held as leaving for one read; listFailed(now, overRate) backs off to 2 s; the digest sees a cold time's beginning, end and rise; own list has life, cold_ms and next_page.

--- a/libs/berth/include/limeramp/berth/desk.h
+++ b/libs/berth/include/limeramp/berth/desk.h
@@ -19,9 +19,13 @@
   std::chrono::milliseconds pollMs{250};
   std::chrono::milliseconds replyMs{500};
   std::chrono::milliseconds suspectMs{3000};
-  std::chrono::milliseconds oldNewsMs{1200};
+  std::chrono::milliseconds oldNewsMs{1000};
   std::chrono::milliseconds youngMs{2000};
   std::chrono::milliseconds listMs{400};
+  std::chrono::milliseconds backOffMostMs{2000};
+  std::chrono::milliseconds stepInMs{200};
+  std::chrono::milliseconds coldRiseMs{500};
+  std::size_t mostPages = 64;
   std::chrono::milliseconds emptyHeldMs{10'000};
   std::chrono::milliseconds followerMs{2000};
 };
@@ -35,6 +39,7 @@
   std::vector<fairway::Outgoing> sends;
   std::vector<std::string> changed;
   bool readList = false;
+  std::string page{};
   bool emptyHeld = false;
 };
 
@@ -50,6 +55,7 @@
   DeskStep hear(TimePoint now, std::string const& address, cargo::TableNews const& message);
   DeskStep listed(TimePoint now, List const& list);
   void listFailed();
+  void listFailed(TimePoint now, bool overRate);
 
   std::vector<shoal::ServerRow> rows(TimePoint now, std::string const& service) const;
   std::optional<std::chrono::milliseconds> ageMs(TimePoint now, std::string const& service) const;
--- a/libs/berth/include/limeramp/berth/list.h
+++ b/libs/berth/include/limeramp/berth/list.h
@@ -15,6 +15,7 @@
   std::map<std::string, std::vector<shoal::ServerRow>> services;
   std::size_t rows = 0;
   std::vector<std::string> dropped;
+  std::string nextPage{};
 };
 
 absl::StatusOr<List> readList(std::string_view body);
--- a/libs/berth/src/desk.cpp
+++ b/libs/berth/src/desk.cpp
@@ -24,10 +24,24 @@
   TimePoint servedUntil{};
 };
 
-std::uint64_t digestOf(std::vector<cargo::TableRow> const& rows) {
+struct Seen {
+  TimePoint firstAt{};
+  TimePoint coldUntil{};
+  std::uint64_t coldToldMs = 0;
+};
+
+using SeenKey = std::pair<std::string, std::string>;
+
+SeenKey seenKey(std::string const& service, cargo::TableRow const& row) {
+  return {service, row.address + ' ' + row.life};
+}
+
+std::uint64_t digestOf(std::string const& service, std::vector<cargo::TableRow> const& rows,
+                       std::map<SeenKey, Seen> const& seen) {
   std::uint64_t digest = XXH64("table", 5, 0);
   for (cargo::TableRow row : rows) {
     row.ageMs = 0;
+    row.coldMs = seen.at(seenKey(service, row)).coldToldMs;
     std::string const bytes = cargo::pack(row);
     digest = XXH64(bytes.data(), bytes.size(), digest);
   }
@@ -42,7 +56,7 @@
   std::string address;
   std::string zone;
   std::map<std::string, Sheet> sheets;
-  std::map<std::pair<std::string, std::string>, TimePoint> firstSeen;
+  std::map<SeenKey, Seen> seen;
   std::map<std::string, Listener> listeners;
   std::map<std::string, TimePoint> askedAt;
   std::map<std::string, TimePoint> suspects;
@@ -50,7 +64,13 @@
   std::optional<TimePoint> startedAt;
   TimePoint nextListAt{};
   bool listPending = false;
+  std::string page;
+  std::size_t pages = 0;
+  std::size_t lastPages = 1;
+  List collected;
+  std::size_t listFailures = 0;
   std::size_t lastRows = 0;
+  std::set<SeenKey> absent;
   std::optional<TimePoint> emptySince;
 
   cargo::Table tableOf(TimePoint now, std::string const& service, bool whole) const {
@@ -65,36 +85,47 @@
     if (whole) {
       table.rows = found->second.rows;
       for (cargo::TableRow& row : table.rows) {
-        std::map<std::pair<std::string, std::string>, TimePoint>::const_iterator const seen =
-            firstSeen.find({service, row.address});
-        row.ageMs = seen == firstSeen.end()
-                        ? 0
-                        : static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - seen->second).count());
+        std::map<SeenKey, Seen>::const_iterator const known = seen.find(seenKey(service, row));
+        if (known != seen.end()) {
+          row.ageMs = millisBetween(known->second.firstAt, now);
+          row.coldMs = millisBetween(now, known->second.coldUntil);
+        }
       }
     }
     return table;
   }
 
-  bool adopt(TimePoint now, std::string const& service, std::vector<cargo::TableRow> const& rows) {
+  static std::uint64_t millisBetween(TimePoint from, TimePoint to) {
+    return static_cast<std::uint64_t>(std::max<long>(0, std::chrono::duration_cast<Ms>(to - from).count()));
+  }
+
+  bool adopt(TimePoint now, std::string const& service, std::vector<cargo::TableRow> const& rows,
+             std::optional<std::uint64_t> toldDigest) {
     bool older = false;
+    std::set<SeenKey> listed;
     for (cargo::TableRow const& row : rows) {
-      TimePoint const at = now - Ms(static_cast<long>(row.ageMs));
-      std::pair<std::string, std::string> const key(service, row.address);
-      std::map<std::pair<std::string, std::string>, TimePoint>::iterator const seen = firstSeen.find(key);
-      if (seen == firstSeen.end()) {
-        firstSeen.emplace(key, at);
-      } else {
-        older = older || at + policy.listMs < seen->second;
-        seen->second = std::min(seen->second, at);
+      TimePoint const firstAt = now - Ms(static_cast<long>(row.ageMs));
+      TimePoint const coldUntil = now + Ms(static_cast<long>(row.coldMs));
+      SeenKey const key = seenKey(service, row);
+      listed.insert(key);
+      std::map<SeenKey, Seen>::iterator const known = seen.find(key);
+      if (known == seen.end()) {
+        seen.emplace(key, Seen{firstAt, coldUntil, row.coldMs});
+        continue;
+      }
+      Seen& entry = known->second;
+      older = older || firstAt + policy.listMs < entry.firstAt;
+      entry.firstAt = std::min(entry.firstAt, firstAt);
+      if (row.coldMs == 0 || entry.coldToldMs == 0 || coldUntil > entry.coldUntil + policy.coldRiseMs) {
+        entry.coldToldMs = row.coldMs;
+        entry.coldUntil = coldUntil;
       }
     }
-    std::erase_if(firstSeen, [&](std::pair<std::pair<std::string, std::string> const, TimePoint> const& entry) {
-      return entry.first.first == service &&
-             std::none_of(rows.begin(), rows.end(),
-                          [&](cargo::TableRow const& row) { return row.address == entry.first.second; });
+    std::erase_if(seen, [&](std::pair<SeenKey const, Seen> const& entry) {
+      return entry.first.first == service && !listed.contains(entry.first);
     });
     Sheet& sheet = sheets[service];
-    std::uint64_t const digest = digestOf(rows);
+    std::uint64_t const digest = toldDigest.value_or(digestOf(service, rows, seen));
     bool const changed = !sheet.asOf || sheet.digest != digest || older;
     sheet.rows = rows;
     sheet.digest = digest;
@@ -102,6 +133,63 @@
     return changed;
   }
 
+  std::vector<cargo::TableRow> rowsOf(List const& list, std::string const& service, bool whole) {
+    std::vector<cargo::TableRow> rows;
+    std::map<std::string, std::vector<shoal::ServerRow>>::const_iterator const found = list.services.find(service);
+    if (found != list.services.end()) {
+      for (shoal::ServerRow const& row : found->second) {
+        rows.push_back({row.address, row.zone, row.capacity, row.leaving,
+                        static_cast<std::uint64_t>(row.slowStartMs.count()), 0, row.life,
+                        static_cast<std::uint64_t>(row.coldMs.count())});
+      }
+    }
+    if (whole) {
+      return rows;
+    }
+    std::set<SeenKey> listed;
+    for (cargo::TableRow const& row : rows) {
+      listed.insert(seenKey(service, row));
+      absent.erase(seenKey(service, row));
+    }
+    for (cargo::TableRow const& row : sheets[service].rows) {
+      SeenKey const key = seenKey(service, row);
+      if (listed.contains(key)) {
+        continue;
+      }
+      if (absent.insert(key).second) {
+        cargo::TableRow held = row;
+        held.leaving = true;
+        held.coldMs = 0;
+        rows.push_back(std::move(held));
+      } else {
+        absent.erase(key);
+      }
+    }
+    return rows;
+  }
+
+  void mayRead(TimePoint now, DeskStep& out) {
+    bool const own = std::any_of(sheets.begin(), sheets.end(), [&](std::pair<std::string const, Sheet> const& entry) {
+      return now <= entry.second.servedUntil;
+    });
+    if (own && !listPending && now >= nextListAt) {
+      listPending = true;
+      nextListAt = now + policy.listMs;
+      out.readList = true;
+      out.page = page;
+    }
+  }
+
+  Ms oldNewsMs() const {
+    return std::max(policy.oldNewsMs, policy.listMs * static_cast<long>(lastPages) * 5 / 2);
+  }
+
+  void restartList() {
+    page.clear();
+    pages = 0;
+    collected = List{};
+  }
+
   void push(TimePoint now, std::vector<std::string> const& changed, std::vector<fairway::Outgoing>& sends) {
     for (std::pair<std::string const, Listener>& entry : listeners) {
       cargo::TableNews news;
@@ -134,6 +222,7 @@
   Impl& impl = *impl_;
   DeskStep out;
   if (now < impl.nextPollAt) {
+    impl.mayRead(now, out);
     return out;
   }
   impl.nextPollAt = now + impl.policy.pollMs;
@@ -150,22 +239,29 @@
     return now - entry.second.at > impl.policy.followerMs;
   });
   std::map<std::string, cargo::TablePoll> polls;
-  bool own = false;
+  std::string first;
+  std::string elder;
+  std::size_t position = 0;
+  std::size_t place = 0;
+  for (std::string const& candidate : fairway::rankHomes("list/" + impl.zone, around.zoneAddresses)) {
+    if (candidate == impl.address) {
+      position = place;
+    }
+    ++place;
+    if (candidate == impl.address || !impl.suspects.contains(candidate)) {
+      first = first.empty() ? candidate : first;
+      elder = elder.empty() && candidate != impl.address ? candidate : elder;
+    }
+  }
+  first = first.empty() ? impl.address : first;
   for (std::string const& service : around.services) {
     Sheet& sheet = impl.sheets[service];
-    std::string home;
-    std::string elder;
-    for (std::string const& candidate : fairway::rankHomes("service/" + service + "/" + impl.zone, around.zoneAddresses)) {
-      if (candidate == impl.address || !impl.suspects.contains(candidate)) {
-        home = home.empty() ? candidate : home;
-        elder = elder.empty() && candidate != impl.address ? candidate : elder;
-      }
-    }
-    home = home.empty() ? impl.address : home;
-    bool const old = !sheet.asOf || now - *sheet.asOf > impl.policy.oldNewsMs;
-    if (home == impl.address || old) {
+    bool const old = !sheet.asOf || now - *sheet.asOf > impl.oldNewsMs();
+    TimePoint const oldSince = sheet.asOf ? *sheet.asOf + impl.oldNewsMs() : *impl.startedAt;
+    if (first == impl.address || (old && now - oldSince >= impl.policy.stepInMs * position)) {
       sheet.servedUntil = std::max(sheet.servedUntil, now + impl.policy.pollMs * 2);
     }
+    std::string home = first;
     bool const young = now - *impl.startedAt <= impl.policy.youngMs;
     if (home == impl.address && young) {
       home = elder;
@@ -184,14 +280,7 @@
     impl.askedAt.try_emplace(entry.first, now);
     out.sends.push_back({entry.first, std::move(entry.second)});
   }
-  for (std::pair<std::string const, Sheet> const& entry : impl.sheets) {
-    own = own || now <= entry.second.servedUntil;
-  }
-  if (own && !impl.listPending && now >= impl.nextListAt) {
-    impl.listPending = true;
-    impl.nextListAt = now + impl.policy.listMs;
-    out.readList = true;
-  }
+  impl.mayRead(now, out);
   return out;
 }
 
@@ -211,7 +300,7 @@
     Sheet& sheet = impl.sheets[has.service];
     sheet.servedUntil = now + impl.policy.followerMs;
     listener.has[has.service] = has.digest;
-    if (sheet.asOf && now - *sheet.asOf <= impl.policy.oldNewsMs) {
+    if (sheet.asOf && now - *sheet.asOf <= impl.oldNewsMs()) {
       news.tables.push_back(impl.tableOf(now, has.service, sheet.digest != has.digest));
     }
   }
@@ -227,20 +316,54 @@
   for (cargo::Table const& table : message.tables) {
     Sheet& sheet = impl.sheets[table.service];
     if (table.whole) {
-      if (impl.adopt(now, table.service, table.rows)) {
+      if (impl.adopt(now, table.service, table.rows, table.digest)) {
         out.changed.push_back(table.service);
       }
     } else if (sheet.asOf && sheet.digest == table.digest) {
       sheet.asOf = now;
     }
   }
+  bool const settled = impl.startedAt && now - *impl.startedAt > impl.policy.youngMs;
+  bool const stale = std::any_of(impl.sheets.begin(), impl.sheets.end(), [&](std::pair<std::string const, Sheet> const& entry) {
+    return entry.second.asOf && now - *entry.second.asOf > impl.oldNewsMs();
+  });
+  if (settled && stale && message.tables.empty()) {
+    impl.suspects[address] = now + impl.policy.suspectMs;
+  }
   return out;
 }
 
-DeskStep Desk::listed(TimePoint now, List const& list) {
+DeskStep Desk::listed(TimePoint now, List const& page) {
   Impl& impl = *impl_;
   DeskStep out;
   impl.listPending = false;
+  impl.listFailures = 0;
+  if (!page.nextPage.empty() && impl.pages + 1 >= impl.policy.mostPages) {
+    impl.restartList();
+    return out;
+  }
+  for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& entry : page.services) {
+    std::vector<shoal::ServerRow>& rows = impl.collected.services[entry.first];
+    for (shoal::ServerRow const& row : entry.second) {
+      std::vector<shoal::ServerRow>::iterator const same = std::find_if(
+          rows.begin(), rows.end(), [&](shoal::ServerRow const& known) { return known.address == row.address && known.life == row.life; });
+      if (same == rows.end()) {
+        rows.push_back(row);
+        ++impl.collected.rows;
+      } else {
+        *same = row;
+      }
+    }
+  }
+  ++impl.pages;
+  impl.page = page.nextPage;
+  if (!page.nextPage.empty()) {
+    return out;
+  }
+  List const list = std::move(impl.collected);
+  bool const whole = impl.pages == 1;
+  impl.lastPages = impl.pages;
+  impl.restartList();
   if (list.rows == 0 && impl.lastRows > 0) {
     impl.emptySince = impl.emptySince.value_or(now);
     if (now - *impl.emptySince < impl.policy.emptyHeldMs) {
@@ -259,16 +382,7 @@
     if (now > entry.second.servedUntil) {
       continue;
     }
-    std::vector<cargo::TableRow> rows;
-    std::map<std::string, std::vector<shoal::ServerRow>>::const_iterator const found = list.services.find(entry.first);
-    if (found != list.services.end()) {
-      for (shoal::ServerRow const& row : found->second) {
-        rows.push_back({row.address, row.zone, row.capacity, row.leaving,
-                        static_cast<std::uint64_t>(row.slowStartMs.count()), 0, row.life,
-                        static_cast<std::uint64_t>(row.coldMs.count())});
-      }
-    }
-    if (impl.adopt(now, entry.first, rows)) {
+    if (impl.adopt(now, entry.first, impl.rowsOf(list, entry.first, whole), std::nullopt)) {
       out.changed.push_back(entry.first);
     }
   }
@@ -276,7 +390,22 @@
   return out;
 }
 
-void Desk::listFailed() { impl_->listPending = false; }
+void Desk::listFailed() {
+  impl_->listPending = false;
+  impl_->restartList();
+}
+
+void Desk::listFailed(TimePoint now, bool overRate) {
+  Impl& impl = *impl_;
+  impl.listPending = false;
+  if (!overRate) {
+    impl.restartList();
+  }
+  impl.listFailures = std::min<std::size_t>(impl.listFailures + 1, 4);
+  Ms const waitMs = std::min(impl.policy.backOffMostMs, impl.policy.listMs * (1L << impl.listFailures) / 2);
+  std::uint64_t const spread = XXH64(impl.node.data(), impl.node.size(), impl.listFailures) % 100;
+  impl.nextListAt = now + waitMs + waitMs * static_cast<long>(spread) / 200;
+}
 
 std::vector<shoal::ServerRow> Desk::rows(TimePoint now, std::string const& service) const {
   std::vector<shoal::ServerRow> out;
--- a/libs/berth/src/list.cpp
+++ b/libs/berth/src/list.cpp
@@ -6,6 +6,11 @@
 #include <set>
 
 namespace limeramp::berth {
+namespace {
+
+constexpr std::size_t mostTokenBytes = 1024;
+
+}
 
 absl::StatusOr<List> readList(std::string_view body) {
   absl::StatusOr<picojson::value> parsed = manifest::parseJson(body, {4u << 20, 6, 200'000});
@@ -17,6 +22,12 @@
     return absl::InvalidArgumentError("the list has no array 'servers'");
   }
   List out;
+  if (parsed->get<picojson::object>().contains("next_page") && parsed->get("next_page").is<std::string>()) {
+    out.nextPage = parsed->get("next_page").get<std::string>();
+    if (out.nextPage.size() > mostTokenBytes) {
+      return absl::InvalidArgumentError("the list's next_page is too long");
+    }
+  }
   std::set<std::pair<std::string, std::string>> seen;
   std::size_t index = 0;
   for (picojson::value const& item : parsed->get("servers").get<picojson::array>()) {
@@ -30,6 +41,9 @@
     row.leaving = reader.flag("leaving", false);
     row.slowStartMs = reader.durationMs("slow_start_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0),
                                         std::chrono::minutes(60));
+    row.life = reader.text("life", "");
+    row.coldMs =
+        reader.durationMs("cold_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0), std::chrono::minutes(60));
     if (problems.empty() && !rigging::Address::parse(row.address)) {
       reader.complain("address", "must be an IP number and a port");
     }
--- a/tests/berth_test.cpp
+++ b/tests/berth_test.cpp
@@ -33,6 +33,30 @@
   std::vector<Node> nodes;
   List list;
   std::size_t reads = 0;
+  std::size_t pageRows = 0;
+  bool overRate = false;
+  std::vector<drydock::TimePoint> readAt;
+  std::size_t changes = 0;
+
+  List pageOf(std::string const& token) const {
+    if (pageRows == 0) {
+      return list;
+    }
+    List out;
+    std::size_t const from = token.empty() ? 0 : std::stoul(token.substr(2));
+    std::size_t at = 0;
+    for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& service : list.services) {
+      for (shoal::ServerRow const& row : service.second) {
+        if (at >= from && at < from + pageRows) {
+          out.services[service.first].push_back(row);
+          ++out.rows;
+        }
+        ++at;
+      }
+    }
+    out.nextPage = from + pageRows < at ? "p-" + std::to_string(from + pageRows) : "";
+    return out;
+  }
 
   void start(std::size_t index) {
     Node& node = nodes[index];
@@ -58,6 +82,7 @@
   }
 
   void follow(std::size_t index, DeskStep const& step) {
+    changes += step.changed.size();
     for (fairway::Outgoing const& outgoing : step.sends) {
       for (std::size_t to = 0; to < nodes.size(); ++to) {
         if (nodes[to].address != outgoing.address) {
@@ -78,15 +103,17 @@
     }
     if (step.readList) {
       ++reads;
+      readAt.push_back(sea.now());
       std::uint64_t const life = lives[index];
-      sea.after(Ms(5 + static_cast<long>(sea.roll(40))), [this, index, life] {
+      std::string const page = step.page;
+      sea.after(Ms(5 + static_cast<long>(sea.roll(40))), [this, index, life, page] {
         if (!nodes[index].up || lives[index] != life) {
           return;
         }
-        if (nodes[index].readsList) {
-          follow(index, nodes[index].desk->listed(sea.now(), list));
+        if (nodes[index].readsList && !overRate) {
+          follow(index, nodes[index].desk->listed(sea.now(), pageOf(page)));
         } else {
-          nodes[index].desk->listFailed();
+          nodes[index].desk->listFailed(sea.now(), overRate);
         }
       });
     }
@@ -147,6 +174,141 @@
   EXPECT_LE(worst, Ms(2900));
 }
 
+TEST(Berth, ADepartureShowsInTimeWhenTheReaderDiesAtThatMoment) {
+  Ms worst{0};
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Zone zone(seed, 3 + seed % 6);
+    zone.put("a", rowAt("s1"));
+    zone.put("a", rowAt("s2"));
+    zone.run(Ms(4000 + static_cast<long>(zone.sea.roll(1000))));
+    std::vector<std::string> addresses;
+    for (Node const& node : zone.nodes) {
+      addresses.push_back(node.address);
+    }
+    std::string const reader = fairway::rankHomes("list/z1", addresses).front();
+    Ms const diesMs(static_cast<long>(zone.sea.roll(800)));
+    zone.sea.after(diesMs, [&] {
+      for (Node& node : zone.nodes) {
+        node.up = node.up && node.address != reader;
+      }
+    });
+    zone.run(Ms(400));
+    zone.list.services["a"][0].leaving = true;
+    drydock::TimePoint const shown = zone.sea.now();
+    std::vector<bool> seen(zone.nodes.size(), false);
+    for (int round = 0; round < 300; ++round) {
+      zone.run(Ms(10));
+      for (std::size_t index = 0; index < zone.nodes.size(); ++index) {
+        std::vector<shoal::ServerRow> const rows = zone.nodes[index].desk->rows(zone.sea.now(), "a");
+        if (!seen[index] && zone.nodes[index].up && rows.size() == 2 && rows[0].leaving) {
+          seen[index] = true;
+          worst = std::max(worst, std::chrono::duration_cast<Ms>(zone.sea.now() - shown));
+        }
+      }
+    }
+    for (std::size_t index = 0; index < zone.nodes.size(); ++index) {
+      EXPECT_TRUE(seen[index] || !zone.nodes[index].up) << seed << " node " << index;
+    }
+  }
+  std::printf("seeds 1 to 200: a departure shows after %ld ms at most\n", static_cast<long>(worst.count()));
+  EXPECT_LE(worst, Ms(2000));
+}
+
+TEST(Berth, AListInPagesCountsOnceItsLastPageIsInAndARowBetweenPagesIsNotLostAtOnce) {
+  for (std::size_t const pageRows : {1u, 2u, 3u, 7u}) {
+    Zone zone(pageRows, 3);
+    zone.pageRows = pageRows;
+    for (int number = 0; number < 5; ++number) {
+      zone.put("a", rowAt("s" + std::to_string(number)));
+    }
+    zone.put("b", rowAt("t"));
+    zone.run(Ms(8000));
+    for (Node const& node : zone.nodes) {
+      EXPECT_EQ(node.desk->rows(zone.sea.now(), "a").size(), 5u);
+      EXPECT_EQ(node.desk->rows(zone.sea.now(), "b").size(), 1u);
+    }
+    zone.list.services["a"].erase(zone.list.services["a"].begin());
+    bool lost = false;
+    bool gone = false;
+    for (int round = 0; round < 400; ++round) {
+      zone.run(Ms(20));
+      std::vector<shoal::ServerRow> const rows = zone.nodes[0].desk->rows(zone.sea.now(), "a");
+      lost = lost || rows.size() < 4;
+      gone = rows.size() == 4 && std::none_of(rows.begin(), rows.end(), [](shoal::ServerRow const& row) { return row.leaving; });
+    }
+    EXPECT_FALSE(lost) << pageRows;
+    EXPECT_TRUE(gone) << pageRows;
+  }
+}
+
+TEST(Berth, ColdTimeThatRunsDownIsNoNewsButItsBeginningItsRiseAndItsEndAre) {
+  Zone zone(8, 3);
+  zone.put("a", rowAt("s1"));
+  zone.run(Ms(4000));
+  std::size_t before = zone.changes;
+  shoal::ServerRow& row = zone.list.services["a"][0];
+  row.coldMs = Ms(3000);
+  for (int round = 0; round < 100; ++round) {
+    zone.run(Ms(20));
+    row.coldMs -= Ms(20);
+  }
+  EXPECT_EQ(zone.changes - before, 3u);
+  for (Node const& node : zone.nodes) {
+    EXPECT_NEAR(static_cast<double>(node.desk->rows(zone.sea.now(), "a")[0].coldMs.count()), 1000, 150);
+  }
+  before = zone.changes;
+  row.coldMs = Ms(9000);
+  zone.run(Ms(1000));
+  EXPECT_GE(zone.changes - before, 3u);
+  for (Node const& node : zone.nodes) {
+    EXPECT_GT(node.desk->rows(zone.sea.now(), "a")[0].coldMs, Ms(7900));
+  }
+  row.coldMs = Ms(0);
+  zone.run(Ms(1000));
+  for (Node const& node : zone.nodes) {
+    EXPECT_EQ(node.desk->rows(zone.sea.now(), "a")[0].coldMs, Ms(0));
+  }
+  EXPECT_GT(zone.nodes[0].desk->rows(zone.sea.now(), "a")[0].ageMs, Ms(5000));
+  row.life = "l2";
+  zone.run(Ms(1500));
+  for (Node const& node : zone.nodes) {
+    EXPECT_EQ(node.desk->rows(zone.sea.now(), "a")[0].life, "l2");
+    EXPECT_LT(node.desk->rows(zone.sea.now(), "a")[0].ageMs, Ms(1600));
+  }
+}
+
+TEST(Berth, RefusedForTheRateAReaderBacksOffAndComesBack) {
+  Zone zone(9, 8);
+  zone.put("a", rowAt("s1"));
+  zone.run(Ms(4000));
+  zone.overRate = true;
+  zone.run(Ms(4000));
+  zone.readAt.clear();
+  zone.run(Ms(10'000));
+  EXPECT_LE(zone.readAt.size(), 8u * 10'000 / 1600 + 8);
+  zone.overRate = false;
+  zone.list.services["a"][0].leaving = true;
+  zone.run(Ms(3000));
+  for (Node const& node : zone.nodes) {
+    EXPECT_TRUE(node.desk->rows(zone.sea.now(), "a")[0].leaving);
+  }
+  zone.run(Ms(5000));
+  zone.readAt.clear();
+  zone.run(Ms(10'000));
+  EXPECT_LE(zone.readAt.size(), 10'000u / 400 + 2);
+  EXPECT_GE(zone.readAt.size(), 10'000u / 400 - 4);
+}
+
+TEST(Berth, TheOwnListNamesLivesColdTimeAndTheNextPage) {
+  absl::StatusOr<List> const list = readList(
+      R"({"servers":[{"address":"127.0.0.1:1","service":"a","zone":"z","capacity":3,"life":"l1","cold_ms":250}],"next_page":"x"})");
+  ASSERT_TRUE(list.ok());
+  EXPECT_EQ(list->services.at("a")[0].life, "l1");
+  EXPECT_EQ(list->services.at("a")[0].coldMs, Ms(250));
+  EXPECT_EQ(list->nextPage, "x");
+  EXPECT_TRUE(readList(R"({"servers":[],"next_page":null})")->nextPage.empty());
+}
+
 TEST(Berth, ARowThatChangesServiceOrZoneMovesWholeAndIsFreshInItsNewPlace) {
   Zone zone(3, 3);
   zone.put("a", rowAt("s1"));
