--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -34,7 +34,6 @@
 constexpr std::size_t leavingFronts = 1'000'000;
 constexpr Ms tickMs{50};
 constexpr Ms lastWordMs{300};
-constexpr std::size_t mostListPages = 64;
 
 struct Incoming {
   rigging::Request content;
@@ -98,7 +97,7 @@
         views({}, cargo::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
               rigging::randomWord()),
         courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, boot, rigging::randomWord()),
-        desk({}, settingsIn.node, settingsIn.advertise, settingsIn.zone),
+        desk(deskPolicyOf(settingsIn), settingsIn.node, settingsIn.advertise, settingsIn.zone),
         runner(client, settingsIn.advertise, relayAttempts, [this](harbour::RunBack back) { deliver(std::move(back)); }) {}
 
   static shoal::Policy policyOf(manifest::Settings const& settings) {
@@ -108,6 +107,12 @@
     return policy;
   }
 
+  static berth::DeskPolicy deskPolicyOf(manifest::Settings const& settings) {
+    berth::DeskPolicy policy;
+    policy.listMs = settings.listMs;
+    return policy;
+  }
+
   manifest::Settings settings;
   Dialect dialect;
   harbour::OperatorDialect operators;
@@ -128,8 +133,6 @@
   harbour::Runner runner;
   logbook::Clerk clerk;
   std::vector<std::unique_ptr<rigging::HttpServer>> listeners;
-  berth::List listing;
-  std::size_t listPages = 0;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
   std::uint64_t lastRequest = 0;
   std::string fleet;
@@ -185,7 +188,7 @@
   void place();
   void spread(std::string const& service);
   void follow(berth::DeskStep const& step);
-  void readList(std::string const& page = "");
+  void readList(std::string const& page);
   void tick();
   std::string whyNotReady(Clock::time_point now) const;
   rigging::Answer ready() const;
@@ -405,52 +408,40 @@
     signal::raise(signal::Event::listEmptyHeld, {{"platform", settings.platform}});
   }
   if (step.readList) {
-    readList();
+    readList(step.page);
   }
 }
 
 void Front::Impl::readList(std::string const& page) {
-  if (page.empty()) {
-    listing = {};
-    listPages = 0;
-  }
   client.begin(listAttempt, rigging::Address::parse(settings.platform).value_or(rigging::Address{}), dialect.listRequest(page),
                Clock::now() + Ms(1000), [this](rigging::Exchange exchange) { deliver(ListRead{std::move(exchange)}); });
 }
 
 void Front::Impl::on(ListRead& letter) {
   std::string reason = letter.exchange.reason;
+  bool overRate = false;
   if (letter.exchange.answer) {
     reason = "status " + std::to_string(letter.exchange.answer->status);
+    overRate = letter.exchange.answer->status == 429;
   }
   if (letter.exchange.answer && letter.exchange.answer->status == 200) {
-    absl::StatusOr<berth::List> page = dialect.readList(letter.exchange.answer->body);
-    if (page.ok()) {
-      for (std::pair<std::string const, std::vector<shoal::ServerRow>>& entry : page->services) {
-        std::vector<shoal::ServerRow>& rows = listing.services[entry.first];
-        rows.insert(rows.end(), entry.second.begin(), entry.second.end());
-      }
-      listing.rows += page->rows;
-      listing.dropped.insert(listing.dropped.end(), page->dropped.begin(), page->dropped.end());
-      if (page->nextPage && ++listPages < mostListPages) {
-        readList(*page->nextPage);
-        return;
-      }
-      if (listing.dropped != droppedRows) {
-        for (std::string const& dropped : listing.dropped) {
+    absl::StatusOr<berth::List> const list = dialect.readList(letter.exchange.answer->body);
+    if (list.ok()) {
+      if (list->dropped != droppedRows) {
+        for (std::string const& dropped : list->dropped) {
           signal::raise(signal::Event::listRowDropped, {{"row", dropped}});
         }
-        droppedRows = listing.dropped;
+        droppedRows = list->dropped;
       }
-      if (listing.rows > 0) {
+      if (list->rows > 0) {
         listTrouble.clear();
       }
-      follow(desk.listed(Clock::now(), listing));
+      follow(desk.listed(Clock::now(), *list));
       return;
     }
-    reason = std::string(page.status().message());
+    reason = std::string(list.status().message());
   }
-  desk.listFailed();
+  desk.listFailed(Clock::now(), overRate);
   if (reason != listTrouble) {
     listTrouble = reason;
     signal::raise(signal::Event::listUnreachable, {{"platform", settings.platform}, {"reason", reason}});
