Due times in a heap, dense handles, priorities, aims, silence and locality in the machine

Cause: each tick walked all requests every 4 ms, each event looked names up in maps and copied lists; aim, priority, silence of a server and zones were not looked at. Change: state in vectors by handle; one due time for each request in an indexed heap, a wake time for each service, nextWake exact; waiting by priority with push-out; refusal at a quarter of the aim when the aim would be missed; partial answer at the aim when (in)^2 >= lateShare * (in + pending)^2; re-run at the latest moment that still meets the aim; silent servers take nothing until they answer; bad answers mark only while half of the shard is left; own zone preferred by up to 0.3.

--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -33,10 +33,22 @@
   double stragglerShareOfDeadline = 0.4;
   double marginShareOfDeadline = 0.06;
   std::chrono::milliseconds marginLeastMs{8};
+  std::chrono::milliseconds marginMostMs{30};
+  std::chrono::milliseconds aimMarginMs{8};
+  double lateShare = 0.4;
+  double offerShareOfAim = 0.25;
+  double rerunReserve = 1.3;
+  std::chrono::milliseconds blockedMs{5};
+  std::chrono::milliseconds waitWakeMs{50};
   std::chrono::milliseconds ghostMostMs{1000};
   std::chrono::milliseconds downFirstMs{500};
   std::chrono::milliseconds downMostMs{4000};
   std::chrono::milliseconds stallMs{1000};
+  std::chrono::milliseconds silentFirstMs{100};
+  std::chrono::milliseconds quietFirstMs{100};
+  std::chrono::milliseconds quietMostMs{1000};
+  std::chrono::milliseconds trialMs{350};
+  double zoneBias = 0.3;
   double freshShare = 0.2;
   double coldOverrun = 1.25;
   double coldSlack = 4;
@@ -82,6 +94,7 @@
   TimePoint deadline;
   TimePoint aim{};
   std::size_t priority = 0;
+  std::size_t kind = 0;
 };
 
 struct Returned {
--- a/libs/tally/include/limeramp/tally/ledger.h
+++ b/libs/tally/include/limeramp/tally/ledger.h
@@ -5,7 +5,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace limeramp::tally {
@@ -16,7 +15,7 @@
 
 struct Attempt {
   std::uint64_t id = 0;
-  std::string server;
+  std::uint64_t server = 0;
   TimePoint began;
   Phase phase = Phase::assigned;
   Verdict verdict = Verdict::mayHaveRun;
@@ -27,14 +26,14 @@
  public:
   static constexpr std::size_t mostUnreached = 4;
 
-  void assign(std::uint64_t attempt, std::string const& server, TimePoint now);
+  void assign(std::uint64_t attempt, std::uint64_t server, TimePoint now);
   void complete(std::uint64_t attempt);
   void fail(std::uint64_t attempt, Verdict verdict, bool reached = true);
   void cancel(std::uint64_t attempt);
 
   bool hasOpen() const;
   bool isComplete() const;
-  bool hasTried(std::string const& server) const;
+  bool hasTried(std::uint64_t server) const;
   bool mayAttemptAgain(std::size_t mostAttempts, bool repeatable) const;
   bool mayHaveRun() const;
   bool hasReached() const;
--- a/libs/tally/src/ledger.cpp
+++ b/libs/tally/src/ledger.cpp
@@ -4,7 +4,7 @@
 
 namespace limeramp::tally {
 
-void Ledger::assign(std::uint64_t attempt, std::string const& server, TimePoint now) {
+void Ledger::assign(std::uint64_t attempt, std::uint64_t server, TimePoint now) {
   attempts_.push_back({attempt, server, now, Phase::assigned, Verdict::mayHaveRun, true});
 }
 
@@ -34,7 +34,7 @@
                      [](Attempt const& entry) { return entry.phase == Phase::complete; });
 }
 
-bool Ledger::hasTried(std::string const& server) const {
+bool Ledger::hasTried(std::uint64_t server) const {
   return std::any_of(attempts_.begin(), attempts_.end(),
                      [&](Attempt const& entry) { return entry.server == server; });
 }
