--- a/libs/quayside/include/limeramp/quayside/plane.h
+++ b/libs/quayside/include/limeramp/quayside/plane.h
@@ -57,9 +57,6 @@
 struct Placed {
   shoal::Place place;
 };
-struct Gone {
-  std::uint64_t request = 0;
-};
 struct Tick {};
 
 using Event = std::variant<Arrived, Exchanged, Ground, Merged, InForce, Tables, Owners, Placed, Tick>;
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -32,6 +32,7 @@
 constexpr std::uint64_t relayAttempts = 1ULL << 61;
 constexpr std::uint64_t leastBudgetSlots = 20;
 constexpr std::size_t leavingFronts = 1'000'000;
+constexpr double slackShare = 0.9;
 constexpr Ms tickMs{50};
 constexpr Ms lastWordMs{300};
 
@@ -351,13 +352,15 @@
 void Front::Impl::place() {
   cargo::State const& state = *courier.state();
   shoal::Place own;
+  own.zone = settings.zone;
+  own.budgetRatio = settings.extraRatio;
   own.fronts = std::max<std::size_t>(1, state.roster.size());
   std::uint64_t const slots = std::max<std::uint64_t>(leastBudgetSlots, (state.roster.size() * 5 / 4 + 9) / 10 * 10);
   std::size_t index = 0;
   for (cargo::RosterEntry const& entry : state.roster) {
     if (entry.node == settings.node && entry.address == settings.advertise) {
       own.rank = index;
-      own.budgetDepth = entry.slot < slots ? settings.extraSlack / static_cast<double>(slots) : 0;
+      own.budgetDepth = entry.slot < slots ? settings.extraSlack * slackShare / static_cast<double>(slots) : 0;
     }
     ++index;
   }
@@ -731,7 +734,7 @@
       return;
     }
     Clock::time_point const at = Clock::now();
-    if (plane.nextWake(at).value_or(Clock::time_point::max()) <= at + Ms(1) || plane.requests() > 0) {
+    if (plane.nextWake(at).value_or(Clock::time_point::max()) <= at) {
       letters.emplace_back(quayside::Event(Tick{}));
     }
     if (at >= nextTick) {
--- a/libs/quayside/src/plane.cpp
+++ b/libs/quayside/src/plane.cpp
@@ -55,7 +55,6 @@
   void on(Tables const& event) { drive(event.servers); }
   void on(Owners const& event);
   void on(Placed const& event) { drive(event.place); }
-  void on(Gone const& event);
   void on(Tick const&) { drive(shoal::Tick{}); }
 
   void drive(shoal::Event const& event);
@@ -151,6 +150,7 @@
     waitMs = (*search)->deadlineMs;
     aimMs = (*search)->aimMs;
     arrive.priority = (*search)->priority;
+    arrive.kind = static_cast<std::size_t>(*search - configuration.searches.data());
     for (manifest::Shard const& shard : (*search)->shards) {
       entry.services.push_back(shard.service);
       entry.cuts.push_back(shard.cut);
@@ -163,6 +163,7 @@
     waitMs = route->deadlineMs;
     aimMs = route->aimMs;
     arrive.priority = route->priority;
+    arrive.kind = configuration.searches.size() + static_cast<std::size_t>(route - configuration.routes.data());
     entry.repeatable = route->repeatable;
     entry.services.push_back(manifest::chooseService(*route, entry.id));
     arrive.max_attempts = route->max_attempts;
@@ -256,9 +257,9 @@
     }
     reply(finish.request, std::move(answer));
   } else {
-    Unserved const why = finish.reason == "deadline"                     ? Unserved::deadline
-                         : finish.verdict == tally::Verdict::notRun ? Unserved::overloaded
-                                                                    : Unserved::failed;
+    Unserved const why = finish.verdict == tally::Verdict::notRun ? Unserved::overloaded
+                         : finish.reason == "deadline"            ? Unserved::deadline
+                                                                  : Unserved::failed;
     refuse(finish.request, {why, finish.reason, finish.verdict, finish.retryAfter, entry.id, entry.snapshot->version.text()});
   }
   open.erase(found);
@@ -328,13 +329,6 @@
   ground.erase(attempt);
 }
 
-void Plane::Impl::on(Gone const& event) {
-  if (open.contains(event.request)) {
-    drive(shoal::Abandon{event.request});
-    open.erase(event.request);
-  }
-}
-
 void Plane::Impl::on(Ground const& event) {
   std::unordered_map<std::uint64_t, Outgoing>::iterator const found = outgoing.find(event.attempt);
   if (found == outgoing.end()) {
