List pages back to back, a first read at start, readiness as soon as lists are in

Cause: after the loss of all power fronts had the configuration at 36.14 s and were ready at 36.95 s: a reader waited for a pause between the two pages of the list, and began only once services were known. Ruled out: the control group (primary back 0.31 s after its process), process start.

--- a/libs/berth/include/limeramp/berth/desk.h
+++ b/libs/berth/include/limeramp/berth/desk.h
@@ -22,6 +22,8 @@
   std::chrono::milliseconds oldNewsMs{1000};
   std::chrono::milliseconds youngMs{2000};
   std::chrono::milliseconds listMs{400};
+  std::chrono::milliseconds pageMs{100};
+  std::chrono::milliseconds firstReadMs{200};
   std::chrono::milliseconds backOffMostMs{2000};
   std::chrono::milliseconds stepInMs{200};
   std::chrono::milliseconds coldRiseMs{500};
--- a/libs/berth/src/desk.cpp
+++ b/libs/berth/src/desk.cpp
@@ -61,6 +61,7 @@
   std::map<std::string, TimePoint> askedAt;
   std::map<std::string, TimePoint> suspects;
   TimePoint nextPollAt{};
+  std::set<std::string> services;
   std::optional<TimePoint> startedAt;
   TimePoint nextListAt{};
   bool listPending = false;
@@ -172,16 +173,25 @@
     bool const own = std::any_of(sheets.begin(), sheets.end(), [&](std::pair<std::string const, Sheet> const& entry) {
       return now <= entry.second.servedUntil;
     });
-    if (own && !listPending && now >= nextListAt) {
+    bool const blank = lastRows == 0 && startedAt && now - *startedAt >= firstReadMs() &&
+                       std::none_of(sheets.begin(), sheets.end(),
+                                    [](std::pair<std::string const, Sheet> const& entry) { return entry.second.asOf.has_value(); });
+    if ((own || blank || !page.empty()) && !listPending && now >= nextListAt) {
       listPending = true;
-      nextListAt = now + policy.listMs;
+      if (page.empty()) {
+        nextListAt = now + std::max(policy.listMs, policy.pageMs * static_cast<long>(lastPages));
+      }
       out.readList = true;
       out.page = page;
     }
   }
 
   Ms oldNewsMs() const {
-    return std::max(policy.oldNewsMs, policy.listMs * static_cast<long>(lastPages) * 5 / 2);
+    return std::max(policy.oldNewsMs, std::max(policy.listMs, policy.pageMs * static_cast<long>(lastPages)) * 5 / 2);
+  }
+
+  Ms firstReadMs() const {
+    return policy.firstReadMs * static_cast<long>(XXH64(node.data(), node.size(), 1) % 100) / 100;
   }
 
   void restartList() {
@@ -221,12 +231,13 @@
 DeskStep Desk::tick(TimePoint now, Around const& around) {
   Impl& impl = *impl_;
   DeskStep out;
-  if (now < impl.nextPollAt) {
+  impl.startedAt = impl.startedAt.value_or(now);
+  if (now < impl.nextPollAt && around.services == impl.services) {
     impl.mayRead(now, out);
     return out;
   }
+  impl.services = around.services;
   impl.nextPollAt = now + impl.policy.pollMs;
-  impl.startedAt = impl.startedAt.value_or(now);
   std::erase_if(impl.suspects, [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
   std::erase_if(impl.askedAt, [&](std::pair<std::string const, TimePoint> const& entry) {
     bool const late = now - entry.second > impl.policy.replyMs;
@@ -358,6 +369,9 @@
   ++impl.pages;
   impl.page = page.nextPage;
   if (!page.nextPage.empty()) {
+    impl.listPending = true;
+    out.readList = true;
+    out.page = impl.page;
     return out;
   }
   List const list = std::move(impl.collected);
@@ -378,8 +392,13 @@
   }
   impl.emptySince.reset();
   impl.lastRows = list.rows;
+  for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& entry : list.services) {
+    if (impl.sheets.size() < mostSheets) {
+      impl.sheets.try_emplace(entry.first);
+    }
+  }
   for (std::pair<std::string const, Sheet>& entry : impl.sheets) {
-    if (now > entry.second.servedUntil) {
+    if (now > entry.second.servedUntil && entry.second.asOf) {
       continue;
     }
     if (impl.adopt(now, entry.first, impl.rowsOf(list, entry.first, whole), std::nullopt)) {
--- a/libs/manifest/include/limeramp/manifest/settings.h
+++ b/libs/manifest/include/limeramp/manifest/settings.h
@@ -28,6 +28,7 @@
   std::chrono::milliseconds graceMs{5600};
   std::chrono::milliseconds noticeMs{1500};
   std::chrono::milliseconds listMs{400};
+  std::chrono::milliseconds listPageMs{100};
   std::vector<std::string> operatorListens;
   std::vector<std::string> readinessListens;
   std::vector<std::string> callerListens;
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -111,6 +111,7 @@
   static berth::DeskPolicy deskPolicyOf(manifest::Settings const& settings) {
     berth::DeskPolicy policy;
     policy.listMs = settings.listMs;
+    policy.pageMs = settings.listPageMs;
     return policy;
   }
 
@@ -191,6 +192,7 @@
   void follow(berth::DeskStep const& step);
   void readList(std::string const& page);
   void tick();
+  void refreshReadiness(Clock::time_point now);
   std::string whyNotReady(Clock::time_point now) const;
   rigging::Answer ready() const;
   rigging::Answer status() const;
@@ -440,6 +442,7 @@
         listTrouble.clear();
       }
       follow(desk.listed(Clock::now(), *list));
+      refreshReadiness(Clock::now());
       return;
     }
     reason = std::string(list.status().message());
@@ -689,6 +692,10 @@
   }
   follow(desk.tick(now, around));
   runner.tick(now, courier.primaryAddress());
+  refreshReadiness(now);
+}
+
+void Front::Impl::refreshReadiness(Clock::time_point now) {
   std::string const why = whyNotReady(now);
   if (why.empty() != wasReady) {
     wasReady = why.empty();
