HTTP without a coroutine or a timer for each exchange

Each exchange cost a coroutine frame, two asio timers re-armed for each read, a post back to the loop for each answer and a peek for each reuse.

Connections are now plain state machines. One read is always pending; it starts by itself, so the end of a caller or of an idle connection is noticed without a call of its own. Requests and answers are put into one buffer of the network and written by one call. Deadlines stand in the connection and are swept by one timer of the server or client, which is armed for the earliest one only. Answers and client calls from the network's own thread run at once, others are posted. Beast's parsers stay; heads are checked for what they let through (folded lines, unknown transfer codings, trailers as headers).

async_wait instead of a pending read was ruled out: it costs one epoll_ctl where the read costs one empty recv, and then a read as well.

New: bounds that change while running, refusals in another dialect, 408, lingering close, drain, callers gone, limits and counters of client connections, Keep-Alive times, connect limits, timers and RunHere.

--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/rigging/include/limeramp/rigging/http.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,12 +28,14 @@
   Headers headers;
   std::string body;
   std::string peer;
+  std::uint64_t token = 0;
 };
 
 struct Answer {
   int status = 200;
   Headers headers;
   std::string body;
+  bool endedByClose = false;
 };
 
 struct Address {
@@ -44,36 +47,64 @@
 
 using Responder = std::function<void(Answer)>;
 
+struct RunHere {};
+
 class Network {
  public:
+  using TimerId = std::uint64_t;
+
   Network();
+  explicit Network(RunHere);
   ~Network();
   Network(Network const&) = delete;
   Network& operator=(Network const&) = delete;
 
   void post(std::function<void()> work);
+  void run();
   void stop();
+  bool onThread() const;
+
+  TimerId at(std::chrono::steady_clock::time_point when, std::function<void()> work);
+  TimerId after(std::chrono::steady_clock::duration delay, std::function<void()> work);
+  TimerId every(std::chrono::steady_clock::duration period, std::function<void()> work);
+  void cancel(TimerId timer);
 
   struct Impl;
-  Impl& impl() { return *impl_; }
+  std::shared_ptr<Impl> const& impl() { return impl_; }
 
  private:
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 struct ServerBounds {
   std::size_t maxConnections = 2000;
+  std::size_t maxHeaderBytes = 16 << 10;
   std::size_t maxBodyBytes = 1 << 20;
+  std::chrono::milliseconds headerMs{10'000};
   std::chrono::milliseconds idleMs{30'000};
 };
 
+struct ServerOptions {
+  ServerOptions() = default;
+  ServerOptions(ServerBounds const& boundsIn) : bounds(boundsIn) {}
+
+  ServerBounds bounds;
+  std::function<Answer(int status, std::string const& reason)> refuse;
+  std::function<void(std::uint64_t token)> gone;
+  std::chrono::milliseconds userTimeoutMs{3'000};
+};
+
 class HttpServer {
  public:
   using Handler = std::function<void(Request, Responder)>;
-  static std::unique_ptr<HttpServer> listen(Network& network, Address const& address, ServerBounds const& bounds,
+  static std::unique_ptr<HttpServer> listen(Network& network, Address const& address, ServerOptions options,
                                             Handler handler, std::string& error);
   ~HttpServer();
+  HttpServer(HttpServer const&) = delete;
+  HttpServer& operator=(HttpServer const&) = delete;
   Address address() const;
+  void setBounds(ServerBounds const& bounds);
+  void drain();
   void stopAccepting();
   std::size_t connections() const;
 
@@ -94,6 +125,23 @@
   std::size_t maxAnswerBytes = 4 << 20;
   std::size_t maxIdlePerServer = 16;
   std::chrono::milliseconds idleMs{2'000};
+  std::size_t maxConnectionsPerServer = 0;
+  std::size_t maxWaitingPerServer = 1024;
+  std::chrono::milliseconds connectMs{1'000};
+  std::chrono::milliseconds userTimeoutMs{3'000};
+};
+
+struct ServerCounters {
+  std::uint64_t opened = 0;
+  std::uint64_t reused = 0;
+  std::size_t inUse = 0;
+  std::size_t idle = 0;
+  std::size_t waiting = 0;
+};
+
+struct ClientCounters {
+  ServerCounters all;
+  std::map<std::string, ServerCounters> servers;
 };
 
 class HttpClient {
@@ -101,10 +149,14 @@
   using Done = std::function<void(Exchange)>;
   HttpClient(Network& network, ClientBounds const& bounds);
   ~HttpClient();
+  HttpClient(HttpClient const&) = delete;
+  HttpClient& operator=(HttpClient const&) = delete;
 
   void begin(std::uint64_t attempt, Address const& server, Request request,
              std::chrono::steady_clock::time_point deadline, Done done);
   void cancel(std::uint64_t attempt);
+  void limitConnections(Address const& server, std::size_t most);
+  ClientCounters counters() const;
 
  private:
   struct Impl;
--- a/libs/rigging/src/network.cpp
+++ b/libs/rigging/src/network.cpp
@@ -10,21 +10,113 @@
 
 namespace limeramp::rigging {
 
-Network::Network() : impl_(std::make_unique<Impl>()) {
+Network::Impl::Impl() : timer(context), landing(64 << 10) {}
+
+bool Network::Impl::onThread() { return context.get_executor().running_in_this_thread(); }
+
+void Network::Impl::add(TimerId id, TimePoint when, Timer work) {
+  times.emplace(id, when);
+  timers.emplace(std::make_pair(when, id), std::move(work));
+  arm();
+}
+
+void Network::Impl::erase(TimerId id) {
+  std::unordered_map<TimerId, TimePoint>::iterator const found = times.find(id);
+  if (found != times.end()) {
+    timers.erase(std::make_pair(found->second, id));
+    times.erase(found);
+  }
+}
+
+void Network::Impl::arm() {
+  if (timers.empty() || timers.begin()->first.first >= armedFor) {
+    return;
+  }
+  armedFor = timers.begin()->first.first;
+  timer.expires_at(armedFor);
+  timer.async_wait([this](boost::system::error_code const& error) {
+    if (!error) {
+      fire();
+    }
+  });
+}
+
+void Network::Impl::fire() {
+  TimePoint const now = std::chrono::steady_clock::now();
+  armedFor = TimePoint::min();
+  while (!timers.empty() && timers.begin()->first.first <= now) {
+    std::map<std::pair<TimePoint, TimerId>, Timer>::node_type node = timers.extract(timers.begin());
+    TimerId const id = node.key().second;
+    Timer& due = node.mapped();
+    bool const again = due.period.count() > 0;
+    if (!again) {
+      times.erase(id);
+    }
+    due.work();
+    std::unordered_map<TimerId, TimePoint>::iterator const found = times.find(id);
+    if (again && found != times.end()) {
+      found->second = std::max(node.key().first + due.period, now + due.period / 2);
+      timers.emplace(std::make_pair(found->second, id), std::move(due));
+    }
+  }
+  armedFor = TimePoint::max();
+  arm();
+}
+
+Network::Network() : impl_(std::make_shared<Impl>()) {
   impl_->thread = std::thread([this] { impl_->context.run(); });
 }
 
+Network::Network(RunHere) : impl_(std::make_shared<Impl>()) {}
+
 Network::~Network() { stop(); }
 
 void Network::post(std::function<void()> work) { boost::asio::post(impl_->context, std::move(work)); }
 
+void Network::run() { impl_->context.run(); }
+
 void Network::stop() {
   impl_->context.stop();
-  if (impl_->thread.joinable()) {
+  if (impl_->thread.joinable() && !onThread()) {
     impl_->thread.join();
   }
 }
 
+bool Network::onThread() const { return impl_->onThread(); }
+
+Network::TimerId Network::at(std::chrono::steady_clock::time_point when, std::function<void()> work) {
+  return impl_->schedule(when, {std::move(work), {}});
+}
+
+Network::TimerId Network::after(std::chrono::steady_clock::duration delay, std::function<void()> work) {
+  return at(std::chrono::steady_clock::now() + delay, std::move(work));
+}
+
+Network::TimerId Network::every(std::chrono::steady_clock::duration period, std::function<void()> work) {
+  std::chrono::steady_clock::duration const least = std::chrono::milliseconds(1);
+  return impl_->schedule(std::chrono::steady_clock::now() + std::max(period, least),
+                         {std::move(work), std::max(period, least)});
+}
+
+void Network::cancel(TimerId timer) {
+  if (onThread()) {
+    impl_->erase(timer);
+  } else {
+    boost::asio::post(impl_->context, [impl = impl_.get(), timer] { impl->erase(timer); });
+  }
+}
+
+Network::TimerId Network::Impl::schedule(TimePoint when, Timer work) {
+  TimerId const id = ++lastTimer;
+  if (onThread()) {
+    add(id, when, std::move(work));
+  } else {
+    boost::asio::post(context,
+                      [this, id, when, work = std::move(work)]() mutable { add(id, when, std::move(work)); });
+  }
+  return id;
+}
+
 std::string Address::text() const { return host + ":" + std::to_string(port); }
 
 std::optional<Address> Address::parse(std::string const& text) {
--- /dev/null
+++ b/libs/rigging/src/wire.cpp
@@ -0,0 +1,136 @@
+#include "wire.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace limeramp::rigging {
+namespace {
+
+namespace beast = boost::beast;
+
+bool isControl(char letter) {
+  unsigned char const code = static_cast<unsigned char>(letter);
+  return (code < 0x20 && letter != '\t') || code == 0x7f;
+}
+
+bool isGood(std::string_view line, bool first) {
+  if (line.empty() || std::any_of(line.begin(), line.end(), isControl)) {
+    return false;
+  }
+  if (first) {
+    return true;
+  }
+  std::size_t const colon = line.find(':');
+  return line.front() != ' ' && line.front() != '\t' && colon != std::string_view::npos && colon > 0 &&
+         line[colon - 1] != ' ' && line[colon - 1] != '\t';
+}
+
+bool isFraming(std::string_view name) {
+  static constexpr std::array<std::string_view, 5> framing{"connection", "content-length", "transfer-encoding",
+                                                           "keep-alive", "proxy-connection"};
+  return std::any_of(framing.begin(), framing.end(), [&](std::string_view one) {
+    return one.size() == name.size() && beast::iequals(one, name);
+  });
+}
+
+bool breaks(std::string_view text) {
+  return std::any_of(text.begin(), text.end(),
+                     [](char letter) { return letter == '\r' || letter == '\n' || letter == '\0'; });
+}
+
+std::size_t bytesOf(Headers const& headers) {
+  std::size_t out = 0;
+  for (std::pair<std::string, std::string> const& header : headers) {
+    out += header.first.size() + header.second.size() + 4;
+  }
+  return out;
+}
+
+void writeHeader(std::string& out, std::string_view name, std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void writeHeaders(std::string& out, Headers const& headers) {
+  for (std::pair<std::string, std::string> const& header : headers) {
+    if (!header.first.empty() && !isFraming(header.first) && !breaks(header.first) && !breaks(header.second)) {
+      writeHeader(out, header.first, header.second);
+    }
+  }
+}
+
+}
+
+Head scanHead(HeadScan& scan, std::string_view bytes) {
+  for (;;) {
+    std::size_t const end = bytes.find('\n', scan.line);
+    bool const first = scan.line == 0;
+    std::string_view line = bytes.substr(scan.line, end == std::string_view::npos ? end : end - scan.line);
+    bool const returned = !line.empty() && line.back() == '\r';
+    if (returned) {
+      line.remove_suffix(1);
+    }
+    if (end == std::string_view::npos) {
+      return std::any_of(line.begin(), line.end(), isControl) ? Head::wrong : Head::partial;
+    }
+    if (!returned) {
+      return Head::wrong;
+    }
+    if (line.empty() && !first) {
+      scan.size = end + 1;
+      return Head::whole;
+    }
+    if (!isGood(line, first)) {
+      return Head::wrong;
+    }
+    scan.line = end + 1;
+  }
+}
+
+void writeAnswer(std::string& out, Answer const& answer, Framing const& framing) {
+  bool const never = answer.status / 100 == 1 || answer.status == 204 || answer.status == 304;
+  out.reserve(out.size() + bytesOf(answer.headers) + answer.body.size() + 128);
+  out.append(framing.version == 10 ? "HTTP/1.0 " : "HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
+  out.append(beast::http::obsolete_reason(beast::http::int_to_status(static_cast<unsigned>(std::max(answer.status, 0)))));
+  out.append("\r\n");
+  writeHeaders(out, answer.headers);
+  if (!framing.keep) {
+    writeHeader(out, "Connection", "close");
+  } else if (framing.version == 10) {
+    writeHeader(out, "Connection", "keep-alive");
+  }
+  if (!never) {
+    std::optional<std::string> const told =
+        framing.bodiless && answer.body.empty() ? findHeader(answer.headers, "content-length") : std::nullopt;
+    writeHeader(out, "Content-Length", told && !breaks(*told) ? *told : std::to_string(answer.body.size()));
+  }
+  out.append("\r\n");
+  if (!never && !framing.bodiless) {
+    out.append(answer.body);
+  }
+}
+
+void writeRequest(std::string& out, Request const& request, std::string const& server) {
+  out.reserve(out.size() + request.target.size() + bytesOf(request.headers) + request.body.size() + 128);
+  out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  bool const named = findHeader(request.headers, "host").has_value();
+  if (!named) {
+    writeHeader(out, "Host", server);
+  }
+  writeHeaders(out, request.headers);
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
+    writeHeader(out, "Content-Length", std::to_string(request.body.size()));
+  }
+  out.append("\r\n").append(request.body);
+}
+
+void relax(std::string& buffer, std::size_t mostBytes) {
+  buffer.clear();
+  if (buffer.capacity() > mostBytes) {
+    std::string().swap(buffer);
+  }
+}
+
+}
--- /dev/null
+++ b/libs/rigging/src/wire.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "limeramp/rigging/http.h"
+
+#include <string>
+#include <string_view>
+
+namespace limeramp::rigging {
+
+enum class Head { partial, whole, wrong };
+
+struct HeadScan {
+  std::size_t line = 0;
+  std::size_t size = 0;
+};
+
+struct Framing {
+  unsigned version = 11;
+  bool keep = true;
+  bool bodiless = false;
+};
+
+Head scanHead(HeadScan& scan, std::string_view bytes);
+void writeAnswer(std::string& out, Answer const& answer, Framing const& framing);
+void writeRequest(std::string& out, Request const& request, std::string const& server);
+void relax(std::string& buffer, std::size_t mostBytes);
+
+}
--- /dev/null
+++ b/tests/raw_socket.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "limeramp/rigging/http.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace limeramp {
+
+class RawSocket {
+ public:
+  explicit RawSocket(int descriptor = -1) : descriptor_(descriptor) { patience(); }
+  RawSocket(RawSocket&& other) noexcept
+      : descriptor_(std::exchange(other.descriptor_, -1)), unread_(std::move(other.unread_)) {}
+  RawSocket& operator=(RawSocket&& other) noexcept {
+    std::swap(descriptor_, other.descriptor_);
+    std::swap(unread_, other.unread_);
+    return *this;
+  }
+  ~RawSocket() { close(); }
+
+  static RawSocket to(rigging::Address const& address) {
+    RawSocket out(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in const place = placeOf(address);
+    ::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place);
+    return out;
+  }
+
+  static RawSocket dial(rigging::Address const& address) {
+    RawSocket out(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    sockaddr_in const place = placeOf(address);
+    ::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place);
+    return out;
+  }
+
+  static sockaddr_in placeOf(rigging::Address const& address) {
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(address.port);
+    ::inet_pton(AF_INET, address.host.c_str(), &out.sin_addr);
+    return out;
+  }
+
+  bool send(std::string_view text) {
+    while (!text.empty()) {
+      ssize_t const sent = ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+      if (sent <= 0) {
+        return false;
+      }
+      text.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+  }
+
+  std::string head() {
+    std::size_t end = std::string::npos;
+    while ((end = unread_.find("\r\n\r\n")) == std::string::npos) {
+      if (!fill()) {
+        return {};
+      }
+    }
+    return take(end + 4);
+  }
+
+  std::string message() {
+    std::string out = head();
+    std::string folded = out;
+    std::transform(folded.begin(), folded.end(), folded.begin(), [](unsigned char letter) { return std::tolower(letter); });
+    std::size_t const at = folded.find("content-length: ");
+    std::size_t const length = at == std::string::npos ? 0 : std::strtoul(folded.c_str() + at + 16, nullptr, 10);
+    while (unread_.size() < length && fill()) {
+    }
+    return out + take(std::min(length, unread_.size()));
+  }
+
+  std::string rest() {
+    while (fill()) {
+    }
+    return take(unread_.size());
+  }
+
+  bool endsInOrder() {
+    while (fill()) {
+    }
+    return last_ == 0;
+  }
+
+  void halfClose() { ::shutdown(descriptor_, SHUT_WR); }
+
+  void reset() {
+    linger const now{1, 0};
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close();
+  }
+
+  void close() {
+    if (descriptor_ >= 0) {
+      ::close(descriptor_);
+      descriptor_ = -1;
+    }
+  }
+
+ private:
+  void patience() {
+    timeval const most{20, 0};
+    if (descriptor_ >= 0) {
+      ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+    }
+  }
+
+  bool fill() {
+    char bytes[4096];
+    last_ = ::recv(descriptor_, bytes, sizeof bytes, 0);
+    if (last_ > 0) {
+      unread_.append(bytes, static_cast<std::size_t>(last_));
+    }
+    return last_ > 0;
+  }
+
+  std::string take(std::size_t bytes) {
+    std::string out = unread_.substr(0, bytes);
+    unread_.erase(0, bytes);
+    return out;
+  }
+
+  int descriptor_;
+  std::string unread_;
+  ssize_t last_ = 1;
+};
+
+class RawListener {
+ public:
+  explicit RawListener(int backlog = 64) : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in place = RawSocket::placeOf({"127.0.0.1", 0});
+    socklen_t size = sizeof place;
+    ::bind(descriptor_, reinterpret_cast<sockaddr const*>(&place), size);
+    ::listen(descriptor_, backlog);
+    ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&place), &size);
+    address_ = {"127.0.0.1", ntohs(place.sin_port)};
+  }
+  RawListener(RawListener const&) = delete;
+  RawListener& operator=(RawListener const&) = delete;
+  ~RawListener() { ::close(descriptor_); }
+
+  rigging::Address address() const { return address_; }
+  RawSocket accept() { return RawSocket(::accept(descriptor_, nullptr, nullptr)); }
+
+ private:
+  int descriptor_;
+  rigging::Address address_;
+};
+
+}
