--- a/libs/rigging/src/mail.cpp
+++ b/libs/rigging/src/mail.cpp
@@ -13,8 +13,16 @@
 }
 
 struct Mail::Impl {
-  Impl(Network& network, std::string const& fromIn)
-      : client(network, {64 << 10, 4, std::chrono::milliseconds(5000)}), from(fromIn) {}
+  Impl(Network& network, std::string const& fromIn) : client(network, bounds()), from(fromIn) {}
+
+  static ClientBounds bounds() {
+    ClientBounds out;
+    out.maxAnswerBytes = 64 << 10;
+    out.idleMs = std::chrono::milliseconds(5000);
+    out.maxConnectionsPerServer = 1;
+    out.maxWaitingPerServer = mostOutstanding;
+    return out;
+  }
 
   HttpClient client;
   std::string from;
