--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -46,7 +46,7 @@
   RawListener listener;
   std::future<Exchange> first = start(client, 1, listener.address());
   RawSocket server = listener.accept();
-  EXPECT_TRUE(server.message().starts_with("GET / HTTP/1.1\r\nHost: " + listener.address().text() + "\r\n"));
+  EXPECT_TRUE(server.message().starts_with(std::string("GET / HTTP/1.1\r\nHost: ").append(listener.address().text()).append("\r\n")));
   server.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + okAnswer);
   EXPECT_EQ(first.get().answer->body, "ok");
   std::future<Exchange> second = start(client, 2, listener.address());
@@ -408,7 +408,7 @@
       left.count_down();
       return;
     }
-    std::string const target = "/" + std::to_string(number);
+    std::string const target = numbered("/", static_cast<long>(number));
     client.begin(number, server->address(), {"GET", target, {}, "", ""}, Clock::now() + Ms(30'000),
                  [&, target](Exchange const& exchange) {
                    right += exchange.answer && exchange.answer->body == target ? 1 : 0;
@@ -464,7 +464,7 @@
   Mail mail(network, "127.0.0.1:1");
   std::vector<std::string> sent;
   for (int number = 0; number < 20; ++number) {
-    sent.push_back("parcel " + std::to_string(number));
+    sent.push_back(numbered("parcel ", static_cast<long>(number)));
     mail.send(box.server->address().text(), sent.back());
   }
   box.waitFor(20);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -110,7 +110,7 @@
 TEST(HttpServer, RefusesInAnotherDialect) {
   ServerOptions options(shortBounds());
   options.refuse = [](int status, std::string const& reason) {
-    return Answer{status, {{"x-code", "E" + std::to_string(status)}}, "<" + reason + ">"};
+    return Answer{status, {{"x-code", numbered("E", status)}}, "<" + reason + ">"};
   };
   Served served(options);
   RawSocket caller = served.call();
@@ -210,7 +210,7 @@
   RawSocket caller = served.call();
   std::string many;
   for (int number = 0; number < 200; ++number) {
-    many += "POST /" + std::to_string(number) + " HTTP/1.1\r\ncontent-length: 300\r\n\r\n" + std::string(300, 'p');
+    many += numbered("POST /", static_cast<long>(number)) + " HTTP/1.1\r\ncontent-length: 300\r\n\r\n" + std::string(300, 'p');
   }
   std::future<bool> sent = std::async(std::launch::async, [&] { return caller.send(many); });
   first.get_future().wait();
@@ -218,7 +218,7 @@
   inHand.front().second({200, {}, inHand.front().first + std::string(300, 'p')});
   EXPECT_TRUE(sent.get());
   for (int number = 0; number < 200; ++number) {
-    EXPECT_TRUE(caller.message().ends_with("\r\n\r\n/" + std::to_string(number) + std::string(300, 'p'))) << number;
+    EXPECT_TRUE(caller.message().ends_with(numbered("\r\n\r\n/", static_cast<long>(number)) + std::string(300, 'p'))) << number;
   }
 }
 
@@ -427,8 +427,8 @@
   });
   RawSocket caller = served.call();
   for (int number = 0; number < 50; ++number) {
-    caller.send("GET /" + std::to_string(number) + " HTTP/1.1\r\n\r\n");
-    EXPECT_TRUE(caller.message().ends_with("/" + std::to_string(number)));
+    caller.send(numbered("GET /", static_cast<long>(number)) + " HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(caller.message().ends_with(numbered("/", static_cast<long>(number))));
   }
 }
 
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -15,6 +15,11 @@
 
 namespace limeramp {
 
+inline std::string numbered(std::string_view prefix, long number) {
+  std::string out(prefix);
+  return out.append(std::to_string(number));
+}
+
 class RawSocket {
  public:
   explicit RawSocket(int descriptor = -1) : descriptor_(descriptor) { patience(); }
