--- a/libs/quayside/src/dialect.cpp
+++ b/libs/quayside/src/dialect.cpp
@@ -61,6 +61,10 @@
       return 404;
     case Unserved::tooLong:
       return 413;
+    case Unserved::headTooLong:
+      return 431;
+    case Unserved::tooSlow:
+      return 408;
     case Unserved::overloaded:
     case Unserved::stale:
       return 503;
