A spoilt connection is gone before its answer is told: a test that notices

The test read the socket to its end first, and the idle time closed it by then; it stayed green when such connections were kept. It now looks at the counters as soon as the answer is there: red when broken.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -140,8 +140,8 @@
     server.message();
     server.send(answer);
     EXPECT_EQ(future.get().answer->body, "ok") << answer;
-    EXPECT_EQ(server.rest(), "") << answer;
     EXPECT_EQ(client.counters().all.idle, 0U) << answer;
+    EXPECT_EQ(server.rest(), "") << answer;
   }
 }
 
