After a loss of all power: members kept on disk, short connects, callers let in once ready

Cause: the primary began 0.9 s after its process, since it did not know its backup's address until views had been shuffled, and a connect begun before the peer was back held all mail to that peer for a second; fronts refused in that time and callers came back too early. Ruled out: disk syncs (5 ms), process start (seen in the same log). Change: a harbourmaster keeps members' addresses on disk and greets them at once; a backup that is heard for the first time gets the state again; mail connects for 250 ms at most, attempts for 300 ms; a starting front lets callers wait in the listening queue until it is ready, 1.5 s at most.

--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -37,6 +37,10 @@
 
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
 constexpr Ms retireMs{3000};
+constexpr Ms eagerMs{1000};
+constexpr Ms settleMs{2000};
+constexpr char const* membersKey = "members";
+constexpr std::size_t mostKeptMembers = 16;
 
 struct Work {
   std::uint64_t token = 0;
@@ -126,6 +130,8 @@
   std::unordered_map<std::uint64_t, Client> clients;
   std::uint64_t lastTicket = 0;
   bool fleetElsewhere = false;
+  std::string keptMembers;
+  Clock::time_point startedAt = Clock::now();
   bool draining = false;
   std::optional<Salvaging> salvaging;
   std::mutex retiredMutex;
@@ -160,6 +166,8 @@
   bool listen(std::string const& address, rigging::HttpServer::Handler handler, std::string& error);
   void take(rigging::Request request, rigging::Responder respond);
   void tick();
+  void recallMembers();
+  void keepMembers(std::vector<pledge::Member> const& members);
   rigging::Answer status() const;
   rigging::Answer ready() const;
 };
@@ -440,9 +448,36 @@
   driveCouncil(pledge::Persisted{letter.token, letter.good});
 }
 
+void Office::Impl::recallMembers() {
+  if (store == nullptr || !store->values().contains(membersKey)) {
+    return;
+  }
+  absl::StatusOr<cargo::Shuffle> const stored = cargo::unpack<cargo::Shuffle>(store->values().at(membersKey));
+  pledge::Known known;
+  if (stored.ok() && council.decided().epoch > 0) {
+    for (cargo::Peer const& peer : stored->peers) {
+      known.members.push_back({peer.node, peer.address, peer.zone});
+    }
+    driveCouncil(known);
+  }
+}
+
+void Office::Impl::keepMembers(std::vector<pledge::Member> const& members) {
+  cargo::Shuffle kept;
+  for (pledge::Member const& member : members) {
+    if (kept.peers.size() < mostKeptMembers) {
+      kept.peers.push_back({member.id, member.address, member.zone, "", 0, 0});
+    }
+  }
+  std::string const packed = cargo::pack(kept);
+  if (store != nullptr && !members.empty() && packed != keptMembers && work.tryPush({0, {{membersKey, packed}}})) {
+    keptMembers = packed;
+  }
+}
+
 void Office::Impl::tick() {
   Clock::time_point const now = Clock::now();
-  sendAll(views.tick(now, council.decided().epoch == 0));
+  sendAll(views.tick(now, council.decided().epoch == 0 || now - startedAt < eagerMs));
   pledge::Known known;
   for (cargo::Peer const& peer : views.peers(now)) {
     if (peer.role == "harbourmaster") {
@@ -450,6 +485,9 @@
     }
   }
   known.mayFound = mayFound && !fleetElsewhere && views.mayFound(now);
+  if (now - startedAt > settleMs) {
+    keepMembers(known.members);
+  }
   driveCouncil(known);
   driveCouncil(pledge::Tick{});
   drivePlane(Tick{});
@@ -468,6 +506,7 @@
     start.stored = store->values();
   }
   driveCouncil(start);
+  recallMembers();
   disk = std::thread([this] { runDisk(); });
   Clock::time_point nextTick = Clock::now();
   while (!inbox.closed()) {
--- a/libs/manifest/include/limeramp/manifest/settings.h
+++ b/libs/manifest/include/limeramp/manifest/settings.h
@@ -27,6 +27,7 @@
   double extraRatio = 0.2;
   std::chrono::milliseconds graceMs{5600};
   std::chrono::milliseconds noticeMs{1500};
+  std::chrono::milliseconds startHoldMs{1500};
   std::chrono::milliseconds listMs{400};
   std::chrono::milliseconds listPageMs{100};
   std::vector<std::string> operatorListens;
--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -34,6 +34,7 @@
   cargo::Hail hail;
   std::uint64_t lastToken = 0;
   bool ever = false;
+  bool reached = false;
 };
 
 enum class Step { none, choosing, syncing, preparing, accepting };
@@ -768,6 +769,11 @@
   entry.hail = message;
   entry.lastToken = message.token != 0 ? message.token : entry.lastToken;
   learn(message.decided);
+  bool const reached = std::exchange(entry.reached, true);
+  if (regime == Regime::joining && !reached && !backupDone && from == vote.decided.backup) {
+    syncSentAt = now;
+    send(vote.decided.backup, cargo::Sync{vote.decided, regimeToken, false, state});
+  }
   if (regime == Regime::active && from == vote.decided.backup && message.decided.epoch == vote.decided.epoch) {
     for (std::pair<std::uint64_t, TimePoint> const& sent : hailed) {
       if (sent.first == message.echoed) {
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t leastBudgetSlots = 20;
 constexpr std::size_t leavingFronts = 1'000'000;
 constexpr double slackShare = 0.9;
+constexpr Ms connectMs{300};
+constexpr Ms eagerMs{3000};
 constexpr Ms tickMs{50};
 constexpr Ms lastWordMs{300};
 
@@ -97,7 +99,7 @@
       : settings(settingsIn),
         dialect(std::move(dialectIn)),
         operators(std::move(operatorsIn)),
-        client(network, {}),
+        client(network, clientBounds()),
         mail(network, settingsIn.advertise),
         mill(settingsIn.hands),
         boot(rigging::randomWord() >> 1),
@@ -115,6 +117,12 @@
     return policy;
   }
 
+  static rigging::ClientBounds clientBounds() {
+    rigging::ClientBounds bounds;
+    bounds.connectMs = connectMs;
+    return bounds;
+  }
+
   static berth::DeskPolicy deskPolicyOf(manifest::Settings const& settings) {
     berth::DeskPolicy policy;
     policy.listMs = settings.listMs;
@@ -153,6 +161,7 @@
   Clock::time_point startedAt = Clock::now();
   bool draining = false;
   bool wasReady = false;
+  bool callersLetIn = false;
   bool unreadable = false;
   std::uint64_t refusedStale = 0;
   std::mutex heldMutex;
@@ -163,8 +172,8 @@
   void work();
   void arm();
   void wakeUp();
-  bool listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, rigging::HttpServer::Handler handler,
-              std::string& error);
+  bool listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
+              rigging::HttpServer::Handler handler, std::string& error);
   void boundCallers();
   void on(LastWord&);
   void on(Incoming& letter);
@@ -693,7 +702,7 @@
 void Front::Impl::tick() {
   Clock::time_point const now = Clock::now();
   std::vector<cargo::Peer> const peers = views.peers(now);
-  sendAll(views.tick(now));
+  sendAll(views.tick(now, !courier.state() && now - startedAt < eagerMs));
   follow(courier.tick(now, peers));
   berth::Around around;
   around.services = services;
@@ -712,6 +721,12 @@
 
 void Front::Impl::refreshReadiness(Clock::time_point now) {
   std::string const why = whyNotReady(now);
+  if (!callersLetIn && (why.empty() || now - startedAt >= settings.startHoldMs)) {
+    callersLetIn = true;
+    for (rigging::HttpServer* const server : callers) {
+      server->open();
+    }
+  }
   if (why.empty() != wasReady) {
     wasReady = why.empty();
     signal::raise(signal::Event::readinessChanged, {{"ready", wasReady ? "yes" : "no"}, {"reason", why}});
@@ -777,12 +792,13 @@
   }
 }
 
-bool Front::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes,
+bool Front::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
                          rigging::HttpServer::Handler handler, std::string& error) {
   for (std::string const& address : addresses) {
     rigging::ServerOptions options;
     options.bounds.maxConnections = settings.maxConnections;
     options.bounds.maxBodyBytes = maxBodyBytes;
+    options.opensLater = later;
     options.refuse = [this](int status, std::string const& reason) {
       return dialect.writeRefusal({unservedOf(status), reason, tally::Verdict::notRun, {}, "", ""});
     };
@@ -830,15 +846,15 @@
   rigging::HttpServer::Handler const takeOperator = [&impl, take](rigging::Request request, rigging::Responder respond) {
     harbour::serveOperator(impl.operators, std::move(request), std::move(respond), take);
   };
-  if (!impl.listen(settings.callerListens, 4 << 20, takeCaller, error)) {
+  if (!impl.listen(settings.callerListens, 4 << 20, true, takeCaller, error)) {
     return nullptr;
   }
   for (std::unique_ptr<rigging::HttpServer> const& server : impl.listeners) {
     impl.callers.push_back(server.get());
   }
-  if (!impl.listen({settings.listen}, 4 << 20, take, error) ||
-      !impl.listen(settings.readinessListens, 64 << 10, takeOperator, error) ||
-      !impl.listen(settings.operatorListens, 4 << 20, takeOperator, error)) {
+  if (!impl.listen({settings.listen}, 4 << 20, false, take, error) ||
+      !impl.listen(settings.readinessListens, 64 << 10, false, takeOperator, error) ||
+      !impl.listen(settings.operatorListens, 4 << 20, false, takeOperator, error)) {
     return nullptr;
   }
   impl.network.post([&impl] { impl.arm(); });
--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/rigging/include/limeramp/rigging/http.h
@@ -92,6 +92,7 @@
   std::function<Answer(int status, std::string const& reason)> refuse;
   std::function<void(std::uint64_t token)> gone;
   std::chrono::milliseconds userTimeoutMs{3'000};
+  bool opensLater = false;
 };
 
 class HttpServer {
@@ -104,6 +105,7 @@
   HttpServer& operator=(HttpServer const&) = delete;
   Address address() const;
   void setBounds(ServerBounds const& bounds);
+  void open();
   void drain();
   void stopAccepting();
   std::size_t connections() const;
--- a/libs/rigging/src/mail.cpp
+++ b/libs/rigging/src/mail.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t mostOutstanding = 32;
-constexpr std::chrono::milliseconds patienceMs{1500};
+constexpr std::chrono::milliseconds patienceMs{800};
 
 }
 
@@ -20,6 +20,7 @@
     out.maxAnswerBytes = 64 << 10;
     out.idleMs = std::chrono::milliseconds(5000);
     out.maxConnectionsPerServer = 1;
+    out.connectMs = std::chrono::milliseconds(250);
     out.maxWaitingPerServer = mostOutstanding;
     return out;
   }
--- a/libs/rigging/src/server.cpp
+++ b/libs/rigging/src/server.cpp
@@ -63,6 +63,7 @@
   Network::Impl& network;
   std::weak_ptr<Network::Impl> life;
   asio::ip::tcp::acceptor acceptor;
+  bool opened = false;
   ServerOptions options;
   Handler handler;
   std::atomic<std::size_t> open{0};
@@ -694,10 +695,21 @@
     return nullptr;
   }
   impl->address = {address.host, impl->acceptor.local_endpoint().port()};
-  impl->onNetwork([impl] { impl->accept(); });
+  if (!impl->options.opensLater) {
+    server->open();
+  }
   return server;
 }
 
+void HttpServer::open() {
+  std::shared_ptr<Impl> const impl = impl_;
+  impl->onNetwork([impl] {
+    if (!std::exchange(impl->opened, true)) {
+      impl->accept();
+    }
+  });
+}
+
 HttpServer::~HttpServer() { stopAccepting(); }
 
 Address HttpServer::address() const { return impl_->address; }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -107,6 +107,26 @@
   EXPECT_EQ(handled, 0);
 }
 
+TEST(HttpServer, WhoComesBeforeItOpensWaitsAndIsServedThen) {
+  ServerOptions options;
+  options.opensLater = true;
+  std::atomic<bool> opened{false};
+  std::atomic<bool> early{false};
+  Served served(options, [&](Request, Responder respond) {
+    early = early || !opened;
+    respond({200, {}, "late"});
+  });
+  RawSocket caller = served.call();
+  caller.send("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+  std::promise<void> passed;
+  served.network.post([&] { passed.set_value(); });
+  passed.get_future().get();
+  opened = true;
+  served.server->open();
+  EXPECT_EQ(statusOf(caller.message()), "200");
+  EXPECT_FALSE(early);
+}
+
 TEST(HttpServer, RefusesInAnotherDialect) {
   ServerOptions options(shortBounds());
   options.refuse = [](int status, std::string const& reason) {
