--- a/libs/shoal/src/servers.cpp
+++ b/libs/shoal/src/servers.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t latencyWindow = 128;
-constexpr std::size_t refreshEvery = 16;
+constexpr std::size_t refreshEvery = 8;
 
 std::size_t turnOf(std::string const& text) {
   std::uint64_t hash = 14695981039346656037u;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -343,6 +343,7 @@
 
 TEST(FleetOverload, ServersAskedForTwiceWhatTheyBearGoOnAnsweringInTime) {
   std::size_t least = 100'000;
+  std::size_t sum = 0;
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     Fleet fleet(seed, 11, Policy{});
     for (int number = 0; number < 4; ++number) {
@@ -358,9 +359,10 @@
     std::size_t const before = fleet.complete;
     fleet.load(500, Ms(10'000), {"p0"}, 1, Ms(400));
     least = std::min(least, fleet.complete - before);
+    sum += fleet.complete - before;
   }
-  std::printf("seeds 1 to 6: at least %zu of 5000 answered in time, 2400 can be\n", least);
-  EXPECT_GT(least, 1600u);
+  std::printf("seeds 1 to 6: at least %zu, %zu in the mean of 5000 answered in time, 2400 can be\n", least, sum / 6);
+  EXPECT_GT(least, 2150u);
 }
 
 TEST(FleetFairness, ATenantBelowItsShareIsServedAsIfTheFloodWereNotThere) {
