--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -48,7 +48,11 @@
   std::chrono::milliseconds quietFirstMs{100};
   std::chrono::milliseconds quietMostMs{1000};
   std::chrono::milliseconds trialMs{350};
-  double zoneBias = 0.3;
+  double zoneBias = 0.9;
+  double zoneLoadCalm = 1;
+  double zoneLoadMost = 1.7;
+  double zoneLatencyFactor = 3;
+  std::size_t zoneMostOpen = 3;
   double freshShare = 0.2;
   double coldOverrun = 1.25;
   double coldSlack = 4;
--- a/libs/shoal/src/servers.cpp
+++ b/libs/shoal/src/servers.cpp
@@ -195,16 +195,18 @@
   }
   double const busy = static_cast<double>(server.open.size() + server.ghosts.size()) + 1;
   double const load = server.load * fadeOver(now - server.loadAt, 0.5);
-  double const pressure = 1 + std::max(0.0, load - 0.7) * 4;
   double const badness = server.badness * fadeOver(now - server.badAt, 2);
+  bool const near = !place.zone.empty() && server.row.zone == place.zone &&
+                    latencyMs < policy.zoneLatencyFactor * typicalMs && !isCold(server) && server.unanswered == 0 &&
+                    server.failures == 0 && badness < 0.05 && busy <= static_cast<double>(policy.zoneMostOpen);
+  double const nearness =
+      near ? std::clamp((policy.zoneLoadMost - load) / (policy.zoneLoadMost - policy.zoneLoadCalm), 0.0, 1.0) : 0;
+  double const pressure = 1 + std::max(0.0, load - 0.7) * 4 * (1 - nearness);
   double score = std::max(0.1, latencyMs) * busy * pressure * (1 + badness * (repeatable ? 10 : 30));
   if (isCold(server)) {
     score *= 1.5;
   }
-  if (!place.zone.empty() && server.row.zone == place.zone && latencyMs < 1.5 * typicalMs) {
-    score *= 1 - policy.zoneBias * std::clamp(1 - load / 0.7, 0.0, 1.0);
-  }
-  return score;
+  return score * (1 - policy.zoneBias * nearness);
 }
 
 ServerState* Machine::Impl::chooseIdle(ServiceState& service, tally::Ledger const& ledger, bool repeatable,
