--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -37,7 +37,6 @@
   std::chrono::milliseconds aimMarginMs{8};
   double lateShare = 0.4;
   double offerShareOfAim = 0.25;
-  double rerunReserve = 1.3;
   std::chrono::milliseconds blockedMs{5};
   std::chrono::milliseconds waitWakeMs{50};
   std::chrono::milliseconds ghostMostMs{1000};
--- a/libs/shoal/src/queue.cpp
+++ b/libs/shoal/src/queue.cpp
@@ -189,9 +189,7 @@
     return began + fine(thresholdMs);
   }
   double const aimMs = millis(*request.aimBy - request.arrivedAt) * policy.stragglerShareOfDeadline;
-  thresholdMs = seen.known() ? thresholdMs : std::min(thresholdMs, std::max(0.0, aimMs));
-  TimePoint const latest = *request.aimBy - fine(seen.known() ? seen.tailMs() * policy.rerunReserve : aimMs);
-  return std::max(began + fine(thresholdMs), latest);
+  return began + fine(seen.known() ? thresholdMs : std::min(thresholdMs, std::max(0.0, aimMs)));
 }
 
 void Machine::Impl::rerun(ServiceState& service) {
