--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -37,7 +37,6 @@
   std::chrono::milliseconds aimMarginMs{8};
   double lateShare = 0.4;
   double offerShareOfAim = 0.25;
-  double rerunReserve = 1.3;
   std::chrono::milliseconds blockedMs{5};
   std::chrono::milliseconds waitWakeMs{50};
   std::chrono::milliseconds ghostMostMs{1000};
@@ -48,7 +47,11 @@
   std::chrono::milliseconds quietFirstMs{100};
   std::chrono::milliseconds quietMostMs{1000};
   std::chrono::milliseconds trialMs{350};
-  double zoneBias = 0.3;
+  double zoneBias = 0.9;
+  double zoneLoadCalm = 1;
+  double zoneLoadMost = 1.7;
+  double zoneLatencyFactor = 3;
+  std::size_t zoneMostOpen = 3;
   double freshShare = 0.2;
   double coldOverrun = 1.25;
   double coldSlack = 4;
