--- /dev/null
+++ b/tests/foreign_test.cpp
@@ -0,0 +1,498 @@
+#include "limeramp/quayside/plane.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::quayside;
+using rigging::findHeader;
+using tally::Verdict;
+using Ms = std::chrono::milliseconds;
+
+std::variant<Caller, Refusal> readCaller(rigging::Request const& request) {
+  Caller out;
+  out.host = findHeader(request.headers, "host").value_or("");
+  out.id = findHeader(request.headers, "x-id").value_or("");
+  if (std::optional<std::string> const left = findHeader(request.headers, "x-left")) {
+    out.remainingMs = Ms(std::stol(*left));
+  }
+  return out;
+}
+
+Heard readAnswer(rigging::Answer const& answer, Asked const& asked) {
+  Heard out;
+  if (findHeader(answer.headers, "x-id") != asked.request) {
+    out.reason = "another request's";
+    return out;
+  }
+  bool const notRun = findHeader(answer.headers, "x-unrun").has_value();
+  bool const success = answer.status == 200;
+  out.returned.verdict = notRun ? Verdict::notRun : Verdict::ran;
+  out.returned.full = notRun;
+  out.returned.good = !notRun && (success || !asked.part);
+  out.returned.healthy = !notRun && success;
+  if (asked.part && out.returned.good) {
+    out.part = shoal::Part{{asked.service, asked.cut, asked.request}, {answer.body}, "seal-" + asked.service};
+  }
+  return out;
+}
+
+rigging::Answer writeGathered(Gathered const& gathered) {
+  rigging::Answer out;
+  std::string seals;
+  for (shoal::PartPtr const& part : gathered.parts) {
+    seals += (seals.empty() ? "" : " ") + part->seal;
+  }
+  out.headers = {{"x-seals", seals}, {"x-missing", std::to_string(gathered.missing.size())}, {"x-version", gathered.version}};
+  for (std::string const& record : gathered.records) {
+    out.body += record + " ";
+  }
+  return out;
+}
+
+rigging::Answer writeRefusal(Refusal const& refusal) {
+  return {500 + static_cast<int>(refusal.why), {{"x-verdict", std::string(tally::nameOf(refusal.verdict))}}, refusal.reason};
+}
+
+Dialect foreign() {
+  Dialect out;
+  out.readCaller = readCaller;
+  out.writeGathered = writeGathered;
+  out.writeForwarded = [](rigging::Answer& answer, std::string const&, std::string const& version) {
+    answer.headers.emplace_back("x-version", version);
+  };
+  out.writeRefusal = writeRefusal;
+  out.writeAsk = [](rigging::Request& request, Asked const& asked) {
+    for (std::string_view const name : {"x-left", "x-service", "x-life", "x-version"}) {
+      rigging::dropHeader(request.headers, name);
+    }
+    request.headers.emplace_back("x-left", std::to_string(asked.remainingMs.count()));
+    request.headers.emplace_back("x-service", asked.service);
+    request.headers.emplace_back("x-life", asked.life);
+    request.headers.emplace_back("x-version", asked.version);
+  };
+  out.readAnswer = readAnswer;
+  return out;
+}
+
+manifest::Search searchOver(std::vector<std::string> const& services, std::size_t minimum) {
+  manifest::Search out;
+  out.name = "find";
+  out.host = "find.example";
+  out.prefix = "/find/";
+  for (std::string const& service : services) {
+    out.shards.push_back({service, ""});
+  }
+  out.minimum_shards = minimum;
+  out.max_attempts = 3;
+  out.deadlineMs = Ms(800);
+  return out;
+}
+
+manifest::Route routeTo(std::string const& name, std::vector<manifest::Choice> const& choices, bool repeatable) {
+  manifest::Route out;
+  out.name = name;
+  out.host = "file.example";
+  out.prefix = "/" + name + "/";
+  out.choices = choices;
+  out.max_attempts = 3;
+  out.repeatable = repeatable;
+  out.deadlineMs = Ms(800);
+  return out;
+}
+
+manifest::Configuration configurationOver(std::vector<std::string> const& shards, std::size_t minimum) {
+  manifest::Configuration out;
+  out.searches.push_back(searchOver(shards, minimum));
+  out.routes.push_back(routeTo("write", {{"w0", 1}}, false));
+  out.routes.push_back(routeTo("read", {{"w0", 1}}, true));
+  out.routes.push_back(routeTo("split", {{"w0", 1}, {"none", 0}, {"w1", 3}}, true));
+  for (std::string const service : {"s0", "s1", "s2", "r0", "r1", "w0", "w1", "none"}) {
+    out.services[service] = {};
+  }
+  return out;
+}
+
+struct Node {
+  explicit Node(std::string const& name = "m01", manifest::Configuration const& first = configurationOver({"s0", "s1"}, 1))
+      : plane(Self{name, "127.0.0.1:7000", "z1", 5}, shoal::Policy{}, foreign()) {
+    enforce(2, first);
+    step(Placed{shoal::Place{1, 0, 30, 0.2, "z1"}});
+    for (std::string const service : {"s0", "s1", "s2", "r0", "r1", "w0", "w1", "none"}) {
+      shoal::Servers servers{service, {}};
+      for (std::string const number : {"1", "2", "3", "4"}) {
+        shoal::ServerRow row;
+        row.address = "127.0.0.9:" + number;
+        row.zone = "z1";
+        row.life = "life-" + number;
+        servers.rows.push_back(row);
+      }
+      step(Tables{servers});
+    }
+  }
+
+  Plane plane;
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<SendOut> sent;
+  std::vector<Reply> replies;
+  std::set<std::uint64_t> cancelled;
+  std::map<std::uint64_t, std::uint64_t> requestOf;
+  std::uint64_t last = 0;
+
+  void enforce(std::uint64_t sequence, manifest::Configuration const& configuration) {
+    manifest::Snapshot snapshot;
+    snapshot.version = {1, sequence};
+    snapshot.configuration = configuration;
+    step(InForce{std::make_shared<manifest::Snapshot const>(snapshot)});
+  }
+
+  void step(Event const& event) {
+    for (Effect const& effect : plane.step(now, event)) {
+      if (SendOut const* const send = std::get_if<SendOut>(&effect)) {
+        sent.push_back(*send);
+      } else if (Reply const* const reply = std::get_if<Reply>(&effect)) {
+        replies.push_back(*reply);
+      } else if (CancelOut const* const cancel = std::get_if<CancelOut>(&effect)) {
+        cancelled.insert(cancel->attempt);
+      } else if (Merge const* const merge = std::get_if<Merge>(&effect)) {
+        step(Merged{merge->request, shoal::mergeParts(merge->parts, merge->result_size)});
+      }
+    }
+  }
+
+  std::uint64_t arrive(std::string const& host, std::string const& target, std::string const& id, rigging::Headers headers = {}) {
+    headers.emplace_back("host", host);
+    headers.emplace_back("x-id", id);
+    step(Arrived{++last, {"GET", target, std::move(headers), "", ""}, false, std::nullopt});
+    return last;
+  }
+
+  static std::string headerOf(SendOut const& send, std::string const& name) { return findHeader(send.content.headers, name).value_or(""); }
+
+  void answer(SendOut const& to, int status, std::string const& body, std::string const& id = "", bool unrun = false) {
+    rigging::Headers headers{{"x-id", id.empty() ? headerOf(to, "x-id") : id}};
+    if (unrun) {
+      headers.emplace_back("x-unrun", "1");
+    }
+    step(Exchanged{to.attempt, {rigging::Answer{status, std::move(headers), body}, Verdict::ran, ""}});
+  }
+
+  void lose(SendOut const& to, Verdict verdict) { step(Exchanged{to.attempt, {std::nullopt, verdict, "lost"}}); }
+
+  void pass(std::chrono::nanoseconds time) {
+    now += time;
+    step(Tick{});
+  }
+
+  void fillBudget() {
+    for (int round = 0; round < 60; ++round) {
+      std::size_t const first = sent.size();
+      arrive("file.example", "/read/1", "warm-" + std::to_string(round));
+      arrive("find.example", "/find/1", "warm-find-" + std::to_string(round));
+      for (std::size_t index = first; index < sent.size(); ++index) {
+        SendOut const to = sent[index];
+        answer(to, 200, "x");
+      }
+      pass(Ms(10));
+    }
+    sent.clear();
+    replies.clear();
+    cancelled.clear();
+  }
+};
+
+std::string headerOf(Reply const& reply, std::string const& name) { return findHeader(reply.answer.headers, name).value_or(""); }
+
+TEST(Foreign, AllPartsComeFromTheShardsOfOneVersion) {
+  Node node;
+  node.fillBudget();
+  node.arrive("find.example", "/find/1", "a");
+  ASSERT_EQ(node.sent.size(), 2u);
+  node.enforce(3, configurationOver({"r0", "r1"}, 1));
+  node.answer(node.sent[0], 500, "");
+  node.answer(node.sent[1], 200, "one");
+  for (int round = 0; round < 100 && node.sent.size() < 3; ++round) {
+    node.pass(Ms(5));
+  }
+  ASSERT_GE(node.sent.size(), 3u);
+  EXPECT_EQ(Node::headerOf(node.sent[2], "x-service"), Node::headerOf(node.sent[0], "x-service"));
+  EXPECT_EQ(Node::headerOf(node.sent[2], "x-version"), "1.2");
+  node.answer(node.sent[2], 200, "two");
+  ASSERT_EQ(node.replies.size(), 1u);
+  EXPECT_EQ(headerOf(node.replies[0], "x-seals"), "seal-s0 seal-s1");
+  EXPECT_EQ(headerOf(node.replies[0], "x-version"), "1.2");
+  EXPECT_EQ(node.replies[0].answer.body, "two one ");
+  node.sent.clear();
+  node.arrive("find.example", "/find/1", "b");
+  ASSERT_EQ(node.sent.size(), 2u);
+  EXPECT_EQ(Node::headerOf(node.sent[0], "x-service"), "r0");
+  EXPECT_EQ(Node::headerOf(node.sent[1], "x-service"), "r1");
+}
+
+TEST(Foreign, APartOfAnotherRequestIsNeverMerged) {
+  Node node;
+  node.fillBudget();
+  node.arrive("find.example", "/find/1", "a");
+  node.arrive("find.example", "/find/1", "b");
+  ASSERT_EQ(node.sent.size(), 4u);
+  node.answer(node.sent[0], 200, "stray", "b");
+  node.answer(node.sent[1], 200, "own");
+  for (std::size_t index = 4; index < node.sent.size(); ++index) {
+    SendOut const to = node.sent[index];
+    if (Node::headerOf(to, "x-id") == "a") {
+      node.answer(to, 200, "stray", "b");
+    }
+  }
+  node.pass(Ms(790));
+  node.pass(Ms(10));
+  std::vector<Reply>::const_iterator const ofA =
+      std::find_if(node.replies.begin(), node.replies.end(), [](Reply const& reply) { return reply.answer.body.find("own") != std::string::npos; });
+  ASSERT_NE(ofA, node.replies.end());
+  EXPECT_EQ(headerOf(*ofA, "x-missing"), "1");
+  for (Reply const& reply : node.replies) {
+    EXPECT_EQ(reply.answer.body.find("stray"), std::string::npos);
+  }
+}
+
+TEST(Foreign, ASuccessNeverHasFewerPartsThanTheMinimum) {
+  std::size_t successes = 0;
+  std::size_t failures = 0;
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    std::mt19937 dice(seed);
+    std::size_t const minimum = 1 + dice() % 3;
+    Node node("m01", configurationOver({"s0", "s1", "s2"}, minimum));
+    if (dice() % 2 == 0) {
+      node.fillBudget();
+    }
+    node.arrive("find.example", "/find/1", "a");
+    std::set<std::string> good;
+    for (std::size_t index = 0; index < 40; ++index) {
+      if (index < node.sent.size()) {
+        SendOut const to = node.sent[index];
+        switch (node.cancelled.contains(to.attempt) ? 5 : dice() % 5) {
+          case 0:
+            good.insert(node.replies.empty() ? Node::headerOf(to, "x-service") : "");
+            node.answer(to, 200, Node::headerOf(to, "x-service"));
+            break;
+          case 1:
+            node.answer(to, 500, "failed");
+            break;
+          case 2:
+            node.answer(to, 503, "", "", true);
+            break;
+          case 3:
+            node.lose(to, dice() % 2 == 0 ? Verdict::notRun : Verdict::mayHaveRun);
+            break;
+          default:
+            break;
+        }
+      }
+      node.pass(Ms(30));
+    }
+    good.erase("");
+    ASSERT_EQ(node.replies.size(), 1u) << "seed " << seed;
+    Reply const& reply = node.replies[0];
+    if (reply.answer.status == 200) {
+      ++successes;
+      std::string const seals = headerOf(reply, "x-seals");
+      std::size_t const parts = static_cast<std::size_t>(std::count(seals.begin(), seals.end(), ' ')) + 1;
+      ASSERT_GE(parts, minimum) << "seed " << seed;
+      ASSERT_EQ(parts, good.size()) << "seed " << seed << " " << seals;
+      ASSERT_EQ(headerOf(reply, "x-missing"), std::to_string(3 - parts)) << "seed " << seed;
+    } else {
+      ++failures;
+      ASSERT_LT(good.size(), 3u) << "seed " << seed;
+    }
+    ASSERT_EQ(node.plane.requests(), 0u) << "seed " << seed;
+  }
+  std::printf("seeds 1 to 300: %zu successes, %zu failures\n", successes, failures);
+  EXPECT_GT(successes, 50u);
+  EXPECT_GT(failures, 50u);
+}
+
+TEST(Foreign, ASplitIsChosenByTheIdAlone) {
+  Node node("m01");
+  Node other("m77");
+  std::map<std::string, int> counts;
+  for (int round = 0; round < 400; ++round) {
+    std::string const id = "try-" + std::to_string(round);
+    std::vector<std::string> chosen;
+    for (Node* const one : {&node, &other, &node}) {
+      one->sent.clear();
+      one->arrive("file.example", "/split/1", id);
+      ASSERT_EQ(one->sent.size(), 1u);
+      chosen.push_back(Node::headerOf(one->sent[0], "x-service"));
+      SendOut const to = one->sent[0];
+      one->answer(to, 200, "x");
+      one->pass(Ms(10));
+    }
+    EXPECT_EQ(chosen[0], chosen[1]) << id;
+    EXPECT_EQ(chosen[0], chosen[2]) << id;
+    ++counts[chosen[0]];
+  }
+  std::printf("400 ids: %d to w0, %d to w1\n", counts["w0"], counts["w1"]);
+  EXPECT_EQ(counts["none"], 0);
+  EXPECT_GT(counts["w0"], 60);
+  EXPECT_LT(counts["w0"], 140);
+}
+
+TEST(Foreign, AFurtherAttemptStaysWithTheServiceThatWasChosen) {
+  Node node;
+  node.fillBudget();
+  for (int round = 0; round < 30; ++round) {
+    node.sent.clear();
+    node.arrive("file.example", "/split/1", "again-" + std::to_string(round));
+    ASSERT_EQ(node.sent.size(), 1u);
+    SendOut const first = node.sent[0];
+    node.lose(first, Verdict::notRun);
+    ASSERT_EQ(node.sent.size(), 2u) << round;
+    SendOut const second = node.sent[1];
+    EXPECT_EQ(Node::headerOf(first, "x-service"), Node::headerOf(second, "x-service"));
+    EXPECT_EQ(Node::headerOf(first, "x-id"), Node::headerOf(second, "x-id"));
+    EXPECT_NE(first.server, second.server);
+    node.answer(second, 200, "x");
+    node.pass(Ms(1000));
+  }
+}
+
+TEST(Foreign, TheDeadlineIsTheSmallerOfTheCallersAndTheRoutesAndWhatIsLeftIsHandedOn) {
+  for (std::pair<long, long> const& one : std::vector<std::pair<long, long>>{{200, 200}, {800, 800}, {5000, 800}, {0, 800}}) {
+    Node node;
+    node.fillBudget();
+    rigging::Headers headers;
+    if (one.first > 0) {
+      headers.emplace_back("x-left", std::to_string(one.first));
+    }
+    TimePoint const arrivedAt = node.now;
+    node.arrive("file.example", "/read/1", "a", headers);
+    ASSERT_EQ(node.sent.size(), 1u);
+    EXPECT_LE(node.sent[0].deadline, arrivedAt + Ms(one.second));
+    EXPECT_GT(node.sent[0].deadline, arrivedAt + Ms(one.second * 8 / 10));
+    long const left = std::stol(Node::headerOf(node.sent[0], "x-left"));
+    EXPECT_LE(left, one.second);
+    EXPECT_GT(left, one.second * 8 / 10);
+    node.now += Ms(50);
+    SendOut const first = node.sent[0];
+    node.lose(first, Verdict::notRun);
+    ASSERT_EQ(node.sent.size(), 2u);
+    EXPECT_LE(std::stol(Node::headerOf(node.sent[1], "x-left")), left - 50);
+    EXPECT_EQ(node.sent[1].deadline, node.sent[0].deadline);
+    node.pass(arrivedAt + Ms(one.second) - node.now);
+    ASSERT_EQ(node.replies.size(), 1u) << one.first;
+    EXPECT_NE(node.replies[0].answer.status, 200);
+  }
+}
+
+TEST(Foreign, EachAttemptNamesTheLifeOfItsServer) {
+  Node node;
+  node.arrive("file.example", "/write/1", "a");
+  ASSERT_EQ(node.sent.size(), 1u);
+  EXPECT_EQ(Node::headerOf(node.sent[0], "x-life"), "life-" + node.sent[0].server.substr(node.sent[0].server.find(':') + 1));
+}
+
+TEST(Foreign, WhatMayNotBeRepeatedIsSentAgainOnlyOnProofThatItDidNotRun) {
+  std::size_t again = 0;
+  std::size_t promised = 0;
+  std::size_t doubtful = 0;
+  for (unsigned seed = 1; seed <= 400; ++seed) {
+    std::mt19937 dice(seed);
+    Node node;
+    node.fillBudget();
+    std::map<std::string, std::vector<std::uint64_t>> attempts;
+    std::map<std::uint64_t, bool> provedUnrun;
+    std::map<std::uint64_t, std::string> idOf;
+    std::size_t seen = 0;
+    std::size_t told = 0;
+    for (int round = 0; round < 60; ++round) {
+      if (round < 8) {
+        std::string const id = "try-" + std::to_string(round);
+        idOf[node.arrive("file.example", "/write/1", id)] = id;
+      }
+      for (; seen < node.sent.size(); ++seen) {
+        SendOut const to = node.sent[seen];
+        std::string const id = Node::headerOf(to, "x-id");
+        for (std::uint64_t const earlier : attempts[id]) {
+          ASSERT_TRUE(provedUnrun[earlier]) << "seed " << seed << " " << id;
+          ++again;
+        }
+        attempts[id].push_back(to.attempt);
+        ASSERT_LE(attempts[id].size(), 8u) << "seed " << seed;
+      }
+      for (; told < node.replies.size(); ++told) {
+        Reply const& reply = node.replies[told];
+        std::string const id = idOf[reply.request];
+        bool const promise = headerOf(reply, "x-verdict") == "not_run";
+        promised += promise ? 1 : 0;
+        for (std::uint64_t const attempt : attempts[id]) {
+          ASSERT_TRUE(!promise || provedUnrun[attempt]) << "seed " << seed << " " << id;
+          doubtful += promise || provedUnrun[attempt] ? 0 : 1;
+        }
+      }
+      if (!node.sent.empty()) {
+        SendOut const to = node.sent[dice() % node.sent.size()];
+        if (!provedUnrun.contains(to.attempt) && !node.cancelled.contains(to.attempt)) {
+          std::uint32_t const kind = dice() % 6;
+          provedUnrun[to.attempt] = kind < 3;
+          if (kind < 2) {
+            node.answer(to, 503, "", "", true);
+          } else if (kind == 2) {
+            node.lose(to, Verdict::notRun);
+          } else if (kind == 3) {
+            node.lose(to, Verdict::mayHaveRun);
+          } else {
+            node.answer(to, kind == 4 ? 200 : 500, "x");
+          }
+        }
+      }
+      node.pass(Ms(dice() % 40));
+    }
+  }
+  std::printf("seeds 1 to 400: %zu sent again on proof, %zu promises, %zu left in doubt\n", again, promised, doubtful);
+  EXPECT_GT(again, 100u);
+  EXPECT_GT(promised, 20u);
+  EXPECT_GT(doubtful, 100u);
+}
+
+TEST(Foreign, WhatMayBeRepeatedIsAskedElsewhereAfterAFailure) {
+  for (int kind = 0; kind < 3; ++kind) {
+    Node node;
+    node.fillBudget();
+    node.arrive("file.example", "/read/1", "a");
+    SendOut const first = node.sent.at(0);
+    if (kind == 0) {
+      node.lose(first, Verdict::mayHaveRun);
+    } else {
+      node.answer(first, kind == 1 ? 500 : 503, "", "", kind == 2);
+    }
+    for (int round = 0; round < 60 && node.sent.size() < 2; ++round) {
+      node.pass(Ms(5));
+    }
+    ASSERT_EQ(node.sent.size(), 2u) << kind;
+    EXPECT_NE(node.sent[1].server, first.server);
+    SendOut const second = node.sent[1];
+    node.answer(second, 200, "x");
+    ASSERT_EQ(node.replies.size(), 1u);
+    EXPECT_EQ(node.replies[0].answer.status, 200);
+  }
+}
+
+TEST(Foreign, AServersFailureReachesTheCallerOfWhatMayNotBeRepeated) {
+  Node node;
+  node.fillBudget();
+  node.arrive("file.example", "/write/1", "a");
+  SendOut const first = node.sent.at(0);
+  node.answer(first, 500, "its own words");
+  ASSERT_EQ(node.replies.size(), 1u);
+  EXPECT_EQ(node.replies[0].answer.status, 500);
+  EXPECT_EQ(node.replies[0].answer.body, "its own words");
+  EXPECT_EQ(node.sent.size(), 1u);
+}
+
+}
