--- a/libs/quayside/include/limeramp/quayside/dialect.h
+++ b/libs/quayside/include/limeramp/quayside/dialect.h
@@ -24,7 +24,7 @@
   std::optional<std::chrono::milliseconds> remainingMs;
 };
 
-enum class Unserved { malformed, unknownEntry, tooLong, overloaded, stale, deadline, failed };
+enum class Unserved { malformed, unknownEntry, tooLong, headTooLong, tooSlow, overloaded, stale, deadline, failed };
 
 struct Refusal {
   Unserved why = Unserved::failed;
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -51,6 +51,13 @@
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
+Unserved unservedOf(int status) {
+  return status == 413   ? Unserved::tooLong
+         : status == 431 ? Unserved::headTooLong
+         : status == 408 ? Unserved::tooSlow
+                         : Unserved::malformed;
+}
+
 std::string nameOf(fairway::Standing standing) {
   switch (standing) {
     case fairway::Standing::unknown:
@@ -111,6 +118,7 @@
   static berth::DeskPolicy deskPolicyOf(manifest::Settings const& settings) {
     berth::DeskPolicy policy;
     policy.listMs = settings.listMs;
+    policy.pageMs = settings.listPageMs;
     return policy;
   }
 
@@ -134,6 +142,8 @@
   harbour::Runner runner;
   logbook::Clerk clerk;
   std::vector<std::unique_ptr<rigging::HttpServer>> listeners;
+  std::vector<rigging::HttpServer*> callers;
+  rigging::Network::TimerId alarm = 0;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
   std::uint64_t lastRequest = 0;
   std::string fleet;
@@ -152,14 +162,19 @@
   void deliver(Letter letter);
   void work();
   void arm();
+  void wakeUp();
   bool listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, rigging::HttpServer::Handler handler,
               std::string& error);
+  void boundCallers();
   void on(LastWord&);
   void on(Incoming& letter);
   void on(ListRead& letter);
   void on(harbour::RunBack& letter) { runner.hear(Clock::now(), letter); }
   void on(DrainAsked&) {
     draining = true;
+    for (std::unique_ptr<rigging::HttpServer> const& server : listeners) {
+      server->drain();
+    }
     courier.leave();
     if (courier.state()) {
       place();
@@ -191,6 +206,7 @@
   void follow(berth::DeskStep const& step);
   void readList(std::string const& page);
   void tick();
+  void refreshReadiness(Clock::time_point now);
   std::string whyNotReady(Clock::time_point now) const;
   rigging::Answer ready() const;
   rigging::Answer status() const;
@@ -336,6 +352,7 @@
     next.insert(entry.first);
   }
   drive(InForce{snapshot});
+  boundCallers();
   for (std::string const& service : services) {
     if (!next.contains(service)) {
       drive(Tables{shoal::Servers{service, {}}});
@@ -440,6 +457,7 @@
         listTrouble.clear();
       }
       follow(desk.listed(Clock::now(), *list));
+      refreshReadiness(Clock::now());
       return;
     }
     reason = std::string(list.status().message());
@@ -689,6 +707,10 @@
   }
   follow(desk.tick(now, around));
   runner.tick(now, courier.primaryAddress());
+  refreshReadiness(now);
+}
+
+void Front::Impl::refreshReadiness(Clock::time_point now) {
   std::string const why = whyNotReady(now);
   if (why.empty() != wasReady) {
     wasReady = why.empty();
@@ -722,27 +744,28 @@
 void Front::Impl::arm() {
   Clock::time_point const now = Clock::now();
   Clock::time_point const wake = std::max(now, std::min(nextTick, plane.nextWake(now).value_or(nextTick)));
-  if (ended || armedFor <= wake + Ms(1)) {
+  if (ended || armedFor <= wake) {
     return;
   }
+  network.cancel(alarm);
   armedFor = wake;
-  network.at(wake, [this, wake] {
-    if (armedFor == wake) {
-      armedFor = Clock::time_point::max();
-    }
-    if (ended) {
-      return;
-    }
-    Clock::time_point const at = Clock::now();
-    if (plane.nextWake(at).value_or(Clock::time_point::max()) <= at) {
-      letters.emplace_back(quayside::Event(Tick{}));
-    }
-    if (at >= nextTick) {
-      nextTick = at + tickMs;
-      tick();
-    }
-    work();
-  });
+  alarm = network.at(wake, [this] { wakeUp(); });
+}
+
+void Front::Impl::wakeUp() {
+  armedFor = Clock::time_point::max();
+  if (ended) {
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  if (plane.nextWake(now).value_or(Clock::time_point::max()) <= now) {
+    letters.emplace_back(quayside::Event(Tick{}));
+  }
+  if (now >= nextTick) {
+    nextTick = now + tickMs;
+    tick();
+  }
+  work();
 }
 
 void Front::Impl::on(LastWord&) {
@@ -757,11 +780,14 @@
 bool Front::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes,
                          rigging::HttpServer::Handler handler, std::string& error) {
   for (std::string const& address : addresses) {
-    rigging::ServerBounds bounds;
-    bounds.maxConnections = settings.maxConnections;
-    bounds.maxBodyBytes = maxBodyBytes;
+    rigging::ServerOptions options;
+    options.bounds.maxConnections = settings.maxConnections;
+    options.bounds.maxBodyBytes = maxBodyBytes;
+    options.refuse = [this](int status, std::string const& reason) {
+      return dialect.writeRefusal({unservedOf(status), reason, tally::Verdict::notRun, {}, "", ""});
+    };
     std::unique_ptr<rigging::HttpServer> server =
-        rigging::HttpServer::listen(network, rigging::Address::parse(address).value_or(rigging::Address{}), bounds, handler, error);
+        rigging::HttpServer::listen(network, rigging::Address::parse(address).value_or(rigging::Address{}), options, handler, error);
     if (server == nullptr) {
       return false;
     }
@@ -771,6 +797,19 @@
   return true;
 }
 
+void Front::Impl::boundCallers() {
+  manifest::CallerLimits const& limits = plane.snapshot()->configuration.limits;
+  rigging::ServerBounds bounds;
+  bounds.maxConnections = settings.maxConnections;
+  bounds.maxHeaderBytes = limits.maxHeaderBytes;
+  bounds.maxBodyBytes = limits.maxBodyBytes;
+  bounds.headerMs = limits.headerMs;
+  bounds.idleMs = limits.idleMs;
+  for (rigging::HttpServer* const server : callers) {
+    server->setBounds(bounds);
+  }
+}
+
 Front::Front() = default;
 
 std::unique_ptr<Front> Front::start(manifest::Settings const& settings, std::string& error, Dialect dialect,
@@ -791,8 +830,13 @@
   rigging::HttpServer::Handler const takeOperator = [&impl, take](rigging::Request request, rigging::Responder respond) {
     harbour::serveOperator(impl.operators, std::move(request), std::move(respond), take);
   };
+  if (!impl.listen(settings.callerListens, 4 << 20, takeCaller, error)) {
+    return nullptr;
+  }
+  for (std::unique_ptr<rigging::HttpServer> const& server : impl.listeners) {
+    impl.callers.push_back(server.get());
+  }
   if (!impl.listen({settings.listen}, 4 << 20, take, error) ||
-      !impl.listen(settings.callerListens, 4 << 20, takeCaller, error) ||
       !impl.listen(settings.readinessListens, 64 << 10, takeOperator, error) ||
       !impl.listen(settings.operatorListens, 4 << 20, takeOperator, error)) {
     return nullptr;
