Founding by a majority of the seeds, each with one vote of a first start

Cause: epoch 1 needed three votes of any empty machines and found nothing with more than five of them in sight, nor with one or two seeds; a machine that came back without its disk voted too. Ruled out: the lowest address deciding alone (a cut gives two groups); a bound on machines in sight. Change: the voters are the first-start processes at the seeds' addresses, a majority of the addresses decides by the same ballots, and seeds are stored with the identity. Only harbourmasters are seeds.

--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -9,6 +9,9 @@
 #include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
 
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -75,14 +78,16 @@
   return absl::OkStatus();
 }
 
-absl::Status readIdentity(hold::Store& store, std::string& id, bool& mayFound) {
+absl::Status readIdentity(hold::Store& store, std::string& id, bool& mayFound, std::vector<std::string>& founders) {
   std::map<std::string, std::string>::const_iterator const known = store.values().find("id");
   if (known == store.values().end() || known->second.empty()) {
-    return store.put({{"id", id}, {"mayFound", mayFound ? "yes" : "no"}});
+    return store.put({{"id", id}, {"mayFound", mayFound ? "yes" : "no"}, {"founders", absl::StrJoin(founders, ",")}});
   }
   std::map<std::string, std::string>::const_iterator const founds = store.values().find("mayFound");
+  std::map<std::string, std::string>::const_iterator const first = store.values().find("founders");
   id = known->second;
   mayFound = founds == store.values().end() ? mayFound : founds->second == "yes";
+  founders = first == store.values().end() ? founders : absl::StrSplit(first->second, ',');
   return absl::OkStatus();
 }
 
@@ -90,11 +95,12 @@
 
 struct Office::Impl {
   Impl(manifest::Settings const& settingsIn, OperatorDialect const& dialectIn, manifest::Language const& languageIn,
-       std::unique_ptr<hold::Store> storeIn, std::string const& idIn, bool mayFoundIn)
+       std::unique_ptr<hold::Store> storeIn, std::string const& idIn, bool mayFoundIn, std::vector<std::string> const& foundersIn)
       : settings(settingsIn),
         dialect(dialectIn),
         id(idIn),
         mayFound(mayFoundIn),
+        founders(foundersIn),
         store(std::move(storeIn)),
         client(network, {}),
         mail(network, settingsIn.advertise),
@@ -110,6 +116,7 @@
   OperatorDialect dialect;
   std::string id;
   bool mayFound = false;
+  std::vector<std::string> founders;
   std::unique_ptr<hold::Store> store;
   rigging::Network network;
   rigging::HttpClient client;
@@ -463,7 +470,7 @@
 }
 
 void Office::Impl::runCore() {
-  pledge::Start start{{id, settings.advertise, settings.zone}, {}, rigging::randomWord(), store == nullptr};
+  pledge::Start start{{id, settings.advertise, settings.zone}, {}, rigging::randomWord(), store == nullptr, founders};
   if (store != nullptr) {
     start.stored = store->values();
   }
@@ -524,15 +531,16 @@
   std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(rigging::randomWord() & 0xffffffff));
   std::string id = settings.node + "/" + mark;
   bool mayFound = settings.mayFound;
+  std::vector<std::string> founders = settings.seeds;
   if (opened.ok() && store != nullptr) {
-    opened = readIdentity(*store, id, mayFound);
+    opened = readIdentity(*store, id, mayFound, founders);
   }
   if (!opened.ok()) {
     error = std::string(opened.message());
     return nullptr;
   }
   std::unique_ptr<Office> office(new Office());
-  office->impl_ = std::make_unique<Impl>(settings, dialect, language, std::move(store), id, mayFound);
+  office->impl_ = std::make_unique<Impl>(settings, dialect, language, std::move(store), id, mayFound, founders);
   Impl& impl = *office->impl_;
   Serve const own = [&impl](rigging::Request request, rigging::Responder respond) {
     impl.take(std::move(request), std::move(respond));
--- a/libs/pledge/include/limeramp/pledge/council.h
+++ b/libs/pledge/include/limeramp/pledge/council.h
@@ -26,8 +26,9 @@
   std::chrono::milliseconds resendMs{300};
   std::chrono::milliseconds witnessGoneMs{5000};
   std::chrono::milliseconds diskSlowMs{1000};
-  std::size_t founders = 3;
-  std::size_t mostFounders = 5;
+  std::chrono::milliseconds founderTurnMs{700};
+  std::size_t leastReplicas = 2;
+  std::size_t mostWitnesses = 3;
 };
 
 struct Member {
@@ -41,6 +42,7 @@
   std::map<std::string, std::string> stored;
   std::uint64_t seed = 0;
   bool diskless = false;
+  std::vector<std::string> founders{};
 };
 struct Known {
   std::vector<Member> members;
--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -76,6 +76,7 @@
   cargo::State state;
   std::map<std::string, Heard> heard;
   bool mayFound = false;
+  std::vector<std::string> founders;
   std::uint64_t lastToken = 0;
   std::deque<std::pair<std::uint64_t, TimePoint>> hailed;
   TimePoint nextHailAt{};
@@ -129,6 +130,7 @@
   std::uint64_t slot() const { return vote.decided.epoch + 1; }
   bool fresh(std::string const& id, Ms within) const;
   std::size_t quorum() const;
+  bool mayVote() const;
 
   void send(std::string const& to, cargo::Message message);
   template <typename T>
@@ -166,7 +168,14 @@
 }
 
 std::size_t Council::Impl::quorum() const {
-  return vote.decided.epoch == 0 ? policy.founders : vote.decided.witnesses.size() / 2 + 1;
+  return (vote.decided.epoch == 0 ? founders.size() : vote.decided.witnesses.size()) / 2 + 1;
+}
+
+bool Council::Impl::mayVote() const {
+  if (vote.decided.epoch == 0) {
+    return mayFound && std::binary_search(founders.begin(), founders.end(), self.address);
+  }
+  return std::count(vote.decided.witnesses.begin(), vote.decided.witnesses.end(), self.id) > 0;
 }
 
 void Council::Impl::send(std::string const& to, cargo::Message message) {
@@ -227,6 +236,9 @@
   lastToken = dice() >> 20;
   started = true;
   quietSince = now;
+  founders = event.founders;
+  std::sort(founders.begin(), founders.end());
+  founders.erase(std::unique(founders.begin(), founders.end()), founders.end());
   diskless = event.diskless;
   if (diskless) {
     broken = true;
@@ -534,7 +546,7 @@
 std::vector<std::string> Council::Impl::chooseWitnesses(std::string const& primary, std::string const& backup) const {
   std::vector<std::string> out{primary, backup};
   std::vector<std::string> const& listed = vote.decided.witnesses;
-  while (out.size() < policy.founders) {
+  while (out.size() < policy.mostWitnesses) {
     std::string best;
     int bestScore = -1;
     for (std::pair<std::string const, Heard> const& entry : heard) {
@@ -556,7 +568,7 @@
     out.push_back(best);
   }
   for (std::string const& id : listed) {
-    if (out.size() < policy.founders && std::count(out.begin(), out.end(), id) == 0) {
+    if (out.size() < policy.mostWitnesses && std::count(out.begin(), out.end(), id) == 0) {
       out.push_back(id);
     }
   }
@@ -675,8 +687,7 @@
     send(from, hint);
     return;
   }
-  std::vector<std::string> const& listed = vote.decided.witnesses;
-  if (vote.decided.epoch > 0 && std::count(listed.begin(), listed.end(), self.id) == 0) {
+  if (!mayVote()) {
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
@@ -727,9 +738,7 @@
 
 void Council::Impl::hear(std::string const& from, cargo::Accept const& message) {
   learn(message.decided);
-  std::vector<std::string> const& listed = vote.decided.witnesses;
-  if (message.decided.epoch != vote.decided.epoch ||
-      (vote.decided.epoch > 0 && std::count(listed.begin(), listed.end(), self.id) == 0)) {
+  if (message.decided.epoch != vote.decided.epoch || !mayVote()) {
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
@@ -798,35 +807,31 @@
 }
 
 void Council::Impl::tryFounding() {
-  if (!mayFound || retiring || proposal.step != Step::none || now - quietSince < policy.lostMs) {
+  std::vector<std::string>::const_iterator const turn = std::lower_bound(founders.begin(), founders.end(), self.address);
+  if (!mayVote() || retiring || now - quietSince < policy.lostMs + policy.founderTurnMs * (turn - founders.begin())) {
     return;
   }
-  std::vector<std::pair<std::string, std::string>> around{{self.address, self.id}};
+  std::map<std::string, std::pair<TimePoint, std::string>> voters{{self.address, {now, self.id}}};
+  std::size_t inSight = 1;
   for (std::pair<std::string const, Heard> const& entry : heard) {
-    if (fresh(entry.first, policy.lostMs)) {
-      around.emplace_back(entry.second.member.address, entry.first);
+    std::string const& address = entry.second.member.address;
+    inSight += fresh(entry.first, policy.lostMs) ? 1 : 0;
+    if (entry.second.ever && std::binary_search(founders.begin(), founders.end(), address)) {
+      voters[address] = std::max(voters[address], {entry.second.at, entry.first});
     }
   }
-  std::sort(around.begin(), around.end());
-  if (around.size() < policy.founders || around.size() > policy.mostFounders || around.front().second != self.id) {
+  if (inSight < std::max(policy.leastReplicas, std::min(policy.mostWitnesses, founders.size()))) {
     return;
   }
-  proposal.record = {1, "", self.id, "", {}};
+  proposal.record = {1, "", self.id, choosePartner(self.id), {}};
   char fleet[20];
   std::snprintf(fleet, sizeof fleet, "%016llx", static_cast<unsigned long long>(dice()));
   proposal.record.fleet = fleet;
-  for (std::size_t index = 0; index < policy.founders; ++index) {
-    proposal.record.witnesses.push_back(around[index].second);
-  }
-  proposal.voters = proposal.record.witnesses;
-  proposal.record.backup = proposal.voters[1];
-  for (std::string const& voter : proposal.voters) {
-    if (voter != self.id && heard[voter].member.zone != self.zone) {
-      proposal.record.backup = voter;
-      break;
-    }
+  proposal.record.witnesses = chooseWitnesses(self.id, proposal.record.backup);
+  proposal.voters.clear();
+  for (std::pair<std::string const, std::pair<TimePoint, std::string>> const& entry : voters) {
+    proposal.voters.push_back(entry.second.second);
   }
-  std::sort(proposal.record.witnesses.begin(), proposal.record.witnesses.end());
   beginBallot();
 }
 
--- a/testside/drydock/councils.cpp
+++ b/testside/drydock/councils.cpp
@@ -10,6 +10,9 @@
     node.id = "h" + std::to_string(index);
     node.address = "127.0.0." + std::to_string(index + 1) + ":7001";
     node.zone = "z" + std::to_string(index % 4);
+    if (index < 3) {
+      founders.push_back(node.address);
+    }
     nodes.push_back(std::move(node));
   }
 }
@@ -23,7 +26,7 @@
   node.thawWork.clear();
   node.unsynced.clear();
   ++node.life;
-  step(index, pledge::Start{{node.id, node.address, node.zone}, node.disk, sea.dice()()});
+  step(index, pledge::Start{{node.id, node.address, node.zone}, node.disk, sea.dice()(), false, founders});
   tick(index, node.life);
 }
 
@@ -41,12 +44,17 @@
   ++node.life;
 }
 
-void Councils::wipe(std::size_t index) {
+void Councils::wipeInPlace(std::size_t index) {
   kill(index, true);
   CouncilNode& node = nodes[index];
   node.disk.clear();
+  node.mayFound = false;
   node.id = "h" + std::to_string(index) + "-" + std::to_string(++renamed_);
-  node.address = "127.0.1." + std::to_string(renamed_) + ":7001";
+}
+
+void Councils::wipe(std::size_t index) {
+  wipeInPlace(index);
+  nodes[index].address = "127.0.1." + std::to_string(renamed_) + ":7001";
 }
 
 void Councils::freeze(std::size_t index) { nodes[index].frozen = true; }
@@ -71,7 +79,7 @@
   }
   if (!node.frozen) {
     pledge::Known known;
-    known.mayFound = mayFound;
+    known.mayFound = node.mayFound;
     for (CouncilNode const& other : nodes) {
       if (other.up) {
         known.members.push_back({other.id, other.address, other.zone});
--- a/testside/drydock/councils.h
+++ b/testside/drydock/councils.h
@@ -19,6 +19,7 @@
   std::vector<std::pair<std::uint64_t, pledge::Puts>> unsynced;
   std::uint64_t life = 0;
   bool up = false;
+  bool mayFound = true;
   bool frozen = false;
   bool diskStuck = false;
   std::vector<std::function<void()>> thawWork;
@@ -36,11 +37,12 @@
   std::size_t doubts = 0;
   std::size_t takeovers = 0;
   std::set<std::string> fleets;
-  bool mayFound = true;
+  std::vector<std::string> founders;
 
   void start(std::size_t index);
   void kill(std::size_t index, bool powerLoss);
   void wipe(std::size_t index);
+  void wipeInPlace(std::size_t index);
   void freeze(std::size_t index);
   void thaw(std::size_t index);
   void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
--- a/testside/drydock/roads.cpp
+++ b/testside/drydock/roads.cpp
@@ -14,8 +14,11 @@
     Machine machine;
     std::string const zone = "z" + std::to_string(index % zones);
     std::string const address = "127.0.0." + std::to_string(index + 1) + ":7000";
+    if (index < std::min<std::size_t>(masters, 3)) {
+      founders_.push_back(address);
+    }
     if (index < masters) {
-      machine.master = Master{"h" + std::to_string(index), address, zone, {}, {}, {}, {}, false};
+      machine.master = Master{"h" + std::to_string(index), address, zone, {}, {}, {}, {}};
     } else {
       machine.quay = Quay{"m" + std::to_string(index), address, zone, {}, {}};
     }
@@ -58,7 +61,7 @@
     master.diskFails = false;
     master.council.emplace(pledge::Policy{});
     master.plane.emplace(harbour::Policy{}, master.id, language);
-    step(index, pledge::Start{{master.id, master.address, master.zone}, master.disk, sea.dice()()});
+    step(index, pledge::Start{{master.id, master.address, master.zone}, master.disk, sea.dice()(), false, founders_});
   }
   tick(index, machine.life);
 }
@@ -90,6 +93,7 @@
   kill(index);
   Master& master = *machines[index].master;
   master.disk.clear();
+  master.mayFound = false;
   master.id = "h" + std::to_string(index) + "-" + std::to_string(++replaced_);
 }
 
@@ -252,7 +256,7 @@
       follow(index, machine.quay->courier->tick(sea.now(), peers()));
     } else {
       pledge::Known known;
-      known.mayFound = true;
+      known.mayFound = machine.master->mayFound;
       for (cargo::Peer const& peer : peers()) {
         if (peer.role == "harbourmaster") {
           known.members.push_back({peer.node, peer.address, peer.zone});
--- a/testside/drydock/roads.h
+++ b/testside/drydock/roads.h
@@ -30,6 +30,7 @@
   std::map<std::string, std::string> disk;
   std::vector<std::pair<std::uint64_t, pledge::Puts>> unsynced;
   bool diskFails = false;
+  bool mayFound = true;
 };
 
 struct Machine {
@@ -103,6 +104,7 @@
   void judge(std::size_t index);
   std::vector<cargo::Peer> peers() const;
 
+  std::vector<std::string> founders_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::map<manifest::Version, TimePoint> acknowledged_;
   std::map<std::uint64_t, harbour::ZoneOrder> orders_;
