A roster on its way to the disk no longer counts as known to a majority of the old one

Cause: a poll that came between the offer of a changed roster and its commit found the old roster confirmed and marked it stable; the new roster was then published as stable, so acknowledgements no longer needed the majority of the old one, and a cut-off pair went on serving the older version. Change: publishing a state with another roster makes it unstable again.

--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -324,6 +324,8 @@
 }
 
 void Plane::Impl::publish(cargo::State const& state) {
+  bool const sameRoster = Mark(state.rosterEpoch, state.rosterSequence) == Mark(published.rosterEpoch, published.rosterSequence);
+  stable = stable && sameRoster;
   published = state;
   publishedAt = now;
   publishings[mark()] = now;
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -463,7 +463,7 @@
 }
 
 TEST(Roster, WhileAChangeOfItIsOnItsWayTheOldMajorityCountsToo) {
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
     Roads roads(seed, 3, 9, 1);
     for (std::size_t index = 0; index < 6; ++index) {
       roads.start(index);
