--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -196,7 +196,7 @@
     policy.mostNodes = shape.mostNodes == 0 ? policy.mostNodes : shape.mostNodes;
     member.master->council.emplace(pledge::Policy{});
     member.master->plane.emplace(policy, member.id);
-    step(index, pledge::Start{{member.id, member.address, member.zone}, member.master->disk, sea.dice()()});
+    step(index, pledge::Start{{member.id, member.address, member.zone}, member.master->disk, sea.dice()(), false, seeds});
   }
   std::uint64_t const life = member.life;
   sea.after(Us(sea.roll(20'000)), [this, index, life] { tick(index, life); });
