--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -161,6 +161,7 @@
   Clock::time_point startedAt = Clock::now();
   bool draining = false;
   bool wasReady = false;
+  std::string lastWhy = "starting";
   bool callersLetIn = false;
   bool unreadable = false;
   std::uint64_t refusedStale = 0;
@@ -727,7 +728,8 @@
       server->open();
     }
   }
-  if (why.empty() != wasReady) {
+  if (why != lastWhy) {
+    lastWhy = why;
     wasReady = why.empty();
     signal::raise(signal::Event::readinessChanged, {{"ready", wasReady ? "yes" : "no"}, {"reason", why}});
   }
