--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -263,7 +263,7 @@
   state.epoch = 3;
   state.document = document;
   for (pledge::Effect const& effect : first.step(now, pledge::Received{"h1", "127.0.0.2:1",
-         cargo::Sync{{3, "f", "h1", "h0", {"h0", "h1", "h2"}}, 5, false, state}})) {
+         cargo::Sync{{3, "f", "h1", {"h0"}, {"h0", "h1", "h2"}}, 5, false, state}})) {
     if (pledge::Persist const* const persist = std::get_if<pledge::Persist>(&effect)) {
       for (std::pair<std::string, std::string> const& put : persist->puts) {
         disk[put.first] = put.second;
@@ -287,7 +287,7 @@
       return note != nullptr && note->event == signal::Event::diskDamaged;
     }));
     for (pledge::Effect const& effect : council.step(
-             now, pledge::Received{"h1", "127.0.0.2:1", cargo::Prepare{{3, "f", "h1", "h0", {"h0", "h1", "h2"}}, {9, "h1"}}})) {
+             now, pledge::Received{"h1", "127.0.0.2:1", cargo::Prepare{{3, "f", "h1", {"h0"}, {"h0", "h1", "h2"}}, {9, "h1"}}})) {
       EXPECT_FALSE(std::holds_alternative<pledge::Send>(effect));
       EXPECT_FALSE(std::holds_alternative<pledge::Persist>(effect));
     }
