--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/cargo/include/limeramp/cargo/messages.h
@@ -141,12 +141,14 @@
   std::uint64_t token = 0;
   std::uint64_t echoed = 0;
   bool ailing = false;
+  std::uint64_t epoch = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("decided", self.decided);
     visit("token", self.token);
     visit("echoed", self.echoed);
     visit("ailing", self.ailing);
+    visit("epoch", self.epoch);
   }
 };
 
--- a/libs/cargo/src/messages.cpp
+++ b/libs/cargo/src/messages.cpp
@@ -1,8 +1,55 @@
 #include "limeramp/cargo/messages.h"
 
+#include <xxhash.h>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <map>
+#include <mutex>
+
 namespace limeramp::cargo {
 namespace {
 
+constexpr std::uint64_t alwaysWhole = 32;
+constexpr std::uint64_t oneInWhole = 16;
+constexpr std::size_t mostSchemas = 256;
+
+std::string digestOf(std::string const& schema) {
+  std::array<char, 20> text{};
+  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(XXH64(schema.data(), schema.size(), 0)));
+  return text.data();
+}
+
+template <typename Kind>
+std::string const& digestOfKind() {
+  static std::string const digest = digestOf(schemaOf<Kind>());
+  return digest;
+}
+
+template <typename Kind>
+bool carriesSchema() {
+  static std::atomic<std::uint64_t> sent = 0;
+  std::uint64_t const number = sent++;
+  return number < alwaysWhole || XXH64(&number, sizeof number, 0) % oneInWhole == 0;
+}
+
+std::mutex schemasMutex;
+std::map<std::string, std::string> schemas;
+
+void remember(std::string const& schema) {
+  std::unique_lock<std::mutex> const lock(schemasMutex);
+  if (schemas.size() < mostSchemas) {
+    schemas.emplace(digestOf(schema), schema);
+  }
+}
+
+std::optional<std::string> recall(std::string const& digest) {
+  std::unique_lock<std::mutex> const lock(schemasMutex);
+  std::map<std::string, std::string>::const_iterator const found = schemas.find(digest);
+  return found == schemas.end() ? std::nullopt : std::optional<std::string>(found->second);
+}
+
 std::string const absentTail(64, '\0');
 
 template <typename T>
@@ -16,10 +63,20 @@
     return absl::UnimplementedError("unknown kind " + kind.substr(0, 40));
   } else {
     using Kind = std::variant_alternative_t<Index, Message>;
-    if (kind != Kind::name) {
+    std::size_t const mark = kind.find('#');
+    if (kind.substr(0, mark) != Kind::name) {
       return open<Index + 1>(kind, body, schema);
     }
-    absl::StatusOr<Kind> value = schema.empty() ? unpackFirstKind<Kind>(body) : unpack<Kind>(body, schema);
+    if (mark != std::string::npos && kind.substr(mark + 1) != digestOfKind<Kind>()) {
+      std::optional<std::string> const known = recall(kind.substr(mark + 1));
+      return known ? open<Index>(Kind::name, body, *known) : absl::UnavailableError("a schema not heard yet");
+    }
+    absl::StatusOr<Kind> value = mark != std::string::npos ? unpack<Kind>(body)
+                                 : schema.empty()          ? unpackFirstKind<Kind>(body)
+                                                           : unpack<Kind>(body, schema);
+    if (value.ok() && !schema.empty() && schema != schemaOf<Kind>()) {
+      remember(schema);
+    }
     if (!value.ok()) {
       return value.status();
     }
@@ -36,9 +93,11 @@
   envelope.address = parcel.address;
   std::visit(
       [&](auto const& message) {
-        envelope.kind = message.name;
+        using Kind = std::decay_t<decltype(message)>;
+        bool const whole = carriesSchema<Kind>();
+        envelope.kind = whole ? std::string(Kind::name) : std::string(Kind::name) + "#" + digestOfKind<Kind>();
         envelope.body = pack(message);
-        envelope.schema = schemaOf<std::decay_t<decltype(message)>>();
+        envelope.schema = whole ? schemaOf<Kind>() : "";
       },
       parcel.message);
   return enclose(pack(envelope));
--- a/libs/fairway/include/limeramp/fairway/courier.h
+++ b/libs/fairway/include/limeramp/fairway/courier.h
@@ -14,9 +14,10 @@
 
 struct CourierPolicy {
   std::chrono::milliseconds pollMs{200};
+  std::chrono::milliseconds afarPollMs{350};
   std::chrono::milliseconds replyMs{450};
   std::chrono::milliseconds suspectMs{3000};
-  std::chrono::milliseconds worriedMs{900};
+  std::chrono::milliseconds worriedMs{1300};
   std::chrono::milliseconds currentMs{2000};
   std::chrono::milliseconds followerMs{2000};
 };
--- a/libs/fairway/include/limeramp/fairway/views.h
+++ b/libs/fairway/include/limeramp/fairway/views.h
@@ -22,6 +22,9 @@
 struct ViewPolicy {
   std::size_t mostPeers = 32;
   std::size_t mostShuffled = 10;
+  std::size_t mostShuffledAfar = 6;
+  std::size_t afarEvery = 6;
+  std::size_t fewPeers = 3;
   std::chrono::milliseconds shuffleMs{300};
   std::chrono::milliseconds forgetMs{6000};
   std::chrono::milliseconds seedHeardMs{5000};
--- a/libs/fairway/src/courier.cpp
+++ b/libs/fairway/src/courier.cpp
@@ -269,8 +269,12 @@
       }
     }
     std::string const control = impl.controlAddress(peers);
+    bool const afar = std::any_of(peers.begin(), peers.end(), [&](cargo::Peer const& peer) {
+      return peer.address == control && peer.zone != impl.self.zone;
+    });
     if (target.empty()) {
       target = control;
+      impl.nextPollAt = impl.state && afar && !worried ? now + impl.policy.afarPollMs : impl.nextPollAt;
     }
     if (!target.empty()) {
       out.sends.push_back({target, impl.makePoll(now, target)});
--- a/libs/fairway/src/views.cpp
+++ b/libs/fairway/src/views.cpp
@@ -40,7 +40,23 @@
     }
   }
 
-  std::vector<cargo::Peer> sample(TimePoint now) {
+  bool isAfar(std::string const& address) const {
+    return std::any_of(entries.begin(), entries.end(), [&](std::pair<std::string const, Entry> const& entry) {
+      return entry.second.peer.address == address && entry.second.peer.zone != self.zone;
+    });
+  }
+
+  std::string choose(bool afar) {
+    std::vector<std::string> addresses;
+    for (std::pair<std::string const, Entry> const& entry : entries) {
+      if (entries.size() < policy.fewPeers || afar == (entry.second.peer.zone != self.zone)) {
+        addresses.push_back(entry.second.peer.address);
+      }
+    }
+    return addresses.empty() ? "" : addresses[dice() % addresses.size()];
+  }
+
+  std::vector<cargo::Peer> sample(TimePoint now, std::string const& to) {
     std::vector<cargo::Peer> out;
     for (std::pair<std::string const, Entry> const& entry : entries) {
       cargo::Peer peer = entry.second.peer;
@@ -48,9 +64,7 @@
       out.push_back(std::move(peer));
     }
     std::shuffle(out.begin(), out.end(), dice);
-    if (out.size() > policy.mostShuffled) {
-      out.resize(policy.mostShuffled);
-    }
+    out.resize(std::min(out.size(), isAfar(to) ? policy.mostShuffledAfar : policy.mostShuffled));
     out.push_back(self);
     return out;
   }
@@ -80,13 +94,15 @@
   impl_->forget(now);
   ++impl_->turn;
   std::vector<std::string> targets;
-  if (!impl_->entries.empty()) {
-    std::map<std::string, Entry>::const_iterator const chosen =
-        std::next(impl_->entries.begin(), static_cast<long>(impl_->dice() % impl_->entries.size()));
-    targets.push_back(chosen->second.peer.address);
+  bool const few = impl_->entries.size() < impl_->policy.fewPeers;
+  std::size_t const afarEvery = impl_->policy.afarEvery;
+  bool const afar = impl_->turn % afarEvery == 0;
+  bool const asksSeed = impl_->turn % (4 * afarEvery) == 0;
+  if (std::string const chosen = impl_->choose(afar); !chosen.empty() && !(asksSeed && !few)) {
+    targets.push_back(chosen);
   }
-  if (impl_->entries.size() < 3 || impl_->turn % 8 == 0) {
-    std::string const& seed = impl_->seeds[impl_->turn / (impl_->entries.size() < 3 ? 1 : 8) % impl_->seeds.size()];
+  if (few || asksSeed) {
+    std::string const& seed = impl_->seeds[impl_->turn / (few ? 1 : 4 * afarEvery) % impl_->seeds.size()];
     if (seed != impl_->self.address) {
       targets.push_back(seed);
     }
@@ -96,7 +112,7 @@
     std::erase(targets, impl_->self.address);
   }
   for (std::string const& address : targets) {
-    out.push_back({address, cargo::Shuffle{false, impl_->sample(now)}});
+    out.push_back({address, cargo::Shuffle{false, impl_->sample(now, address)}});
   }
   return out;
 }
@@ -122,7 +138,7 @@
   if (message.reply) {
     return {};
   }
-  return {{address, cargo::Shuffle{true, impl_->sample(now)}}};
+  return {{address, cargo::Shuffle{true, impl_->sample(now, address)}}};
 }
 
 std::vector<cargo::Peer> Views::peers(TimePoint now) const {
--- a/libs/pledge/include/limeramp/pledge/council.h
+++ b/libs/pledge/include/limeramp/pledge/council.h
@@ -19,7 +19,8 @@
 using Puts = std::vector<std::pair<std::string, std::string>>;
 
 struct Policy {
-  std::chrono::milliseconds hailMs{150};
+  std::chrono::milliseconds hailMs{250};
+  std::chrono::milliseconds idleHailMs{400};
   std::chrono::milliseconds lostMs{1200};
   std::chrono::milliseconds takeoverMs{1500};
   std::chrono::milliseconds ballotMs{350};
--- a/libs/pledge/src/council.cpp
+++ b/libs/pledge/src/council.cpp
@@ -34,8 +34,11 @@
   cargo::Hail hail;
   std::uint64_t lastToken = 0;
   bool ever = false;
+  TimePoint nextHailAt{};
 };
 
+std::uint64_t epochOf(cargo::Hail const& hail) { return std::max(hail.epoch, hail.decided.epoch); }
+
 enum class Step { none, choosing, syncing, preparing, accepting };
 
 constexpr std::uint64_t salvageStride = 1'000'000;
@@ -91,7 +94,6 @@
   std::vector<std::string> founders;
   std::uint64_t lastToken = 0;
   std::deque<std::pair<std::uint64_t, TimePoint>> hailed;
-  TimePoint nextHailAt{};
   TimePoint quietSince{};
   TimePoint startedAt{};
   std::uint64_t lastPersist = 0;
@@ -120,8 +122,7 @@
   void on(Tick const& event);
   void on(Retire const&) {
     retiring = true;
-    nextHailAt = now;
-    hail();
+    hailAll();
   }
   void on(Salvage const& event);
 
@@ -181,6 +182,7 @@
   void beginAccept();
   void tryFounding();
   void hail();
+  void hailAll();
 };
 
 bool Council::Impl::fresh(std::string const& id, Ms within) const {
@@ -368,8 +370,7 @@
   cargo::EpochRecord record{generation * salvageStride + dice() % (salvageStride / 2), event.fleet, self.id, backups, chooseWitnesses(self.id, backups)};
   learn(record, true);
   effects.emplace_back(Salvaged{});
-  nextHailAt = now;
-  hail();
+  hailAll();
 }
 
 void Council::Impl::learn(cargo::EpochRecord const& record, bool withState) {
@@ -787,6 +788,7 @@
   if (message.decided.epoch < vote.decided.epoch) {
     cargo::Hail hint;
     hint.decided = vote.decided;
+    hint.epoch = vote.decided.epoch;
     hint.ailing = ailing() || retiring;
     send(from, hint);
     return;
@@ -861,8 +863,7 @@
   if (proposal.yes.size() >= quorum()) {
     cargo::EpochRecord const record = proposal.record;
     learn(record);
-    nextHailAt = now;
-    hail();
+    hailAll();
   }
 }
 
@@ -873,7 +874,7 @@
   entry.hail = message;
   entry.lastToken = message.token != 0 ? message.token : entry.lastToken;
   learn(message.decided);
-  if (regime == Regime::active && isOf(vote.decided.backups, from) && message.decided.epoch == vote.decided.epoch) {
+  if (regime == Regime::active && isOf(vote.decided.backups, from) && epochOf(message) == vote.decided.epoch) {
     for (std::pair<std::uint64_t, TimePoint> const& sent : hailed) {
       if (sent.first == message.echoed) {
         echoedAt[from] = std::max(echoedAt[from], sent.second);
@@ -881,26 +882,45 @@
     }
     noteAuthority();
   }
+  if (isBackup() && from == vote.decided.primary && message.token != 0 && now + policy.hailMs > entry.nextHailAt) {
+    entry.nextHailAt = now;
+    hail();
+  }
 }
 
-void Council::Impl::hail() {
-  if (now < nextHailAt) {
-    return;
-  }
-  nextHailAt = now + policy.hailMs;
-  std::uint64_t const token = ++lastToken;
-  hailed.emplace_back(token, now);
-  if (hailed.size() > 64) {
-    hailed.pop_front();
+void Council::Impl::hailAll() {
+  for (std::pair<std::string const, Heard>& entry : heard) {
+    entry.second.nextHailAt = now;
   }
-  for (std::pair<std::string const, Heard> const& entry : heard) {
+  hail();
+}
+
+void Council::Impl::hail() {
+  std::uint64_t token = 0;
+  for (std::pair<std::string const, Heard>& entry : heard) {
+    if (now < entry.second.nextHailAt) {
+      continue;
+    }
+    bool const quick = vote.decided.epoch == 0 || (isPrimary() && isOf(vote.decided.backups, entry.first));
+    entry.second.nextHailAt = now + (quick ? policy.hailMs : policy.idleHailMs);
+    if (token == 0) {
+      token = ++lastToken;
+      hailed.emplace_back(token, now);
+    }
+    cargo::Hail const& last = entry.second.hail;
     cargo::Hail message;
-    message.decided = vote.decided;
+    if (last.epoch == 0 || epochOf(last) != vote.decided.epoch) {
+      message.decided = vote.decided;
+    }
+    message.epoch = vote.decided.epoch;
     message.token = token;
     message.echoed = entry.second.lastToken;
     message.ailing = ailing() || retiring;
     effects.emplace_back(Send{entry.first, entry.second.member.address, message});
   }
+  while (hailed.size() > 64) {
+    hailed.pop_front();
+  }
 }
 
 void Council::Impl::tryFounding() {
@@ -1011,7 +1031,7 @@
 bool Council::ailing() const { return impl_->ailing() && !impl_->diskless; }
 bool Council::retired() const {
   std::map<std::string, Heard>::const_iterator const heir = impl_->heard.find(impl_->vote.decided.primary);
-  bool const known = heir != impl_->heard.end() && heir->second.hail.decided.epoch == impl_->vote.decided.epoch;
+  bool const known = heir != impl_->heard.end() && epochOf(heir->second.hail) == impl_->vote.decided.epoch;
   return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isSealed()));
 }
 std::string const& Council::id() const { return impl_->self.id; }
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -462,6 +462,24 @@
   EXPECT_GT(upheld, 100u);
 }
 
+TEST(Cost, InCalmThreeMastersAndTenNodesInThreeZonesSendLittleAcrossZones) {
+  Roads roads(7, 3, 10, 3);
+  ASSERT_TRUE(startServing(roads, 10));
+  roads.run(Ms(20'000));
+  roads.weighs = true;
+  std::size_t const before = roads.messages;
+  roads.run(Ms(30'000));
+  std::size_t total = 0;
+  std::size_t most = 0;
+  for (std::pair<std::size_t const, std::size_t> const& entry : roads.bytesAcrossZones) {
+    total += entry.second / 30;
+    most = std::max(most, entry.second / 30);
+  }
+  std::printf("13 nodes, 3 zones: %zu messages a second, %zu bytes a second across zones in all, %zu at most from one node\n",
+              (roads.messages - before) / 30, total, most);
+  EXPECT_LT(total / 13, 1500u);
+}
+
 TEST(Roster, WhileAChangeOfItIsOnItsWayTheOldMajorityCountsToo) {
   for (std::uint64_t seed = 1; seed <= 120; ++seed) {
     Roads roads(seed, 3, 9, 1);
--- a/testside/drydock/roads.h
+++ b/testside/drydock/roads.h
@@ -41,6 +41,7 @@
   bool frozen = false;
   bool hostLost = false;
   std::vector<std::function<void()>> thawWork;
+  std::string const& zone() const { return quay ? quay->zone : master->zone; }
   std::string address() const { return quay ? quay->address : master->address; }
   bool isActive() const { return master->plane->active() && master->council->active(); }
 };
@@ -64,6 +65,8 @@
   std::size_t withheld = 0;
   std::size_t upheld = 0;
   std::size_t messages = 0;
+  bool weighs = false;
+  std::map<std::size_t, std::size_t> bytesAcrossZones;
   std::chrono::milliseconds slowestMs{0};
 
   void startAll();
