--- a/tests/council_test.cpp
+++ b/tests/council_test.cpp
@@ -405,6 +405,33 @@
   EXPECT_GT(offered, 300u);
 }
 
+TEST(Council, AllProcessesKilledAtEveryStepOfAWriteAndBackWithinASecond) {
+  Ms slowest{0};
+  for (std::size_t const losses : {1u, 2u}) {
+    for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
+      Councils group(700 + stepUs, losses == 1 ? 3 : 8, 0.01, losses);
+      startAll(group);
+      expectAlive(group, "at first");
+      group.run(Ms(2000));
+      group.offer();
+      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      for (std::size_t index = 0; index < group.nodes.size(); ++index) {
+        group.kill(index, false);
+      }
+      TimePoint const lostAt = group.sea.now();
+      for (std::size_t index = 0; index < group.nodes.size(); ++index) {
+        group.run(Ms(static_cast<long>(group.sea.roll(1000 / group.nodes.size()))));
+        group.start(index);
+      }
+      expectAlive(group, "after the herd came back at " + std::to_string(stepUs));
+      slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.sea.now() - lostAt));
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << stepUs;
+    }
+  }
+  std::printf("all processes killed: first change %ld ms at most after the kill\n", static_cast<long>(slowest.count()));
+  EXPECT_LT(slowest, Ms(8000));
+}
+
 TEST(Council, OneDiskMachineOfThreeLostDoesNotStopWritesAndAnEmptyOneJoins) {
   for (std::size_t which = 0; which < 3; ++which) {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
