--- a/libs/shoal/src/impl.h
+++ b/libs/shoal/src/impl.h
@@ -43,8 +43,8 @@
 
  private:
   std::vector<float> window_;
+  std::vector<float> sorted_;
   std::size_t next_ = 0;
-  std::size_t news_ = 0;
   double typicalMs_ = 0;
   double tailMs_ = 0;
 };
--- a/libs/shoal/src/machine.cpp
+++ b/libs/shoal/src/machine.cpp
@@ -406,6 +406,7 @@
 std::vector<Effect> Machine::step(TimePoint now, Event const& event) {
   impl_->now = now;
   impl_->effects.clear();
+  impl_->effects.reserve(8);
   if (impl_->places.empty()) {
     impl_->on(Place{});
   }
--- a/libs/shoal/src/servers.cpp
+++ b/libs/shoal/src/servers.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t latencyWindow = 128;
-constexpr std::size_t refreshEvery = 8;
 
 std::size_t turnOf(std::string const& text) {
   std::uint64_t hash = 14695981039346656037u;
@@ -24,24 +23,18 @@
 }
 
 void Latencies::add(double latencyMs, double quantile) {
+  float const fresh = static_cast<float>(latencyMs);
   if (window_.size() < latencyWindow) {
-    window_.push_back(static_cast<float>(latencyMs));
+    window_.push_back(fresh);
+    sorted_.reserve(latencyWindow);
   } else {
-    window_[next_] = static_cast<float>(latencyMs);
+    sorted_.erase(std::lower_bound(sorted_.begin(), sorted_.end(), window_[next_]));
+    window_[next_] = fresh;
   }
   next_ = (next_ + 1) % latencyWindow;
-  if (++news_ < refreshEvery && window_.size() > refreshEvery) {
-    return;
-  }
-  news_ = 0;
-  std::vector<float> sorted = window_;
-  std::vector<float>::iterator const tail =
-      sorted.begin() + static_cast<long>(quantile * static_cast<double>(sorted.size() - 1));
-  std::nth_element(sorted.begin(), tail, sorted.end());
-  tailMs_ = *tail;
-  std::vector<float>::iterator const middle = sorted.begin() + static_cast<long>(sorted.size() / 2);
-  std::nth_element(sorted.begin(), middle, sorted.end());
-  typicalMs_ = *middle;
+  sorted_.insert(std::upper_bound(sorted_.begin(), sorted_.end(), fresh), fresh);
+  tailMs_ = sorted_[static_cast<std::size_t>(quantile * static_cast<double>(sorted_.size() - 1))];
+  typicalMs_ = sorted_[sorted_.size() / 2];
 }
 
 Latencies const& Machine::Impl::latenciesOf(ServiceState const& service, std::size_t kind) const {
@@ -194,8 +187,8 @@
     latencyMs = std::max(latencyMs, millis(now - std::max(server.answeredAt, server.open.front())));
   }
   double const busy = static_cast<double>(server.open.size() + server.ghosts.size()) + 1;
-  double const load = server.load * fadeOver(now - server.loadAt, 0.5);
-  double const badness = server.badness * fadeOver(now - server.badAt, 2);
+  double const load = server.load > 0 ? server.load * fadeOver(now - server.loadAt, 0.5) : 0;
+  double const badness = server.badness > 0 ? server.badness * fadeOver(now - server.badAt, 2) : 0;
   bool const near = !place.zone.empty() && server.row.zone == place.zone &&
                     latencyMs < policy.zoneLatencyFactor * typicalMs && !isCold(server) && server.unanswered == 0 &&
                     server.failures == 0 && badness < 0.05 && busy <= static_cast<double>(policy.zoneMostOpen);
