--- a/libs/harbour/src/office.cpp
+++ b/libs/harbour/src/office.cpp
@@ -9,6 +9,9 @@
 #include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
 
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -37,6 +40,10 @@
 
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
 constexpr Ms retireMs{3000};
+constexpr Ms eagerMs{1000};
+constexpr Ms settleMs{2000};
+constexpr char const* membersKey = "members";
+constexpr std::size_t mostKeptMembers = 16;
 
 struct Work {
   std::uint64_t token = 0;
@@ -75,14 +82,16 @@
   return absl::OkStatus();
 }
 
-absl::Status readIdentity(hold::Store& store, std::string& id, bool& mayFound) {
+absl::Status readIdentity(hold::Store& store, std::string& id, bool& mayFound, std::vector<std::string>& founders) {
   std::map<std::string, std::string>::const_iterator const known = store.values().find("id");
   if (known == store.values().end() || known->second.empty()) {
-    return store.put({{"id", id}, {"mayFound", mayFound ? "yes" : "no"}});
+    return store.put({{"id", id}, {"mayFound", mayFound ? "yes" : "no"}, {"founders", absl::StrJoin(founders, ",")}});
   }
   std::map<std::string, std::string>::const_iterator const founds = store.values().find("mayFound");
+  std::map<std::string, std::string>::const_iterator const first = store.values().find("founders");
   id = known->second;
   mayFound = founds == store.values().end() ? mayFound : founds->second == "yes";
+  founders = first == store.values().end() ? founders : absl::StrSplit(first->second, ',');
   return absl::OkStatus();
 }
 
@@ -90,11 +99,12 @@
 
 struct Office::Impl {
   Impl(manifest::Settings const& settingsIn, OperatorDialect const& dialectIn, manifest::Language const& languageIn,
-       std::unique_ptr<hold::Store> storeIn, std::string const& idIn, bool mayFoundIn)
+       std::unique_ptr<hold::Store> storeIn, std::string const& idIn, bool mayFoundIn, std::vector<std::string> const& foundersIn)
       : settings(settingsIn),
         dialect(dialectIn),
         id(idIn),
         mayFound(mayFoundIn),
+        founders(foundersIn),
         store(std::move(storeIn)),
         client(network, {}),
         mail(network, settingsIn.advertise),
@@ -110,6 +120,7 @@
   OperatorDialect dialect;
   std::string id;
   bool mayFound = false;
+  std::vector<std::string> founders;
   std::unique_ptr<hold::Store> store;
   rigging::Network network;
   rigging::HttpClient client;
@@ -126,6 +137,8 @@
   std::unordered_map<std::uint64_t, Client> clients;
   std::uint64_t lastTicket = 0;
   bool fleetElsewhere = false;
+  std::string keptMembers;
+  Clock::time_point startedAt = Clock::now();
   bool draining = false;
   std::optional<Salvaging> salvaging;
   std::mutex retiredMutex;
@@ -160,6 +173,8 @@
   bool listen(std::string const& address, rigging::HttpServer::Handler handler, std::string& error);
   void take(rigging::Request request, rigging::Responder respond);
   void tick();
+  void recallMembers();
+  void keepMembers(std::vector<pledge::Member> const& members);
   rigging::Answer status() const;
   rigging::Answer ready() const;
 };
@@ -440,9 +455,36 @@
   driveCouncil(pledge::Persisted{letter.token, letter.good});
 }
 
+void Office::Impl::recallMembers() {
+  if (store == nullptr || !store->values().contains(membersKey)) {
+    return;
+  }
+  absl::StatusOr<cargo::Shuffle> const stored = cargo::unpack<cargo::Shuffle>(store->values().at(membersKey));
+  pledge::Known known;
+  if (stored.ok() && council.decided().epoch > 0) {
+    for (cargo::Peer const& peer : stored->peers) {
+      known.members.push_back({peer.node, peer.address, peer.zone});
+    }
+    driveCouncil(known);
+  }
+}
+
+void Office::Impl::keepMembers(std::vector<pledge::Member> const& members) {
+  cargo::Shuffle kept;
+  for (pledge::Member const& member : members) {
+    if (kept.peers.size() < mostKeptMembers) {
+      kept.peers.push_back({member.id, member.address, member.zone, "", 0, 0});
+    }
+  }
+  std::string const packed = cargo::pack(kept);
+  if (store != nullptr && !members.empty() && packed != keptMembers && work.tryPush({0, {{membersKey, packed}}})) {
+    keptMembers = packed;
+  }
+}
+
 void Office::Impl::tick() {
   Clock::time_point const now = Clock::now();
-  sendAll(views.tick(now, council.decided().epoch == 0));
+  sendAll(views.tick(now, council.decided().epoch == 0 || now - startedAt < eagerMs));
   pledge::Known known;
   for (cargo::Peer const& peer : views.peers(now)) {
     if (peer.role == "harbourmaster") {
@@ -450,6 +492,9 @@
     }
   }
   known.mayFound = mayFound && !fleetElsewhere && views.mayFound(now);
+  if (now - startedAt > settleMs) {
+    keepMembers(known.members);
+  }
   driveCouncil(known);
   driveCouncil(pledge::Tick{});
   drivePlane(Tick{});
@@ -463,11 +508,12 @@
 }
 
 void Office::Impl::runCore() {
-  pledge::Start start{{id, settings.advertise, settings.zone}, {}, rigging::randomWord(), store == nullptr};
+  pledge::Start start{{id, settings.advertise, settings.zone}, {}, rigging::randomWord(), store == nullptr, founders};
   if (store != nullptr) {
     start.stored = store->values();
   }
   driveCouncil(start);
+  recallMembers();
   disk = std::thread([this] { runDisk(); });
   Clock::time_point nextTick = Clock::now();
   while (!inbox.closed()) {
@@ -524,15 +570,16 @@
   std::snprintf(mark, sizeof mark, "%08llx", static_cast<unsigned long long>(rigging::randomWord() & 0xffffffff));
   std::string id = settings.node + "/" + mark;
   bool mayFound = settings.mayFound;
+  std::vector<std::string> founders = settings.seeds;
   if (opened.ok() && store != nullptr) {
-    opened = readIdentity(*store, id, mayFound);
+    opened = readIdentity(*store, id, mayFound, founders);
   }
   if (!opened.ok()) {
     error = std::string(opened.message());
     return nullptr;
   }
   std::unique_ptr<Office> office(new Office());
-  office->impl_ = std::make_unique<Impl>(settings, dialect, language, std::move(store), id, mayFound);
+  office->impl_ = std::make_unique<Impl>(settings, dialect, language, std::move(store), id, mayFound, founders);
   Impl& impl = *office->impl_;
   Serve const own = [&impl](rigging::Request request, rigging::Responder respond) {
     impl.take(std::move(request), std::move(respond));
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t leastBudgetSlots = 20;
 constexpr std::size_t leavingFronts = 1'000'000;
 constexpr double slackShare = 0.9;
+constexpr Ms connectMs{300};
+constexpr Ms eagerMs{3000};
 constexpr Ms tickMs{50};
 constexpr Ms lastWordMs{300};
 
@@ -51,6 +53,13 @@
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
+Unserved unservedOf(int status) {
+  return status == 413   ? Unserved::tooLong
+         : status == 431 ? Unserved::headTooLong
+         : status == 408 ? Unserved::tooSlow
+                         : Unserved::malformed;
+}
+
 std::string nameOf(fairway::Standing standing) {
   switch (standing) {
     case fairway::Standing::unknown:
@@ -90,7 +99,7 @@
       : settings(settingsIn),
         dialect(std::move(dialectIn)),
         operators(std::move(operatorsIn)),
-        client(network, {}),
+        client(network, clientBounds()),
         mail(network, settingsIn.advertise),
         mill(settingsIn.hands),
         boot(rigging::randomWord() >> 1),
@@ -108,9 +117,16 @@
     return policy;
   }
 
+  static rigging::ClientBounds clientBounds() {
+    rigging::ClientBounds bounds;
+    bounds.connectMs = connectMs;
+    return bounds;
+  }
+
   static berth::DeskPolicy deskPolicyOf(manifest::Settings const& settings) {
     berth::DeskPolicy policy;
     policy.listMs = settings.listMs;
+    policy.pageMs = settings.listPageMs;
     return policy;
   }
 
@@ -134,6 +150,8 @@
   harbour::Runner runner;
   logbook::Clerk clerk;
   std::vector<std::unique_ptr<rigging::HttpServer>> listeners;
+  std::vector<rigging::HttpServer*> callers;
+  rigging::Network::TimerId alarm = 0;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
   std::uint64_t lastRequest = 0;
   std::string fleet;
@@ -143,6 +161,7 @@
   Clock::time_point startedAt = Clock::now();
   bool draining = false;
   bool wasReady = false;
+  bool callersLetIn = false;
   bool unreadable = false;
   std::uint64_t refusedStale = 0;
   std::mutex heldMutex;
@@ -152,14 +171,19 @@
   void deliver(Letter letter);
   void work();
   void arm();
-  bool listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, rigging::HttpServer::Handler handler,
-              std::string& error);
+  void wakeUp();
+  bool listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
+              rigging::HttpServer::Handler handler, std::string& error);
+  void boundCallers();
   void on(LastWord&);
   void on(Incoming& letter);
   void on(ListRead& letter);
   void on(harbour::RunBack& letter) { runner.hear(Clock::now(), letter); }
   void on(DrainAsked&) {
     draining = true;
+    for (std::unique_ptr<rigging::HttpServer> const& server : listeners) {
+      server->drain();
+    }
     courier.leave();
     if (courier.state()) {
       place();
@@ -191,6 +215,7 @@
   void follow(berth::DeskStep const& step);
   void readList(std::string const& page);
   void tick();
+  void refreshReadiness(Clock::time_point now);
   std::string whyNotReady(Clock::time_point now) const;
   rigging::Answer ready() const;
   rigging::Answer status() const;
@@ -336,6 +361,7 @@
     next.insert(entry.first);
   }
   drive(InForce{snapshot});
+  boundCallers();
   for (std::string const& service : services) {
     if (!next.contains(service)) {
       drive(Tables{shoal::Servers{service, {}}});
@@ -440,6 +466,7 @@
         listTrouble.clear();
       }
       follow(desk.listed(Clock::now(), *list));
+      refreshReadiness(Clock::now());
       return;
     }
     reason = std::string(list.status().message());
@@ -675,7 +702,7 @@
 void Front::Impl::tick() {
   Clock::time_point const now = Clock::now();
   std::vector<cargo::Peer> const peers = views.peers(now);
-  sendAll(views.tick(now));
+  sendAll(views.tick(now, !courier.state() && now - startedAt < eagerMs));
   follow(courier.tick(now, peers));
   berth::Around around;
   around.services = services;
@@ -689,7 +716,17 @@
   }
   follow(desk.tick(now, around));
   runner.tick(now, courier.primaryAddress());
+  refreshReadiness(now);
+}
+
+void Front::Impl::refreshReadiness(Clock::time_point now) {
   std::string const why = whyNotReady(now);
+  if (!callersLetIn && (why.empty() || now - startedAt >= settings.startHoldMs)) {
+    callersLetIn = true;
+    for (rigging::HttpServer* const server : callers) {
+      server->open();
+    }
+  }
   if (why.empty() != wasReady) {
     wasReady = why.empty();
     signal::raise(signal::Event::readinessChanged, {{"ready", wasReady ? "yes" : "no"}, {"reason", why}});
@@ -722,27 +759,28 @@
 void Front::Impl::arm() {
   Clock::time_point const now = Clock::now();
   Clock::time_point const wake = std::max(now, std::min(nextTick, plane.nextWake(now).value_or(nextTick)));
-  if (ended || armedFor <= wake + Ms(1)) {
+  if (ended || armedFor <= wake) {
     return;
   }
+  network.cancel(alarm);
   armedFor = wake;
-  network.at(wake, [this, wake] {
-    if (armedFor == wake) {
-      armedFor = Clock::time_point::max();
-    }
-    if (ended) {
-      return;
-    }
-    Clock::time_point const at = Clock::now();
-    if (plane.nextWake(at).value_or(Clock::time_point::max()) <= at) {
-      letters.emplace_back(quayside::Event(Tick{}));
-    }
-    if (at >= nextTick) {
-      nextTick = at + tickMs;
-      tick();
-    }
-    work();
-  });
+  alarm = network.at(wake, [this] { wakeUp(); });
+}
+
+void Front::Impl::wakeUp() {
+  armedFor = Clock::time_point::max();
+  if (ended) {
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  if (plane.nextWake(now).value_or(Clock::time_point::max()) <= now) {
+    letters.emplace_back(quayside::Event(Tick{}));
+  }
+  if (now >= nextTick) {
+    nextTick = now + tickMs;
+    tick();
+  }
+  work();
 }
 
 void Front::Impl::on(LastWord&) {
@@ -754,14 +792,18 @@
   }
 }
 
-bool Front::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes,
+bool Front::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
                          rigging::HttpServer::Handler handler, std::string& error) {
   for (std::string const& address : addresses) {
-    rigging::ServerBounds bounds;
-    bounds.maxConnections = settings.maxConnections;
-    bounds.maxBodyBytes = maxBodyBytes;
+    rigging::ServerOptions options;
+    options.bounds.maxConnections = settings.maxConnections;
+    options.bounds.maxBodyBytes = maxBodyBytes;
+    options.opensLater = later;
+    options.refuse = [this](int status, std::string const& reason) {
+      return dialect.writeRefusal({unservedOf(status), reason, tally::Verdict::notRun, {}, "", ""});
+    };
     std::unique_ptr<rigging::HttpServer> server =
-        rigging::HttpServer::listen(network, rigging::Address::parse(address).value_or(rigging::Address{}), bounds, handler, error);
+        rigging::HttpServer::listen(network, rigging::Address::parse(address).value_or(rigging::Address{}), options, handler, error);
     if (server == nullptr) {
       return false;
     }
@@ -771,6 +813,19 @@
   return true;
 }
 
+void Front::Impl::boundCallers() {
+  manifest::CallerLimits const& limits = plane.snapshot()->configuration.limits;
+  rigging::ServerBounds bounds;
+  bounds.maxConnections = settings.maxConnections;
+  bounds.maxHeaderBytes = limits.maxHeaderBytes;
+  bounds.maxBodyBytes = limits.maxBodyBytes;
+  bounds.headerMs = limits.headerMs;
+  bounds.idleMs = limits.idleMs;
+  for (rigging::HttpServer* const server : callers) {
+    server->setBounds(bounds);
+  }
+}
+
 Front::Front() = default;
 
 std::unique_ptr<Front> Front::start(manifest::Settings const& settings, std::string& error, Dialect dialect,
@@ -791,10 +846,15 @@
   rigging::HttpServer::Handler const takeOperator = [&impl, take](rigging::Request request, rigging::Responder respond) {
     harbour::serveOperator(impl.operators, std::move(request), std::move(respond), take);
   };
-  if (!impl.listen({settings.listen}, 4 << 20, take, error) ||
-      !impl.listen(settings.callerListens, 4 << 20, takeCaller, error) ||
-      !impl.listen(settings.readinessListens, 64 << 10, takeOperator, error) ||
-      !impl.listen(settings.operatorListens, 4 << 20, takeOperator, error)) {
+  if (!impl.listen(settings.callerListens, 4 << 20, true, takeCaller, error)) {
+    return nullptr;
+  }
+  for (std::unique_ptr<rigging::HttpServer> const& server : impl.listeners) {
+    impl.callers.push_back(server.get());
+  }
+  if (!impl.listen({settings.listen}, 4 << 20, false, take, error) ||
+      !impl.listen(settings.readinessListens, 64 << 10, false, takeOperator, error) ||
+      !impl.listen(settings.operatorListens, 4 << 20, false, takeOperator, error)) {
     return nullptr;
   }
   impl.network.post([&impl] { impl.arm(); });
