--- a/testside/capacity/plimsoll.cpp
+++ b/testside/capacity/plimsoll.cpp
@@ -157,7 +157,7 @@
   fleet.run(Ms(3000));
   warm = warm && founding.verdict == "taken";
   std::fprintf(stderr, "seed %llu: %zu of %zu nodes serve after the warm-up\n", static_cast<unsigned long long>(shape.seed), fleet.serving(), shape.nodes);
-  std::ostringstream out;
+  std::ostream& out = std::cout;
   out << "{\"nodes\":" << shape.nodes << ",\"servers\":" << shape.servers << ",\"shards\":" << shape.shards << ",\"zones\":" << shape.zones
       << ",\"regions\":" << shape.regions << ",\"seed\":" << shape.seed << ",\"most_nodes\":" << shape.mostNodes
       << ",\"document\":" << shape.documentBytes << ",\"speed\":" << number(speed) << ",\"warm\":" << (warm ? "true" : "false")
@@ -167,10 +167,11 @@
   for (std::pair<std::string const, double> const& kind : startSent) {
     out << ",\"" << kind.first << "\":" << number(kind.second);
   }
-  out << "}";
+  out << "},\"first_change\":{\"acknowledged_ms\":" << founding.acknowledgedMs.count() << ",\"everywhere_ms\":" << founding.everywhereMs.count() << "}";
   if (phases.contains("steady")) {
     out << ",\"steady\":" << json(fleet.measure(stretchMs));
   }
+  out.flush();
   if (phases.contains("changes")) {
     std::vector<double> acknowledged;
     std::vector<double> everywhere;
@@ -185,11 +186,13 @@
     out << ",\"changes\":{\"asked\":4,\"taken\":" << taken << ",\"acknowledged_ms\":" << json(spreadOf(acknowledged))
         << ",\"everywhere_ms\":" << json(spreadOf(everywhere)) << "}";
   }
+  out.flush();
   if (phases.contains("churn")) {
     double const share = static_cast<double>(shape.nodes) / 1300;
     Churn const rates{1400.0 / 86'400 * share * speed, 22.0 / 86'400 * share * speed, 1500.0 / 86'400 * speed};
     out << ",\"churn\":" << json(fleet.churn(Ms(static_cast<long>(given["churn-seconds"].as<double>() * 1000)), rates));
   }
+  out.flush();
   if (phases.contains("loss")) {
     std::vector<double> killed;
     for (int round = 0; round < 2; ++round) {
@@ -198,6 +201,7 @@
     }
     out << ",\"loss\":{\"killed_known_ms\":" << json(spreadOf(killed)) << "}";
   }
+  out.flush();
   if (phases.contains("zone")) {
     fleet.loseZone();
     Stretch const stretch = fleet.measure(stretchMs);
@@ -208,6 +212,7 @@
         << ",\"everywhere_ms\":" << landing.everywhereMs.count() << ",\"known_ms\":" << number(knownMs)
         << ",\"serving\":" << fleet.serving() << ",\"alive\":" << fleet.alive() << "}";
   }
+  out.flush();
   if (phases.contains("region")) {
     std::size_t const before = fleet.serving();
     fleet.cutRegion(true);
@@ -223,6 +228,7 @@
         << ",\"serving\":" << serving << ",\"verdict\":\"" << landing.verdict << "\",\"healed\":" << (healed ? "true" : "false")
         << ",\"stretch\":" << json(stretch) << "}";
   }
+  out.flush();
   if (phases.contains("primary")) {
     fleet.killPrimary();
     Stretch const stretch = fleet.measure(Ms(2500));
@@ -233,6 +239,6 @@
     }
     out << ",\"primary\":{\"stretch\":" << json(stretch) << ",\"verdict\":\"" << landing.verdict << "\",\"serving\":" << fleet.serving() << "}";
   }
-  std::cout << out.str() << "}\n";
+  out << "}\n";
   return 0;
 }
