--- a/libs/quayside/include/limeramp/quayside/plane.h
+++ b/libs/quayside/include/limeramp/quayside/plane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/manifest/configuration.h"
+#include "limeramp/quayside/dialect.h"
 #include "limeramp/rigging/http.h"
 #include "limeramp/shoal/machine.h"
 #include "limeramp/shoal/part.h"
@@ -90,12 +91,9 @@
 
 using Effect = std::variant<Reply, SendOut, CancelOut, Grind, Merge, shoal::Note>;
 
-rigging::Answer refusal(int status, std::string const& reason, tally::Verdict verdict,
-                        std::optional<std::chrono::seconds> retryAfter = std::nullopt);
-
 class Plane {
  public:
-  Plane(Self const& self, shoal::Policy const& policy);
+  Plane(Self const& self, shoal::Policy const& policy, Dialect dialect = ownDialect());
   ~Plane();
   Plane(Plane&&) noexcept;
   Plane& operator=(Plane&&) noexcept;
--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -4,15 +4,16 @@
 #include "limeramp/fairway/courier.h"
 #include "limeramp/harbour/desk.h"
 #include "limeramp/harbour/runner.h"
+#include "limeramp/harbour/zones.h"
 #include "limeramp/logbook/logbook.h"
 #include "limeramp/quayside/plane.h"
 #include "limeramp/rigging/chance.h"
 #include "limeramp/rigging/mail.h"
-#include "limeramp/rigging/ring.h"
 #include "limeramp/signal/signal.h"
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <set>
@@ -25,30 +26,40 @@
 using Clock = std::chrono::steady_clock;
 using Ms = std::chrono::milliseconds;
 
-constexpr std::size_t inboxSlots = 16'384;
-constexpr std::size_t inboxSpare = 8'192;
+constexpr std::size_t mostLetters = 16'384;
 constexpr std::size_t mostCallerBytes = 1 << 20;
 constexpr std::uint64_t listAttempt = 1ULL << 62;
 constexpr std::uint64_t relayAttempts = 1ULL << 61;
-constexpr std::uint64_t budgetSlots = 20;
-constexpr double budgetForFleet = 60;
+constexpr std::uint64_t leastBudgetSlots = 20;
 constexpr std::size_t leavingFronts = 1'000'000;
-constexpr Ms noticeMs{1500};
-constexpr Ms finishMs{4000};
+constexpr double slackShare = 0.9;
+constexpr Ms connectMs{300};
+constexpr Ms eagerMs{3000};
+constexpr Ms tickMs{50};
+constexpr Ms lastWordMs{300};
 
 struct Incoming {
   rigging::Request content;
   rigging::Responder respond;
+  bool caller = false;
 };
 struct ListRead {
   rigging::Exchange exchange;
 };
 struct DrainAsked {};
+struct LastWord {};
 
-using Letter = std::variant<Incoming, ListRead, harbour::RunBack, DrainAsked, quayside::Event>;
+using Letter = std::variant<Incoming, ListRead, harbour::RunBack, DrainAsked, LastWord, quayside::Event>;
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
+Unserved unservedOf(int status) {
+  return status == 413   ? Unserved::tooLong
+         : status == 431 ? Unserved::headTooLong
+         : status == 408 ? Unserved::tooSlow
+                         : Unserved::malformed;
+}
+
 std::string nameOf(fairway::Standing standing) {
   switch (standing) {
     case fairway::Standing::unknown:
@@ -84,19 +95,20 @@
 }
 
 struct Front::Impl {
-  explicit Impl(manifest::Settings const& settingsIn)
+  Impl(manifest::Settings const& settingsIn, Dialect dialectIn, harbour::OperatorDialect operatorsIn)
       : settings(settingsIn),
-        client(network, {}),
+        dialect(std::move(dialectIn)),
+        operators(std::move(operatorsIn)),
+        client(network, clientBounds()),
         mail(network, settingsIn.advertise),
         mill(settingsIn.hands),
-        inbox(inboxSlots),
         boot(rigging::randomWord() >> 1),
-        plane(Self{settingsIn.node, settingsIn.advertise, settingsIn.zone, boot}, policyOf(settingsIn)),
+        plane(Self{settingsIn.node, settingsIn.advertise, settingsIn.zone, boot}, policyOf(settingsIn), dialect),
         views({}, cargo::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, "quay", boot, 0}, settingsIn.seeds,
               rigging::randomWord()),
         courier({}, cargo::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, boot, rigging::randomWord()),
-        desk({}, settingsIn.node, settingsIn.advertise, settingsIn.zone),
-        runner(client, settingsIn.advertise, relayAttempts, [this](harbour::RunBack back) { inbox.push(std::move(back)); }) {}
+        desk(deskPolicyOf(settingsIn), settingsIn.node, settingsIn.advertise, settingsIn.zone),
+        runner(client, settingsIn.advertise, relayAttempts, [this](harbour::RunBack back) { deliver(std::move(back)); }) {}
 
   static shoal::Policy policyOf(manifest::Settings const& settings) {
     shoal::Policy policy;
@@ -105,12 +117,31 @@
     return policy;
   }
 
+  static rigging::ClientBounds clientBounds() {
+    rigging::ClientBounds bounds;
+    bounds.connectMs = connectMs;
+    return bounds;
+  }
+
+  static berth::DeskPolicy deskPolicyOf(manifest::Settings const& settings) {
+    berth::DeskPolicy policy;
+    policy.listMs = settings.listMs;
+    policy.pageMs = settings.listPageMs;
+    return policy;
+  }
+
   manifest::Settings settings;
+  Dialect dialect;
+  harbour::OperatorDialect operators;
   rigging::Network network;
   rigging::HttpClient client;
   rigging::Mail mail;
   shoal::Mill mill;
-  rigging::Ring<Letter> inbox;
+  std::deque<Letter> letters;
+  bool working = false;
+  bool ended = false;
+  Clock::time_point nextTick = Clock::now();
+  Clock::time_point armedFor = Clock::time_point::max();
   std::uint64_t boot;
   Plane plane;
   fairway::Views views;
@@ -118,8 +149,9 @@
   berth::Desk desk;
   harbour::Runner runner;
   logbook::Clerk clerk;
-  std::unique_ptr<rigging::HttpServer> server;
-  std::thread core;
+  std::vector<std::unique_ptr<rigging::HttpServer>> listeners;
+  std::vector<rigging::HttpServer*> callers;
+  rigging::Network::TimerId alarm = 0;
   std::unordered_map<std::uint64_t, rigging::Responder> responders;
   std::uint64_t lastRequest = 0;
   std::string fleet;
@@ -129,18 +161,29 @@
   Clock::time_point startedAt = Clock::now();
   bool draining = false;
   bool wasReady = false;
+  bool callersLetIn = false;
   bool unreadable = false;
   std::uint64_t refusedStale = 0;
   std::mutex heldMutex;
   std::condition_variable heldChanged;
   std::size_t held = 0;
 
-  void run();
+  void deliver(Letter letter);
+  void work();
+  void arm();
+  void wakeUp();
+  bool listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
+              rigging::HttpServer::Handler handler, std::string& error);
+  void boundCallers();
+  void on(LastWord&);
   void on(Incoming& letter);
   void on(ListRead& letter);
   void on(harbour::RunBack& letter) { runner.hear(Clock::now(), letter); }
   void on(DrainAsked&) {
     draining = true;
+    for (std::unique_ptr<rigging::HttpServer> const& server : listeners) {
+      server->drain();
+    }
     courier.leave();
     if (courier.state()) {
       place();
@@ -170,8 +213,9 @@
   void place();
   void spread(std::string const& service);
   void follow(berth::DeskStep const& step);
-  void readList();
+  void readList(std::string const& page);
   void tick();
+  void refreshReadiness(Clock::time_point now);
   std::string whyNotReady(Clock::time_point now) const;
   rigging::Answer ready() const;
   rigging::Answer status() const;
@@ -228,7 +272,7 @@
                      exchange.verdict = tally::Verdict::mayHaveRun;
                    }
                  }
-                 inbox.push(quayside::Event(Exchanged{attempt, std::move(exchange)}));
+                 deliver(quayside::Event(Exchanged{attempt, std::move(exchange)}));
                });
 }
 
@@ -236,14 +280,14 @@
   std::uint64_t const attempt = effect.attempt;
   std::optional<double> const load = effect.load;
   mill.read(effect.body, effect.expected, effect.result_size, [this, attempt, load](absl::StatusOr<shoal::Part> part) {
-    inbox.push(quayside::Event(Ground{attempt, std::move(part), load}));
+    deliver(quayside::Event(Ground{attempt, std::move(part), load}));
   });
 }
 
 void Front::Impl::carry(Merge const& effect) {
   std::uint64_t const request = effect.request;
   mill.merge(effect.parts, effect.result_size, [this, request](std::vector<std::string> records) {
-    inbox.push(quayside::Event(Merged{request, std::move(records)}));
+    deliver(quayside::Event(Merged{request, std::move(records)}));
   });
 }
 
@@ -296,11 +340,12 @@
   place();
   manifest::Version const version{state.configurationEpoch, state.configurationSequence};
   if (version == manifest::Version{} || (plane.snapshot() != nullptr && plane.snapshot()->version >= version)) {
+    for (std::string const& service : services) {
+      spread(service);
+    }
     return;
   }
-  absl::StatusOr<picojson::value> const document = manifest::parseJson(state.document);
-  manifest::Checked checked =
-      document.ok() ? manifest::checkConfiguration(*document) : manifest::Checked{std::nullopt, {{"/", "not JSON"}}};
+  manifest::Checked checked = dialect.language.check(state.document);
   unreadable = !checked.configuration;
   if (unreadable) {
     signal::raise(signal::Event::configurationUnreadable,
@@ -316,6 +361,7 @@
     next.insert(entry.first);
   }
   drive(InForce{snapshot});
+  boundCallers();
   for (std::string const& service : services) {
     if (!next.contains(service)) {
       drive(Tables{shoal::Servers{service, {}}});
@@ -332,12 +378,15 @@
 void Front::Impl::place() {
   cargo::State const& state = *courier.state();
   shoal::Place own;
+  own.zone = settings.zone;
+  own.budgetRatio = settings.extraRatio;
   own.fronts = std::max<std::size_t>(1, state.roster.size());
+  std::uint64_t const slots = std::max<std::uint64_t>(leastBudgetSlots, (state.roster.size() * 5 / 4 + 9) / 10 * 10);
   std::size_t index = 0;
   for (cargo::RosterEntry const& entry : state.roster) {
     if (entry.node == settings.node && entry.address == settings.advertise) {
       own.rank = index;
-      own.budgetDepth = entry.slot < budgetSlots ? budgetForFleet / static_cast<double>(budgetSlots) : 0;
+      own.budgetDepth = entry.slot < slots ? settings.extraSlack * slackShare / static_cast<double>(slots) : 0;
     }
     ++index;
   }
@@ -365,10 +414,12 @@
     return;
   }
   manifest::Configuration const& configuration = plane.snapshot()->configuration;
+  std::set<std::string> const emptied = harbour::emptiedZones(*courier.state(), configuration);
   Clock::time_point const now = Clock::now();
   shoal::Servers servers{service, desk.rows(now, service)};
   for (shoal::ServerRow& row : servers.rows) {
-    row.leaving = row.leaving || configuration.emptiedZones.contains(row.zone);
+    row.leaving = row.leaving || emptied.contains(row.zone);
+    row.coldPerSecond = configuration.services.at(service).coldPerSecond;
     if (row.slowStartMs.count() == 0) {
       row.slowStartMs = configuration.services.at(service).slowStartMs;
     }
@@ -386,23 +437,24 @@
     signal::raise(signal::Event::listEmptyHeld, {{"platform", settings.platform}});
   }
   if (step.readList) {
-    readList();
+    readList(step.page);
   }
 }
 
-void Front::Impl::readList() {
-  rigging::Request request;
-  request.method = "GET";
-  request.target = "/servers";
-  client.begin(listAttempt, rigging::Address::parse(settings.platform).value_or(rigging::Address{}), request,
-               Clock::now() + Ms(1000),
-               [this](rigging::Exchange exchange) { inbox.push(ListRead{std::move(exchange)}); });
+void Front::Impl::readList(std::string const& page) {
+  client.begin(listAttempt, rigging::Address::parse(settings.platform).value_or(rigging::Address{}), dialect.listRequest(page),
+               Clock::now() + Ms(1000), [this](rigging::Exchange exchange) { deliver(ListRead{std::move(exchange)}); });
 }
 
 void Front::Impl::on(ListRead& letter) {
   std::string reason = letter.exchange.reason;
+  bool overRate = false;
+  if (letter.exchange.answer) {
+    reason = "status " + std::to_string(letter.exchange.answer->status);
+    overRate = letter.exchange.answer->status == 429;
+  }
   if (letter.exchange.answer && letter.exchange.answer->status == 200) {
-    absl::StatusOr<berth::List> const list = berth::readList(letter.exchange.answer->body);
+    absl::StatusOr<berth::List> const list = dialect.readList(letter.exchange.answer->body);
     if (list.ok()) {
       if (list->dropped != droppedRows) {
         for (std::string const& dropped : list->dropped) {
@@ -414,11 +466,12 @@
         listTrouble.clear();
       }
       follow(desk.listed(Clock::now(), *list));
+      refreshReadiness(Clock::now());
       return;
     }
     reason = std::string(list.status().message());
   }
-  desk.listFailed();
+  desk.listFailed(Clock::now(), overRate);
   if (reason != listTrouble) {
     listTrouble = reason;
     signal::raise(signal::Event::listUnreachable, {{"platform", settings.platform}, {"reason", reason}});
@@ -575,14 +628,7 @@
 }
 
 void Front::Impl::relayChange(Incoming& letter) {
-  Clock::time_point const now = Clock::now();
-  std::variant<harbour::Change, rigging::Answer> read = harbour::readChange(letter.content, now, rigging::randomName());
-  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
-    letter.respond(std::move(*wrong));
-    return;
-  }
-  harbour::Change const& wanted = std::get<harbour::Change>(read);
-  runner.take(now, std::move(letter.content), wanted.id, wanted.deadline, std::move(letter.respond));
+  runner.take(Clock::now(), std::move(letter.content), std::move(letter.respond));
 }
 
 void Front::Impl::operate(Incoming& letter) {
@@ -593,11 +639,10 @@
     letter.respond({204, {}, ""});
   } else if (target == "/limeramp/carry" && method == "POST") {
     takeCarry(letter);
-  } else if ((target == harbour::configurationPath && (method == "PUT" || method == "PATCH")) ||
-             (target == harbour::forgetPath && method == "POST")) {
-    relayChange(letter);
-  } else if (target == harbour::configurationPath && method == "GET") {
+  } else if (harbour::errandOf(letter.content) == harbour::Errand::read) {
     letter.respond(current());
+  } else if (harbour::errandOf(letter.content) != harbour::Errand::none) {
+    relayChange(letter);
   } else if (target == "/limeramp/ready" && method == "GET") {
     letter.respond(ready());
   } else if (target == "/limeramp/status" && method == "GET") {
@@ -632,11 +677,11 @@
   fairway::Standing const standing = courier.footing(Clock::now()).standing;
   if (standing != fairway::Standing::current && standing != fairway::Standing::upheld) {
     ++refusedStale;
-    respond(refusal(503, "this node's configuration is " + nameOf(standing), tally::Verdict::notRun, std::chrono::seconds(1)));
+    respond(dialect.writeRefusal({Unserved::stale, "this node's configuration is " + nameOf(standing), tally::Verdict::notRun, Ms(1000), "", ""}));
     return;
   }
-  if (content.body.size() > mostCallerBytes) {
-    respond(refusal(413, "the body is longer than 1048576 bytes", tally::Verdict::notRun));
+  if (content.body.size() > (plane.snapshot() == nullptr ? mostCallerBytes : plane.snapshot()->configuration.limits.maxBodyBytes)) {
+    respond(dialect.writeRefusal({Unserved::tooLong, "the body is longer than the limit", tally::Verdict::notRun, {}, "", ""}));
     return;
   }
   std::uint64_t const request = ++lastRequest;
@@ -647,7 +692,7 @@
 
 void Front::Impl::on(Incoming& letter) {
   std::string const& target = letter.content.target;
-  if (target == "/limeramp" || target.starts_with("/limeramp/")) {
+  if (!letter.caller && (target == "/limeramp" || target.starts_with("/limeramp/"))) {
     operate(letter);
   } else {
     admit(std::move(letter.content), std::move(letter.respond), false, std::nullopt);
@@ -657,7 +702,7 @@
 void Front::Impl::tick() {
   Clock::time_point const now = Clock::now();
   std::vector<cargo::Peer> const peers = views.peers(now);
-  sendAll(views.tick(now));
+  sendAll(views.tick(now, !courier.state() && now - startedAt < eagerMs));
   follow(courier.tick(now, peers));
   berth::Around around;
   around.services = services;
@@ -671,77 +716,169 @@
   }
   follow(desk.tick(now, around));
   runner.tick(now, courier.primaryAddress());
+  refreshReadiness(now);
+}
+
+void Front::Impl::refreshReadiness(Clock::time_point now) {
   std::string const why = whyNotReady(now);
+  if (!callersLetIn && (why.empty() || now - startedAt >= settings.startHoldMs)) {
+    callersLetIn = true;
+    for (rigging::HttpServer* const server : callers) {
+      server->open();
+    }
+  }
   if (why.empty() != wasReady) {
     wasReady = why.empty();
     signal::raise(signal::Event::readinessChanged, {{"ready", wasReady ? "yes" : "no"}, {"reason", why}});
   }
 }
 
-void Front::Impl::run() {
-  Clock::time_point nextTick = Clock::now();
-  Clock::time_point nextPlane = Clock::now();
-  while (!inbox.closed()) {
-    Clock::time_point const wake =
-        std::min(nextTick, std::max(nextPlane, plane.nextWake(Clock::now()).value_or(nextTick)));
-    std::optional<Letter> letter = inbox.popUntil(wake);
-    if (letter) {
-      std::visit([this](auto& concrete) { on(concrete); }, *letter);
-    }
-    Clock::time_point const now = Clock::now();
-    if (now >= nextPlane && plane.nextWake(now)) {
-      drive(Tick{});
-      nextPlane = now + Ms(4);
-    }
-    if (now >= nextTick) {
-      tick();
-      nextTick = now + Ms(20);
+void Front::Impl::deliver(Letter letter) {
+  if (!network.onThread()) {
+    std::shared_ptr<Letter> const held_ = std::make_shared<Letter>(std::move(letter));
+    network.post([this, held_] { deliver(std::move(*held_)); });
+    return;
+  }
+  letters.push_back(std::move(letter));
+  if (!working) {
+    work();
+  }
+}
+
+void Front::Impl::work() {
+  working = true;
+  while (!letters.empty() && !ended) {
+    Letter letter = std::move(letters.front());
+    letters.pop_front();
+    std::visit([this](auto& concrete) { on(concrete); }, letter);
+  }
+  working = false;
+  arm();
+}
+
+void Front::Impl::arm() {
+  Clock::time_point const now = Clock::now();
+  Clock::time_point const wake = std::max(now, std::min(nextTick, plane.nextWake(now).value_or(nextTick)));
+  if (ended || armedFor <= wake) {
+    return;
+  }
+  network.cancel(alarm);
+  armedFor = wake;
+  alarm = network.at(wake, [this] { wakeUp(); });
+}
+
+void Front::Impl::wakeUp() {
+  armedFor = Clock::time_point::max();
+  if (ended) {
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  if (plane.nextWake(now).value_or(Clock::time_point::max()) <= now) {
+    letters.emplace_back(quayside::Event(Tick{}));
+  }
+  if (now >= nextTick) {
+    nextTick = now + tickMs;
+    tick();
+  }
+  work();
+}
+
+void Front::Impl::on(LastWord&) {
+  std::unordered_map<std::uint64_t, rigging::Responder> const waiting = std::move(responders);
+  responders.clear();
+  for (std::pair<std::uint64_t const, rigging::Responder> const& entry : waiting) {
+    entry.second(dialect.writeRefusal({Unserved::failed, "this node ends", tally::Verdict::mayHaveRun, {}, "", ""}));
+    hold(-1);
+  }
+}
+
+bool Front::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
+                         rigging::HttpServer::Handler handler, std::string& error) {
+  for (std::string const& address : addresses) {
+    rigging::ServerOptions options;
+    options.bounds.maxConnections = settings.maxConnections;
+    options.bounds.maxBodyBytes = maxBodyBytes;
+    options.opensLater = later;
+    options.refuse = [this](int status, std::string const& reason) {
+      return dialect.writeRefusal({unservedOf(status), reason, tally::Verdict::notRun, {}, "", ""});
+    };
+    std::unique_ptr<rigging::HttpServer> server =
+        rigging::HttpServer::listen(network, rigging::Address::parse(address).value_or(rigging::Address{}), options, handler, error);
+    if (server == nullptr) {
+      return false;
     }
+    signal::raise(signal::Event::listening, {{"address", server->address().text()}});
+    listeners.push_back(std::move(server));
+  }
+  return true;
+}
+
+void Front::Impl::boundCallers() {
+  manifest::CallerLimits const& limits = plane.snapshot()->configuration.limits;
+  rigging::ServerBounds bounds;
+  bounds.maxConnections = settings.maxConnections;
+  bounds.maxHeaderBytes = limits.maxHeaderBytes;
+  bounds.maxBodyBytes = limits.maxBodyBytes;
+  bounds.headerMs = limits.headerMs;
+  bounds.idleMs = limits.idleMs;
+  for (rigging::HttpServer* const server : callers) {
+    server->setBounds(bounds);
   }
 }
 
 Front::Front() = default;
 
-std::unique_ptr<Front> Front::start(manifest::Settings const& settings, std::string& error) {
+std::unique_ptr<Front> Front::start(manifest::Settings const& settings, std::string& error, Dialect dialect,
+                                    harbour::OperatorDialect operators) {
   std::unique_ptr<Front> front(new Front());
-  front->impl_ = std::make_unique<Impl>(settings);
+  front->impl_ = std::make_unique<Impl>(settings, std::move(dialect), std::move(operators));
   Impl& impl = *front->impl_;
-  rigging::ServerBounds bounds;
-  bounds.maxConnections = settings.maxConnections;
-  bounds.maxBodyBytes = 4 << 20;
-  impl.server = rigging::HttpServer::listen(
-      impl.network, *rigging::Address::parse(settings.listen), bounds,
-      [&impl](rigging::Request request, rigging::Responder respond) {
-        if (!impl.inbox.tryPush(Incoming{std::move(request), respond}, inboxSpare)) {
-          respond(refusal(503, "overloaded", tally::Verdict::notRun, std::chrono::seconds(1)));
-        }
-      },
-      error);
-  if (impl.server == nullptr) {
+  rigging::HttpServer::Handler const take = [&impl](rigging::Request request, rigging::Responder respond) {
+    if (impl.letters.size() >= mostLetters) {
+      respond(impl.dialect.writeRefusal({Unserved::overloaded, "overloaded", tally::Verdict::notRun, Ms(1000), "", ""}));
+      return;
+    }
+    impl.deliver(Incoming{std::move(request), std::move(respond), false});
+  };
+  rigging::HttpServer::Handler const takeCaller = [&impl](rigging::Request request, rigging::Responder respond) {
+    impl.deliver(Incoming{std::move(request), std::move(respond), true});
+  };
+  rigging::HttpServer::Handler const takeOperator = [&impl, take](rigging::Request request, rigging::Responder respond) {
+    harbour::serveOperator(impl.operators, std::move(request), std::move(respond), take);
+  };
+  if (!impl.listen(settings.callerListens, 4 << 20, true, takeCaller, error)) {
     return nullptr;
   }
-  signal::raise(signal::Event::listening, {{"address", impl.server->address().text()}});
-  impl.core = std::thread([&impl] { impl.run(); });
+  for (std::unique_ptr<rigging::HttpServer> const& server : impl.listeners) {
+    impl.callers.push_back(server.get());
+  }
+  if (!impl.listen({settings.listen}, 4 << 20, false, take, error) ||
+      !impl.listen(settings.readinessListens, 64 << 10, false, takeOperator, error) ||
+      !impl.listen(settings.operatorListens, 4 << 20, false, takeOperator, error)) {
+    return nullptr;
+  }
+  impl.network.post([&impl] { impl.arm(); });
   return front;
 }
 
 Front::~Front() {
   if (impl_ != nullptr) {
-    impl_->inbox.close();
-    if (impl_->core.joinable()) {
-      impl_->core.join();
-    }
     impl_->network.stop();
   }
 }
 
 void Front::drain() {
-  impl_->inbox.push(DrainAsked{});
+  Ms const graceMs = std::max(impl_->settings.graceMs, lastWordMs * 4);
+  Clock::time_point const begunAt = Clock::now();
+  impl_->deliver(DrainAsked{});
   std::unique_lock<std::mutex> lock(impl_->heldMutex);
-  impl_->heldChanged.wait_for(lock, noticeMs, [] { return false; });
-  impl_->server->stopAccepting();
-  impl_->heldChanged.wait_for(lock, finishMs, [this] { return impl_->held == 0; });
-  impl_->heldChanged.wait_for(lock, Ms(100), [] { return false; });
+  impl_->heldChanged.wait_until(lock, begunAt + std::min(graceMs / 2, impl_->settings.noticeMs), [] { return false; });
+  for (std::unique_ptr<rigging::HttpServer> const& server : impl_->listeners) {
+    server->stopAccepting();
+  }
+  impl_->heldChanged.wait_until(lock, begunAt + graceMs - lastWordMs * 2, [this] { return impl_->held == 0; });
+  impl_->deliver(LastWord{});
+  impl_->heldChanged.wait_for(lock, lastWordMs, [] { return false; });
 }
 
 }
--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/shoal/include/limeramp/shoal/machine.h
@@ -33,11 +33,32 @@
   double stragglerShareOfDeadline = 0.4;
   double marginShareOfDeadline = 0.06;
   std::chrono::milliseconds marginLeastMs{8};
+  std::chrono::milliseconds marginMostMs{30};
+  std::chrono::milliseconds aimMarginMs{8};
+  double lateShare = 0.4;
+  double offerShareOfAim = 0.25;
+  std::chrono::milliseconds blockedMs{5};
+  std::chrono::milliseconds waitWakeMs{50};
   std::chrono::milliseconds ghostMostMs{1000};
   std::chrono::milliseconds downFirstMs{500};
   std::chrono::milliseconds downMostMs{4000};
   std::chrono::milliseconds stallMs{1000};
+  std::chrono::milliseconds silentFirstMs{100};
+  std::chrono::milliseconds quietFirstMs{100};
+  std::chrono::milliseconds quietMostMs{1000};
+  std::chrono::milliseconds trialMs{350};
+  double zoneBias = 0.9;
+  double zoneLoadCalm = 1;
+  double zoneLoadMost = 1.7;
+  double zoneLatencyFactor = 3;
+  std::size_t zoneMostOpen = 3;
   double freshShare = 0.2;
+  double coldOverrun = 1.25;
+  double coldSlack = 4;
+  std::chrono::milliseconds coldWindowMs{1100};
+  std::chrono::milliseconds placeSettleMs{3200};
+  std::chrono::milliseconds retryLeastMs{20};
+  std::chrono::milliseconds retryMostMs{300};
   bool rerun = true;
 };
 
@@ -48,6 +69,9 @@
   bool leaving = false;
   std::chrono::milliseconds slowStartMs{0};
   std::chrono::milliseconds ageMs{0};
+  std::string life{};
+  std::chrono::milliseconds coldMs{0};
+  double coldPerSecond = 0;
 };
 
 struct Servers {
@@ -59,6 +83,8 @@
   std::size_t fronts = 1;
   std::size_t rank = 0;
   double budgetDepth = 0;
+  double budgetRatio = 0.2;
+  std::string zone{};
 };
 
 struct Arrive {
@@ -69,6 +95,9 @@
   std::size_t max_attempts = 1;
   bool repeatable = false;
   TimePoint deadline;
+  TimePoint aim{};
+  std::size_t priority = 0;
+  std::size_t kind = 0;
 };
 
 struct Returned {
@@ -77,6 +106,9 @@
   bool healthy = false;
   tally::Verdict verdict = tally::Verdict::mayHaveRun;
   std::optional<double> load;
+  bool otherLife = false;
+  bool full = false;
+  std::optional<std::chrono::milliseconds> coldMs{};
 };
 
 struct Tick {};
@@ -88,6 +120,7 @@
   std::uint64_t request = 0;
   std::size_t leg = 0;
   std::string server;
+  std::string life;
   TimePoint deadline;
   bool extra = false;
 };
@@ -110,7 +143,7 @@
   tally::Verdict verdict = tally::Verdict::mayHaveRun;
   std::vector<std::size_t> missing;
   std::string reason;
-  std::optional<std::chrono::seconds> retryAfter;
+  std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 struct Note {
