--- a/testside/drydock/roads.cpp
+++ b/testside/drydock/roads.cpp
@@ -286,7 +286,7 @@
       continue;
     }
     if (weighs && machines[to].zone() != machines[from].zone()) {
-      bytesAcrossZones[from] += cargo::seal({"0123456789abcdef", "edge-kelaniya-a-1/01234567", "10.101.102.103:7081", message}).size() + exchangeBytes;
+      bytesAcrossZones[from] += cargo::seal({"0123456789abcdef", "machine-in-a-zone-1/01234567", "10.101.102.103:7081", message}).size() + exchangeBytes;
     }
     std::uint64_t const life = machines[to].life;
     std::chrono::microseconds const wait(200 + sea.roll(sea.chance(0.01) ? 300'000 : 3'000));
