Roster changes travel by polls; wide polls in slices; an absent service is known to be empty

Cause: at a first start of 88 nodes each roster batch pushed the whole state to every node, and each node that was not yet current polled the whole roster twice a second, which fed itself; after a loss of power fronts waited for servers of a service that the list no longer names. Ruled out: the size of messages alone (a quarter of before, links still full). Change: only a changed configuration or emptied zone is pushed, batches grow with the roster, wide polls go out in four slices and, before a node was ever current, only after 1 s; a whole list counts as news for services without a row.

--- a/libs/berth/src/desk.cpp
+++ b/libs/berth/src/desk.cpp
@@ -71,6 +71,7 @@
   List collected;
   std::size_t listFailures = 0;
   std::size_t lastRows = 0;
+  std::optional<TimePoint> listedAt;
   std::set<SeenKey> absent;
   std::optional<TimePoint> emptySince;
 
@@ -392,6 +393,7 @@
   }
   impl.emptySince.reset();
   impl.lastRows = list.rows;
+  impl.listedAt = now;
   for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& entry : list.services) {
     if (impl.sheets.size() < mostSheets) {
       impl.sheets.try_emplace(entry.first);
@@ -441,10 +443,9 @@
 
 std::optional<Ms> Desk::ageMs(TimePoint now, std::string const& service) const {
   std::map<std::string, Sheet>::const_iterator const found = impl_->sheets.find(service);
-  if (found == impl_->sheets.end() || !found->second.asOf) {
-    return std::nullopt;
-  }
-  return std::chrono::duration_cast<Ms>(now - *found->second.asOf);
+  std::optional<TimePoint> const asOf =
+      found == impl_->sheets.end() || !found->second.asOf ? impl_->listedAt : found->second.asOf;
+  return asOf ? std::optional<Ms>(std::chrono::duration_cast<Ms>(now - *asOf)) : std::nullopt;
 }
 
 }
--- a/libs/fairway/include/limeramp/fairway/courier.h
+++ b/libs/fairway/include/limeramp/fairway/courier.h
@@ -20,6 +20,8 @@
   std::chrono::milliseconds worriedMs{1300};
   std::chrono::milliseconds currentMs{2000};
   std::chrono::milliseconds followerMs{2000};
+  std::chrono::milliseconds recoverAfterMs{1000};
+  std::size_t wideSlices = 4;
 };
 
 using Vouches = std::map<std::string, cargo::Vouch>;
--- a/libs/fairway/src/courier.cpp
+++ b/libs/fairway/src/courier.cpp
@@ -56,6 +56,7 @@
   TimePoint nextPollAt{};
   TimePoint nextWideAt{};
   std::size_t turn = 0;
+  std::size_t wideTurn = 0;
   bool hurry = false;
   std::optional<TimePoint> startedAt;
   bool settled = false;
@@ -163,8 +164,11 @@
     if (Mark(next.epoch, next.sequence) <= mark()) {
       return false;
     }
+    bool const served = state && state->emptiedZones == next.emptiedZones &&
+                        Mark(state->configurationEpoch, state->configurationSequence) ==
+                            Mark(next.configurationEpoch, next.configurationSequence);
     state = next;
-    hurry = true;
+    hurry = hurry || !served;
     return true;
   }
 
@@ -296,9 +300,12 @@
       out.sends.push_back({chosen, impl.makePoll(now, chosen)});
     }
   }
-  if (worried && impl.state && now >= impl.nextWideAt) {
-    impl.nextWideAt = now + impl.policy.replyMs;
-    for (cargo::RosterEntry const& entry : impl.state->roster) {
+  bool const alone = worried && impl.state && (impl.settled || now - *impl.startedAt >= impl.policy.recoverAfterMs);
+  if (alone && now >= impl.nextWideAt) {
+    impl.nextWideAt = now + impl.policy.replyMs / impl.policy.wideSlices;
+    std::size_t const count = impl.state->roster.size();
+    for (std::size_t slot = impl.wideTurn++ % impl.policy.wideSlices; slot < count; slot += impl.policy.wideSlices) {
+      cargo::RosterEntry const& entry = impl.state->roster[slot];
       if (entry.node != impl.self.node) {
         out.sends.push_back({entry.address, impl.makePoll(now, entry.address, !impl.settled)});
       }
@@ -349,6 +356,7 @@
     out.changed = impl.adopt(*message.state);
   }
   if (!message.primaryAddress.empty()) {
+    impl.hurry = impl.hurry || (!impl.state && impl.primaryAddress != message.primaryAddress);
     impl.primaryAddress = message.primaryAddress;
   }
   if (out.changed) {
--- a/libs/harbour/include/limeramp/harbour/plane.h
+++ b/libs/harbour/include/limeramp/harbour/plane.h
@@ -22,6 +22,7 @@
   std::chrono::milliseconds authorityMs{1200};
   std::chrono::milliseconds rosterForgetMs{60'000};
   std::chrono::milliseconds rosterBatchMs{100};
+  std::size_t rosterBatchNodes = 24;
   std::chrono::milliseconds probeAfterMs{450};
   std::chrono::milliseconds probeEveryMs{250};
   std::chrono::milliseconds gonePersistsMs{1000};
--- a/libs/harbour/src/plane.cpp
+++ b/libs/harbour/src/plane.cpp
@@ -326,12 +326,18 @@
 void Plane::Impl::publish(cargo::State const& state) {
   bool const sameRoster = Mark(state.rosterEpoch, state.rosterSequence) == Mark(published.rosterEpoch, published.rosterSequence);
   stable = stable && sameRoster;
+  bool const onlyRoster = !sameRoster && state.emptiedZones == published.emptiedZones &&
+                          Mark(state.configurationEpoch, state.configurationSequence) ==
+                              Mark(published.configurationEpoch, published.configurationSequence);
   published = state;
   publishedAt = now;
   publishings[mark()] = now;
   if (publishings.size() > 4 * policy.mostChanges) {
     publishings.erase(publishings.begin());
   }
+  if (onlyRoster) {
+    return;
+  }
   for (std::pair<std::string const, Known> const& entry : known) {
     if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
       cargo::News out;
@@ -520,7 +526,7 @@
   if (now < nextRosterAt || !stable) {
     return false;
   }
-  nextRosterAt = now + policy.rosterBatchMs;
+  nextRosterAt = now + policy.rosterBatchMs * static_cast<long>(1 + published.roster.size() / policy.rosterBatchNodes);
   std::vector<cargo::RosterEntry> roster = published.roster;
   std::string about;
   std::erase_if(roster, [&](cargo::RosterEntry const& entry) {
