Hollow backups by the record's list of backups

The record of an epoch names several backups since replicas for two losses; the scale run did not build. Changed: a member of the list is a backup. capacity_test: 4 passed, 9 s.

--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -549,8 +549,9 @@
     load.role = std::count(homeIds.begin(), homeIds.end(), member.id) > 0 ? "home" : "front";
     if (member.master && first) {
       cargo::EpochRecord const& decided = members[*first].master->council->decided();
+      bool const backup = std::count(decided.backups.begin(), decided.backups.end(), member.id) > 0;
       bool const witness = std::count(decided.witnesses.begin(), decided.witnesses.end(), member.id) > 0;
-      load.role = index == *first ? "primary" : member.id == decided.backup ? "backup" : witness ? "witness" : "spare";
+      load.role = index == *first ? "primary" : backup ? "backup" : witness ? "witness" : "spare";
     }
     out.members.push_back(std::move(load));
   }
