Each front keeps to its share of a server's connections; scarce ones are given back at once

Ruled out: subsets of servers for each front (a zone whose only server is lost would have none left). Change: a front may open its share of what the configuration allows, two at least; where the share is below two, idle connections end after 0.2 s.

--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -34,6 +34,11 @@
 constexpr std::size_t leavingFronts = 1'000'000;
 constexpr double slackShare = 0.9;
 constexpr Ms connectMs{300};
+constexpr double connectionShare = 0.85;
+constexpr std::size_t leastConnections = 2;
+constexpr std::size_t mostAllowances = 20'000;
+constexpr Ms idleMs{2000};
+constexpr Ms scarceIdleMs{200};
 constexpr Ms eagerMs{3000};
 constexpr Ms tickMs{50};
 constexpr Ms lastWordMs{300};
@@ -156,6 +161,7 @@
   std::uint64_t lastRequest = 0;
   std::string fleet;
   std::set<std::string> services;
+  std::map<std::string, rigging::Allowance> allowances;
   std::vector<std::string> droppedRows;
   std::string listTrouble;
   Clock::time_point startedAt = Clock::now();
@@ -213,6 +219,7 @@
   void enforce();
   void place();
   void spread(std::string const& service);
+  void share(std::string const& address, std::size_t allowed);
   void follow(berth::DeskStep const& step);
   void readList(std::string const& page);
   void tick();
@@ -410,6 +417,25 @@
   }
 }
 
+void Front::Impl::share(std::string const& address, std::size_t allowed) {
+  std::optional<rigging::Address> const server = rigging::Address::parse(address);
+  if (allowed == 0 || !server) {
+    return;
+  }
+  double const share = static_cast<double>(allowed) * connectionShare /
+                       static_cast<double>(std::max<std::size_t>(1, courier.state()->roster.size()));
+  rigging::Allowance const allowance{std::max<std::size_t>(leastConnections, static_cast<std::size_t>(share)),
+                                     share < leastConnections ? scarceIdleMs : idleMs};
+  rigging::Allowance& known = allowances[address];
+  if (known.most != allowance.most || known.idleMs != allowance.idleMs) {
+    if (allowances.size() > mostAllowances) {
+      allowances.clear();
+    }
+    allowances[address] = allowance;
+    client.allow(*server, allowance);
+  }
+}
+
 void Front::Impl::spread(std::string const& service) {
   if (plane.snapshot() == nullptr || !services.contains(service)) {
     return;
@@ -421,6 +447,7 @@
   for (shoal::ServerRow& row : servers.rows) {
     row.leaving = row.leaving || emptied.contains(row.zone);
     row.coldPerSecond = configuration.services.at(service).coldPerSecond;
+    share(row.address, configuration.services.at(service).maxConnections);
     if (row.slowStartMs.count() == 0) {
       row.slowStartMs = configuration.services.at(service).slowStartMs;
     }
--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/rigging/include/limeramp/rigging/http.h
@@ -133,6 +133,11 @@
   std::chrono::milliseconds userTimeoutMs{3'000};
 };
 
+struct Allowance {
+  std::size_t most = 0;
+  std::chrono::milliseconds idleMs{2'000};
+};
+
 struct ServerCounters {
   std::uint64_t opened = 0;
   std::uint64_t reused = 0;
@@ -157,7 +162,7 @@
   void begin(std::uint64_t attempt, Address const& server, Request request,
              std::chrono::steady_clock::time_point deadline, Done done);
   void cancel(std::uint64_t attempt);
-  void limitConnections(Address const& server, std::size_t most);
+  void allow(Address const& server, Allowance const& allowance);
   ClientCounters counters() const;
 
  private:
--- a/libs/rigging/src/client.cpp
+++ b/libs/rigging/src/client.cpp
@@ -79,7 +79,7 @@
   struct Pool {
     std::string name;
     Address server;
-    std::size_t limit = 0;
+    Allowance allowance;
     std::size_t open = 0;
     std::deque<Connection*> idle;
     std::deque<AttemptPtr> waiting;
@@ -96,7 +96,7 @@
   std::unordered_map<std::string, std::unique_ptr<Pool>> pools;
   std::unordered_map<std::uint64_t, AttemptPtr> attempts;
   std::vector<Connection*> connections;
-  std::map<std::string, std::size_t> limits;
+  std::map<std::string, Allowance> allowances;
   std::size_t waiting = 0;
   std::size_t beginning = 0;
   bool ending = false;
@@ -177,11 +177,11 @@
     return *found->second;
   }
   prunePools();
-  std::map<std::string, std::size_t>::const_iterator const limit = limits.find(name);
+  std::map<std::string, Allowance>::const_iterator const known = allowances.find(name);
   std::unique_ptr<Pool> pool = std::make_unique<Pool>();
   pool->name = name;
   pool->server = server;
-  pool->limit = limit == limits.end() ? bounds.maxConnectionsPerServer : limit->second;
+  pool->allowance = known == allowances.end() ? Allowance{bounds.maxConnectionsPerServer, bounds.idleMs} : known->second;
   std::unique_lock<std::mutex> const lock(countersMutex);
   return *pools.emplace(std::move(name), std::move(pool)).first->second;
 }
@@ -229,7 +229,7 @@
     attempt->connection = connection.get();
     count(pool, 0, 1);
     send(connection);
-  } else if (pool.limit == 0 || pool.open < pool.limit) {
+  } else if (pool.allowance.most == 0 || pool.open < pool.allowance.most) {
     connect(attempt);
   } else if (pool.waiting.size() < bounds.maxWaitingPerServer) {
     pool.waiting.push_back(attempt);
@@ -248,7 +248,7 @@
   }
   TimePoint const now = Clock::now();
   ++beginning;
-  while (!pool.waiting.empty() && (!pool.idle.empty() || pool.limit == 0 || pool.open < pool.limit)) {
+  while (!pool.waiting.empty() && (!pool.idle.empty() || pool.allowance.most == 0 || pool.open < pool.allowance.most)) {
     AttemptPtr const next = pool.waiting.front();
     pool.waiting.pop_front();
     --waiting;
@@ -513,7 +513,7 @@
 }
 
 void HttpClient::Impl::park(ConnectionPtr const& connection) {
-  Ms idleMs = bounds.idleMs;
+  Ms idleMs = connection->pool->allowance.idleMs;
   if (connection->keepAliveMs) {
     idleMs = std::min(idleMs, *connection->keepAliveMs - keepAliveMarginMs);
   }
@@ -708,11 +708,14 @@
   });
 }
 
-void HttpClient::limitConnections(Address const& server, std::size_t most) {
-  impl_->onNetwork([impl = impl_, server, most] {
-    impl->limits[server.text()] = most;
+void HttpClient::allow(Address const& server, Allowance const& allowance) {
+  impl_->onNetwork([impl = impl_, server, allowance] {
+    if (impl->allowances.size() >= mostPools) {
+      impl->allowances.clear();
+    }
+    impl->allowances[server.text()] = allowance;
     Impl::Pool& pool = impl->poolOf(server);
-    pool.limit = most;
+    pool.allowance = allowance;
     impl->serveWaiting(pool);
   });
 }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -224,7 +224,7 @@
   bounds.maxWaitingPerServer = 3;
   HttpClient client(network, bounds);
   RawListener listener;
-  client.limitConnections(listener.address(), 1);
+  client.allow(listener.address(), {1, Ms(2000)});
   std::future<Exchange> first = start(client, 1, listener.address());
   RawSocket server = listener.accept();
   EXPECT_NE(server.message(), "");
@@ -263,7 +263,7 @@
   std::future<Exchange> first = start(client, 1, listener.address());
   RawSocket one = listener.accept();
   std::future<Exchange> second = start(client, 2, listener.address());
-  client.limitConnections(listener.address(), 2);
+  client.allow(listener.address(), {2, Ms(2000)});
   RawSocket two = listener.accept();
   two.message();
   two.send(okAnswer);
