The own dialect asks for pages, knows another life, and takes the host plainly

Cause: found by tests of the dialect: the following page was never asked for, a 421 counted as run, a host with a port or capitals matched no route.

--- a/libs/quayside/src/dialect.cpp
+++ b/libs/quayside/src/dialect.cpp
@@ -40,7 +40,7 @@
     return Refusal{Unserved::malformed, "the header limeramp-tenant is missing", Verdict::notRun, {}, "", ""};
   }
   caller.tenant = *tenant;
-  caller.host = rigging::findHeader(request.headers, "host").value_or("");
+  caller.host = rigging::plainHost(rigging::findHeader(request.headers, "host").value_or(""));
   if (std::optional<std::string> const text = rigging::findHeader(request.headers, std::string(deadlineHeader))) {
     long asked = 0;
     char const* const last = text->data() + text->size();
@@ -120,6 +120,11 @@
   Heard out;
   out.returned.verdict = tally::Verdict::ran;
   out.returned.load = loadOf(answer.headers);
+  out.returned.otherLife = answer.status == 421;
+  if (out.returned.otherLife) {
+    out.returned.verdict = tally::Verdict::notRun;
+    return out;
+  }
   if (asked.part) {
     out.returned.good = out.returned.healthy = answer.status >= 200 && answer.status <= 299;
     return out;
@@ -165,7 +170,9 @@
   out.writeRefusal = writeRefusal;
   out.writeAsk = writeAsk;
   out.readAnswer = readAnswer;
-  out.listRequest = [](std::string const&) { return rigging::Request{"GET", "/servers", {}, "", ""}; };
+  out.listRequest = [](std::string const& page) {
+    return rigging::Request{"GET", page.empty() ? "/servers" : "/servers?page=" + rigging::percentEncoded(page), {}, "", ""};
+  };
   out.readList = [](std::string const& body) { return berth::readList(body); };
   out.language = manifest::ownLanguage();
   return out;
--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/rigging/include/limeramp/rigging/http.h
@@ -21,6 +21,8 @@
 std::optional<std::string> findHeader(Headers const& headers, std::string const& name);
 Headers withoutHopByHop(Headers const& headers);
 void dropHeader(Headers& headers, std::string_view name);
+std::string percentEncoded(std::string const& text);
+std::string plainHost(std::string_view host);
 
 struct Request {
   std::string method;
--- a/libs/rigging/src/network.cpp
+++ b/libs/rigging/src/network.cpp
@@ -145,6 +145,24 @@
   return std::nullopt;
 }
 
+std::string percentEncoded(std::string const& text) {
+  std::string out;
+  for (char const letter : text) {
+    char code[4] = {letter, 0, 0, 0};
+    if (std::isalnum(static_cast<unsigned char>(letter)) == 0 && std::string_view("-._~").find(letter) == std::string_view::npos) {
+      std::snprintf(code, sizeof code, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(letter)));
+    }
+    out += code;
+  }
+  return out;
+}
+
+std::string plainHost(std::string_view host) {
+  std::string out(host.substr(0, host.find(':')));
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  return out;
+}
+
 void dropHeader(Headers& headers, std::string_view name) {
   std::erase_if(headers, [&](std::pair<std::string, std::string> const& header) {
     return boost::beast::iequals(header.first, name);
