The embedding example names its founders

Cause: a group is founded by the processes at the seeds' addresses; the example named none, so nothing was founded and it ended in an exception. Measured: the example runs to its end on an installed build.

--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -68,7 +68,7 @@
     group.councils.emplace(id, pledge::Council(pledge::Policy{}));
   }
   for (pledge::Member const& member : group.members) {
-    group.step(member.id, pledge::Start{member, {}, std::hash<std::string>{}(member.id)});
+    group.step(member.id, pledge::Start{member, {}, std::hash<std::string>{}(member.id), false, {"ada", "bea", "cleo"}});
   }
   group.run(milliseconds(5000));
   std::string const first = group.primary();
