A front has no flag that nothing sets, and one default for idle connections

Cause: read once more: 'ended' was asked in three places and set nowhere; the idle time of 2 s stood in the front again beside its default in rigging. Change: the flag is gone, the default is taken from rigging. Behaviour is the same.

--- a/libs/quayside/src/front.cpp
+++ b/libs/quayside/src/front.cpp
@@ -37,7 +37,6 @@
 constexpr double connectionShare = 0.85;
 constexpr std::size_t leastConnections = 2;
 constexpr std::size_t mostAllowances = 20'000;
-constexpr Ms idleMs{2000};
 constexpr Ms scarceIdleMs{200};
 constexpr Ms eagerMs{3000};
 constexpr Ms tickMs{50};
@@ -144,7 +143,6 @@
   shoal::Mill mill;
   std::deque<Letter> letters;
   bool working = false;
-  bool ended = false;
   Clock::time_point nextTick = Clock::now();
   Clock::time_point armedFor = Clock::time_point::max();
   std::uint64_t boot;
@@ -425,7 +423,7 @@
   double const share = static_cast<double>(allowed) * connectionShare /
                        static_cast<double>(std::max<std::size_t>(1, courier.state()->roster.size()));
   rigging::Allowance const allowance{std::max<std::size_t>(leastConnections, static_cast<std::size_t>(share)),
-                                     share < leastConnections ? scarceIdleMs : idleMs};
+                                     share < leastConnections ? scarceIdleMs : rigging::Allowance{}.idleMs};
   rigging::Allowance& known = allowances[address];
   if (known.most != allowance.most || known.idleMs != allowance.idleMs) {
     if (allowances.size() > mostAllowances) {
@@ -776,7 +774,7 @@
 
 void Front::Impl::work() {
   working = true;
-  while (!letters.empty() && !ended) {
+  while (!letters.empty()) {
     Letter letter = std::move(letters.front());
     letters.pop_front();
     std::visit([this](auto& concrete) { on(concrete); }, letter);
@@ -788,7 +786,7 @@
 void Front::Impl::arm() {
   Clock::time_point const now = Clock::now();
   Clock::time_point const wake = std::max(now, std::min(nextTick, plane.nextWake(now).value_or(nextTick)));
-  if (ended || armedFor <= wake) {
+  if (armedFor <= wake) {
     return;
   }
   network.cancel(alarm);
@@ -798,9 +796,6 @@
 
 void Front::Impl::wakeUp() {
   armedFor = Clock::time_point::max();
-  if (ended) {
-    return;
-  }
   Clock::time_point const now = Clock::now();
   if (plane.nextWake(now).value_or(Clock::time_point::max()) <= now) {
     letters.emplace_back(quayside::Event(Tick{}));
