--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -1,5 +1,5 @@
-#include <limeramp/fairway/views.h>
-#include <limeramp/pledge/council.h>
+#include <limeramp/distribution/peer_views.h>
+#include <limeramp/replication/replication_group.h>
 
 #include <deque>
 #include <iostream>
@@ -12,37 +12,37 @@
 
 struct Post {
   std::string to;
-  pledge::Event event;
+  replication::Event event;
 };
 
 struct Group {
-  pledge::TimePoint now{std::chrono::hours(1)};
-  std::map<std::string, pledge::Council> councils;
-  std::vector<pledge::Member> members;
+  replication::TimePoint now{std::chrono::hours(1)};
+  std::map<std::string, replication::ReplicationGroup> groups;
+  std::vector<replication::Member> members;
   std::deque<Post> posts;
 
-  void step(std::string const& id, pledge::Event const& event) {
-    for (pledge::Effect const& effect : councils.at(id).step(now, event)) {
-      if (pledge::Send const* const send = std::get_if<pledge::Send>(&effect)) {
-        posts.push_back({send->to, pledge::Received{id, id, send->message}});
-      } else if (pledge::Persist const* const persist = std::get_if<pledge::Persist>(&effect)) {
-        posts.push_back({id, pledge::Persisted{persist->token, true}});
-      } else if (pledge::Committed const* const committed = std::get_if<pledge::Committed>(&effect)) {
+  void step(std::string const& id, replication::Event const& event) {
+    for (replication::Effect const& effect : groups.at(id).step(now, event)) {
+      if (replication::Send const* const send = std::get_if<replication::Send>(&effect)) {
+        posts.push_back({send->to, replication::Received{id, id, send->message}});
+      } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
+        posts.push_back({id, replication::Persisted{persist->token, true}});
+      } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
         std::cout << id << " committed: " << committed->state.document << '\n';
       }
     }
   }
 
   void run(milliseconds time) {
-    for (pledge::TimePoint const end = now + time; now < end; now += milliseconds(20)) {
-      for (std::pair<std::string const, pledge::Council>& entry : councils) {
-        step(entry.first, pledge::Known{members, true});
-        step(entry.first, pledge::Tick{});
+    for (replication::TimePoint const end = now + time; now < end; now += milliseconds(20)) {
+      for (std::pair<std::string const, replication::ReplicationGroup>& entry : groups) {
+        step(entry.first, replication::Known{members, true});
+        step(entry.first, replication::Tick{});
       }
       while (!posts.empty()) {
         Post const post = std::move(posts.front());
         posts.pop_front();
-        if (councils.contains(post.to)) {
+        if (groups.contains(post.to)) {
           step(post.to, post.event);
         }
       }
@@ -50,7 +50,7 @@
   }
 
   std::string primary() const {
-    for (std::pair<std::string const, pledge::Council> const& entry : councils) {
+    for (std::pair<std::string const, replication::ReplicationGroup> const& entry : groups) {
       if (entry.second.active()) {
         return entry.first;
       }
@@ -65,22 +65,22 @@
   Group group;
   for (std::string const id : {"ada", "bea", "cleo"}) {
     group.members.push_back({id, id, "zone"});
-    group.councils.emplace(id, pledge::Council(pledge::Policy{}));
+    group.groups.emplace(id, replication::ReplicationGroup(replication::Policy{}));
   }
-  for (pledge::Member const& member : group.members) {
-    group.step(member.id, pledge::Start{member, {}, std::hash<std::string>{}(member.id), false, {"ada", "bea", "cleo"}});
+  for (replication::Member const& member : group.members) {
+    group.step(member.id, replication::Start{member, {}, std::hash<std::string>{}(member.id), false, {"ada", "bea", "cleo"}});
   }
   group.run(milliseconds(5000));
   std::string const first = group.primary();
   std::cout << "primary " << first << '\n';
-  cargo::State state;
+  messages::State state;
   state.document = "kept";
-  group.step(first, pledge::Offer{1, state});
+  group.step(first, replication::Offer{1, state});
   group.run(milliseconds(500));
-  group.councils.erase(first);
+  group.groups.erase(first);
   group.run(milliseconds(5000));
   std::string const second = group.primary();
-  std::cout << "primary " << second << " has " << group.councils.at(second).state().document << '\n';
-  std::cout << "home " << fairway::rankHomes("service/logs", {"m01", "m02", "m03"}).front() << '\n';
-  return !first.empty() && second != first && group.councils.at(second).state().document == "kept" ? 0 : 1;
+  std::cout << "primary " << second << " has " << group.groups.at(second).state().document << '\n';
+  std::cout << "home " << distribution::rankHomes("service/logs", {"m01", "m02", "m03"}).front() << '\n';
+  return !first.empty() && second != first && group.groups.at(second).state().document == "kept" ? 0 : 1;
 }
--- a/libs/manifest/include/limeramp/manifest/configuration.h
+++ b/libs/config/include/limeramp/config/configuration.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/manifest/json.h"
+#include "limeramp/config/json.h"
 
 #include <chrono>
 #include <compare>
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 struct Version {
   std::uint64_t epoch = 0;
@@ -88,7 +88,7 @@
   std::vector<Search> searches;
   std::vector<Route> routes;
   std::vector<Cell> cells;
-  std::set<std::string> emptiedZones;
+  std::set<std::string> evacuatedZones;
 
   Cell const* cellOf(std::string const& tenant) const;
 };
--- a/libs/manifest/include/limeramp/manifest/flags.h
+++ b/libs/config/include/limeramp/config/flags.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "limeramp/manifest/settings.h"
+#include "limeramp/config/settings.h"
 
 #include <string>
 #include <variant>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 struct FlagText {
   std::string text;
--- a/libs/manifest/include/limeramp/manifest/json.h
+++ b/libs/config/include/limeramp/config/json.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 struct JsonBounds {
   std::size_t maxBytes = 1 << 20;
--- a/libs/manifest/include/limeramp/manifest/reader.h
+++ b/libs/config/include/limeramp/config/reader.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "limeramp/manifest/configuration.h"
+#include "limeramp/config/configuration.h"
 
 #include <functional>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 class Reader {
  public:
--- a/libs/manifest/include/limeramp/manifest/settings.h
+++ b/libs/config/include/limeramp/config/settings.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "limeramp/manifest/configuration.h"
+#include "limeramp/config/configuration.h"
 
 #include <string>
 #include <vector>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 struct Settings {
   std::string node;
--- a/libs/manifest/src/configuration.cpp
+++ b/libs/config/src/configuration.cpp
@@ -1,13 +1,13 @@
-#include "limeramp/manifest/configuration.h"
+#include "limeramp/config/configuration.h"
 
-#include "limeramp/manifest/reader.h"
+#include "limeramp/config/reader.h"
 
 #include <xxhash.h>
 
 #include <charconv>
 #include <tuple>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 namespace {
 
 constexpr std::chrono::milliseconds leastDeadlineMs{10};
@@ -201,7 +201,7 @@
     }
     configuration.cells.push_back(std::move(cell));
   });
-  configuration.emptiedZones = root.names("emptied_zones", 100);
+  configuration.evacuatedZones = root.names("emptied_zones", 100);
   configuration.revision = root.whole("revision", 0, 0, 1ULL << 53);
   root.rejectUnknown();
   if (out.problems.empty()) {
--- a/libs/manifest/src/flags.cpp
+++ b/libs/config/src/flags.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/manifest/flags.h"
+#include "limeramp/config/flags.h"
 
 #include <cxxopts.hpp>
 
@@ -7,7 +7,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 FlagOutcome settingsFromFlags(std::string const& program, std::string const& purpose, SettingsNeeds const& needs,
                               int argc, char const* const* argv) {
--- a/libs/manifest/src/json.cpp
+++ b/libs/config/src/json.cpp
@@ -1,9 +1,9 @@
-#include "limeramp/manifest/json.h"
+#include "limeramp/config/json.h"
 
 #include <cmath>
 #include <map>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 namespace {
 
 struct Progress {
--- a/libs/manifest/src/reader.cpp
+++ b/libs/config/src/reader.cpp
@@ -1,8 +1,8 @@
-#include "limeramp/manifest/reader.h"
+#include "limeramp/config/reader.h"
 
 #include <cmath>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 
 Reader::Reader(picojson::value const& value, std::string path, std::vector<Problem>& problems)
     : value_(value), path_(std::move(path)), problems_(problems) {
@@ -46,8 +46,8 @@
   if (value.empty() || value.size() > maxBytes) {
     complain(key, "must have 1 to " + std::to_string(maxBytes) + " bytes");
   }
-  for (char const letter : value) {
-    if (static_cast<unsigned char>(letter) < 0x21 || letter == 0x7f) {
+  for (char const inbound : value) {
+    if (static_cast<unsigned char>(inbound) < 0x21 || inbound == 0x7f) {
       complain(key, "must have no spaces or control characters");
       break;
     }
--- a/libs/manifest/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -1,12 +1,12 @@
-#include "limeramp/manifest/settings.h"
+#include "limeramp/config/settings.h"
 
-#include "limeramp/manifest/reader.h"
+#include "limeramp/config/reader.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 
-namespace limeramp::manifest {
+namespace limeramp::config {
 namespace {
 
 bool isAddress(std::string const& text) {
--- a/libs/harbour/include/limeramp/harbour/plane.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "limeramp/cargo/messages.h"
-#include "limeramp/fairway/views.h"
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/pledge/council.h"
+#include "limeramp/messages/messages.h"
+#include "limeramp/distribution/peer_views.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/replication/replication_group.h"
 
 #include <chrono>
 #include <memory>
@@ -12,14 +12,14 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
 struct Policy {
   std::chrono::milliseconds nodeCurrentMs{2000};
   std::chrono::milliseconds silentGraceMs{500};
-  std::chrono::milliseconds authorityMs{1200};
+  std::chrono::milliseconds leadershipConfirmationMs{1200};
   std::chrono::milliseconds rosterForgetMs{60'000};
   std::chrono::milliseconds rosterBatchMs{100};
   std::size_t rosterBatchNodes = 24;
@@ -29,20 +29,20 @@
   std::size_t mostChanges = 64;
   std::size_t mostReceipts = 256;
   std::size_t mostNodes = 1000;
-  std::size_t mostEmptiedZones = 100;
+  std::size_t mostEvacuatedZones = 100;
   std::size_t mostDocumentBytes = 1 << 20;
   std::size_t budgetSlots = 20;
 };
 
 struct ZoneOrder {
   std::string zone;
-  bool emptied = false;
+  bool evacuated = false;
 };
 
 struct Change {
   std::uint64_t ticket = 0;
   std::string id;
-  std::optional<manifest::Version> base;
+  std::optional<config::Version> base;
   bool patch = false;
   std::string body;
   TimePoint deadline;
@@ -58,7 +58,7 @@
 struct Tick {};
 struct Polled {
   std::string address;
-  cargo::Poll poll;
+  messages::Poll poll;
 };
 struct Probed {
   std::uint64_t token = 0;
@@ -70,7 +70,7 @@
   TimePoint deadline;
 };
 
-using Event = std::variant<pledge::Active, pledge::Inactive, pledge::Committed, pledge::Doubtful, Change, Read, Polled,
+using Event = std::variant<replication::Active, replication::Inactive, replication::Committed, replication::Doubtful, Change, Read, Polled,
                            Probed, Forget, Tick>;
 
 enum class Verdict { taken, refused, conflict, notRun, unknown };
@@ -78,14 +78,14 @@
 struct Decided {
   std::uint64_t ticket = 0;
   Verdict verdict = Verdict::unknown;
-  manifest::Version version;
-  std::vector<manifest::Problem> problems;
+  config::Version version;
+  std::vector<config::Problem> problems;
   std::string reason;
 };
 
 struct ReadBack {
   std::uint64_t ticket = 0;
-  manifest::Version version;
+  config::Version version;
   std::uint64_t revision = 0;
   std::string document;
 };
@@ -96,14 +96,14 @@
   std::string address;
 };
 
-using Effect = std::variant<pledge::Offer, Decided, ReadBack, fairway::Outgoing, Probe, pledge::Note>;
+using Effect = std::variant<replication::Offer, Decided, ReadBack, distribution::Outgoing, Probe, replication::Note>;
 
 struct NodeView {
   std::string node;
   std::string address;
   std::string zone;
   std::uint64_t slot = 0;
-  manifest::Version confirmed;
+  config::Version confirmed;
   std::chrono::milliseconds heardMs{0};
   bool everHeard = false;
   bool gone = false;
@@ -111,15 +111,15 @@
 
 class Plane {
  public:
-  Plane(Policy const& policy, std::string const& id, manifest::Language language = manifest::ownLanguage());
+  Plane(Policy const& policy, std::string const& id, config::Language language = config::ownLanguage());
   ~Plane();
   Plane(Plane&&) noexcept;
   Plane& operator=(Plane&&) noexcept;
 
-  std::vector<Effect> step(TimePoint now, pledge::Council const& council, Event const& event);
+  std::vector<Effect> step(TimePoint now, replication::ReplicationGroup const& group, Event const& event);
 
   bool active() const;
-  cargo::State const& published() const;
+  messages::State const& published() const;
   std::vector<NodeView> nodes(TimePoint now) const;
   std::size_t pending() const;
 
--- /dev/null
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "limeramp/control/config_service.h"
+#include "limeramp/net/http.h"
+
+#include <string>
+#include <variant>
+
+namespace limeramp::control {
+
+constexpr char const* configurationPath = "/limeramp/configuration";
+constexpr char const* forgetPath = "/limeramp/forget";
+constexpr char const* deadlineHeader = "limeramp-deadline-ms";
+constexpr char const* revisionHeader = "limeramp-revision";
+constexpr std::chrono::milliseconds operatorWaitMs{900};
+
+enum class OperatorCall { none, change, read, forget };
+
+OperatorCall operatorCallOf(net::Request const& request);
+std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint now);
+std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now,
+                                                 std::string const& freshId);
+std::variant<std::vector<std::string>, net::Answer> readForget(std::string const& body);
+std::variant<std::string, net::Answer> readForceNewGroup(std::string const& body);
+bool provesGone(net::Exchange const& exchange, std::string const& node);
+net::Answer answerOf(Decided const& decided, std::string const& change);
+net::Answer answerOf(ReadBack const& back);
+net::Answer relayAnswer(net::Exchange const& exchange, std::string const& change);
+net::Answer plain(int status, std::string body);
+
+}
--- a/libs/harbour/include/limeramp/harbour/relay.h
+++ b/libs/control/include/limeramp/control/relay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/harbour/plane.h"
+#include "limeramp/control/config_service.h"
 
 #include <cstdint>
 #include <memory>
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 
 struct RelayPolicy {
   std::size_t mostRelays = 256;
--- a/libs/harbour/include/limeramp/harbour/runner.h
+++ b/libs/control/include/limeramp/control/runner.h
@@ -1,29 +1,29 @@
 #pragma once
 
-#include "limeramp/harbour/relay.h"
-#include "limeramp/rigging/http.h"
+#include "limeramp/control/relay.h"
+#include "limeramp/net/http.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 
 struct RunBack {
   std::uint64_t ticket = 0;
   std::uint64_t attempt = 0;
-  rigging::Exchange exchange;
+  net::Exchange exchange;
 };
 
 class Runner {
  public:
   using Post = std::function<void(RunBack)>;
-  Runner(rigging::HttpClient& client, std::string const& advertise, std::uint64_t firstAttempt, Post post);
+  Runner(net::HttpClient& client, std::string const& advertise, std::uint64_t firstAttempt, Post post);
   ~Runner();
   Runner(Runner const&) = delete;
   Runner& operator=(Runner const&) = delete;
 
-  void take(TimePoint now, rigging::Request content, rigging::Responder respond);
+  void take(TimePoint now, net::Request content, net::Responder respond);
   void hear(TimePoint now, RunBack& back);
   void tick(TimePoint now, std::string const& primaryAddress);
 
--- /dev/null
+++ b/libs/control/include/limeramp/control/zones.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "limeramp/messages/messages.h"
+#include "limeramp/config/configuration.h"
+
+#include <set>
+#include <string>
+
+namespace limeramp::control {
+
+std::set<std::string> evacuatedZones(messages::State const& state, config::Configuration const& configuration);
+
+}
--- a/libs/harbour/src/plane.cpp
+++ b/libs/control/src/config_service.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/harbour/plane.h"
+#include "limeramp/control/config_service.h"
 
-#include "limeramp/fairway/courier.h"
+#include "limeramp/distribution/config_delivery.h"
 
 #include <xxhash.h>
 
@@ -10,19 +10,19 @@
 #include <map>
 #include <set>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using Mark = std::pair<std::uint64_t, std::uint64_t>;
-using manifest::Problem;
+using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
+using config::Problem;
 
 struct Known {
-  cargo::Follower follower;
+  messages::Follower follower;
   std::uint64_t boot = 0;
   std::uint64_t leftBoot = 0;
   bool leaving = false;
-  Mark confirmed{0, 0};
+  StateVersion confirmed{0, 0};
   TimePoint heardAt{};
   bool direct = false;
 };
@@ -43,8 +43,8 @@
 
 struct Waiting {
   std::uint64_t ticket = 0;
-  Mark mark;
-  manifest::Version version;
+  StateVersion mark;
+  config::Version version;
   TimePoint since{};
   TimePoint deadline{};
 };
@@ -67,18 +67,18 @@
 struct Plane::Impl {
   Policy policy;
   std::string id;
-  manifest::Language language;
+  config::Language language;
   TimePoint now{};
   std::vector<Effect> effects;
   bool active = false;
-  cargo::State published;
+  messages::State published;
   TimePoint publishedAt{};
   std::map<std::string, Known> known;
   std::map<std::string, Proof> proofs;
-  fairway::Vouches vouches;
+  distribution::IncarnationRecords incarnations;
   std::vector<Forgetting> forgetting;
   std::uint64_t lastProbe = 0;
-  std::map<Mark, TimePoint> publishings;
+  std::map<StateVersion, TimePoint> publishings;
   std::deque<Change> queue;
   std::optional<Change> working;
   bool workingAnswered = false;
@@ -90,64 +90,64 @@
   TimePoint nextRosterAt{};
   TimePoint activeAt{};
 
-  void on(pledge::Council const& council, pledge::Active const& event);
-  void on(pledge::Council const& council, pledge::Inactive const& event);
-  void on(pledge::Council const& council, pledge::Committed const& event);
-  void on(pledge::Council const& council, pledge::Doubtful const& event);
-  void on(pledge::Council const& council, Change const& event);
-  void on(pledge::Council const& council, Read const& event);
-  void on(pledge::Council const& council, Polled const& event);
-  void on(pledge::Council const& council, Probed const& event);
-  void on(pledge::Council const& council, Forget const& event);
-  void on(pledge::Council const& council, Tick const& event);
-
-  Mark mark() const { return {published.epoch, published.sequence}; }
-  void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", manifest::Version version = {},
-              std::vector<manifest::Problem> problems = {}) {
+  void on(replication::ReplicationGroup const& group, replication::Active const& event);
+  void on(replication::ReplicationGroup const& group, replication::Inactive const& event);
+  void on(replication::ReplicationGroup const& group, replication::Committed const& event);
+  void on(replication::ReplicationGroup const& group, replication::Doubtful const& event);
+  void on(replication::ReplicationGroup const& group, Change const& event);
+  void on(replication::ReplicationGroup const& group, Read const& event);
+  void on(replication::ReplicationGroup const& group, Polled const& event);
+  void on(replication::ReplicationGroup const& group, Probed const& event);
+  void on(replication::ReplicationGroup const& group, Forget const& event);
+  void on(replication::ReplicationGroup const& group, Tick const& event);
+
+  StateVersion mark() const { return {published.epoch, published.sequence}; }
+  void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", config::Version version = {},
+              std::vector<config::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
   }
-  bool alone(pledge::Council const& council) const {
-    std::optional<TimePoint> const authority = council.authority();
-    return authority && now - *authority > policy.authorityMs;
+  bool alone(replication::ReplicationGroup const& group) const {
+    std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
+    return leadershipConfirmedAt && now - *leadershipConfirmedAt > policy.leadershipConfirmationMs;
   }
-  bool confirmed(std::string const& node, Mark const& wanted) const;
-  bool gone(std::string const& node, Mark const& wanted) const;
+  bool confirmed(std::string const& node, StateVersion const& wanted) const;
+  bool gone(std::string const& node, StateVersion const& wanted) const;
   bool persistentlyGone(std::string const& node) const;
   TimePoint heardAt(std::string const& node) const;
-  bool majority(std::vector<cargo::RosterEntry> const& roster, Mark const& wanted) const;
-  bool everyone(Mark const& wanted) const;
-  void note(cargo::Follower const& follower, cargo::Bearing const& bearing, bool direct);
+  bool majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const;
+  bool everyone(StateVersion const& wanted) const;
+  void note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct);
   void probe();
   void settleForgetting();
-  void publish(cargo::State const& state);
-  void pump(pledge::Council const& council);
-  bool offerRoster(pledge::Council const& council);
-  void offerChange(pledge::Council const& council, Change const& change);
+  void publish(messages::State const& state);
+  void pump(replication::ReplicationGroup const& group);
+  bool offerRoster(replication::ReplicationGroup const& group);
+  void offerChange(replication::ReplicationGroup const& group, Change const& change);
   void offerZone(Change const& change);
-  void offer(Change const& change, cargo::State next);
+  void offer(Change const& change, messages::State next);
   std::optional<std::string> documentOf(Change const& change, std::vector<Problem>& problems) const;
-  void awaitInForce(std::uint64_t ticket, manifest::Version const& version, TimePoint deadline);
+  void awaitInForce(std::uint64_t ticket, config::Version const& version, TimePoint deadline);
   void settle();
-  void settleReading(pledge::Council const& council);
+  void settleReading(replication::ReplicationGroup const& group);
   void expire();
-  cargo::News news(std::uint64_t token, Mark const& has, pledge::Council const& council) const;
+  messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
 };
 
-bool Plane::Impl::confirmed(std::string const& node, Mark const& wanted) const {
+bool Plane::Impl::confirmed(std::string const& node, StateVersion const& wanted) const {
   std::map<std::string, Known>::const_iterator const found = known.find(node);
   if (found == known.end() || found->second.confirmed < wanted || found->second.confirmed.first > published.epoch) {
     return false;
   }
-  fairway::Vouches::const_iterator const vouch = vouches.find(node);
-  return vouch == vouches.end() || vouch->second.boot == found->second.boot;
+  distribution::IncarnationRecords::const_iterator const incarnation = incarnations.find(node);
+  return incarnation == incarnations.end() || incarnation->second.boot == found->second.boot;
 }
 
-bool Plane::Impl::gone(std::string const& node, Mark const& wanted) const {
+bool Plane::Impl::gone(std::string const& node, StateVersion const& wanted) const {
   std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
   if (found == proofs.end()) {
     return false;
   }
-  std::map<Mark, TimePoint>::const_iterator const since = publishings.lower_bound(wanted);
+  std::map<StateVersion, TimePoint>::const_iterator const since = publishings.lower_bound(wanted);
   return found->second.forgotten || (since != publishings.end() && found->second.goneAt > since->second);
 }
 
@@ -166,16 +166,16 @@
                              now - heardAt(node) > policy.nodeCurrentMs);
 }
 
-bool Plane::Impl::majority(std::vector<cargo::RosterEntry> const& roster, Mark const& wanted) const {
+bool Plane::Impl::majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
   std::size_t const count = static_cast<std::size_t>(
-      std::count_if(roster.begin(), roster.end(), [&](cargo::RosterEntry const& entry) {
+      std::count_if(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
         return confirmed(entry.node, wanted) || gone(entry.node, wanted);
       }));
   return roster.empty() || count > roster.size() / 2;
 }
 
-bool Plane::Impl::everyone(Mark const& wanted) const {
-  return std::all_of(published.roster.begin(), published.roster.end(), [&](cargo::RosterEntry const& entry) {
+bool Plane::Impl::everyone(StateVersion const& wanted) const {
+  return std::all_of(published.roster.begin(), published.roster.end(), [&](messages::RosterEntry const& entry) {
     return confirmed(entry.node, wanted) || gone(entry.node, wanted);
   });
 }
@@ -184,11 +184,11 @@
   if (!active) {
     return;
   }
-  std::vector<cargo::RosterEntry> wanted = published.roster;
+  std::vector<messages::RosterEntry> wanted = published.roster;
   if (!stable) {
     wanted.insert(wanted.end(), published.priorRoster.begin(), published.priorRoster.end());
   }
-  for (cargo::RosterEntry const& entry : wanted) {
+  for (messages::RosterEntry const& entry : wanted) {
     if (now - heardAt(entry.node) < policy.probeAfterMs) {
       continue;
     }
@@ -201,7 +201,7 @@
   }
 }
 
-void Plane::Impl::on(pledge::Council const& council, Probed const& event) {
+void Plane::Impl::on(replication::ReplicationGroup const& group, Probed const& event) {
   for (std::pair<std::string const, Proof>& entry : proofs) {
     Proof& proof = entry.second;
     if (proof.token != event.token || event.token == 0) {
@@ -215,10 +215,10 @@
     }
   }
   settle();
-  pump(council);
+  pump(group);
 }
 
-void Plane::Impl::on(pledge::Council const& council, Forget const& event) {
+void Plane::Impl::on(replication::ReplicationGroup const& group, Forget const& event) {
   if (!active) {
     decide(event.ticket, Verdict::notRun, "this node is not the primary");
     return;
@@ -227,12 +227,12 @@
     decide(event.ticket, Verdict::notRun, "too many changes wait");
     return;
   }
-  std::vector<manifest::Problem> problems;
+  std::vector<config::Problem> problems;
   for (std::string const& node : event.nodes) {
     bool const listed = std::any_of(published.roster.begin(), published.roster.end(),
-                                    [&](cargo::RosterEntry const& entry) { return entry.node == node; });
+                                    [&](messages::RosterEntry const& entry) { return entry.node == node; });
     bool const prior = std::any_of(published.priorRoster.begin(), published.priorRoster.end(),
-                                   [&](cargo::RosterEntry const& entry) { return entry.node == node; });
+                                   [&](messages::RosterEntry const& entry) { return entry.node == node; });
     std::map<std::string, Known>::const_iterator const found = known.find(node);
     if (!listed && !prior) {
       problems.push_back({"/nodes/" + node, "is not on the roster"});
@@ -250,12 +250,12 @@
   forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, event.deadline});
   nextRosterAt = now;
   settle();
-  pump(council);
+  pump(group);
 }
 
 void Plane::Impl::settleForgetting() {
   std::erase_if(forgetting, [&](Forgetting const& entry) {
-    bool const listed = std::any_of(published.roster.begin(), published.roster.end(), [&](cargo::RosterEntry const& row) {
+    bool const listed = std::any_of(published.roster.begin(), published.roster.end(), [&](messages::RosterEntry const& row) {
       return entry.nodes.contains(row.node);
     });
     if (stable && !listed) {
@@ -270,52 +270,52 @@
   });
 }
 
-void Plane::Impl::note(cargo::Follower const& follower, cargo::Bearing const& bearing, bool direct) {
+void Plane::Impl::note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct) {
   if (known.size() >= policy.mostNodes && !known.contains(follower.node)) {
     return;
   }
-  fairway::mergeVouches(vouches, bearing.vouched);
+  distribution::mergeIncarnations(incarnations, peerStatus.incarnations);
   Known& entry = known[follower.node];
-  if (bearing.boot != 0 && bearing.boot == entry.leftBoot && !direct && !bearing.leaving) {
+  if (peerStatus.boot != 0 && peerStatus.boot == entry.leftBoot && !direct && !peerStatus.leaving) {
     return;
   }
   if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
       now - entry.heardAt <= policy.nodeCurrentMs) {
-    effects.emplace_back(pledge::Note{signal::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
+    effects.emplace_back(replication::Note{logging::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
     return;
   }
-  if (entry.follower.address != follower.address || entry.boot != bearing.boot) {
+  if (entry.follower.address != follower.address || entry.boot != peerStatus.boot) {
     entry.confirmed = {0, 0};
   }
   std::map<std::string, Proof>::iterator const proof = proofs.find(follower.node);
-  if (proof != proofs.end() && (bearing.boot != entry.boot || direct)) {
+  if (proof != proofs.end() && (peerStatus.boot != entry.boot || direct)) {
     proof->second.forgotten = false;
   }
-  entry.boot = bearing.boot;
-  entry.leaving = bearing.leaving;
-  entry.leftBoot = bearing.leaving ? bearing.boot : entry.leftBoot;
+  entry.boot = peerStatus.boot;
+  entry.leaving = peerStatus.leaving;
+  entry.leftBoot = peerStatus.leaving ? peerStatus.boot : entry.leftBoot;
   entry.follower = follower;
-  entry.confirmed = std::max(entry.confirmed, Mark(follower.epoch, follower.sequence));
+  entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
   entry.heardAt = now;
   entry.direct = direct;
 }
 
-cargo::News Plane::Impl::news(std::uint64_t token, Mark const& has, pledge::Council const& council) const {
-  cargo::News out;
+messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const {
+  messages::News out;
   out.token = token;
   out.node = id;
-  out.primaryAddress = council.primaryAddress();
-  for (std::pair<std::string const, cargo::Vouch> const& entry : vouches) {
-    out.vouched.push_back(entry.second);
+  out.primaryAddress = group.primaryAddress();
+  for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations) {
+    out.incarnations.push_back(entry.second);
   }
   if (!active) {
     return out;
   }
   out.epoch = published.epoch;
   out.sequence = published.sequence;
-  if (std::optional<TimePoint> const authority = council.authority()) {
+  if (std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt()) {
     out.hasAge = true;
-    out.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *authority).count()) + 1;
+    out.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *leadershipConfirmedAt).count()) + 1;
   }
   if (has < mark()) {
     out.state = published;
@@ -323,12 +323,12 @@
   return out;
 }
 
-void Plane::Impl::publish(cargo::State const& state) {
-  bool const sameRoster = Mark(state.rosterEpoch, state.rosterSequence) == Mark(published.rosterEpoch, published.rosterSequence);
+void Plane::Impl::publish(messages::State const& state) {
+  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) == StateVersion(published.rosterEpoch, published.rosterSequence);
   stable = stable && sameRoster;
-  bool const onlyRoster = !sameRoster && state.emptiedZones == published.emptiedZones &&
-                          Mark(state.configurationEpoch, state.configurationSequence) ==
-                              Mark(published.configurationEpoch, published.configurationSequence);
+  bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
+                          StateVersion(state.configurationEpoch, state.configurationSequence) ==
+                              StateVersion(published.configurationEpoch, published.configurationSequence);
   published = state;
   publishedAt = now;
   publishings[mark()] = now;
@@ -340,17 +340,17 @@
   }
   for (std::pair<std::string const, Known> const& entry : known) {
     if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
-      cargo::News out;
+      messages::News out;
       out.node = id;
       out.epoch = published.epoch;
       out.sequence = published.sequence;
       out.state = published;
-      effects.emplace_back(fairway::Outgoing{entry.second.follower.address, std::move(out)});
+      effects.emplace_back(distribution::Outgoing{entry.second.follower.address, std::move(out)});
     }
   }
 }
 
-void Plane::Impl::on(pledge::Council const&, pledge::Active const& event) {
+void Plane::Impl::on(replication::ReplicationGroup const&, replication::Active const& event) {
   active = true;
   stable = false;
   activeAt = now;
@@ -358,7 +358,7 @@
   publish(event.state);
 }
 
-void Plane::Impl::on(pledge::Council const&, pledge::Inactive const&) {
+void Plane::Impl::on(replication::ReplicationGroup const&, replication::Inactive const&) {
   active = false;
   for (Change const& change : queue) {
     decide(change.ticket, Verdict::notRun, "the primary changed before the change was begun");
@@ -381,14 +381,14 @@
   }
 }
 
-void Plane::Impl::on(pledge::Council const&, pledge::Committed const& event) {
+void Plane::Impl::on(replication::ReplicationGroup const&, replication::Committed const& event) {
   publish(event.state);
   if (event.ticket == workingTicket && working) {
-    manifest::Version const version{published.configurationEpoch, published.configurationSequence};
+    config::Version const version{published.configurationEpoch, published.configurationSequence};
     if (!workingAnswered) {
       waiting.push_back({working->ticket, mark(), version, now, working->deadline});
     }
-    effects.emplace_back(pledge::Note{signal::Event::configurationTaken, version.text() + " change " + working->id});
+    effects.emplace_back(replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
   }
   if (event.ticket == workingTicket) {
     working.reset();
@@ -397,7 +397,7 @@
   settle();
 }
 
-void Plane::Impl::on(pledge::Council const&, pledge::Doubtful const& event) {
+void Plane::Impl::on(replication::ReplicationGroup const&, replication::Doubtful const& event) {
   if (event.ticket != workingTicket) {
     return;
   }
@@ -405,14 +405,14 @@
     decide(working->ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   if (working) {
-    effects.emplace_back(pledge::Note{signal::Event::configurationUnknown, working->id});
+    effects.emplace_back(replication::Note{logging::Event::configurationUnknown, working->id});
   }
   working.reset();
   workingTicket = 0;
 }
 
-void Plane::Impl::on(pledge::Council const& council, Change const& event) {
-  if (!active || alone(council)) {
+void Plane::Impl::on(replication::ReplicationGroup const& group, Change const& event) {
+  if (!active || alone(group)) {
     decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
     return;
   }
@@ -421,11 +421,11 @@
     return;
   }
   queue.push_back(event);
-  pump(council);
+  pump(group);
 }
 
-void Plane::Impl::on(pledge::Council const& council, Read const& event) {
-  if (!active || alone(council)) {
+void Plane::Impl::on(replication::ReplicationGroup const& group, Read const& event) {
+  if (!active || alone(group)) {
     decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
   } else if (reading.size() >= policy.mostChanges) {
     decide(event.ticket, Verdict::notRun, "too many reads wait");
@@ -434,10 +434,10 @@
   }
 }
 
-void Plane::Impl::settleReading(pledge::Council const& council) {
-  std::optional<TimePoint> const authority = council.authority();
+void Plane::Impl::settleReading(replication::ReplicationGroup const& group) {
+  std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
   std::erase_if(reading, [&](Reading const& entry) {
-    if (authority && *authority >= entry.askedAt) {
+    if (leadershipConfirmedAt && *leadershipConfirmedAt >= entry.askedAt) {
       effects.emplace_back(ReadBack{entry.ticket, {published.configurationEpoch, published.configurationSequence},
                                     published.revision, published.document});
       return true;
@@ -464,26 +464,26 @@
   });
 }
 
-void Plane::Impl::on(pledge::Council const& council, Polled const& event) {
-  std::map<std::string, cargo::Bearing const*> bearings;
-  for (cargo::Bearing const& bearing : event.poll.bearings) {
-    bearings.emplace(bearing.node, &bearing);
+void Plane::Impl::on(replication::ReplicationGroup const& group, Polled const& event) {
+  std::map<std::string, messages::PeerStatus const*> peerStatuses;
+  for (messages::PeerStatus const& peerStatus : event.poll.peerStatuses) {
+    peerStatuses.emplace(peerStatus.node, &peerStatus);
   }
-  cargo::Bearing const none;
-  std::function<cargo::Bearing const&(std::string const&)> const bearingOf = [&](std::string const& node) -> cargo::Bearing const& {
-    return bearings.contains(node) ? *bearings.at(node) : none;
+  messages::PeerStatus const none;
+  std::function<messages::PeerStatus const&(std::string const&)> const statusOf = [&](std::string const& node) -> messages::PeerStatus const& {
+    return peerStatuses.contains(node) ? *peerStatuses.at(node) : none;
   };
-  note(event.poll.self, bearingOf(event.poll.self.node), true);
-  for (cargo::Follower const& follower : event.poll.followers) {
-    note(follower, bearingOf(follower.node), false);
+  note(event.poll.self, statusOf(event.poll.self.node), true);
+  for (messages::Follower const& follower : event.poll.followers) {
+    note(follower, statusOf(follower.node), false);
   }
-  cargo::News out = news(event.poll.token, {event.poll.self.epoch, event.poll.self.sequence}, council);
-  effects.emplace_back(fairway::Outgoing{event.poll.self.address, std::move(out)});
+  messages::News out = news(event.poll.token, {event.poll.self.epoch, event.poll.self.sequence}, group);
+  effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(out)});
   settle();
-  pump(council);
+  pump(group);
 }
 
-void Plane::Impl::on(pledge::Council const& council, Tick const&) {
+void Plane::Impl::on(replication::ReplicationGroup const& group, Tick const&) {
   std::erase_if(known, [&](std::pair<std::string const, Known> const& entry) {
     return now - entry.second.heardAt > policy.rosterForgetMs * 2;
   });
@@ -492,16 +492,16 @@
   });
   probe();
   settle();
-  settleReading(council);
+  settleReading(group);
   expire();
-  pump(council);
+  pump(group);
 }
 
 void Plane::Impl::settle() {
   if (!active) {
     return;
   }
-  Mark const rosterMark(published.rosterEpoch, published.rosterSequence);
+  StateVersion const rosterMark(published.rosterEpoch, published.rosterSequence);
   if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
     stable = true;
   }
@@ -522,14 +522,14 @@
   });
 }
 
-bool Plane::Impl::offerRoster(pledge::Council const& council) {
+bool Plane::Impl::offerRoster(replication::ReplicationGroup const& group) {
   if (now < nextRosterAt || !stable) {
     return false;
   }
   nextRosterAt = now + policy.rosterBatchMs * static_cast<long>(1 + published.roster.size() / policy.rosterBatchNodes);
-  std::vector<cargo::RosterEntry> roster = published.roster;
+  std::vector<messages::RosterEntry> roster = published.roster;
   std::string about;
-  std::erase_if(roster, [&](cargo::RosterEntry const& entry) {
+  std::erase_if(roster, [&](messages::RosterEntry const& entry) {
     std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
     bool const left = found != known.end() && found->second.leaving;
     bool const out = left || now - heardAt(entry.node) > policy.rosterForgetMs || persistentlyGone(entry.node);
@@ -537,17 +537,17 @@
     return out;
   });
   std::set<std::uint64_t> taken;
-  for (cargo::RosterEntry const& entry : roster) {
+  for (messages::RosterEntry const& entry : roster) {
     taken.insert(entry.slot);
   }
   for (std::pair<std::string const, Known> const& entry : known) {
-    cargo::Follower const& follower = entry.second.follower;
+    messages::Follower const& follower = entry.second.follower;
     if (now - entry.second.heardAt > policy.nodeCurrentMs || entry.second.leaving || persistentlyGone(entry.first)) {
       continue;
     }
-    std::vector<cargo::RosterEntry>::iterator const found =
+    std::vector<messages::RosterEntry>::iterator const found =
         std::find_if(roster.begin(), roster.end(),
-                     [&](cargo::RosterEntry const& listed) { return listed.node == follower.node; });
+                     [&](messages::RosterEntry const& listed) { return listed.node == follower.node; });
     if (found == roster.end()) {
       std::uint64_t slot = 0;
       while (taken.contains(slot)) {
@@ -565,49 +565,49 @@
   if (about.empty()) {
     return false;
   }
-  cargo::State next = published;
+  messages::State next = published;
   next.priorRoster = published.roster;
   next.roster = std::move(roster);
-  next.rosterEpoch = council.decided().epoch;
+  next.rosterEpoch = group.decided().epoch;
   next.rosterSequence = published.sequence + 1;
   stable = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(pledge::Note{signal::Event::rosterChanged, about});
-  effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
+  effects.emplace_back(replication::Note{logging::Event::rosterChanged, about});
+  effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
   return true;
 }
 
-void Plane::Impl::awaitInForce(std::uint64_t ticket, manifest::Version const& version, TimePoint deadline) {
+void Plane::Impl::awaitInForce(std::uint64_t ticket, config::Version const& version, TimePoint deadline) {
   waiting.push_back({ticket, mark(), version, publishedAt, deadline});
   settle();
 }
 
-void Plane::Impl::offer(Change const& change, cargo::State next) {
+void Plane::Impl::offer(Change const& change, messages::State next) {
   working = change;
   workingAnswered = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(pledge::Offer{workingTicket, std::move(next)});
+  effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
 }
 
 void Plane::Impl::offerZone(Change const& change) {
-  std::vector<std::string> zones = published.emptiedZones;
+  std::vector<std::string> zones = published.evacuatedZones;
   std::vector<std::string>::iterator const found = std::find(zones.begin(), zones.end(), change.zone->zone);
-  manifest::Version const current{published.configurationEpoch, published.configurationSequence};
-  if ((found != zones.end()) == change.zone->emptied) {
+  config::Version const current{published.configurationEpoch, published.configurationSequence};
+  if ((found != zones.end()) == change.zone->evacuated) {
     awaitInForce(change.ticket, current, change.deadline);
     return;
   }
-  if (!change.zone->emptied) {
+  if (!change.zone->evacuated) {
     zones.erase(found);
-  } else if (zones.size() >= policy.mostEmptiedZones) {
+  } else if (zones.size() >= policy.mostEvacuatedZones) {
     decide(change.ticket, Verdict::refused, "", current,
-           {{"/", "more than " + std::to_string(policy.mostEmptiedZones) + " zones would be emptied"}});
+           {{"/", "more than " + std::to_string(policy.mostEvacuatedZones) + " zones would be emptied"}});
     return;
   } else {
     zones.push_back(change.zone->zone);
   }
-  cargo::State next = published;
-  next.emptiedZones = std::move(zones);
+  messages::State next = published;
+  next.evacuatedZones = std::move(zones);
   offer(change, std::move(next));
 }
 
@@ -620,7 +620,7 @@
     return change.body;
   }
   if (!change.patch) {
-    manifest::Checked checked = language.check(change.body);
+    config::Checked checked = language.check(change.body);
     if (!checked.configuration) {
       problems = std::move(checked.problems);
       return std::nullopt;
@@ -638,14 +638,14 @@
   return *std::move(merged);
 }
 
-void Plane::Impl::offerChange(pledge::Council const& council, Change const& change) {
+void Plane::Impl::offerChange(replication::ReplicationGroup const& group, Change const& change) {
   if (change.zone) {
     offerZone(change);
     return;
   }
-  manifest::Version const current{published.configurationEpoch, published.configurationSequence};
+  config::Version const current{published.configurationEpoch, published.configurationSequence};
   std::string const digest = digestOf(change);
-  for (cargo::Receipt const& receipt : published.receipts) {
+  for (messages::Receipt const& receipt : published.receipts) {
     if (receipt.change != change.id) {
       continue;
     }
@@ -670,7 +670,7 @@
     decide(change.ticket, Verdict::refused, "", current, std::move(problems));
     return;
   }
-  manifest::Checked checked = language.check(*document);
+  config::Checked checked = language.check(*document);
   if (!checked.configuration) {
     decide(change.ticket, Verdict::refused, "", current, std::move(checked.problems));
     return;
@@ -681,10 +681,10 @@
            {{"/revision", "is not above the current one, " + std::to_string(published.revision)}});
     return;
   }
-  cargo::State next = published;
+  messages::State next = published;
   next.document = *std::move(document);
   next.revision = revision > 0 ? revision : published.revision;
-  next.configurationEpoch = council.decided().epoch;
+  next.configurationEpoch = group.decided().epoch;
   next.configurationSequence = published.sequence + 1;
   next.receipts.push_back({change.id, next.configurationEpoch, next.configurationSequence, digest});
   if (next.receipts.size() > policy.mostReceipts) {
@@ -693,9 +693,9 @@
   offer(change, std::move(next));
 }
 
-void Plane::Impl::pump(pledge::Council const& council) {
+void Plane::Impl::pump(replication::ReplicationGroup const& group) {
   while (active && workingTicket == 0) {
-    if (offerRoster(council)) {
+    if (offerRoster(group)) {
       return;
     }
     if (queue.empty()) {
@@ -707,11 +707,11 @@
       decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
       continue;
     }
-    offerChange(council, change);
+    offerChange(group, change);
   }
 }
 
-Plane::Plane(Policy const& policy, std::string const& id, manifest::Language language)
+Plane::Plane(Policy const& policy, std::string const& id, config::Language language)
     : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->id = id;
@@ -722,20 +722,20 @@
 Plane::Plane(Plane&&) noexcept = default;
 Plane& Plane::operator=(Plane&&) noexcept = default;
 
-std::vector<Effect> Plane::step(TimePoint now, pledge::Council const& council, Event const& event) {
+std::vector<Effect> Plane::step(TimePoint now, replication::ReplicationGroup const& group, Event const& event) {
   impl_->now = now;
   impl_->effects.clear();
-  std::visit([&](auto const& concrete) { impl_->on(council, concrete); }, event);
+  std::visit([&](auto const& concrete) { impl_->on(group, concrete); }, event);
   return std::move(impl_->effects);
 }
 
 bool Plane::active() const { return impl_->active; }
-cargo::State const& Plane::published() const { return impl_->published; }
+messages::State const& Plane::published() const { return impl_->published; }
 std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waiting.size(); }
 
 std::vector<NodeView> Plane::nodes(TimePoint now) const {
   std::vector<NodeView> out;
-  for (cargo::RosterEntry const& entry : impl_->published.roster) {
+  for (messages::RosterEntry const& entry : impl_->published.roster) {
     NodeView view{entry.node, entry.address, entry.zone, entry.slot, {}, Ms(0), false, impl_->persistentlyGone(entry.node)};
     std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
     if (found != impl_->known.end()) {
--- a/libs/harbour/src/desk.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/harbour/desk.h"
+#include "limeramp/control/operator_api.h"
 
 #include <xxhash.h>
 
@@ -7,17 +7,17 @@
 #include <charconv>
 #include <cstdio>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 namespace {
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
-rigging::Answer refused(std::string const& path, std::string const& reason) {
+net::Answer refused(std::string const& path, std::string const& reason) {
   return plain(400, "{\"outcome\":\"refused\",\"problems\":[{\"path\":" + json(path) + ",\"reason\":" + json(reason) + "}]}");
 }
 
-std::variant<picojson::value, rigging::Answer> readOneField(std::string const& body, std::string const& name) {
-  absl::StatusOr<picojson::value> const read = manifest::parseJson(body);
+std::variant<picojson::value, net::Answer> readOneField(std::string const& body, std::string const& name) {
+  absl::StatusOr<picojson::value> const read = config::parseJson(body);
   if (!read.ok()) {
     return refused("/", std::string(read.status().message()));
   }
@@ -33,19 +33,19 @@
 }
 
 constexpr std::string_view zonesPath = "/limeramp/zones/";
-constexpr std::string_view emptiedEnd = "/emptied";
+constexpr std::string_view evacuatedEnd = "/emptied";
 
 std::optional<std::string> zoneOf(std::string_view target) {
-  if (!target.starts_with(zonesPath) || !target.ends_with(emptiedEnd) || target.size() <= zonesPath.size() + emptiedEnd.size()) {
+  if (!target.starts_with(zonesPath) || !target.ends_with(evacuatedEnd) || target.size() <= zonesPath.size() + evacuatedEnd.size()) {
     return std::nullopt;
   }
-  return std::string(target.substr(zonesPath.size(), target.size() - zonesPath.size() - emptiedEnd.size()));
+  return std::string(target.substr(zonesPath.size(), target.size() - zonesPath.size() - evacuatedEnd.size()));
 }
 
 bool isZoneName(std::string const& name) {
-  return name.size() <= 64 && std::all_of(name.begin(), name.end(), [](char const letter) {
-    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') ||
-           letter == '-' || letter == '_' || letter == '.';
+  return name.size() <= 64 && std::all_of(name.begin(), name.end(), [](char const inbound) {
+    return (inbound >= 'a' && inbound <= 'z') || (inbound >= 'A' && inbound <= 'Z') || (inbound >= '0' && inbound <= '9') ||
+           inbound == '-' || inbound == '_' || inbound == '.';
   });
 }
 
@@ -56,7 +56,7 @@
   return read.ec == std::errc() && read.ptr == last;
 }
 
-std::string derivedId(rigging::Request const& request, std::string const& base) {
+std::string derivedId(net::Request const& request, std::string const& base) {
   std::string whole;
   for (std::string const* const part : {&request.method, &base, &request.body}) {
     whole += std::to_string(part->size()) + ":" + *part;
@@ -70,8 +70,8 @@
 
 }
 
-rigging::Answer plain(int status, std::string body) {
-  rigging::Answer answer;
+net::Answer plain(int status, std::string body) {
+  net::Answer answer;
   answer.status = status;
   answer.headers.emplace_back("content-type", "application/json");
   if (status == 503) {
@@ -81,20 +81,20 @@
   return answer;
 }
 
-Errand errandOf(rigging::Request const& request) {
+OperatorCall operatorCallOf(net::Request const& request) {
   std::string const& method = request.method;
   if (request.target == configurationPath) {
-    return method == "PUT" || method == "PATCH" ? Errand::change : method == "GET" ? Errand::read : Errand::none;
+    return method == "PUT" || method == "PATCH" ? OperatorCall::change : method == "GET" ? OperatorCall::read : OperatorCall::none;
   }
   if (request.target == forgetPath) {
-    return method == "POST" ? Errand::forget : Errand::none;
+    return method == "POST" ? OperatorCall::forget : OperatorCall::none;
   }
-  return zoneOf(request.target) && (method == "PUT" || method == "DELETE") ? Errand::change : Errand::none;
+  return zoneOf(request.target) && (method == "PUT" || method == "DELETE") ? OperatorCall::change : OperatorCall::none;
 }
 
-std::variant<TimePoint, rigging::Answer> readDeadline(rigging::Request const& request, TimePoint now) {
+std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint now) {
   long waitMs = 10'000;
-  if (std::optional<std::string> const text = rigging::findHeader(request.headers, deadlineHeader)) {
+  if (std::optional<std::string> const text = net::findHeader(request.headers, deadlineHeader)) {
     if (!readNumber(*text, waitMs) || waitMs <= 0 || waitMs > 60'000) {
       return refused(deadlineHeader, "must be a whole number from 1 to 60000");
     }
@@ -102,14 +102,14 @@
   return now + std::chrono::milliseconds(waitMs);
 }
 
-std::variant<Change, rigging::Answer> readChange(rigging::Request const& request, TimePoint now,
+std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now,
                                                  std::string const& freshId) {
   Change change;
   change.patch = request.method == "PATCH";
-  std::optional<std::string> const base = rigging::findHeader(request.headers, "limeramp-base");
-  std::optional<std::string> const baseRevision = rigging::findHeader(request.headers, "limeramp-base-revision");
+  std::optional<std::string> const base = net::findHeader(request.headers, "limeramp-base");
+  std::optional<std::string> const baseRevision = net::findHeader(request.headers, "limeramp-base-revision");
   if (base) {
-    change.base = manifest::Version::parse(*base);
+    change.base = config::Version::parse(*base);
     if (!change.base) {
       return refused("limeramp-base", "must be a version, as in 3.14");
     }
@@ -121,7 +121,7 @@
     return refused("limeramp-base", "a patch must name the version or the revision it changes");
   }
   std::string const ownId = base || baseRevision ? derivedId(request, base.value_or("") + "/" + baseRevision.value_or("")) : freshId;
-  change.id = rigging::findHeader(request.headers, "limeramp-change").value_or(ownId);
+  change.id = net::findHeader(request.headers, "limeramp-change").value_or(ownId);
   if (change.id.empty() || change.id.size() > 128) {
     return refused("limeramp-change", "must have 1 to 128 bytes");
   }
@@ -131,8 +131,8 @@
     }
     change.zone = ZoneOrder{*zone, request.method == "PUT"};
   }
-  std::variant<TimePoint, rigging::Answer> deadline = readDeadline(request, now);
-  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&deadline)) {
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(request, now);
+  if (net::Answer* const wrong = std::get_if<net::Answer>(&deadline)) {
     return std::move(*wrong);
   }
   change.deadline = std::get<TimePoint>(deadline);
@@ -140,9 +140,9 @@
   return change;
 }
 
-std::variant<std::vector<std::string>, rigging::Answer> readForget(std::string const& body) {
-  std::variant<picojson::value, rigging::Answer> read = readOneField(body, "nodes");
-  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
+std::variant<std::vector<std::string>, net::Answer> readForget(std::string const& body) {
+  std::variant<picojson::value, net::Answer> read = readOneField(body, "nodes");
+  if (net::Answer* const wrong = std::get_if<net::Answer>(&read)) {
     return std::move(*wrong);
   }
   picojson::value const& nodes = std::get<picojson::value>(read);
@@ -159,28 +159,28 @@
   return out;
 }
 
-std::variant<std::string, rigging::Answer> readSalvage(std::string const& body) {
-  std::variant<picojson::value, rigging::Answer> read = readOneField(body, "from");
-  if (rigging::Answer* const wrong = std::get_if<rigging::Answer>(&read)) {
+std::variant<std::string, net::Answer> readForceNewGroup(std::string const& body) {
+  std::variant<picojson::value, net::Answer> read = readOneField(body, "from");
+  if (net::Answer* const wrong = std::get_if<net::Answer>(&read)) {
     return std::move(*wrong);
   }
   picojson::value const& from = std::get<picojson::value>(read);
-  if (!from.is<std::string>() || !rigging::Address::parse(from.get<std::string>())) {
+  if (!from.is<std::string>() || !net::Address::parse(from.get<std::string>())) {
     return refused("/from", "must be the IP number and port of a node");
   }
   return from.get<std::string>();
 }
 
-bool provesGone(rigging::Exchange const& exchange, std::string const& node) {
+bool provesGone(net::Exchange const& exchange, std::string const& node) {
   if (!exchange.answer) {
     return exchange.refused;
   }
-  absl::StatusOr<picojson::value> const read = manifest::parseJson(exchange.answer->body);
+  absl::StatusOr<picojson::value> const read = config::parseJson(exchange.answer->body);
   return read.ok() && read->is<picojson::object>() && read->contains("node") && read->get("node").is<std::string>() &&
          read->get("node").get<std::string>() != node;
 }
 
-rigging::Answer answerOf(Decided const& decided, std::string const& change) {
+net::Answer answerOf(Decided const& decided, std::string const& change) {
   std::string const tail =
       ",\"version\":" + json(decided.version.text()) + ",\"change\":" + json(change) +
       (decided.reason.empty() ? "" : ",\"reason\":" + json(decided.reason)) + "}";
@@ -197,15 +197,15 @@
       break;
   }
   std::string problems;
-  for (manifest::Problem const& problem : decided.problems) {
+  for (config::Problem const& problem : decided.problems) {
     problems += (problems.empty() ? "" : ",") + std::string("{\"path\":") + json(problem.path) +
                 ",\"reason\":" + json(problem.reason) + "}";
   }
   return plain(400, "{\"outcome\":\"refused\",\"problems\":[" + problems + "]" + tail);
 }
 
-rigging::Answer answerOf(ReadBack const& back) {
-  rigging::Answer answer;
+net::Answer answerOf(ReadBack const& back) {
+  net::Answer answer;
   answer.headers = {{"content-type", "application/json"},
                     {"limeramp-version", back.version.text()},
                     {revisionHeader, std::to_string(back.revision)}};
@@ -213,15 +213,15 @@
   return answer;
 }
 
-rigging::Answer relayAnswer(rigging::Exchange const& exchange, std::string const& change) {
+net::Answer relayAnswer(net::Exchange const& exchange, std::string const& change) {
   if (exchange.answer) {
-    rigging::Answer answer = *exchange.answer;
-    answer.headers = rigging::withoutHopByHop(answer.headers);
+    net::Answer answer = *exchange.answer;
+    answer.headers = net::withoutHopByHop(answer.headers);
     return answer;
   }
   Decided decided;
-  decided.verdict = exchange.verdict == tally::Verdict::notRun ? Verdict::notRun : Verdict::unknown;
-  decided.reason = exchange.verdict == tally::Verdict::notRun ? "the primary cannot be reached" : "the primary did not answer";
+  decided.verdict = exchange.verdict == retry::Verdict::notRun ? Verdict::notRun : Verdict::unknown;
+  decided.reason = exchange.verdict == retry::Verdict::notRun ? "the primary cannot be reached" : "the primary did not answer";
   return answerOf(decided, change);
 }
 
--- a/libs/harbour/src/relay.cpp
+++ b/libs/control/src/relay.cpp
@@ -1,8 +1,8 @@
-#include "limeramp/harbour/relay.h"
+#include "limeramp/control/relay.h"
 
 #include <map>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 namespace {
 
 struct Entry {
--- a/libs/harbour/src/runner.cpp
+++ b/libs/control/src/runner.cpp
@@ -1,11 +1,11 @@
-#include "limeramp/harbour/runner.h"
+#include "limeramp/control/runner.h"
 
-#include "limeramp/harbour/desk.h"
-#include "limeramp/rigging/chance.h"
+#include "limeramp/control/operator_api.h"
+#include "limeramp/net/random.h"
 
 #include <unordered_map>
 
-namespace limeramp::harbour {
+namespace limeramp::control {
 namespace {
 
 using Ms = std::chrono::milliseconds;
@@ -13,19 +13,19 @@
 constexpr char const* relayedHeader = "limeramp-relayed";
 
 struct Job {
-  rigging::Request content;
+  net::Request content;
   std::string change;
-  rigging::Responder respond;
+  net::Responder respond;
   bool reads = false;
 };
 
 }
 
 struct Runner::Impl {
-  Impl(rigging::HttpClient& clientIn, std::string const& advertiseIn, std::uint64_t firstAttempt, Post postIn)
+  Impl(net::HttpClient& clientIn, std::string const& advertiseIn, std::uint64_t firstAttempt, Post postIn)
       : client(clientIn), advertise(advertiseIn), post(std::move(postIn)), relay({}, firstAttempt) {}
 
-  rigging::HttpClient& client;
+  net::HttpClient& client;
   std::string advertise;
   Post post;
   Relay relay;
@@ -33,13 +33,13 @@
   std::uint64_t lastTicket = 0;
   std::unordered_map<std::uint64_t, Job> jobs;
 
-  void finish(std::uint64_t ticket, rigging::Answer answer) {
+  void finish(std::uint64_t ticket, net::Answer answer) {
     std::unordered_map<std::uint64_t, Job>::iterator const found = jobs.find(ticket);
     found->second.respond(std::move(answer));
     jobs.erase(found);
   }
 
-  void drive(TimePoint now, RelayEvent const& event, rigging::Exchange const* exchange = nullptr) {
+  void drive(TimePoint now, RelayEvent const& event, net::Exchange const* exchange = nullptr) {
     for (RelayEffect const& effect : relay.step(now, event)) {
       if (RelaySend const* const send = std::get_if<RelaySend>(&effect)) {
         begin(now, *send);
@@ -56,39 +56,39 @@
   }
 
   void begin(TimePoint now, RelaySend const& send) {
-    rigging::Request request = jobs.at(send.ticket).content;
+    net::Request request = jobs.at(send.ticket).content;
     long const leftMs = std::chrono::duration_cast<Ms>(send.deadline - now).count();
     request.headers.emplace_back(deadlineHeader, std::to_string(std::max<long>(1, leftMs)));
     std::uint64_t const ticket = send.ticket;
     std::uint64_t const attempt = send.attempt;
-    client.begin(attempt, rigging::Address::parse(send.address).value_or(rigging::Address{}), std::move(request), send.deadline,
-                 [to = post, ticket, attempt](rigging::Exchange exchange) { to({ticket, attempt, std::move(exchange)}); });
+    client.begin(attempt, net::Address::parse(send.address).value_or(net::Address{}), std::move(request), send.deadline,
+                 [to = post, ticket, attempt](net::Exchange exchange) { to({ticket, attempt, std::move(exchange)}); });
   }
 };
 
-Runner::Runner(rigging::HttpClient& client, std::string const& advertise, std::uint64_t firstAttempt, Post post)
+Runner::Runner(net::HttpClient& client, std::string const& advertise, std::uint64_t firstAttempt, Post post)
     : impl_(std::make_unique<Impl>(client, advertise, firstAttempt, std::move(post))) {}
 
 Runner::~Runner() = default;
 
-void Runner::take(TimePoint now, rigging::Request content, rigging::Responder respond) {
-  bool const reads = errandOf(content) == Errand::read;
-  std::variant<Change, rigging::Answer> change = reads ? Change{} : readChange(content, now, rigging::randomName());
-  std::variant<TimePoint, rigging::Answer> deadline = readDeadline(content, now);
-  for (rigging::Answer* const wrong : {std::get_if<rigging::Answer>(&change), std::get_if<rigging::Answer>(&deadline)}) {
+void Runner::take(TimePoint now, net::Request content, net::Responder respond) {
+  bool const reads = operatorCallOf(content) == OperatorCall::read;
+  std::variant<Change, net::Answer> change = reads ? Change{} : readChange(content, now, net::randomName());
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(content, now);
+  for (net::Answer* const wrong : {std::get_if<net::Answer>(&change), std::get_if<net::Answer>(&deadline)}) {
     if (wrong != nullptr) {
       respond(std::move(*wrong));
       return;
     }
   }
   std::string const& id = std::get<Change>(change).id;
-  if (rigging::findHeader(content.headers, relayedHeader)) {
+  if (net::findHeader(content.headers, relayedHeader)) {
     respond(answerOf(Decided{0, Verdict::notRun, {}, {}, "this node is not the primary"}, id));
     return;
   }
-  content.headers = rigging::withoutHopByHop(content.headers);
+  content.headers = net::withoutHopByHop(content.headers);
   for (char const* const name : {"limeramp-change", deadlineHeader, "host"}) {
-    rigging::dropHeader(content.headers, name);
+    net::dropHeader(content.headers, name);
   }
   if (!reads) {
     content.headers.emplace_back("limeramp-change", id);
@@ -101,10 +101,10 @@
 }
 
 void Runner::hear(TimePoint now, RunBack& back) {
-  rigging::Exchange const& exchange = back.exchange;
+  net::Exchange const& exchange = back.exchange;
   RelayOutcome outcome = RelayOutcome::final;
   if (!exchange.answer) {
-    outcome = exchange.verdict == tally::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+    outcome = exchange.verdict == retry::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
   } else if (exchange.answer->status == 503 || exchange.answer->status == 504) {
     outcome = exchange.answer->status == 503 ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
   }
--- a/libs/berth/include/limeramp/berth/list.h
+++ b/libs/discovery/include/limeramp/discovery/list.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/shoal/machine.h"
+#include "limeramp/dispatch/machine.h"
 
 #include <absl/status/statusor.h>
 
@@ -9,10 +9,10 @@
 #include <string_view>
 #include <vector>
 
-namespace limeramp::berth {
+namespace limeramp::discovery {
 
 struct List {
-  std::map<std::string, std::vector<shoal::ServerRow>> services;
+  std::map<std::string, std::vector<dispatch::ServerRow>> services;
   std::size_t rows = 0;
   std::vector<std::string> dropped;
   std::string nextPage{};
--- a/libs/berth/include/limeramp/berth/desk.h
+++ b/libs/discovery/include/limeramp/discovery/server_directory.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "limeramp/berth/list.h"
-#include "limeramp/cargo/messages.h"
-#include "limeramp/fairway/views.h"
+#include "limeramp/discovery/list.h"
+#include "limeramp/messages/messages.h"
+#include "limeramp/distribution/peer_views.h"
 
 #include <chrono>
 #include <map>
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace limeramp::berth {
+namespace limeramp::discovery {
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
@@ -38,7 +38,7 @@
 };
 
 struct DeskStep {
-  std::vector<fairway::Outgoing> sends;
+  std::vector<distribution::Outgoing> sends;
   std::vector<std::string> changed;
   bool readList = false;
   std::string page{};
@@ -53,13 +53,13 @@
   Desk& operator=(Desk&&) noexcept;
 
   DeskStep tick(TimePoint now, Around const& around);
-  DeskStep hear(TimePoint now, std::string const& address, cargo::TablePoll const& message);
-  DeskStep hear(TimePoint now, std::string const& address, cargo::TableNews const& message);
+  DeskStep hear(TimePoint now, std::string const& address, messages::TablePoll const& message);
+  DeskStep hear(TimePoint now, std::string const& address, messages::TableNews const& message);
   DeskStep listed(TimePoint now, List const& list);
   void listFailed();
   void listFailed(TimePoint now, bool overRate);
 
-  std::vector<shoal::ServerRow> rows(TimePoint now, std::string const& service) const;
+  std::vector<dispatch::ServerRow> rows(TimePoint now, std::string const& service) const;
   std::optional<std::chrono::milliseconds> ageMs(TimePoint now, std::string const& service) const;
 
  private:
--- a/libs/berth/src/list.cpp
+++ b/libs/discovery/src/list.cpp
@@ -1,11 +1,11 @@
-#include "limeramp/berth/list.h"
+#include "limeramp/discovery/list.h"
 
-#include "limeramp/manifest/reader.h"
-#include "limeramp/rigging/http.h"
+#include "limeramp/config/reader.h"
+#include "limeramp/net/http.h"
 
 #include <set>
 
-namespace limeramp::berth {
+namespace limeramp::discovery {
 namespace {
 
 constexpr std::size_t mostTokenBytes = 1024;
@@ -13,7 +13,7 @@
 }
 
 absl::StatusOr<List> readList(std::string_view body) {
-  absl::StatusOr<picojson::value> parsed = manifest::parseJson(body, {4u << 20, 6, 200'000});
+  absl::StatusOr<picojson::value> parsed = config::parseJson(body, {4u << 20, 6, 200'000});
   if (!parsed.ok()) {
     return parsed.status();
   }
@@ -31,9 +31,9 @@
   std::set<std::pair<std::string, std::string>> seen;
   std::size_t index = 0;
   for (picojson::value const& item : parsed->get("servers").get<picojson::array>()) {
-    std::vector<manifest::Problem> problems;
-    manifest::Reader reader(item, "/servers/" + std::to_string(index++), problems);
-    shoal::ServerRow row;
+    std::vector<config::Problem> problems;
+    config::Reader reader(item, "/servers/" + std::to_string(index++), problems);
+    dispatch::ServerRow row;
     row.address = reader.text("address", std::nullopt);
     std::string const service = reader.text("service", std::nullopt);
     row.zone = reader.text("zone", std::nullopt);
@@ -44,7 +44,7 @@
     row.life = reader.text("life", "");
     row.coldMs =
         reader.durationMs("cold_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0), std::chrono::minutes(60));
-    if (problems.empty() && !rigging::Address::parse(row.address)) {
+    if (problems.empty() && !net::Address::parse(row.address)) {
       reader.complain("address", "must be an IP number and a port");
     }
     if (problems.empty() && !seen.emplace(service, row.address).second) {
--- a/libs/berth/src/desk.cpp
+++ b/libs/discovery/src/server_directory.cpp
@@ -1,10 +1,10 @@
-#include "limeramp/berth/desk.h"
+#include "limeramp/discovery/server_directory.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 
-namespace limeramp::berth {
+namespace limeramp::discovery {
 namespace {
 
 using Ms = std::chrono::milliseconds;
@@ -18,7 +18,7 @@
 };
 
 struct Sheet {
-  std::vector<cargo::TableRow> rows;
+  std::vector<messages::TableRow> rows;
   std::uint64_t digest = 0;
   std::optional<TimePoint> asOf;
   TimePoint servedUntil{};
@@ -32,17 +32,17 @@
 
 using SeenKey = std::pair<std::string, std::string>;
 
-SeenKey seenKey(std::string const& service, cargo::TableRow const& row) {
+SeenKey seenKey(std::string const& service, messages::TableRow const& row) {
   return {service, row.address + ' ' + row.life};
 }
 
-std::uint64_t digestOf(std::string const& service, std::vector<cargo::TableRow> const& rows,
+std::uint64_t digestOf(std::string const& service, std::vector<messages::TableRow> const& rows,
                        std::map<SeenKey, Seen> const& seen) {
   std::uint64_t digest = XXH64("table", 5, 0);
-  for (cargo::TableRow row : rows) {
+  for (messages::TableRow row : rows) {
     row.ageMs = 0;
     row.coldMs = seen.at(seenKey(service, row)).coldToldMs;
-    std::string const bytes = cargo::pack(row);
+    std::string const bytes = messages::pack(row);
     digest = XXH64(bytes.data(), bytes.size(), digest);
   }
   return digest;
@@ -75,8 +75,8 @@
   std::set<SeenKey> absent;
   std::optional<TimePoint> emptySince;
 
-  cargo::Table tableOf(TimePoint now, std::string const& service, bool whole) const {
-    cargo::Table table;
+  messages::Table tableOf(TimePoint now, std::string const& service, bool whole) const {
+    messages::Table table;
     table.service = service;
     std::map<std::string, Sheet>::const_iterator const found = sheets.find(service);
     if (found == sheets.end()) {
@@ -86,7 +86,7 @@
     table.whole = whole;
     if (whole) {
       table.rows = found->second.rows;
-      for (cargo::TableRow& row : table.rows) {
+      for (messages::TableRow& row : table.rows) {
         std::map<SeenKey, Seen>::const_iterator const known = seen.find(seenKey(service, row));
         if (known != seen.end()) {
           row.ageMs = millisBetween(known->second.firstAt, now);
@@ -101,11 +101,11 @@
     return static_cast<std::uint64_t>(std::max<long>(0, std::chrono::duration_cast<Ms>(to - from).count()));
   }
 
-  bool adopt(TimePoint now, std::string const& service, std::vector<cargo::TableRow> const& rows,
+  bool adopt(TimePoint now, std::string const& service, std::vector<messages::TableRow> const& rows,
              std::optional<std::uint64_t> toldDigest) {
     bool older = false;
     std::set<SeenKey> listed;
-    for (cargo::TableRow const& row : rows) {
+    for (messages::TableRow const& row : rows) {
       TimePoint const firstAt = now - Ms(static_cast<long>(row.ageMs));
       TimePoint const coldUntil = now + Ms(static_cast<long>(row.coldMs));
       SeenKey const key = seenKey(service, row);
@@ -135,11 +135,11 @@
     return changed;
   }
 
-  std::vector<cargo::TableRow> rowsOf(List const& list, std::string const& service, bool whole) {
-    std::vector<cargo::TableRow> rows;
-    std::map<std::string, std::vector<shoal::ServerRow>>::const_iterator const found = list.services.find(service);
+  std::vector<messages::TableRow> rowsOf(List const& list, std::string const& service, bool whole) {
+    std::vector<messages::TableRow> rows;
+    std::map<std::string, std::vector<dispatch::ServerRow>>::const_iterator const found = list.services.find(service);
     if (found != list.services.end()) {
-      for (shoal::ServerRow const& row : found->second) {
+      for (dispatch::ServerRow const& row : found->second) {
         rows.push_back({row.address, row.zone, row.capacity, row.leaving,
                         static_cast<std::uint64_t>(row.slowStartMs.count()), 0, row.life,
                         static_cast<std::uint64_t>(row.coldMs.count())});
@@ -149,17 +149,17 @@
       return rows;
     }
     std::set<SeenKey> listed;
-    for (cargo::TableRow const& row : rows) {
+    for (messages::TableRow const& row : rows) {
       listed.insert(seenKey(service, row));
       absent.erase(seenKey(service, row));
     }
-    for (cargo::TableRow const& row : sheets[service].rows) {
+    for (messages::TableRow const& row : sheets[service].rows) {
       SeenKey const key = seenKey(service, row);
       if (listed.contains(key)) {
         continue;
       }
       if (absent.insert(key).second) {
-        cargo::TableRow held = row;
+        messages::TableRow held = row;
         held.leaving = true;
         held.coldMs = 0;
         rows.push_back(std::move(held));
@@ -201,9 +201,9 @@
     collected = List{};
   }
 
-  void push(TimePoint now, std::vector<std::string> const& changed, std::vector<fairway::Outgoing>& sends) {
+  void push(TimePoint now, std::vector<std::string> const& changed, std::vector<distribution::Outgoing>& sends) {
     for (std::pair<std::string const, Listener>& entry : listeners) {
-      cargo::TableNews news;
+      messages::TableNews news;
       news.node = node;
       for (std::string const& service : changed) {
         if (entry.second.has.contains(service) && now - entry.second.at <= policy.followerMs) {
@@ -250,12 +250,12 @@
   std::erase_if(impl.listeners, [&](std::pair<std::string const, Listener> const& entry) {
     return now - entry.second.at > impl.policy.followerMs;
   });
-  std::map<std::string, cargo::TablePoll> polls;
+  std::map<std::string, messages::TablePoll> polls;
   std::string first;
   std::string elder;
   std::size_t position = 0;
   std::size_t place = 0;
-  for (std::string const& candidate : fairway::rankHomes("list/" + impl.zone, around.zoneAddresses)) {
+  for (std::string const& candidate : distribution::rankHomes("list/" + impl.zone, around.zoneAddresses)) {
     if (candidate == impl.address) {
       position = place;
     }
@@ -279,16 +279,16 @@
       home = elder;
     }
     if (!home.empty() && home != impl.address) {
-      cargo::TablePoll& poll = polls[home];
+      messages::TablePoll& poll = polls[home];
       poll.node = impl.node;
       poll.address = impl.address;
-      cargo::Table has;
+      messages::Table has;
       has.service = service;
       has.digest = sheet.asOf && !young ? sheet.digest : 0;
       poll.have.push_back(std::move(has));
     }
   }
-  for (std::pair<std::string const, cargo::TablePoll>& entry : polls) {
+  for (std::pair<std::string const, messages::TablePoll>& entry : polls) {
     impl.askedAt.try_emplace(entry.first, now);
     out.sends.push_back({entry.first, std::move(entry.second)});
   }
@@ -296,16 +296,16 @@
   return out;
 }
 
-DeskStep Desk::hear(TimePoint now, std::string const&, cargo::TablePoll const& message) {
+DeskStep Desk::hear(TimePoint now, std::string const&, messages::TablePoll const& message) {
   Impl& impl = *impl_;
   DeskStep out;
   Listener& listener = impl.listeners[message.node];
   listener.address = message.address;
   listener.at = now;
   listener.has.clear();
-  cargo::TableNews news;
+  messages::TableNews news;
   news.node = impl.node;
-  for (cargo::Table const& has : message.have) {
+  for (messages::Table const& has : message.have) {
     if (impl.sheets.size() >= mostSheets && !impl.sheets.contains(has.service)) {
       continue;
     }
@@ -320,12 +320,12 @@
   return out;
 }
 
-DeskStep Desk::hear(TimePoint now, std::string const& address, cargo::TableNews const& message) {
+DeskStep Desk::hear(TimePoint now, std::string const& address, messages::TableNews const& message) {
   Impl& impl = *impl_;
   DeskStep out;
   impl.askedAt.erase(address);
   impl.suspects.erase(address);
-  for (cargo::Table const& table : message.tables) {
+  for (messages::Table const& table : message.tables) {
     Sheet& sheet = impl.sheets[table.service];
     if (table.whole) {
       if (impl.adopt(now, table.service, table.rows, table.digest)) {
@@ -354,11 +354,11 @@
     impl.restartList();
     return out;
   }
-  for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& entry : page.services) {
-    std::vector<shoal::ServerRow>& rows = impl.collected.services[entry.first];
-    for (shoal::ServerRow const& row : entry.second) {
-      std::vector<shoal::ServerRow>::iterator const same = std::find_if(
-          rows.begin(), rows.end(), [&](shoal::ServerRow const& known) { return known.address == row.address && known.life == row.life; });
+  for (std::pair<std::string const, std::vector<dispatch::ServerRow>> const& entry : page.services) {
+    std::vector<dispatch::ServerRow>& rows = impl.collected.services[entry.first];
+    for (dispatch::ServerRow const& row : entry.second) {
+      std::vector<dispatch::ServerRow>::iterator const same = std::find_if(
+          rows.begin(), rows.end(), [&](dispatch::ServerRow const& known) { return known.address == row.address && known.life == row.life; });
       if (same == rows.end()) {
         rows.push_back(row);
         ++impl.collected.rows;
@@ -394,7 +394,7 @@
   impl.emptySince.reset();
   impl.lastRows = list.rows;
   impl.listedAt = now;
-  for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& entry : list.services) {
+  for (std::pair<std::string const, std::vector<dispatch::ServerRow>> const& entry : list.services) {
     if (impl.sheets.size() < mostSheets) {
       impl.sheets.try_emplace(entry.first);
     }
@@ -428,13 +428,13 @@
   impl.nextListAt = now + waitMs + waitMs * static_cast<long>(spread) / 200;
 }
 
-std::vector<shoal::ServerRow> Desk::rows(TimePoint now, std::string const& service) const {
-  std::vector<shoal::ServerRow> out;
+std::vector<dispatch::ServerRow> Desk::rows(TimePoint now, std::string const& service) const {
+  std::vector<dispatch::ServerRow> out;
   std::map<std::string, Sheet>::const_iterator const found = impl_->sheets.find(service);
   if (found == impl_->sheets.end()) {
     return out;
   }
-  for (cargo::TableRow const& row : impl_->tableOf(now, service, true).rows) {
+  for (messages::TableRow const& row : impl_->tableOf(now, service, true).rows) {
     out.push_back({row.address, row.zone, row.capacity, row.leaving, Ms(static_cast<long>(row.slowStartMs)),
                    Ms(static_cast<long>(row.ageMs)), row.life, Ms(static_cast<long>(row.coldMs)), 0});
   }
--- a/libs/shoal/include/limeramp/shoal/machine.h
+++ b/libs/dispatch/include/limeramp/dispatch/machine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/signal/signal.h"
-#include "limeramp/tally/ledger.h"
+#include "limeramp/logging/logging.h"
+#include "limeramp/retry/ledger.h"
 
 #include <chrono>
 #include <cstdint>
@@ -11,9 +11,9 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 
-using tally::TimePoint;
+using retry::TimePoint;
 
 struct Policy {
   std::size_t concurrentPerServer = 4;
@@ -104,7 +104,7 @@
   std::uint64_t attempt = 0;
   bool good = false;
   bool healthy = false;
-  tally::Verdict verdict = tally::Verdict::mayHaveRun;
+  retry::Verdict verdict = retry::Verdict::mayHaveRun;
   std::optional<double> load;
   bool otherLife = false;
   bool full = false;
@@ -140,14 +140,14 @@
 struct Finish {
   std::uint64_t request = 0;
   Ending ending = Ending::failed;
-  tally::Verdict verdict = tally::Verdict::mayHaveRun;
+  retry::Verdict verdict = retry::Verdict::mayHaveRun;
   std::vector<std::size_t> missing;
   std::string reason;
   std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 struct Note {
-  signal::Event event;
+  logging::Event event;
   std::string service;
   std::string server;
 };
--- a/libs/shoal/include/limeramp/shoal/part.h
+++ b/libs/dispatch/include/limeramp/dispatch/part.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 
 struct Stamp {
   std::string shard;
--- a/libs/shoal/src/alarms.cpp
+++ b/libs/dispatch/src/alarms.cpp
@@ -1,6 +1,6 @@
 #include "impl.h"
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 
 void Alarms::put(std::size_t place, Entry const& entry) {
   heap_[place] = entry;
--- a/libs/shoal/src/impl.h
+++ b/libs/dispatch/src/impl.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/shoal/machine.h"
+#include "limeramp/dispatch/machine.h"
 
 #include <array>
 #include <compare>
@@ -8,7 +8,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 
 using Ms = std::chrono::milliseconds;
 using FineMs = std::chrono::duration<double, std::milli>;
@@ -105,7 +105,7 @@
   double baseMs = 0;
   Latencies latencies;
   std::vector<std::pair<std::size_t, Latencies>> kinds;
-  tally::Budget budget;
+  retry::Budget budget;
   std::vector<LegKey> overdue;
   std::size_t legs = 0;
   TimePoint wakeAt = TimePoint::max();
@@ -114,7 +114,7 @@
 
 struct Leg {
   std::uint32_t service = 0;
-  tally::Ledger ledger;
+  retry::Ledger ledger;
   TenantState* tenant = nullptr;
   std::uint64_t order = 0;
   bool waiting = false;
@@ -215,9 +215,9 @@
   double silentMs(ServiceState const& service) const;
   bool isSilent(ServiceState const& service, ServerState const& server) const;
   bool isIdle(ServiceState const& service, ServerState& server, std::size_t spare, ShardView const& view) const;
-  bool hasCandidate(ServiceState const& service, tally::Ledger const& ledger) const;
+  bool hasCandidate(ServiceState const& service, retry::Ledger const& ledger) const;
   bool hasReady(ServiceState const& service) const;
-  ServerState* chooseIdle(ServiceState& service, tally::Ledger const& ledger, bool repeatable, std::size_t spare);
+  ServerState* chooseIdle(ServiceState& service, retry::Ledger const& ledger, bool repeatable, std::size_t spare);
   double scoreOf(ServiceState const& service, ServerState const& server, bool repeatable) const;
   TimePoint nextIdleAt(ServerState const& server) const;
   void noteAnswer(ServiceState& service, ServerState& server, Returned const& event, double latencyMs,
@@ -242,7 +242,7 @@
   void narrow(ServiceState& service, TenantState& tenant, double latencyMs);
 
   void closeOthers(RequestState& request, std::uint32_t leg);
-  void closeAttempt(RequestState& request, std::uint32_t leg, tally::Attempt const& attempt, bool lost);
+  void closeAttempt(RequestState& request, std::uint32_t leg, retry::Attempt const& attempt, bool lost);
   void settle(RequestState& request);
   void finish(RequestState& request, Ending ending, std::string const& reason);
   void refuse(Arrive const& event, std::string const& reason);
--- a/libs/shoal/src/machine.cpp
+++ b/libs/dispatch/src/machine.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 
 std::uint32_t Machine::Impl::serviceOf(std::string const& name) {
   std::unordered_map<std::string, std::uint32_t>::const_iterator const found = serviceIndex.find(name);
@@ -104,7 +104,7 @@
   Finish refusal;
   refusal.request = event.request;
   refusal.ending = Ending::refused;
-  refusal.verdict = tally::Verdict::notRun;
+  refusal.verdict = retry::Verdict::notRun;
   refusal.reason = reason;
   refusal.retryAfter = policy.retryLeastMs;
   std::string const service = event.services.empty() ? "" : event.services.front();
@@ -113,7 +113,7 @@
     refusal.retryAfter = retryAfter(services[known->second]);
   }
   effects.emplace_back(std::move(refusal));
-  effects.emplace_back(Note{signal::Event::overloadRefused, service, event.tenant});
+  effects.emplace_back(Note{logging::Event::overloadRefused, service, event.tenant});
 }
 
 void Machine::Impl::on(Arrive const& event) {
@@ -178,7 +178,7 @@
   return std::clamp(Ms(static_cast<long>(std::min(roomMs, 1e6))), policy.retryLeastMs, policy.retryMostMs);
 }
 
-void Machine::Impl::closeAttempt(RequestState& request, std::uint32_t index, tally::Attempt const& attempt, bool lost) {
+void Machine::Impl::closeAttempt(RequestState& request, std::uint32_t index, retry::Attempt const& attempt, bool lost) {
   Leg& leg = request.legs[index];
   ServiceState& service = services[leg.service];
   if (ServerState* const server = findServer(service, attempt.server)) {
@@ -207,8 +207,8 @@
   }
   bool const lost = leg.ledger.isComplete();
   for (std::size_t at = 0; at < leg.ledger.attempts().size(); ++at) {
-    tally::Attempt const attempt = leg.ledger.attempts()[at];
-    if (attempt.phase == tally::Phase::assigned) {
+    retry::Attempt const attempt = leg.ledger.attempts()[at];
+    if (attempt.phase == retry::Phase::assigned) {
       closeAttempt(request, index, attempt, lost);
     }
   }
@@ -225,9 +225,9 @@
   RequestState& request = requests.at(key.request);
   Leg& leg = request.legs[key.leg];
   ServiceState& service = services[leg.service];
-  std::vector<tally::Attempt> const& entries = leg.ledger.attempts();
-  tally::Attempt const attempt = *std::find_if(
-      entries.begin(), entries.end(), [&](tally::Attempt const& entry) { return entry.id == event.attempt; });
+  std::vector<retry::Attempt> const& entries = leg.ledger.attempts();
+  retry::Attempt const attempt = *std::find_if(
+      entries.begin(), entries.end(), [&](retry::Attempt const& entry) { return entry.id == event.attempt; });
   leg.tenant->inFlight -= leg.tenant->inFlight > 0 ? 1 : 0;
   double const latencyMs = millis(now - attempt.began);
   if (event.healthy) {
@@ -246,7 +246,7 @@
     closeOthers(request, key.leg);
   } else {
     leg.ledger.fail(event.attempt, event.verdict,
-                    event.verdict != tally::Verdict::notRun || event.full || event.otherLife);
+                    event.verdict != retry::Verdict::notRun || event.full || event.otherLife);
     if (!leg.ledger.hasOpen()) {
       leg.overdue = false;
       if (leg.ledger.mayAttemptAgain(request.max_attempts, request.repeatable) && hasCandidate(service, leg.ledger) &&
@@ -332,7 +332,7 @@
     if (service.budget.left() < 1 && !leg.noted) {
       leg.noted = true;
       ++counters.budgetSpent;
-      effects.emplace_back(Note{signal::Event::budgetSpent, service.name, ""});
+      effects.emplace_back(Note{logging::Event::budgetSpent, service.name, ""});
     }
   }
   alarms.set(request, due);
@@ -354,7 +354,7 @@
   counters.missing += out.missing.size();
   bool const answered = ending == Ending::complete || ending == Ending::partial;
   out.ending = answered ? ending : touched ? Ending::failed : Ending::refused;
-  out.verdict = answered ? tally::Verdict::ran : touched ? tally::Verdict::mayHaveRun : tally::Verdict::notRun;
+  out.verdict = answered ? retry::Verdict::ran : touched ? retry::Verdict::mayHaveRun : retry::Verdict::notRun;
   if (!answered) {
     out.reason = reason;
     out.retryAfter = retryAfter(services[request.legs.front().service]);
--- a/libs/shoal/src/part.cpp
+++ b/libs/dispatch/src/part.cpp
@@ -1,13 +1,13 @@
-#include "limeramp/shoal/part.h"
+#include "limeramp/dispatch/part.h"
 
-#include "limeramp/manifest/json.h"
+#include "limeramp/config/json.h"
 
 #include <tbb/flow_graph.h>
 #include <tbb/task_arena.h>
 
 #include <algorithm>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 namespace {
 
 absl::StatusOr<std::string> field(picojson::object const& fields, std::string const& key) {
@@ -34,7 +34,7 @@
 }
 
 absl::StatusOr<Part> readPart(std::string_view body, Stamp const& expected, std::size_t result_size) {
-  absl::StatusOr<picojson::value> parsed = manifest::parseJson(body, {4u << 20, 4, 100'000});
+  absl::StatusOr<picojson::value> parsed = config::parseJson(body, {4u << 20, 4, 100'000});
   if (!parsed.ok()) {
     return parsed.status();
   }
--- a/libs/shoal/src/queue.cpp
+++ b/libs/dispatch/src/queue.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 namespace {
 
 constexpr std::size_t headsTried = 8;
--- a/libs/shoal/src/servers.cpp
+++ b/libs/dispatch/src/servers.cpp
@@ -3,15 +3,15 @@
 #include <algorithm>
 #include <cmath>
 
-namespace limeramp::shoal {
+namespace limeramp::dispatch {
 namespace {
 
 constexpr std::size_t latencyWindow = 128;
 
 std::size_t turnOf(std::string const& text) {
   std::uint64_t hash = 14695981039346656037u;
-  for (char const letter : text) {
-    hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211u;
+  for (char const inbound : text) {
+    hash = (hash ^ static_cast<unsigned char>(inbound)) * 1099511628211u;
   }
   return hash % 1'000'003;
 }
@@ -165,7 +165,7 @@
   return soonest;
 }
 
-bool Machine::Impl::hasCandidate(ServiceState const& service, tally::Ledger const& ledger) const {
+bool Machine::Impl::hasCandidate(ServiceState const& service, retry::Ledger const& ledger) const {
   ShardView const view = viewOf(service);
   return std::any_of(service.servers.begin(), service.servers.end(), [&](ServerState const& server) {
     return mayTake(server, view) && !ledger.hasTried(server.id);
@@ -202,7 +202,7 @@
   return score * (1 - policy.zoneBias * nearness);
 }
 
-ServerState* Machine::Impl::chooseIdle(ServiceState& service, tally::Ledger const& ledger, bool repeatable,
+ServerState* Machine::Impl::chooseIdle(ServiceState& service, retry::Ledger const& ledger, bool repeatable,
                                        std::size_t spare) {
   ServerState* best = nullptr;
   double bestScore = 0;
@@ -232,7 +232,7 @@
 
 void Machine::Impl::markDown(ServiceState const& service, ServerState& server) {
   if (!server.downUntil) {
-    effects.emplace_back(Note{signal::Event::serverDown, service.name, server.row.address});
+    effects.emplace_back(Note{logging::Event::serverDown, service.name, server.row.address});
   }
   server.downMs = server.downMs.count() == 0 ? std::max(policy.downFirstMs, server.quietMs * 2) : std::min(policy.downMostMs, server.downMs * 2);
   server.downUntil = now + server.downMs;
@@ -253,7 +253,7 @@
 
 void Machine::Impl::noteAnswer(ServiceState& service, ServerState& server, Returned const& event, double latencyMs,
                                std::size_t kind) {
-  bool const unrun = event.verdict == tally::Verdict::notRun;
+  bool const unrun = event.verdict == retry::Verdict::notRun;
   bool const reached = event.healthy || !unrun || event.full || event.otherLife;
   if (event.load) {
     server.load = std::clamp(*event.load, 0.0, 10.0);
@@ -290,7 +290,7 @@
       server.downUntil.reset();
       server.downMs = Ms(0);
       server.limit = std::max(server.limit, static_cast<double>(policy.concurrentPerServer) / 2);
-      effects.emplace_back(Note{signal::Event::serverBack, service.name, server.row.address});
+      effects.emplace_back(Note{logging::Event::serverBack, service.name, server.row.address});
     }
   }
   if (full) {
--- /dev/null
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "limeramp/messages/messages.h"
+#include "limeramp/distribution/peer_views.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace limeramp::distribution {
+
+struct ConfigDeliveryPolicy {
+  std::chrono::milliseconds pollMs{200};
+  std::chrono::milliseconds afarPollMs{350};
+  std::chrono::milliseconds replyMs{450};
+  std::chrono::milliseconds suspectMs{3000};
+  std::chrono::milliseconds stalenessCheckMs{1300};
+  std::chrono::milliseconds currentMs{2000};
+  std::chrono::milliseconds followerMs{2000};
+  std::chrono::milliseconds recoverAfterMs{1000};
+  std::size_t wideSlices = 4;
+};
+
+using IncarnationRecords = std::map<std::string, messages::IncarnationRecord>;
+
+void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard);
+
+enum class Standing { unknown, unlisted, stale, current, upheld };
+
+struct DeliveryStatus {
+  Standing standing = Standing::unknown;
+  std::chrono::milliseconds ageMs{0};
+};
+
+struct ConfigDeliveryStep {
+  std::vector<Outgoing> sends;
+  bool changed = false;
+};
+
+class ConfigDelivery {
+ public:
+  ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot, std::uint64_t seed);
+  ~ConfigDelivery();
+  ConfigDelivery(ConfigDelivery&&) noexcept;
+  ConfigDelivery& operator=(ConfigDelivery&&) noexcept;
+
+  ConfigDeliveryStep tick(TimePoint now, std::vector<messages::Peer> const& peers);
+  ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::Poll const& message);
+  ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::News const& message);
+
+  void leave();
+  DeliveryStatus status(TimePoint now) const;
+  std::optional<messages::State> const& state() const;
+  std::string const& primaryAddress() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- a/libs/fairway/include/limeramp/fairway/views.h
+++ b/libs/distribution/include/limeramp/distribution/peer_views.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/cargo/messages.h"
+#include "limeramp/messages/messages.h"
 
 #include <chrono>
 #include <cstdint>
@@ -10,13 +10,13 @@
 #include <utility>
 #include <vector>
 
-namespace limeramp::fairway {
+namespace limeramp::distribution {
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
 struct Outgoing {
   std::string address;
-  cargo::Message message;
+  messages::Message message;
 };
 
 struct ViewPolicy {
@@ -31,17 +31,17 @@
   std::chrono::milliseconds loneFoundingMs{4000};
 };
 
-class Views {
+class PeerViews {
  public:
-  Views(ViewPolicy const& policy, cargo::Peer const& self, std::vector<std::string> const& seeds, std::uint64_t seed);
-  ~Views();
-  Views(Views&&) noexcept;
-  Views& operator=(Views&&) noexcept;
+  PeerViews(ViewPolicy const& policy, messages::Peer const& self, std::vector<std::string> const& seeds, std::uint64_t seed);
+  ~PeerViews();
+  PeerViews(PeerViews&&) noexcept;
+  PeerViews& operator=(PeerViews&&) noexcept;
 
   std::vector<Outgoing> tick(TimePoint now, bool eager = false);
   std::vector<Outgoing> hear(TimePoint now, std::string const& from, std::string const& address,
-                             cargo::Shuffle const& message);
-  std::vector<cargo::Peer> peers(TimePoint now) const;
+                             messages::Shuffle const& message);
+  std::vector<messages::Peer> peers(TimePoint now) const;
   bool mayFound(TimePoint now) const;
 
  private:
--- a/libs/fairway/src/courier.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -1,17 +1,17 @@
-#include "limeramp/fairway/courier.h"
+#include "limeramp/distribution/config_delivery.h"
 
 #include <algorithm>
 #include <map>
 #include <random>
 #include <set>
 
-namespace limeramp::fairway {
+namespace limeramp::distribution {
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using Mark = std::pair<std::uint64_t, std::uint64_t>;
+using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
 
-constexpr std::size_t mostVouches = 2000;
+constexpr std::size_t mostIncarnations = 2000;
 
 struct Asked {
   std::string address;
@@ -20,32 +20,32 @@
 };
 
 struct Listener {
-  cargo::Follower follower;
-  cargo::Bearing bearing;
+  messages::Follower follower;
+  messages::PeerStatus peerStatus;
   TimePoint at{};
 };
 
 }
 
-void mergeVouches(Vouches& known, std::vector<cargo::Vouch> const& heard) {
-  for (cargo::Vouch const& vouch : heard) {
-    if (known.size() >= mostVouches && !known.contains(vouch.node)) {
+void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard) {
+  for (messages::IncarnationRecord const& incarnation : heard) {
+    if (known.size() >= mostIncarnations && !known.contains(incarnation.node)) {
       continue;
     }
-    cargo::Vouch& entry = known[vouch.node];
-    if (vouch.rank > entry.rank) {
-      entry = vouch;
-    } else if (vouch.rank == entry.rank && vouch.boot != entry.boot) {
+    messages::IncarnationRecord& entry = known[incarnation.node];
+    if (incarnation.rank > entry.rank) {
+      entry = incarnation;
+    } else if (incarnation.rank == entry.rank && incarnation.boot != entry.boot) {
       entry.boot = 0;
     }
   }
 }
 
-struct Courier::Impl {
-  CourierPolicy policy;
-  cargo::Follower self;
-  std::mt19937_64 dice;
-  std::optional<cargo::State> state;
+struct ConfigDelivery::Impl {
+  ConfigDeliveryPolicy policy;
+  messages::Follower self;
+  std::mt19937_64 random;
+  std::optional<messages::State> state;
   std::string primaryAddress;
   std::optional<TimePoint> anchor;
   std::map<std::string, TimePoint> contacts;
@@ -60,78 +60,78 @@
   bool hurry = false;
   std::optional<TimePoint> startedAt;
   bool settled = false;
-  cargo::Bearing bearing;
-  Vouches vouches;
+  messages::PeerStatus peerStatus;
+  IncarnationRecords incarnations;
   std::map<std::string, std::uint64_t> recovering;
 
-  Mark mark() const { return state ? Mark(state->epoch, state->sequence) : Mark(0, 0); }
+  StateVersion mark() const { return state ? StateVersion(state->epoch, state->sequence) : StateVersion(0, 0); }
 
   bool listed() const {
-    return state && std::any_of(state->roster.begin(), state->roster.end(), [&](cargo::RosterEntry const& entry) {
+    return state && std::any_of(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
              return entry.node == self.node && entry.address == self.address;
            });
   }
 
-  std::vector<cargo::Vouch> vouchList() const {
-    std::vector<cargo::Vouch> out;
-    for (std::pair<std::string const, cargo::Vouch> const& entry : vouches) {
+  std::vector<messages::IncarnationRecord> incarnationList() const {
+    std::vector<messages::IncarnationRecord> out;
+    for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations) {
       out.push_back(entry.second);
     }
     return out;
   }
 
-  cargo::Poll makePoll(TimePoint now, std::string const& address, bool recover = false) {
-    cargo::Poll poll;
+  messages::Poll makePoll(TimePoint now, std::string const& address, bool recover = false) {
+    messages::Poll poll;
     poll.token = ++lastToken;
     poll.self = self;
     poll.self.epoch = mark().first;
     poll.self.sequence = mark().second;
     poll.recover = recover;
-    bearing.vouched = vouchList();
-    poll.bearings.push_back(bearing);
+    peerStatus.incarnations = incarnationList();
+    poll.peerStatuses.push_back(peerStatus);
     for (std::pair<std::string const, Listener> const& entry : listeners) {
       poll.followers.push_back(entry.second.follower);
-      poll.bearings.push_back(entry.second.bearing);
+      poll.peerStatuses.push_back(entry.second.peerStatus);
     }
     asked[poll.token] = {address, now, recover};
     return poll;
   }
 
   bool trusts(std::string const& node, std::uint64_t boot) const {
-    Vouches::const_iterator const found = vouches.find(node);
-    return found == vouches.end() || found->second.boot == boot;
+    IncarnationRecords::const_iterator const found = incarnations.find(node);
+    return found == incarnations.end() || found->second.boot == boot;
   }
 
-  void vouchFor(std::string const& node, std::uint64_t boot) {
-    cargo::Vouch& entry = vouches[node];
+  void recordIncarnation(std::string const& node, std::uint64_t boot) {
+    messages::IncarnationRecord& entry = incarnations[node];
     if (entry.boot != boot || entry.rank == 0) {
       entry = {node, boot, entry.rank + 1};
     }
   }
 
   bool recovered() const {
-    if (!listed() || !trusts(self.node, bearing.boot)) {
+    if (!listed() || !trusts(self.node, peerStatus.boot)) {
       return false;
     }
     std::size_t const count = static_cast<std::size_t>(
-        std::count_if(state->roster.begin(), state->roster.end(), [&](cargo::RosterEntry const& entry) {
+        std::count_if(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
           std::map<std::string, std::uint64_t>::const_iterator const found = recovering.find(entry.node);
           return entry.node != self.node && found != recovering.end() && trusts(entry.node, found->second);
         }));
     return count >= (state->roster.size() + 1) / 2;
   }
 
-  std::vector<std::string> homes(std::vector<cargo::Peer> const& peers) const {
+  std::vector<std::string> homes(std::vector<messages::Peer> const& peers) const {
     std::map<std::string, std::string> zone;
     if (state) {
-      for (cargo::RosterEntry const& entry : state->roster) {
+      for (messages::RosterEntry const& entry : state->roster) {
         if (entry.zone == self.zone) {
           zone[entry.node] = entry.address;
         }
       }
     }
-    for (cargo::Peer const& peer : peers) {
-      if (zone.empty() && peer.role == "quay" && peer.zone == self.zone) {
+    for (messages::Peer const& peer : peers) {
+      if (zone.empty() && peer.role == messages::gatewayRole && peer.zone == self.zone) {
         zone[peer.node] = peer.address;
       }
     }
@@ -147,26 +147,26 @@
     return out;
   }
 
-  std::string controlAddress(std::vector<cargo::Peer> const& peers) {
+  std::string controlAddress(std::vector<messages::Peer> const& peers) {
     if (!primaryAddress.empty() && !suspects.contains(primaryAddress)) {
       return primaryAddress;
     }
     std::vector<std::string> known;
-    for (cargo::Peer const& peer : peers) {
-      if (peer.role == "harbourmaster") {
+    for (messages::Peer const& peer : peers) {
+      if (peer.role == messages::controllerRole) {
         known.push_back(peer.address);
       }
     }
     return known.empty() ? primaryAddress : known[++turn % known.size()];
   }
 
-  bool adopt(cargo::State const& next) {
-    if (Mark(next.epoch, next.sequence) <= mark()) {
+  bool adopt(messages::State const& next) {
+    if (StateVersion(next.epoch, next.sequence) <= mark()) {
       return false;
     }
-    bool const served = state && state->emptiedZones == next.emptiedZones &&
-                        Mark(state->configurationEpoch, state->configurationSequence) ==
-                            Mark(next.configurationEpoch, next.configurationSequence);
+    bool const served = state && state->evacuatedZones == next.evacuatedZones &&
+                        StateVersion(state->configurationEpoch, state->configurationSequence) ==
+                            StateVersion(next.configurationEpoch, next.configurationSequence);
     state = next;
     hurry = hurry || !served;
     return true;
@@ -174,9 +174,9 @@
 
   void pushTo(std::vector<Outgoing>& sends, TimePoint now) {
     for (std::pair<std::string const, Listener> const& entry : listeners) {
-      Mark const has(entry.second.follower.epoch, entry.second.follower.sequence);
+      StateVersion const has(entry.second.follower.epoch, entry.second.follower.sequence);
       if (now - entry.second.at <= policy.followerMs && has < mark()) {
-        cargo::News news;
+        messages::News news;
         news.node = self.node;
         news.epoch = mark().first;
         news.sequence = mark().second;
@@ -187,16 +187,16 @@
     }
   }
 
-  cargo::News answer(TimePoint now, std::uint64_t token, Mark const& has) const {
-    cargo::News news;
+  messages::News answer(TimePoint now, std::uint64_t token, StateVersion const& has) const {
+    messages::News news;
     news.token = token;
     news.node = self.node;
     news.epoch = mark().first;
     news.sequence = mark().second;
     news.primaryAddress = primaryAddress;
     news.settled = settled;
-    news.boot = bearing.boot;
-    news.vouched = vouchList();
+    news.boot = peerStatus.boot;
+    news.incarnations = incarnationList();
     if (anchor) {
       news.hasAge = true;
       news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *anchor).count()) + 1;
@@ -212,7 +212,7 @@
       return std::nullopt;
     }
     std::vector<TimePoint> times;
-    for (cargo::RosterEntry const& entry : state->roster) {
+    for (messages::RosterEntry const& entry : state->roster) {
       std::map<std::string, TimePoint>::const_iterator const found = contacts.find(entry.node);
       if (entry.node != self.node && found != contacts.end()) {
         times.push_back(found->second);
@@ -230,22 +230,22 @@
   }
 };
 
-Courier::Courier(CourierPolicy const& policy, cargo::Follower const& self, std::uint64_t boot, std::uint64_t seed)
+ConfigDelivery::ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot, std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->self = self;
-  impl_->bearing = {self.node, boot, false, {}};
-  impl_->dice.seed(seed);
-  impl_->lastToken = impl_->dice() >> 20;
+  impl_->peerStatus = {self.node, boot, false, {}};
+  impl_->random.seed(seed);
+  impl_->lastToken = impl_->random() >> 20;
 }
 
-Courier::~Courier() = default;
-Courier::Courier(Courier&&) noexcept = default;
-Courier& Courier::operator=(Courier&&) noexcept = default;
+ConfigDelivery::~ConfigDelivery() = default;
+ConfigDelivery::ConfigDelivery(ConfigDelivery&&) noexcept = default;
+ConfigDelivery& ConfigDelivery::operator=(ConfigDelivery&&) noexcept = default;
 
-CourierStep Courier::tick(TimePoint now, std::vector<cargo::Peer> const& peers) {
+ConfigDeliveryStep ConfigDelivery::tick(TimePoint now, std::vector<messages::Peer> const& peers) {
   Impl& impl = *impl_;
-  CourierStep out;
+  ConfigDeliveryStep out;
   impl.startedAt = impl.startedAt.value_or(now);
   std::erase_if(impl.suspects, [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
   std::erase_if(impl.asked, [&](std::pair<std::uint64_t const, Asked> const& entry) {
@@ -258,7 +258,7 @@
   std::erase_if(impl.listeners, [&](std::pair<std::string const, Listener> const& entry) {
     return now - entry.second.at > impl.policy.followerMs;
   });
-  bool const worried = !impl.anchor || now - *impl.anchor > impl.policy.worriedMs;
+  bool const worried = !impl.anchor || now - *impl.anchor > impl.policy.stalenessCheckMs;
   if (now >= impl.nextPollAt || impl.hurry) {
     impl.nextPollAt = now + impl.policy.pollMs;
     impl.hurry = false;
@@ -273,7 +273,7 @@
       }
     }
     std::string const control = impl.controlAddress(peers);
-    bool const afar = std::any_of(peers.begin(), peers.end(), [&](cargo::Peer const& peer) {
+    bool const afar = std::any_of(peers.begin(), peers.end(), [&](messages::Peer const& peer) {
       return peer.address == control && peer.zone != impl.self.zone;
     });
     if (target.empty()) {
@@ -283,20 +283,20 @@
     if (!target.empty()) {
       out.sends.push_back({target, impl.makePoll(now, target)});
     }
-    if ((worried || impl.bearing.leaving) && !control.empty() && control != target) {
+    if ((worried || impl.peerStatus.leaving) && !control.empty() && control != target) {
       out.sends.push_back({control, impl.makePoll(now, control)});
     }
   }
   if (!impl.state && now >= impl.nextWideAt) {
     impl.nextWideAt = now + impl.policy.replyMs;
     std::vector<std::string> fronts;
-    for (cargo::Peer const& peer : peers) {
-      if (peer.role == "quay" && peer.address != impl.self.address) {
+    for (messages::Peer const& peer : peers) {
+      if (peer.role == messages::gatewayRole && peer.address != impl.self.address) {
         fronts.push_back(peer.address);
       }
     }
     if (!fronts.empty()) {
-      std::string const& chosen = fronts[impl.dice() % fronts.size()];
+      std::string const& chosen = fronts[impl.random() % fronts.size()];
       out.sends.push_back({chosen, impl.makePoll(now, chosen)});
     }
   }
@@ -305,7 +305,7 @@
     impl.nextWideAt = now + impl.policy.replyMs / impl.policy.wideSlices;
     std::size_t const count = impl.state->roster.size();
     for (std::size_t slot = impl.wideTurn++ % impl.policy.wideSlices; slot < count; slot += impl.policy.wideSlices) {
-      cargo::RosterEntry const& entry = impl.state->roster[slot];
+      messages::RosterEntry const& entry = impl.state->roster[slot];
       if (entry.node != impl.self.node) {
         out.sends.push_back({entry.address, impl.makePoll(now, entry.address, !impl.settled)});
       }
@@ -314,33 +314,33 @@
   return out;
 }
 
-CourierStep Courier::hear(TimePoint now, std::string const&, cargo::Poll const& message) {
+ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const&, messages::Poll const& message) {
   Impl& impl = *impl_;
-  CourierStep out;
-  Mark const has(message.self.epoch, message.self.sequence);
+  ConfigDeliveryStep out;
+  StateVersion const has(message.self.epoch, message.self.sequence);
   if (message.self.node.empty()) {
     out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
     return out;
   }
   Listener& listener = impl.listeners[message.self.node];
-  Mark const had(listener.follower.epoch, listener.follower.sequence);
+  StateVersion const had(listener.follower.epoch, listener.follower.sequence);
   if (had != has && has == impl.mark()) {
     impl.hurry = true;
   }
-  cargo::Bearing bearing{message.self.node, 0, false, {}};
-  for (cargo::Bearing const& entry : message.bearings) {
+  messages::PeerStatus peerStatus{message.self.node, 0, false, {}};
+  for (messages::PeerStatus const& entry : message.peerStatuses) {
     if (entry.node == message.self.node) {
-      bearing = entry;
+      peerStatus = entry;
       break;
     }
   }
-  mergeVouches(impl.vouches, bearing.vouched);
-  if (message.recover && impl.settled && bearing.boot != 0 && impl.state &&
+  mergeIncarnations(impl.incarnations, peerStatus.incarnations);
+  if (message.recover && impl.settled && peerStatus.boot != 0 && impl.state &&
       std::any_of(impl.state->roster.begin(), impl.state->roster.end(),
-                  [&](cargo::RosterEntry const& entry) { return entry.node == bearing.node; })) {
-    impl.vouchFor(bearing.node, bearing.boot);
+                  [&](messages::RosterEntry const& entry) { return entry.node == peerStatus.node; })) {
+    impl.recordIncarnation(peerStatus.node, peerStatus.boot);
   }
-  listener = {message.self, std::move(bearing), now};
+  listener = {message.self, std::move(peerStatus), now};
   if (impl.listeners.size() > 1000) {
     impl.listeners.erase(impl.listeners.begin());
   }
@@ -348,10 +348,10 @@
   return out;
 }
 
-CourierStep Courier::hear(TimePoint now, std::string const& address, cargo::News const& message) {
+ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const& address, messages::News const& message) {
   Impl& impl = *impl_;
-  CourierStep out;
-  mergeVouches(impl.vouches, message.vouched);
+  ConfigDeliveryStep out;
+  mergeIncarnations(impl.incarnations, message.incarnations);
   if (message.state) {
     out.changed = impl.adopt(*message.state);
   }
@@ -370,22 +370,22 @@
   bool const recover = found->second.recover;
   impl.suspects.erase(address);
   impl.asked.erase(found);
-  if (Mark(message.epoch, message.sequence) > impl.mark()) {
+  if (StateVersion(message.epoch, message.sequence) > impl.mark()) {
     return out;
   }
   if (message.hasAge) {
     TimePoint const at = askedAt - Ms(static_cast<long>(message.ageMs));
     impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
   }
-  bool const vouched = std::any_of(message.vouched.begin(), message.vouched.end(), [&](cargo::Vouch const& vouch) {
-    return vouch.node == impl.self.node && vouch.boot == impl.bearing.boot;
+  bool const incarnations = std::any_of(message.incarnations.begin(), message.incarnations.end(), [&](messages::IncarnationRecord const& incarnation) {
+    return incarnation.node == impl.self.node && incarnation.boot == impl.peerStatus.boot;
   });
-  if (recover && message.settled && vouched && !impl.settled) {
+  if (recover && message.settled && incarnations && !impl.settled) {
     impl.recovering[message.node] = message.boot;
   }
   bool const caughtUp = impl.anchor && impl.startedAt && *impl.anchor >= *impl.startedAt;
-  if (caughtUp && !impl.trusts(impl.self.node, impl.bearing.boot)) {
-    impl.vouchFor(impl.self.node, impl.bearing.boot);
+  if (caughtUp && !impl.trusts(impl.self.node, impl.peerStatus.boot)) {
+    impl.recordIncarnation(impl.self.node, impl.peerStatus.boot);
   }
   impl.settled = impl.settled || caughtUp || impl.recovered();
   if (message.settled && (impl.contacts.size() < 2000 || impl.contacts.contains(message.node))) {
@@ -395,19 +395,19 @@
   return out;
 }
 
-void Courier::leave() {
-  impl_->bearing.leaving = true;
+void ConfigDelivery::leave() {
+  impl_->peerStatus.leaving = true;
   impl_->hurry = true;
 }
 
-Footing Courier::footing(TimePoint now) const {
+DeliveryStatus ConfigDelivery::status(TimePoint now) const {
   Impl const& impl = *impl_;
-  Footing out;
+  DeliveryStatus out;
   if (!impl.state) {
     return out;
   }
   out.ageMs = impl.anchor ? std::chrono::duration_cast<Ms>(now - *impl.anchor) : Ms::max();
-  if (!impl.listed() && !impl.bearing.leaving) {
+  if (!impl.listed() && !impl.peerStatus.leaving) {
     out.standing = Standing::unlisted;
   } else if (impl.anchor && now - *impl.anchor <= impl.policy.currentMs) {
     out.standing = Standing::current;
@@ -419,7 +419,7 @@
   return out;
 }
 
-std::optional<cargo::State> const& Courier::state() const { return impl_->state; }
-std::string const& Courier::primaryAddress() const { return impl_->primaryAddress; }
+std::optional<messages::State> const& ConfigDelivery::state() const { return impl_->state; }
+std::string const& ConfigDelivery::primaryAddress() const { return impl_->primaryAddress; }
 
 }
--- a/libs/fairway/src/views.cpp
+++ b/libs/distribution/src/peer_views.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/fairway/views.h"
+#include "limeramp/distribution/peer_views.h"
 
 #include <xxhash.h>
 
@@ -6,23 +6,23 @@
 #include <map>
 #include <random>
 
-namespace limeramp::fairway {
+namespace limeramp::distribution {
 namespace {
 
 using Ms = std::chrono::milliseconds;
 
 struct Entry {
-  cargo::Peer peer;
+  messages::Peer peer;
   TimePoint aliveAt{};
 };
 
 }
 
-struct Views::Impl {
+struct PeerViews::Impl {
   ViewPolicy policy;
-  cargo::Peer self;
+  messages::Peer self;
   std::vector<std::string> seeds;
-  std::mt19937_64 dice;
+  std::mt19937_64 random;
   std::map<std::string, Entry> entries;
   std::map<std::string, TimePoint> heardAt;
   TimePoint nextAt{};
@@ -53,38 +53,38 @@
         addresses.push_back(entry.second.peer.address);
       }
     }
-    return addresses.empty() ? "" : addresses[dice() % addresses.size()];
+    return addresses.empty() ? "" : addresses[random() % addresses.size()];
   }
 
-  std::vector<cargo::Peer> sample(TimePoint now, std::string const& to) {
-    std::vector<cargo::Peer> out;
+  std::vector<messages::Peer> sample(TimePoint now, std::string const& to) {
+    std::vector<messages::Peer> out;
     for (std::pair<std::string const, Entry> const& entry : entries) {
-      cargo::Peer peer = entry.second.peer;
+      messages::Peer peer = entry.second.peer;
       peer.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - entry.second.aliveAt).count());
       out.push_back(std::move(peer));
     }
-    std::shuffle(out.begin(), out.end(), dice);
+    std::shuffle(out.begin(), out.end(), random);
     out.resize(std::min(out.size(), isAfar(to) ? policy.mostShuffledAfar : policy.mostShuffled));
     out.push_back(self);
     return out;
   }
 };
 
-Views::Views(ViewPolicy const& policy, cargo::Peer const& self, std::vector<std::string> const& seeds,
+PeerViews::PeerViews(ViewPolicy const& policy, messages::Peer const& self, std::vector<std::string> const& seeds,
              std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->self = self;
   impl_->self.ageMs = 0;
   impl_->seeds = seeds;
-  impl_->dice.seed(seed);
+  impl_->random.seed(seed);
 }
 
-Views::~Views() = default;
-Views::Views(Views&&) noexcept = default;
-Views& Views::operator=(Views&&) noexcept = default;
+PeerViews::~PeerViews() = default;
+PeerViews::PeerViews(PeerViews&&) noexcept = default;
+PeerViews& PeerViews::operator=(PeerViews&&) noexcept = default;
 
-std::vector<Outgoing> Views::tick(TimePoint now, bool eager) {
+std::vector<Outgoing> PeerViews::tick(TimePoint now, bool eager) {
   std::vector<Outgoing> out;
   impl_->startedAt = impl_->startedAt.value_or(now);
   if (now < impl_->nextAt) {
@@ -112,18 +112,18 @@
     std::erase(targets, impl_->self.address);
   }
   for (std::string const& address : targets) {
-    out.push_back({address, cargo::Shuffle{false, impl_->sample(now, address)}});
+    out.push_back({address, messages::Shuffle{false, impl_->sample(now, address)}});
   }
   return out;
 }
 
-std::vector<Outgoing> Views::hear(TimePoint now, std::string const&, std::string const& address,
-                                  cargo::Shuffle const& message) {
+std::vector<Outgoing> PeerViews::hear(TimePoint now, std::string const&, std::string const& address,
+                                  messages::Shuffle const& message) {
   impl_->heardAt[address] = now;
   if (impl_->heardAt.size() > 4 * impl_->policy.mostPeers) {
     impl_->heardAt.erase(impl_->heardAt.begin());
   }
-  for (cargo::Peer const& peer : message.peers) {
+  for (messages::Peer const& peer : message.peers) {
     if (peer.node == impl_->self.node || peer.address == impl_->self.address ||
         peer.ageMs > static_cast<std::uint64_t>(impl_->policy.forgetMs.count())) {
       continue;
@@ -138,20 +138,20 @@
   if (message.reply) {
     return {};
   }
-  return {{address, cargo::Shuffle{true, impl_->sample(now, address)}}};
+  return {{address, messages::Shuffle{true, impl_->sample(now, address)}}};
 }
 
-std::vector<cargo::Peer> Views::peers(TimePoint now) const {
-  std::vector<cargo::Peer> out;
+std::vector<messages::Peer> PeerViews::peers(TimePoint now) const {
+  std::vector<messages::Peer> out;
   for (std::pair<std::string const, Entry> const& entry : impl_->entries) {
-    cargo::Peer peer = entry.second.peer;
+    messages::Peer peer = entry.second.peer;
     peer.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - entry.second.aliveAt).count());
     out.push_back(std::move(peer));
   }
   return out;
 }
 
-bool Views::mayFound(TimePoint now) const {
+bool PeerViews::mayFound(TimePoint now) const {
   std::size_t const heard = static_cast<std::size_t>(
       std::count_if(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
         std::map<std::string, TimePoint>::const_iterator const found = impl_->heardAt.find(seed);
--- a/libs/quayside/include/limeramp/quayside/dialect.h
+++ b/libs/gateway/include/limeramp/gateway/dialect.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "limeramp/berth/list.h"
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/rigging/http.h"
-#include "limeramp/shoal/machine.h"
-#include "limeramp/shoal/part.h"
+#include "limeramp/discovery/list.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/net/http.h"
+#include "limeramp/dispatch/machine.h"
+#include "limeramp/dispatch/part.h"
 
 #include <absl/status/statusor.h>
 
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::quayside {
+namespace limeramp::gateway {
 
 struct Caller {
   std::string host;
@@ -29,7 +29,7 @@
 struct Refusal {
   Unserved why = Unserved::failed;
   std::string reason;
-  tally::Verdict verdict = tally::Verdict::mayHaveRun;
+  retry::Verdict verdict = retry::Verdict::mayHaveRun;
   std::optional<std::chrono::milliseconds> retryAfter;
   std::string request;
   std::string version;
@@ -47,8 +47,8 @@
 };
 
 struct Heard {
-  shoal::Returned returned;
-  std::optional<shoal::Part> part;
+  dispatch::Returned returned;
+  std::optional<dispatch::Part> part;
   std::string reason;
 };
 
@@ -57,20 +57,20 @@
   std::string version;
   std::vector<std::string> services;
   std::vector<std::size_t> missing;
-  std::vector<shoal::PartPtr> parts;
+  std::vector<dispatch::PartPtr> parts;
   std::vector<std::string> records;
 };
 
 struct Dialect {
-  std::function<std::variant<Caller, Refusal>(rigging::Request const& request)> readCaller;
-  std::function<rigging::Answer(Gathered const& gathered)> writeGathered;
-  std::function<void(rigging::Answer& answer, std::string const& request, std::string const& version)> writeForwarded;
-  std::function<rigging::Answer(Refusal const& refusal)> writeRefusal;
-  std::function<void(rigging::Request& request, Asked const& asked)> writeAsk;
-  std::function<Heard(rigging::Answer const& answer, Asked const& asked)> readAnswer;
-  std::function<rigging::Request(std::string const& page)> listRequest;
-  std::function<absl::StatusOr<berth::List>(std::string const& body)> readList;
-  manifest::Language language;
+  std::function<std::variant<Caller, Refusal>(net::Request const& request)> readCaller;
+  std::function<net::Answer(Gathered const& gathered)> writeGathered;
+  std::function<void(net::Answer& answer, std::string const& request, std::string const& version)> writeForwarded;
+  std::function<net::Answer(Refusal const& refusal)> writeRefusal;
+  std::function<void(net::Request& request, Asked const& asked)> writeAsk;
+  std::function<Heard(net::Answer const& answer, Asked const& asked)> readAnswer;
+  std::function<net::Request(std::string const& page)> listRequest;
+  std::function<absl::StatusOr<discovery::List>(std::string const& body)> readList;
+  config::Language language;
 };
 
 Dialect ownDialect();
--- a/libs/quayside/include/limeramp/quayside/plane.h
+++ b/libs/gateway/include/limeramp/gateway/request_plane.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/quayside/dialect.h"
-#include "limeramp/rigging/http.h"
-#include "limeramp/shoal/machine.h"
-#include "limeramp/shoal/part.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/gateway/dialect.h"
+#include "limeramp/net/http.h"
+#include "limeramp/dispatch/machine.h"
+#include "limeramp/dispatch/part.h"
 
 #include <absl/status/statusor.h>
 
@@ -14,9 +14,9 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::quayside {
+namespace limeramp::gateway {
 
-using tally::TimePoint;
+using retry::TimePoint;
 
 struct Self {
   std::string node;
@@ -27,17 +27,17 @@
 
 struct Arrived {
   std::uint64_t request = 0;
-  rigging::Request content;
+  net::Request content;
   bool passed = false;
   std::optional<std::chrono::milliseconds> remainingMs;
 };
 struct Exchanged {
   std::uint64_t attempt = 0;
-  rigging::Exchange exchange;
+  net::Exchange exchange;
 };
 struct Ground {
   std::uint64_t attempt = 0;
-  absl::StatusOr<shoal::Part> part;
+  absl::StatusOr<dispatch::Part> part;
   std::optional<double> load;
 };
 struct Merged {
@@ -45,17 +45,17 @@
   std::vector<std::string> records;
 };
 struct InForce {
-  manifest::SnapshotPtr snapshot;
+  config::SnapshotPtr snapshot;
 };
 struct Tables {
-  shoal::Servers servers;
+  dispatch::Servers servers;
 };
 struct Owners {
   std::string cell;
   std::vector<std::string> addresses;
 };
 struct Placed {
-  shoal::Place place;
+  dispatch::Place place;
 };
 struct Tick {};
 
@@ -63,12 +63,12 @@
 
 struct Reply {
   std::uint64_t request = 0;
-  rigging::Answer answer;
+  net::Answer answer;
 };
 struct SendOut {
   std::uint64_t attempt = 0;
   std::string server;
-  rigging::Request content;
+  net::Request content;
   TimePoint deadline;
   bool carried = false;
   std::chrono::milliseconds remainingMs{0};
@@ -79,30 +79,30 @@
 struct Grind {
   std::uint64_t attempt = 0;
   std::string body;
-  shoal::Stamp expected;
+  dispatch::Stamp expected;
   std::size_t result_size = 0;
   std::optional<double> load;
 };
 struct Merge {
   std::uint64_t request = 0;
-  std::vector<shoal::PartPtr> parts;
+  std::vector<dispatch::PartPtr> parts;
   std::size_t result_size = 0;
 };
 
-using Effect = std::variant<Reply, SendOut, CancelOut, Grind, Merge, shoal::Note>;
+using Effect = std::variant<Reply, SendOut, CancelOut, Grind, Merge, dispatch::Note>;
 
 class Plane {
  public:
-  Plane(Self const& self, shoal::Policy const& policy, Dialect dialect = ownDialect());
+  Plane(Self const& self, dispatch::Policy const& policy, Dialect dialect = ownDialect());
   ~Plane();
   Plane(Plane&&) noexcept;
   Plane& operator=(Plane&&) noexcept;
 
   std::vector<Effect> step(TimePoint now, Event const& event);
   std::optional<TimePoint> nextWake(TimePoint now) const;
-  manifest::SnapshotPtr snapshot() const;
-  std::vector<shoal::ServerView> servers(TimePoint now) const;
-  shoal::Counters counters() const;
+  config::SnapshotPtr snapshot() const;
+  std::vector<dispatch::ServerView> servers(TimePoint now) const;
+  dispatch::Counters counters() const;
   std::size_t requests() const;
 
  private:
--- a/libs/quayside/src/dialect.cpp
+++ b/libs/gateway/src/dialect.cpp
@@ -1,8 +1,8 @@
-#include "limeramp/quayside/dialect.h"
+#include "limeramp/gateway/dialect.h"
 
 #include <charconv>
 
-namespace limeramp::quayside {
+namespace limeramp::gateway {
 namespace {
 
 using Ms = std::chrono::milliseconds;
@@ -19,8 +19,8 @@
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
-std::optional<double> loadOf(rigging::Headers const& headers) {
-  std::optional<std::string> const text = rigging::findHeader(headers, std::string(loadHeader));
+std::optional<double> loadOf(net::Headers const& headers) {
+  std::optional<std::string> const text = net::findHeader(headers, std::string(loadHeader));
   if (!text) {
     return std::nullopt;
   }
@@ -32,16 +32,16 @@
   return load;
 }
 
-std::variant<Caller, Refusal> readCaller(rigging::Request const& request) {
-  using tally::Verdict;
+std::variant<Caller, Refusal> readCaller(net::Request const& request) {
+  using retry::Verdict;
   Caller caller;
-  std::optional<std::string> const tenant = rigging::findHeader(request.headers, std::string(tenantHeader));
+  std::optional<std::string> const tenant = net::findHeader(request.headers, std::string(tenantHeader));
   if (!tenant) {
     return Refusal{Unserved::malformed, "the header limeramp-tenant is missing", Verdict::notRun, {}, "", ""};
   }
   caller.tenant = *tenant;
-  caller.host = rigging::plainHost(rigging::findHeader(request.headers, "host").value_or(""));
-  if (std::optional<std::string> const text = rigging::findHeader(request.headers, std::string(deadlineHeader))) {
+  caller.host = net::plainHost(net::findHeader(request.headers, "host").value_or(""));
+  if (std::optional<std::string> const text = net::findHeader(request.headers, std::string(deadlineHeader))) {
     long asked = 0;
     char const* const last = text->data() + text->size();
     std::from_chars_result const read = std::from_chars(text->data(), last, asked);
@@ -76,10 +76,10 @@
   return 502;
 }
 
-rigging::Answer writeRefusal(Refusal const& refusal) {
-  rigging::Answer answer;
+net::Answer writeRefusal(Refusal const& refusal) {
+  net::Answer answer;
   answer.status = statusOf(refusal);
-  std::string const name(tally::nameOf(refusal.verdict));
+  std::string const name(retry::nameOf(refusal.verdict));
   answer.headers.emplace_back("content-type", "application/json");
   answer.headers.emplace_back(verdictHeader, name);
   if (refusal.retryAfter) {
@@ -93,19 +93,19 @@
   return answer;
 }
 
-void writeForwarded(rigging::Answer& answer, std::string const& request, std::string const& version) {
+void writeForwarded(net::Answer& answer, std::string const& request, std::string const& version) {
   for (std::string_view const name : {verdictHeader, requestHeader, versionHeader, loadHeader}) {
-    rigging::dropHeader(answer.headers, name);
+    net::dropHeader(answer.headers, name);
   }
   answer.headers.emplace_back(verdictHeader, "ran");
   answer.headers.emplace_back(requestHeader, request);
   answer.headers.emplace_back(versionHeader, version);
 }
 
-void writeAsk(rigging::Request& request, Asked const& asked) {
-  rigging::Headers& headers = request.headers;
+void writeAsk(net::Request& request, Asked const& asked) {
+  net::Headers& headers = request.headers;
   for (std::string_view const name : {deadlineHeader, requestHeader, shardHeader, versionHeader, lifeHeader}) {
-    rigging::dropHeader(headers, name);
+    net::dropHeader(headers, name);
   }
   headers.emplace_back(requestHeader, asked.request);
   headers.emplace_back(shardHeader, asked.service);
@@ -116,13 +116,13 @@
   }
 }
 
-Heard readAnswer(rigging::Answer const& answer, Asked const& asked) {
+Heard readAnswer(net::Answer const& answer, Asked const& asked) {
   Heard out;
-  out.returned.verdict = tally::Verdict::ran;
+  out.returned.verdict = retry::Verdict::ran;
   out.returned.load = loadOf(answer.headers);
   out.returned.otherLife = answer.status == 421;
   if (out.returned.otherLife) {
-    out.returned.verdict = tally::Verdict::notRun;
+    out.returned.verdict = retry::Verdict::notRun;
     return out;
   }
   if (asked.part) {
@@ -134,7 +134,7 @@
   return out;
 }
 
-rigging::Answer writeGathered(Gathered const& gathered) {
+net::Answer writeGathered(Gathered const& gathered) {
   std::string body = "{\"request\":" + json(gathered.request) + ",\"version\":\"" + gathered.version +
                      "\",\"missing\":" + std::to_string(gathered.missing.size()) + ",\"missing_shards\":[";
   for (std::size_t index = 0; index < gathered.missing.size(); ++index) {
@@ -142,7 +142,7 @@
   }
   body += "],\"stamps\":[";
   bool first = true;
-  for (shoal::PartPtr const& part : gathered.parts) {
+  for (dispatch::PartPtr const& part : gathered.parts) {
     body += std::string(first ? "" : ",") + "{\"shard\":" + json(part->stamp.shard) + ",\"cut\":" + json(part->stamp.cut) + "}";
     first = false;
   }
@@ -151,7 +151,7 @@
     body += (index == 0 ? "" : ",") + json(gathered.records[index]);
   }
   body += "]}";
-  rigging::Answer answer;
+  net::Answer answer;
   answer.headers.emplace_back("content-type", "application/json");
   answer.headers.emplace_back(verdictHeader, "ran");
   answer.headers.emplace_back(requestHeader, gathered.request);
@@ -171,10 +171,10 @@
   out.writeAsk = writeAsk;
   out.readAnswer = readAnswer;
   out.listRequest = [](std::string const& page) {
-    return rigging::Request{"GET", page.empty() ? "/servers" : "/servers?page=" + rigging::percentEncoded(page), {}, "", ""};
+    return net::Request{"GET", page.empty() ? "/servers" : "/servers?page=" + net::percentEncoded(page), {}, "", ""};
   };
-  out.readList = [](std::string const& body) { return berth::readList(body); };
-  out.language = manifest::ownLanguage();
+  out.readList = [](std::string const& body) { return discovery::readList(body); };
+  out.language = config::ownLanguage();
   return out;
 }
 
--- a/libs/quayside/src/plane.cpp
+++ b/libs/gateway/src/request_plane.cpp
@@ -1,10 +1,10 @@
-#include "limeramp/quayside/plane.h"
+#include "limeramp/gateway/request_plane.h"
 
 #include <cstdio>
 #include <map>
 #include <unordered_map>
 
-namespace limeramp::quayside {
+namespace limeramp::gateway {
 namespace {
 
 using Ms = std::chrono::milliseconds;
@@ -15,34 +15,34 @@
 };
 
 struct Open {
-  rigging::Request content;
-  manifest::SnapshotPtr snapshot;
-  manifest::Search const* search = nullptr;
+  net::Request content;
+  config::SnapshotPtr snapshot;
+  config::Search const* search = nullptr;
   bool carried = false;
   bool repeatable = false;
   std::string id;
   TimePoint deadline;
   std::vector<std::string> services;
   std::vector<std::string> cuts;
-  std::vector<shoal::PartPtr> parts;
-  std::optional<rigging::Answer> answer;
+  std::vector<dispatch::PartPtr> parts;
+  std::optional<net::Answer> answer;
   std::vector<std::size_t> missing;
 };
 
 }
 
 struct Plane::Impl {
-  Impl(Self const& selfIn, shoal::Policy const& policy, Dialect dialectIn)
+  Impl(Self const& selfIn, dispatch::Policy const& policy, Dialect dialectIn)
       : self(selfIn), dialect(std::move(dialectIn)), machine(policy) {}
 
   Self self;
   Dialect dialect;
-  shoal::Machine machine;
-  manifest::SnapshotPtr snapshot;
+  dispatch::Machine machine;
+  config::SnapshotPtr snapshot;
   std::unordered_map<std::uint64_t, Open> open;
   std::unordered_map<std::uint64_t, Outgoing> outgoing;
-  std::unordered_map<std::uint64_t, shoal::PartPtr> ground;
-  std::unordered_map<std::uint64_t, rigging::Answer> answers;
+  std::unordered_map<std::uint64_t, dispatch::PartPtr> ground;
+  std::unordered_map<std::uint64_t, net::Answer> answers;
   std::map<std::string, std::vector<std::string>> owners;
   std::vector<Effect> effects;
   TimePoint now;
@@ -55,27 +55,27 @@
   void on(Tables const& event) { drive(event.servers); }
   void on(Owners const& event);
   void on(Placed const& event) { drive(event.place); }
-  void on(Tick const&) { drive(shoal::Tick{}); }
+  void on(Tick const&) { drive(dispatch::Tick{}); }
 
-  void drive(shoal::Event const& event);
-  void carry(shoal::Send const& send);
-  void carry(shoal::Cancel const& cancel);
-  void carry(shoal::Keep const& keep);
-  void carry(shoal::Finish const& finish);
-  void carry(shoal::Note const& note) { effects.emplace_back(note); }
-  void reply(std::uint64_t request, rigging::Answer answer);
+  void drive(dispatch::Event const& event);
+  void carry(dispatch::Send const& send);
+  void carry(dispatch::Cancel const& cancel);
+  void carry(dispatch::Keep const& keep);
+  void carry(dispatch::Finish const& finish);
+  void carry(dispatch::Note const& note) { effects.emplace_back(note); }
+  void reply(std::uint64_t request, net::Answer answer);
   void refuse(std::uint64_t request, Refusal refusal);
-  void keepAnswer(Exchanged const& event, shoal::Returned const& returned);
-  void hear(std::uint64_t attempt, shoal::Returned const& returned, shoal::Part part);
+  void keepAnswer(Exchanged const& event, dispatch::Returned const& returned);
+  void hear(std::uint64_t attempt, dispatch::Returned const& returned, dispatch::Part part);
   Asked askedOf(Open const& entry, std::size_t leg) const;
 };
 
-void Plane::Impl::reply(std::uint64_t request, rigging::Answer answer) {
+void Plane::Impl::reply(std::uint64_t request, net::Answer answer) {
   effects.emplace_back(Reply{request, std::move(answer)});
 }
 
-void Plane::Impl::drive(shoal::Event const& event) {
-  for (shoal::Effect const& effect : machine.step(now, event)) {
+void Plane::Impl::drive(dispatch::Event const& event) {
+  for (dispatch::Effect const& effect : machine.step(now, event)) {
     std::visit([this](auto const& concrete) { carry(concrete); }, effect);
   }
 }
@@ -84,10 +84,10 @@
 
 void Plane::Impl::on(Owners const& event) {
   owners[event.cell] = event.addresses;
-  shoal::Servers servers;
+  dispatch::Servers servers;
   servers.service = "@" + event.cell;
   for (std::string const& address : event.addresses) {
-    shoal::ServerRow row;
+    dispatch::ServerRow row;
     row.address = address;
     row.capacity = 1e6;
     servers.rows.push_back(row);
@@ -111,7 +111,7 @@
 }
 
 void Plane::Impl::on(Arrived const& event) {
-  using tally::Verdict;
+  using retry::Verdict;
   if (snapshot == nullptr) {
     refuse(event.request, {Unserved::stale, "no configuration is known yet", Verdict::notRun, Ms(1000), "", ""});
     return;
@@ -124,8 +124,8 @@
   Caller const& caller = std::get<Caller>(read);
   std::string const& target = event.content.target;
   std::string_view const path = std::string_view(target).substr(0, target.find('?'));
-  manifest::Configuration const& configuration = snapshot->configuration;
-  manifest::Target const found = manifest::findTarget(configuration, caller.host, caller.tenant, path);
+  config::Configuration const& configuration = snapshot->configuration;
+  config::Target const found = config::findTarget(configuration, caller.host, caller.tenant, path);
   if (std::holds_alternative<std::monostate>(found)) {
     refuse(event.request, {Unserved::unknownEntry, "no entry or route of this tenant has this path", Verdict::notRun, {}, "", ""});
     return;
@@ -142,16 +142,16 @@
   }
   Ms waitMs{0};
   Ms aimMs{0};
-  shoal::Arrive arrive;
+  dispatch::Arrive arrive;
   arrive.request = event.request;
   arrive.tenant = caller.tenant;
-  if (manifest::Search const* const* const search = std::get_if<manifest::Search const*>(&found)) {
+  if (config::Search const* const* const search = std::get_if<config::Search const*>(&found)) {
     entry.search = *search;
     waitMs = (*search)->deadlineMs;
     aimMs = (*search)->aimMs;
     arrive.priority = (*search)->priority;
     arrive.kind = static_cast<std::size_t>(*search - configuration.searches.data());
-    for (manifest::Shard const& shard : (*search)->shards) {
+    for (config::Shard const& shard : (*search)->shards) {
       entry.services.push_back(shard.service);
       entry.cuts.push_back(shard.cut);
     }
@@ -159,13 +159,13 @@
     arrive.max_attempts = (*search)->max_attempts;
     arrive.repeatable = true;
   } else {
-    manifest::Route const* const route = std::get<manifest::Route const*>(found);
+    config::Route const* const route = std::get<config::Route const*>(found);
     waitMs = route->deadlineMs;
     aimMs = route->aimMs;
     arrive.priority = route->priority;
     arrive.kind = configuration.searches.size() + static_cast<std::size_t>(route - configuration.routes.data());
     entry.repeatable = route->repeatable;
-    entry.services.push_back(manifest::chooseService(*route, entry.id));
+    entry.services.push_back(config::chooseService(*route, entry.id));
     arrive.max_attempts = route->max_attempts;
     arrive.repeatable = route->repeatable;
   }
@@ -176,7 +176,7 @@
     waitMs = std::min(waitMs, *event.remainingMs);
   }
   entry.deadline = now + waitMs;
-  manifest::Cell const* const cell = configuration.cellOf(caller.tenant);
+  config::Cell const* const cell = configuration.cellOf(caller.tenant);
   if (cell != nullptr && !cell->nodes.contains(self.node)) {
     if (event.passed) {
       refuse(event.request, {Unserved::stale, "this node does not own the tenant", Verdict::notRun, Ms(1000), "", ""});
@@ -197,7 +197,7 @@
   drive(arrive);
 }
 
-void Plane::Impl::carry(shoal::Send const& send) {
+void Plane::Impl::carry(dispatch::Send const& send) {
   Open const& entry = open.at(send.request);
   SendOut out;
   out.attempt = send.attempt;
@@ -207,7 +207,7 @@
   out.remainingMs = std::chrono::duration_cast<Ms>(send.deadline - now);
   out.carried = entry.carried;
   if (!entry.carried) {
-    out.content.headers = rigging::withoutHopByHop(out.content.headers);
+    out.content.headers = net::withoutHopByHop(out.content.headers);
     Asked asked = askedOf(entry, send.leg);
     asked.life = send.life;
     asked.remainingMs = std::max(Ms(1), out.remainingMs);
@@ -217,12 +217,12 @@
   effects.emplace_back(std::move(out));
 }
 
-void Plane::Impl::carry(shoal::Cancel const& cancel) {
+void Plane::Impl::carry(dispatch::Cancel const& cancel) {
   outgoing.erase(cancel.attempt);
   effects.emplace_back(CancelOut{cancel.attempt});
 }
 
-void Plane::Impl::carry(shoal::Keep const& keep) {
+void Plane::Impl::carry(dispatch::Keep const& keep) {
   Open& entry = open.at(keep.request);
   if (entry.search != nullptr) {
     entry.parts[keep.leg] = ground.at(keep.attempt);
@@ -234,14 +234,14 @@
   outgoing.erase(keep.attempt);
 }
 
-void Plane::Impl::carry(shoal::Finish const& finish) {
+void Plane::Impl::carry(dispatch::Finish const& finish) {
   std::unordered_map<std::uint64_t, Open>::iterator const found = open.find(finish.request);
   Open& entry = found->second;
-  bool const answered = finish.ending == shoal::Ending::complete || finish.ending == shoal::Ending::partial;
+  bool const answered = finish.ending == dispatch::Ending::complete || finish.ending == dispatch::Ending::partial;
   if (answered && entry.search != nullptr) {
     entry.missing = finish.missing;
-    std::vector<shoal::PartPtr> parts;
-    for (shoal::PartPtr const& part : entry.parts) {
+    std::vector<dispatch::PartPtr> parts;
+    for (dispatch::PartPtr const& part : entry.parts) {
       if (part != nullptr) {
         parts.push_back(part);
       }
@@ -250,14 +250,14 @@
     return;
   }
   if (answered) {
-    rigging::Answer answer = std::move(*entry.answer);
+    net::Answer answer = std::move(*entry.answer);
     if (!entry.carried) {
-      answer.headers = rigging::withoutHopByHop(answer.headers);
+      answer.headers = net::withoutHopByHop(answer.headers);
       dialect.writeForwarded(answer, entry.id, entry.snapshot->version.text());
     }
     reply(finish.request, std::move(answer));
   } else {
-    Unserved const why = finish.verdict == tally::Verdict::notRun ? Unserved::overloaded
+    Unserved const why = finish.verdict == retry::Verdict::notRun ? Unserved::overloaded
                          : finish.reason == "deadline"            ? Unserved::deadline
                                                                   : Unserved::failed;
     refuse(finish.request, {why, finish.reason, finish.verdict, finish.retryAfter, entry.id, entry.snapshot->version.text()});
@@ -271,8 +271,8 @@
     return;
   }
   Open const& entry = open.at(found->second.request);
-  rigging::Exchange const& exchange = event.exchange;
-  shoal::Returned returned;
+  net::Exchange const& exchange = event.exchange;
+  dispatch::Returned returned;
   returned.attempt = event.attempt;
   returned.verdict = exchange.verdict;
   if (!exchange.answer) {
@@ -281,12 +281,12 @@
     return;
   }
   if (entry.carried) {
-    std::optional<std::string> const verdict = rigging::findHeader(exchange.answer->headers, "limeramp-verdict");
+    std::optional<std::string> const verdict = net::findHeader(exchange.answer->headers, "limeramp-verdict");
     returned.healthy = true;
     returned.good = true;
     if (verdict && *verdict == "not_run" && exchange.answer->status == 503) {
       returned.good = false;
-      returned.verdict = tally::Verdict::notRun;
+      returned.verdict = retry::Verdict::notRun;
     }
     keepAnswer(event, returned);
     return;
@@ -295,7 +295,7 @@
   Heard heard = dialect.readAnswer(*exchange.answer, asked);
   heard.returned.attempt = event.attempt;
   if (!asked.part) {
-    if (heard.returned.good && !heard.returned.healthy && entry.repeatable && heard.returned.verdict != tally::Verdict::notRun) {
+    if (heard.returned.good && !heard.returned.healthy && entry.repeatable && heard.returned.verdict != retry::Verdict::notRun) {
       heard.returned.good = false;
     }
     keepAnswer(event, heard.returned);
@@ -303,17 +303,17 @@
     hear(event.attempt, heard.returned, std::move(*heard.part));
   } else if (!heard.returned.good) {
     if (!heard.reason.empty()) {
-      effects.emplace_back(shoal::Note{signal::Event::partRefused, asked.service, heard.reason});
+      effects.emplace_back(dispatch::Note{logging::Event::partRefused, asked.service, heard.reason});
     }
     outgoing.erase(found);
     drive(heard.returned);
   } else {
-    effects.emplace_back(Grind{event.attempt, exchange.answer->body, shoal::Stamp{asked.service, asked.cut, asked.request},
+    effects.emplace_back(Grind{event.attempt, exchange.answer->body, dispatch::Stamp{asked.service, asked.cut, asked.request},
                                asked.result_size, heard.returned.load});
   }
 }
 
-void Plane::Impl::keepAnswer(Exchanged const& event, shoal::Returned const& returned) {
+void Plane::Impl::keepAnswer(Exchanged const& event, dispatch::Returned const& returned) {
   if (returned.good) {
     answers.emplace(event.attempt, *event.exchange.answer);
   } else {
@@ -323,8 +323,8 @@
   answers.erase(event.attempt);
 }
 
-void Plane::Impl::hear(std::uint64_t attempt, shoal::Returned const& returned, shoal::Part part) {
-  ground.emplace(attempt, std::make_shared<shoal::Part const>(std::move(part)));
+void Plane::Impl::hear(std::uint64_t attempt, dispatch::Returned const& returned, dispatch::Part part) {
+  ground.emplace(attempt, std::make_shared<dispatch::Part const>(std::move(part)));
   drive(returned);
   ground.erase(attempt);
 }
@@ -334,16 +334,16 @@
   if (found == outgoing.end()) {
     return;
   }
-  shoal::Returned returned;
+  dispatch::Returned returned;
   returned.attempt = event.attempt;
-  returned.verdict = tally::Verdict::ran;
+  returned.verdict = retry::Verdict::ran;
   returned.load = event.load;
   returned.good = returned.healthy = event.part.ok();
   if (event.part.ok()) {
     hear(event.attempt, returned, *event.part);
   } else {
     Outgoing const place = found->second;
-    effects.emplace_back(shoal::Note{signal::Event::partRefused, open.at(place.request).services[place.leg],
+    effects.emplace_back(dispatch::Note{logging::Event::partRefused, open.at(place.request).services[place.leg],
                                      std::string(event.part.status().message())});
     outgoing.erase(found);
     drive(returned);
@@ -361,18 +361,18 @@
   gathered.version = entry.snapshot->version.text();
   gathered.services = entry.services;
   gathered.missing = entry.missing;
-  for (shoal::PartPtr const& part : entry.parts) {
+  for (dispatch::PartPtr const& part : entry.parts) {
     if (part != nullptr) {
       gathered.parts.push_back(part);
     }
   }
   gathered.records = event.records;
-  rigging::Answer answer = dialect.writeGathered(gathered);
+  net::Answer answer = dialect.writeGathered(gathered);
   reply(event.request, std::move(answer));
   open.erase(found);
 }
 
-Plane::Plane(Self const& self, shoal::Policy const& policy, Dialect dialect)
+Plane::Plane(Self const& self, dispatch::Policy const& policy, Dialect dialect)
     : impl_(std::make_unique<Impl>(self, policy, std::move(dialect))) {}
 Plane::~Plane() = default;
 Plane::Plane(Plane&&) noexcept = default;
@@ -386,9 +386,9 @@
 }
 
 std::optional<TimePoint> Plane::nextWake(TimePoint now) const { return impl_->machine.nextWake(now); }
-manifest::SnapshotPtr Plane::snapshot() const { return impl_->snapshot; }
-std::vector<shoal::ServerView> Plane::servers(TimePoint now) const { return impl_->machine.servers(now); }
-shoal::Counters Plane::counters() const { return impl_->machine.counters(); }
+config::SnapshotPtr Plane::snapshot() const { return impl_->snapshot; }
+std::vector<dispatch::ServerView> Plane::servers(TimePoint now) const { return impl_->machine.servers(now); }
+dispatch::Counters Plane::counters() const { return impl_->machine.counters(); }
 std::size_t Plane::requests() const { return impl_->open.size(); }
 
 }
--- a/libs/signal/include/limeramp/signal/signal.h
+++ b/libs/logging/include/limeramp/logging/logging.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace limeramp::signal {
+namespace limeramp::logging {
 
 enum class Level { debug, info, warning, error };
 
@@ -38,7 +38,7 @@
   backupLost = 504,
   replicaRebuilt = 505,
   ballotLost = 506,
-  salvaged = 507,
+  newGroupForced = 507,
   diskFailed = 510,
   diskDamaged = 511,
   diskTailCut = 512,
--- a/libs/signal/src/signal.cpp
+++ b/libs/logging/src/logging.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/signal/signal.h"
+#include "limeramp/logging/logging.h"
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -7,7 +7,7 @@
 #include <array>
 #include <memory>
 
-namespace limeramp::signal {
+namespace limeramp::logging {
 namespace {
 
 constexpr std::array<EventInfo, 35> events{{
@@ -39,7 +39,7 @@
     {Event::backupLost, Level::warning, "backup_lost", "the primary does not hear its backup and looks for another"},
     {Event::replicaRebuilt, Level::info, "replica_rebuilt", "this replica took a snapshot from its peer"},
     {Event::ballotLost, Level::debug, "ballot_lost", "a ballot did not gather its votes and will be repeated"},
-    {Event::salvaged, Level::warning, "salvaged", "an operator began a new control group from what a node still held"},
+    {Event::newGroupForced, Level::warning, "newGroupForced", "an operator began a new control group from what a node still held"},
     {Event::diskFailed, Level::error, "disk_failed", "a write or sync failed or took too long; the replica steps down"},
     {Event::diskDamaged, Level::error, "disk_damaged", "stored records are damaged and will not be served"},
     {Event::diskTailCut, Level::warning, "disk_tail_cut", "an unfinished last record was cut at start"},
@@ -89,8 +89,8 @@
     line += " ";
     line += field.name;
     line += "=";
-    for (char const letter : field.value.substr(0, 512)) {
-      line += (static_cast<unsigned char>(letter) < 0x20 || letter == 0x7f) ? '?' : letter;
+    for (char const inbound : field.value.substr(0, 512)) {
+      line += (static_cast<unsigned char>(inbound) < 0x20 || inbound == 0x7f) ? '?' : inbound;
     }
   }
   spdlog::log(level, "{}", line);
--- a/libs/cargo/include/limeramp/cargo/codec.h
+++ b/libs/messages/include/limeramp/messages/codec.h
@@ -10,7 +10,7 @@
 #include <type_traits>
 #include <vector>
 
-namespace limeramp::cargo {
+namespace limeramp::messages {
 
 std::string enclose(std::string const& bytes);
 std::optional<std::string_view> disclose(std::string_view bytes);
--- a/libs/cargo/include/limeramp/cargo/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/cargo/codec.h"
+#include "limeramp/messages/codec.h"
 
 #include <cstdint>
 #include <optional>
@@ -8,10 +8,14 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::cargo {
+namespace limeramp::messages {
 
 constexpr std::int64_t protocol = 1;
 
+/// Values of Peer::role. Nodes of earlier versions send and expect exactly these words, so they outlive renames in the code.
+constexpr char const* gatewayRole = "quay";
+constexpr char const* controllerRole = "harbourmaster";
+
 struct Peer {
   static constexpr char const* name = "Peer";
   std::string node;
@@ -135,7 +139,7 @@
   }
 };
 
-struct Hail {
+struct Heartbeat {
   static constexpr char const* name = "Hail";
   EpochRecord decided;
   std::uint64_t token = 0;
@@ -197,7 +201,7 @@
   std::uint64_t rosterSequence = 0;
   std::vector<Receipt> receipts;
   std::uint64_t revision = 0;
-  std::vector<std::string> emptiedZones;
+  std::vector<std::string> evacuatedZones;
   bool operator==(State const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
@@ -212,7 +216,7 @@
     visit("rosterSequence", self.rosterSequence);
     visit("receipts", self.receipts);
     visit("revision", self.revision);
-    visit("emptiedZones", self.emptiedZones);
+    visit("emptiedZones", self.evacuatedZones);
   }
 };
 
@@ -220,13 +224,13 @@
   static constexpr char const* name = "Sync";
   EpochRecord decided;
   std::uint64_t token = 0;
-  bool sealed = false;
+  bool fenced = false;
   State state;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("decided", self.decided);
     visit("token", self.token);
-    visit("sealed", self.sealed);
+    visit("sealed", self.fenced);
     visit("state", self.state);
   }
 };
@@ -259,7 +263,7 @@
   }
 };
 
-struct Vouch {
+struct IncarnationRecord {
   static constexpr char const* name = "Vouch";
   std::string node;
   std::uint64_t boot = 0;
@@ -272,18 +276,18 @@
   }
 };
 
-struct Bearing {
+struct PeerStatus {
   static constexpr char const* name = "Bearing";
   std::string node;
   std::uint64_t boot = 0;
   bool leaving = false;
-  std::vector<Vouch> vouched;
+  std::vector<IncarnationRecord> incarnations;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("node", self.node);
     visit("boot", self.boot);
     visit("leaving", self.leaving);
-    visit("vouched", self.vouched);
+    visit("vouched", self.incarnations);
   }
 };
 
@@ -292,14 +296,14 @@
   std::uint64_t token = 0;
   Follower self;
   std::vector<Follower> followers;
-  std::vector<Bearing> bearings;
+  std::vector<PeerStatus> peerStatuses;
   bool recover = false;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
     visit("self", self.self);
     visit("followers", self.followers);
-    visit("bearings", self.bearings);
+    visit("bearings", self.peerStatuses);
     visit("recover", self.recover);
   }
 };
@@ -316,7 +320,7 @@
   std::optional<State> state;
   std::string primaryAddress;
   std::uint64_t boot = 0;
-  std::vector<Vouch> vouched;
+  std::vector<IncarnationRecord> incarnations;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -329,7 +333,7 @@
     visit("state", self.state);
     visit("primaryAddress", self.primaryAddress);
     visit("boot", self.boot);
-    visit("vouched", self.vouched);
+    visit("vouched", self.incarnations);
   }
 };
 
@@ -406,7 +410,7 @@
   }
 };
 
-struct Carry {
+struct ForwardRequest {
   static constexpr char const* name = "Carry";
   std::uint64_t remainingMs = 0;
   std::string method;
@@ -423,7 +427,7 @@
   }
 };
 
-struct Carried {
+struct ForwardReply {
   static constexpr char const* name = "Carried";
   std::uint64_t status = 0;
   std::vector<HeaderLine> headers;
@@ -436,12 +440,12 @@
   }
 };
 
-using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Hail, Sync, Synced, Poll, News, TablePoll,
+using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Heartbeat, Sync, Synced, Poll, News, TablePoll,
                              TableNews>;
 
 struct Envelope {
   static constexpr char const* name = "Envelope";
-  std::int64_t protocol = cargo::protocol;
+  std::int64_t protocol = messages::protocol;
   std::string fleet;
   std::string from;
   std::string address;
@@ -460,14 +464,14 @@
   }
 };
 
-struct Parcel {
+struct PeerMessage {
   std::string fleet;
   std::string from;
   std::string address;
   Message message;
 };
 
-std::string seal(Parcel const& parcel);
-absl::StatusOr<Parcel> unseal(std::string_view bytes);
+std::string seal(PeerMessage const& received);
+absl::StatusOr<PeerMessage> unseal(std::string_view bytes);
 
 }
--- a/libs/cargo/src/codec.cpp
+++ b/libs/messages/src/codec.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/cargo/codec.h"
+#include "limeramp/messages/codec.h"
 
 #include <avro.h>
 #include <xxhash.h>
@@ -6,7 +6,7 @@
 #include <cstring>
 #include <map>
 
-namespace limeramp::cargo {
+namespace limeramp::messages {
 namespace {
 
 struct Kind {
--- a/libs/cargo/src/messages.cpp
+++ b/libs/messages/src/messages.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/cargo/messages.h"
+#include "limeramp/messages/messages.h"
 
 #include <xxhash.h>
 
@@ -8,7 +8,7 @@
 #include <map>
 #include <mutex>
 
-namespace limeramp::cargo {
+namespace limeramp::messages {
 namespace {
 
 constexpr std::uint64_t alwaysWhole = 32;
@@ -86,11 +86,11 @@
 
 }
 
-std::string seal(Parcel const& parcel) {
+std::string seal(PeerMessage const& received) {
   Envelope envelope;
-  envelope.fleet = parcel.fleet;
-  envelope.from = parcel.from;
-  envelope.address = parcel.address;
+  envelope.fleet = received.fleet;
+  envelope.from = received.from;
+  envelope.address = received.address;
   std::visit(
       [&](auto const& message) {
         using Kind = std::decay_t<decltype(message)>;
@@ -99,11 +99,11 @@
         envelope.body = pack(message);
         envelope.schema = whole ? schemaOf<Kind>() : "";
       },
-      parcel.message);
+      received.message);
   return enclose(pack(envelope));
 }
 
-absl::StatusOr<Parcel> unseal(std::string_view bytes) {
+absl::StatusOr<PeerMessage> unseal(std::string_view bytes) {
   std::optional<std::string_view> const whole = disclose(bytes);
   if (!whole) {
     return absl::DataLossError("spoilt on the way");
@@ -122,7 +122,7 @@
   if (!message.ok()) {
     return message.status();
   }
-  return Parcel{envelope->fleet, envelope->from, envelope->address, *std::move(message)};
+  return PeerMessage{envelope->fleet, envelope->from, envelope->address, *std::move(message)};
 }
 
 }
--- a/libs/rigging/include/limeramp/rigging/http.h
+++ b/libs/net/include/limeramp/net/http.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/tally/verdict.h"
+#include "limeramp/retry/verdict.h"
 
 #include <chrono>
 #include <cstddef>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
@@ -120,7 +120,7 @@
 
 struct Exchange {
   std::optional<Answer> answer;
-  tally::Verdict verdict = tally::Verdict::notRun;
+  retry::Verdict verdict = retry::Verdict::notRun;
   std::string reason;
   bool refused = false;
 };
--- a/libs/rigging/include/limeramp/rigging/mail.h
+++ b/libs/net/include/limeramp/net/peer_sender.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 
 #include <memory>
 #include <string>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 class Mail {
  public:
--- a/libs/rigging/include/limeramp/rigging/chance.h
+++ b/libs/net/include/limeramp/net/random.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 std::uint64_t randomWord();
 std::string randomName();
--- a/libs/rigging/include/limeramp/rigging/ring.h
+++ b/libs/net/include/limeramp/net/ring.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 template <typename T>
 class Ring {
--- a/libs/rigging/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -15,7 +15,7 @@
 #include <deque>
 #include <mutex>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 namespace {
 
 namespace asio = boost::asio;
@@ -236,7 +236,7 @@
     ++waiting;
     count(pool, 0, 0);
   } else {
-    finish(attempt, {std::nullopt, tally::Verdict::notRun, "no connection free"});
+    finish(attempt, {std::nullopt, retry::Verdict::notRun, "no connection free"});
     return;
   }
   setDeadline(attempt->deadline);
@@ -254,7 +254,7 @@
     --waiting;
     if (next->deadline <= now) {
       count(pool, 0, 0);
-      finish(next, {std::nullopt, tally::Verdict::notRun, "no connection free"});
+      finish(next, {std::nullopt, retry::Verdict::notRun, "no connection free"});
     } else {
       place(next);
     }
@@ -271,7 +271,7 @@
     connection->socket.open(asio::ip::tcp::v4(), error);
   }
   if (error) {
-    finish(attempt, {std::nullopt, tally::Verdict::notRun, "connect: " + error.message()});
+    finish(attempt, {std::nullopt, retry::Verdict::notRun, "connect: " + error.message()});
     return;
   }
   boost::system::error_code ignored;
@@ -492,7 +492,7 @@
 void HttpClient::Impl::answered(ConnectionPtr const& connection, bool clean) {
   http::response<http::string_body>& message = connection->parser->get();
   Exchange exchange;
-  exchange.verdict = tally::Verdict::ran;
+  exchange.verdict = retry::Verdict::ran;
   Answer& answer = exchange.answer.emplace();
   answer.status = static_cast<int>(message.result_int());
   answer.headers = std::move(connection->headers);
@@ -540,7 +540,7 @@
   connection->attempt.reset();
   Exchange exchange;
   bool const unsent = connection->sentBytes == 0 && !connection->sending;
-  exchange.verdict = unsent ? tally::Verdict::notRun : tally::Verdict::mayHaveRun;
+  exchange.verdict = unsent ? retry::Verdict::notRun : retry::Verdict::mayHaveRun;
   exchange.refused = refused;
   exchange.reason = connection->phase == Phase::connecting ? "connect: " : unsent ? "send: " : "receive: ";
   exchange.reason.append(reason);
@@ -576,7 +576,7 @@
     pool.waiting.erase(found);
     --waiting;
     count(pool, 0, 0);
-    finish(attempt, {std::nullopt, tally::Verdict::notRun, reason});
+    finish(attempt, {std::nullopt, retry::Verdict::notRun, reason});
   }
 }
 
--- a/libs/rigging/src/network.cpp
+++ b/libs/net/src/network.cpp
@@ -8,7 +8,7 @@
 #include <array>
 #include <charconv>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 Network::Impl::Impl() : timer(context), landing(64 << 10) {}
 
@@ -147,10 +147,10 @@
 
 std::string percentEncoded(std::string const& text) {
   std::string out;
-  for (char const letter : text) {
-    char code[4] = {letter, 0, 0, 0};
-    if (std::isalnum(static_cast<unsigned char>(letter)) == 0 && std::string_view("-._~").find(letter) == std::string_view::npos) {
-      std::snprintf(code, sizeof code, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(letter)));
+  for (char const inbound : text) {
+    char code[4] = {inbound, 0, 0, 0};
+    if (std::isalnum(static_cast<unsigned char>(inbound)) == 0 && std::string_view("-._~").find(inbound) == std::string_view::npos) {
+      std::snprintf(code, sizeof code, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(inbound)));
     }
     out += code;
   }
@@ -159,7 +159,7 @@
 
 std::string plainHost(std::string_view host) {
   std::string out(host.substr(0, host.find(':')));
-  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char inbound) { return static_cast<char>(std::tolower(inbound)); });
   return out;
 }
 
@@ -183,7 +183,7 @@
   for (std::size_t at = 0; at < listed.size();) {
     std::size_t const comma = std::min(listed.find(',', at), listed.size());
     std::string name = listed.substr(at, comma - at);
-    std::erase_if(name, [](char letter) { return letter == ' ' || letter == '\t'; });
+    std::erase_if(name, [](char inbound) { return inbound == ' ' || inbound == '\t'; });
     named.push_back(std::move(name));
     at = comma + 1;
   }
--- a/libs/rigging/src/network.h
+++ b/libs/net/src/network.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 struct Network::Impl {
   using TimePoint = std::chrono::steady_clock::time_point;
--- a/libs/rigging/src/mail.cpp
+++ b/libs/net/src/peer_sender.cpp
@@ -1,10 +1,10 @@
-#include "limeramp/rigging/mail.h"
+#include "limeramp/net/peer_sender.h"
 
 #include <atomic>
 #include <map>
 #include <mutex>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 namespace {
 
 constexpr std::size_t mostOutstanding = 32;
--- a/libs/rigging/src/chance.cpp
+++ b/libs/net/src/random.cpp
@@ -1,9 +1,9 @@
-#include "limeramp/rigging/chance.h"
+#include "limeramp/net/random.h"
 
 #include <cstdio>
 #include <random>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 std::uint64_t randomWord() {
   std::random_device source;
--- a/libs/rigging/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -11,7 +11,7 @@
 
 #include <array>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 namespace {
 
 namespace asio = boost::asio;
--- a/libs/rigging/src/wire.cpp
+++ b/libs/net/src/wire.cpp
@@ -6,14 +6,14 @@
 #include <algorithm>
 #include <array>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 namespace {
 
 namespace beast = boost::beast;
 
-bool isControl(char letter) {
-  unsigned char const code = static_cast<unsigned char>(letter);
-  return (code < 0x20 && letter != '\t') || code == 0x7f;
+bool isControl(char inbound) {
+  unsigned char const code = static_cast<unsigned char>(inbound);
+  return (code < 0x20 && inbound != '\t') || code == 0x7f;
 }
 
 bool isGood(std::string_view line, bool first) {
@@ -38,7 +38,7 @@
 
 bool breaks(std::string_view text) {
   return std::any_of(text.begin(), text.end(),
-                     [](char letter) { return letter == '\r' || letter == '\n' || letter == '\0'; });
+                     [](char inbound) { return inbound == '\r' || inbound == '\n' || inbound == '\0'; });
 }
 
 std::size_t bytesOf(Headers const& headers) {
--- a/libs/rigging/src/wire.h
+++ b/libs/net/src/wire.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 
 #include <string>
 #include <string_view>
 
-namespace limeramp::rigging {
+namespace limeramp::net {
 
 enum class Head { partial, whole, wrong };
 
--- a/libs/logbook/include/limeramp/logbook/logbook.h
+++ b/libs/query/include/limeramp/query/query_engine.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::logbook {
+namespace limeramp::query {
 
 using Cell = std::variant<std::int64_t, double, std::string>;
 
--- a/libs/logbook/src/logbook.cpp
+++ b/libs/query/src/query_engine.cpp
@@ -1,13 +1,13 @@
-#include "limeramp/logbook/logbook.h"
+#include "limeramp/query/query_engine.h"
 
-#include "limeramp/rigging/ring.h"
+#include "limeramp/net/ring.h"
 
 #include <picojson.h>
 #include <sqlite3.h>
 
 #include <thread>
 
-namespace limeramp::logbook {
+namespace limeramp::query {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -163,19 +163,19 @@
 }
 
 struct Clerk::Impl {
-  struct Errand {
+  struct OperatorCall {
     std::vector<Sheet> sheets;
     std::string query;
     Done done;
   };
-  rigging::Ring<Errand> ring{8};
+  net::Ring<OperatorCall> ring{8};
   std::thread thread;
 };
 
 Clerk::Clerk() : impl_(std::make_unique<Impl>()) {
   impl_->thread = std::thread([this] {
-    while (std::optional<Impl::Errand> errand = impl_->ring.pop()) {
-      errand->done(logbook::ask(errand->sheets, errand->query));
+    while (std::optional<Impl::OperatorCall> call = impl_->ring.pop()) {
+      call->done(query::ask(call->sheets, call->query));
     }
   });
 }
--- a/libs/pledge/include/limeramp/pledge/council.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/cargo/messages.h"
-#include "limeramp/signal/signal.h"
+#include "limeramp/messages/messages.h"
+#include "limeramp/logging/logging.h"
 
 #include <chrono>
 #include <cstdint>
@@ -13,14 +13,14 @@
 #include <variant>
 #include <vector>
 
-namespace limeramp::pledge {
+namespace limeramp::replication {
 
 using TimePoint = std::chrono::steady_clock::time_point;
 using Puts = std::vector<std::pair<std::string, std::string>>;
 
 struct Policy {
-  std::chrono::milliseconds hailMs{250};
-  std::chrono::milliseconds idleHailMs{400};
+  std::chrono::milliseconds heartbeatMs{250};
+  std::chrono::milliseconds idleHeartbeatMs{400};
   std::chrono::milliseconds lostMs{1200};
   std::chrono::milliseconds takeoverMs{1500};
   std::chrono::milliseconds ballotMs{350};
@@ -30,7 +30,7 @@
   std::chrono::milliseconds spreadMs{5000};
   std::chrono::milliseconds diskSlowMs{1000};
   std::chrono::milliseconds founderTurnMs{700};
-  std::chrono::milliseconds heirTurnMs{500};
+  std::chrono::milliseconds successorTurnMs{500};
   std::size_t leastReplicas = 2;
   std::size_t mostReplicas = 2;
   std::size_t mostWitnesses = 3;
@@ -58,7 +58,7 @@
 struct Received {
   std::string from;
   std::string address;
-  cargo::Message message;
+  messages::Message message;
 };
 struct Persisted {
   std::uint64_t token = 0;
@@ -66,21 +66,21 @@
 };
 struct Offer {
   std::uint64_t ticket = 0;
-  cargo::State state;
+  messages::State state;
 };
 struct Tick {};
 struct Retire {};
-struct Salvage {
+struct ForceNewGroup {
   std::string fleet;
-  cargo::State state;
+  messages::State state;
 };
 
-using Event = std::variant<Start, Known, Received, Persisted, Offer, Tick, Retire, Salvage>;
+using Event = std::variant<Start, Known, Received, Persisted, Offer, Tick, Retire, ForceNewGroup>;
 
 struct Send {
   std::string to;
   std::string address;
-  cargo::Message message;
+  messages::Message message;
 };
 struct Persist {
   std::uint64_t token = 0;
@@ -88,33 +88,33 @@
 };
 struct Committed {
   std::uint64_t ticket = 0;
-  cargo::State state;
+  messages::State state;
 };
 struct Doubtful {
   std::uint64_t ticket = 0;
 };
 struct Active {
   std::uint64_t epoch = 0;
-  cargo::State state;
+  messages::State state;
 };
 struct Inactive {};
 struct Note {
-  signal::Event event;
+  logging::Event event;
   std::string about;
 };
 
-struct Salvaged {
+struct NewGroupForced {
   std::string refusal;
 };
 
-using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, Salvaged, Note>;
+using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, NewGroupForced, Note>;
 
-class Council {
+class ReplicationGroup {
  public:
-  explicit Council(Policy const& policy);
-  ~Council();
-  Council(Council&&) noexcept;
-  Council& operator=(Council&&) noexcept;
+  explicit ReplicationGroup(Policy const& policy);
+  ~ReplicationGroup();
+  ReplicationGroup(ReplicationGroup&&) noexcept;
+  ReplicationGroup& operator=(ReplicationGroup&&) noexcept;
 
   std::vector<Effect> step(TimePoint now, Event const& event);
 
@@ -123,10 +123,10 @@
   bool ailing() const;
   bool retired() const;
   std::string const& id() const;
-  cargo::EpochRecord const& decided() const;
-  cargo::State const& state() const;
-  std::uint64_t sealed() const;
-  std::optional<TimePoint> authority() const;
+  messages::EpochRecord const& decided() const;
+  messages::State const& state() const;
+  std::uint64_t fenced() const;
+  std::optional<TimePoint> leadershipConfirmedAt() const;
   std::string primaryAddress() const;
   std::optional<std::chrono::milliseconds> heardMs(TimePoint now, std::string const& member) const;
 
