--- a/libs/pledge/src/council.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/pledge/council.h"
+#include "limeramp/replication/replication_group.h"
 
 #include <algorithm>
 #include <compare>
@@ -6,22 +6,22 @@
 #include <random>
 #include <set>
 
-namespace limeramp::pledge {
+namespace limeramp::replication {
 namespace {
 
 using Ms = std::chrono::milliseconds;
 
 struct Vote {
   static constexpr char const* name = "Vote";
-  cargo::EpochRecord decided;
-  std::uint64_t sealed = 0;
-  cargo::Ballot promised;
-  cargo::Ballot acceptedBallot;
-  std::optional<cargo::EpochRecord> accepted;
+  messages::EpochRecord decided;
+  std::uint64_t fenced = 0;
+  messages::Ballot promised;
+  messages::Ballot acceptedBallot;
+  std::optional<messages::EpochRecord> accepted;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("decided", self.decided);
-    visit("sealed", self.sealed);
+    visit("sealed", self.fenced);
     visit("promised", self.promised);
     visit("acceptedBallot", self.acceptedBallot);
     visit("accepted", self.accepted);
@@ -31,18 +31,18 @@
 struct Heard {
   Member member;
   TimePoint at{};
-  cargo::Hail hail;
+  messages::Heartbeat heartbeat;
   std::uint64_t lastToken = 0;
   bool ever = false;
   bool reached = false;
-  TimePoint nextHailAt{};
+  TimePoint nextHeartbeatAt{};
 };
 
-std::uint64_t epochOf(cargo::Hail const& hail) { return std::max(hail.epoch, hail.decided.epoch); }
+std::uint64_t epochOf(messages::Heartbeat const& heartbeat) { return std::max(heartbeat.epoch, heartbeat.decided.epoch); }
 
 enum class Step { none, choosing, syncing, preparing, accepting };
 
-constexpr std::uint64_t salvageStride = 1'000'000;
+constexpr std::uint64_t forcedEpochStride = 1'000'000;
 
 struct Proposal {
   Step step = Step::none;
@@ -51,16 +51,16 @@
   std::set<std::string> toSync;
   std::uint64_t syncToken = 0;
   TimePoint sentAt{};
-  cargo::Ballot ballot;
-  cargo::EpochRecord record;
-  cargo::Ballot bestBallot;
-  std::optional<cargo::EpochRecord> best;
+  messages::Ballot ballot;
+  messages::EpochRecord record;
+  messages::Ballot bestBallot;
+  std::optional<messages::EpochRecord> best;
   std::vector<std::string> voters;
   std::set<std::string> yes;
   TimePoint retryAt{};
 };
 
-enum class Regime { none, joining, active };
+enum class Leadership { none, joining, active };
 
 std::string joined(std::vector<std::string> const& ids) {
   std::string out;
@@ -76,7 +76,7 @@
 
 }
 
-struct Council::Impl {
+struct ReplicationGroup::Impl {
   explicit Impl(Policy const& policyIn) : policy(policyIn) {}
 
   Policy policy;
@@ -87,31 +87,31 @@
   bool diskless = false;
   bool retiring = false;
   Member self;
-  std::mt19937_64 dice;
+  std::mt19937_64 random;
   Vote vote;
-  cargo::State state;
+  messages::State state;
   std::map<std::string, Heard> heard;
   bool mayFound = false;
   std::vector<std::string> founders;
   std::uint64_t lastToken = 0;
-  std::deque<std::pair<std::uint64_t, TimePoint>> hailed;
+  std::deque<std::pair<std::uint64_t, TimePoint>> heartbeatsSent;
   TimePoint quietSince{};
   TimePoint startedAt{};
   std::uint64_t lastPersist = 0;
   std::map<std::uint64_t, std::vector<Effect>> afterPersist;
   std::map<std::uint64_t, TimePoint> persisting;
   std::set<std::string> schemasStored;
-  Regime regime = Regime::none;
-  std::uint64_t regimeToken = 0;
-  std::uint64_t regimePersist = 0;
+  Leadership leadership = Leadership::none;
+  std::uint64_t leadershipToken = 0;
+  std::uint64_t leadershipPersist = 0;
   bool localDone = false;
   std::set<std::string> backupsToSync;
   std::map<std::string, TimePoint> echoedAt;
   TimePoint syncSentAt{};
   std::optional<std::uint64_t> ticket;
-  std::optional<TimePoint> authorityAt;
+  std::optional<TimePoint> confirmedAt;
   std::uint64_t highestRound = 0;
-  std::uint64_t sealPersist = 0;
+  std::uint64_t fencePersist = 0;
   TimePoint yieldUntil{};
   Proposal proposal;
 
@@ -123,17 +123,17 @@
   void on(Tick const& event);
   void on(Retire const&) {
     retiring = true;
-    hailAll();
+    heartbeatAll();
   }
-  void on(Salvage const& event);
+  void on(ForceNewGroup const& event);
 
-  void hear(std::string const& from, cargo::Hail const& message);
-  void hear(std::string const& from, cargo::Prepare const& message);
-  void hear(std::string const& from, cargo::Promise const& message);
-  void hear(std::string const& from, cargo::Accept const& message);
-  void hear(std::string const& from, cargo::Accepted const& message);
-  void hear(std::string const& from, cargo::Sync const& message);
-  void hear(std::string const& from, cargo::Synced const& message);
+  void hear(std::string const& from, messages::Heartbeat const& message);
+  void hear(std::string const& from, messages::Prepare const& message);
+  void hear(std::string const& from, messages::Promise const& message);
+  void hear(std::string const& from, messages::Accept const& message);
+  void hear(std::string const& from, messages::Accepted const& message);
+  void hear(std::string const& from, messages::Sync const& message);
+  void hear(std::string const& from, messages::Synced const& message);
   template <typename Other>
   void hear(std::string const&, Other const&) {}
 
@@ -145,25 +145,25 @@
   bool isReplica(std::string const& id) const {
     return vote.decided.epoch > 0 && (id == vote.decided.primary || isOf(vote.decided.backups, id));
   }
-  bool isSealed() const { return vote.sealed >= vote.decided.epoch && vote.decided.epoch > 0; }
+  bool isFenced() const { return vote.fenced >= vote.decided.epoch && vote.decided.epoch > 0; }
   std::uint64_t slot() const { return vote.decided.epoch + 1; }
   bool fresh(std::string const& id, Ms within) const;
   std::size_t quorum() const;
   bool mayVote() const;
 
-  void send(std::string const& to, cargo::Message message);
+  void send(std::string const& to, messages::Message message);
   template <typename T>
   void store(std::string const& key, T const& value, Puts& puts);
   template <typename T>
   void restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value);
   std::uint64_t persist(bool withVote, bool withState, std::vector<Effect> then);
-  void learn(cargo::EpochRecord const& record, bool withState = false);
-  void beginRegime();
-  void endRegime();
-  void sendRegimeSync();
+  void learn(messages::EpochRecord const& record, bool withState = false);
+  void beginLeadership();
+  void endLeadership();
+  void beginLeadershipSync();
   void checkCommit();
-  void noteAuthority();
-  void sealSelf();
+  void confirmLeadership();
+  void fenceSelf();
   std::string zoneOf(std::string const& id) const;
   bool apart(std::string const& left, std::string const& right) const;
   std::vector<std::string> chooseBackups(std::string const& primary) const;
@@ -171,41 +171,41 @@
   std::vector<std::string> listing(std::string const& primary, std::vector<std::string> const& backups) const;
   bool backupsFresh(std::chrono::milliseconds within) const;
   bool couldGoOn() const { return 1 + chooseBackups(self.id).size() >= policy.leastReplicas; }
-  void sendRegimeSyncs();
+  void sendLeadershipSyncs();
   std::size_t zonesOf(std::vector<std::string> const& ids) const;
   bool superseded(std::string const& id) const;
   bool witnessesNeedChange() const;
   bool partnersFresh() const;
-  void sendSealedSyncs();
+  void sendFencedSyncs();
   void pushProposal();
   void beginBallot();
   void sendBallot();
   void beginAccept();
   void tryFounding();
-  void hail();
-  void hailAll();
+  void heartbeat();
+  void heartbeatAll();
 };
 
-bool Council::Impl::fresh(std::string const& id, Ms within) const {
+bool ReplicationGroup::Impl::fresh(std::string const& id, Ms within) const {
   if (id == self.id) {
     return true;
   }
   std::map<std::string, Heard>::const_iterator const found = heard.find(id);
-  return found != heard.end() && found->second.ever && !found->second.hail.ailing && now - found->second.at <= within;
+  return found != heard.end() && found->second.ever && !found->second.heartbeat.ailing && now - found->second.at <= within;
 }
 
-std::size_t Council::Impl::quorum() const {
+std::size_t ReplicationGroup::Impl::quorum() const {
   return (vote.decided.epoch == 0 ? founders.size() : vote.decided.witnesses.size()) / 2 + 1;
 }
 
-bool Council::Impl::mayVote() const {
+bool ReplicationGroup::Impl::mayVote() const {
   if (vote.decided.epoch == 0) {
     return mayFound && std::binary_search(founders.begin(), founders.end(), self.address);
   }
   return std::count(vote.decided.witnesses.begin(), vote.decided.witnesses.end(), self.id) > 0;
 }
 
-void Council::Impl::send(std::string const& to, cargo::Message message) {
+void ReplicationGroup::Impl::send(std::string const& to, messages::Message message) {
   if (to == self.id) {
     std::visit([&](auto const& concrete) { hear(self.id, concrete); }, message);
     return;
@@ -217,29 +217,29 @@
 }
 
 template <typename T>
-void Council::Impl::store(std::string const& key, T const& value, Puts& puts) {
-  puts.emplace_back(key, cargo::pack(value));
+void ReplicationGroup::Impl::store(std::string const& key, T const& value, Puts& puts) {
+  puts.emplace_back(key, messages::pack(value));
   if (schemasStored.insert(key).second) {
-    puts.emplace_back(key + "-schema", cargo::schemaOf<T>());
+    puts.emplace_back(key + "-schema", messages::schemaOf<T>());
   }
 }
 
 template <typename T>
-void Council::Impl::restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value) {
+void ReplicationGroup::Impl::restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value) {
   std::map<std::string, std::string>::const_iterator const found = stored.find(key);
   if (found == stored.end()) {
     return;
   }
   std::map<std::string, std::string>::const_iterator const schema = stored.find(key + "-schema");
   absl::StatusOr<T> read =
-      schema == stored.end() ? cargo::unpack<T>(found->second) : cargo::unpack<T>(found->second, schema->second);
+      schema == stored.end() ? messages::unpack<T>(found->second) : messages::unpack<T>(found->second, schema->second);
   broken = broken || !read.ok();
   if (read.ok()) {
     value = *std::move(read);
   }
 }
 
-std::uint64_t Council::Impl::persist(bool withVote, bool withState, std::vector<Effect> then) {
+std::uint64_t ReplicationGroup::Impl::persist(bool withVote, bool withState, std::vector<Effect> then) {
   std::uint64_t const token = ++lastPersist;
   Persist effect{token, {}};
   if (withVote) {
@@ -248,8 +248,8 @@
   if (withState) {
     store("state", state, effect.puts);
   }
-  if (withVote && isSealed()) {
-    sealPersist = token;
+  if (withVote && isFenced()) {
+    fencePersist = token;
   }
   persisting.emplace(token, now);
   afterPersist.emplace(token, std::move(then));
@@ -257,10 +257,10 @@
   return token;
 }
 
-void Council::Impl::on(Start const& event) {
+void ReplicationGroup::Impl::on(Start const& event) {
   self = event.self;
-  dice.seed(event.seed);
-  lastToken = dice() >> 20;
+  random.seed(event.seed);
+  lastToken = random() >> 20;
   started = true;
   quietSince = now;
   startedAt = now;
@@ -275,14 +275,14 @@
   restore("vote", event.stored, vote);
   restore("state", event.stored, state);
   if (broken) {
-    effects.emplace_back(Note{signal::Event::diskDamaged, "stored records do not read"});
+    effects.emplace_back(Note{logging::Event::diskDamaged, "stored records do not read"});
     return;
   }
   highestRound = std::max(vote.promised.round, vote.acceptedBallot.round);
-  beginRegime();
+  beginLeadership();
 }
 
-void Council::Impl::on(Known const& event) {
+void ReplicationGroup::Impl::on(Known const& event) {
   mayFound = event.mayFound;
   for (Member const& member : event.members) {
     if (member.id != self.id) {
@@ -296,7 +296,7 @@
   });
 }
 
-void Council::Impl::on(Received const& event) {
+void ReplicationGroup::Impl::on(Received const& event) {
   if (event.from == self.id) {
     return;
   }
@@ -305,17 +305,17 @@
   entry.member.address = event.address;
   if (!broken) {
     std::visit([&](auto const& concrete) { hear(event.from, concrete); }, event.message);
-  } else if (cargo::Hail const* const hail = std::get_if<cargo::Hail>(&event.message)) {
+  } else if (messages::Heartbeat const* const heartbeat = std::get_if<messages::Heartbeat>(&event.message)) {
     entry.at = now;
     entry.ever = true;
-    entry.hail = *hail;
-    bool const known = vote.decided.epoch == 0 || hail->decided.fleet == vote.decided.fleet;
-    bool const later = hail->decided.epoch > vote.decided.epoch && known;
-    vote.decided = later ? hail->decided : vote.decided;
+    entry.heartbeat = *heartbeat;
+    bool const known = vote.decided.epoch == 0 || heartbeat->decided.fleet == vote.decided.fleet;
+    bool const later = heartbeat->decided.epoch > vote.decided.epoch && known;
+    vote.decided = later ? heartbeat->decided : vote.decided;
   }
 }
 
-void Council::Impl::on(Persisted const& event) {
+void ReplicationGroup::Impl::on(Persisted const& event) {
   std::map<std::uint64_t, std::vector<Effect>>::iterator const found = afterPersist.find(event.token);
   if (found == afterPersist.end()) {
     return;
@@ -326,8 +326,8 @@
   if (!event.good) {
     if (!broken) {
       broken = true;
-      effects.emplace_back(Note{signal::Event::diskFailed, "a write or sync failed"});
-      endRegime();
+      effects.emplace_back(Note{logging::Event::diskFailed, "a write or sync failed"});
+      endLeadership();
       proposal = {};
     }
     return;
@@ -342,54 +342,54 @@
       effects.push_back(effect);
     }
   }
-  if (regime != Regime::none && event.token == regimePersist) {
+  if (leadership != Leadership::none && event.token == leadershipPersist) {
     localDone = true;
     checkCommit();
   }
 }
 
-void Council::Impl::on(Salvage const& event) {
+void ReplicationGroup::Impl::on(ForceNewGroup const& event) {
   std::string refusal;
   std::vector<std::string> const backups = chooseBackups(self.id);
   if (broken || retiring) {
-    refusal = "this harbourmaster's disk failed, or it is ending";
+    refusal = "this controller's disk failed, or it is ending";
   } else if (vote.decided.epoch > 0 && event.fleet != vote.decided.fleet) {
-    refusal = "this harbourmaster is of another fleet";
+    refusal = "this controller is of another fleet";
   } else if (vote.decided.epoch > 0 && fresh(vote.decided.primary, policy.lostMs) && backupsFresh(policy.lostMs)) {
     refusal = "primary and backup are alive";
   } else if (!couldGoOn()) {
-    refusal = "no other harbourmaster is heard that could be backup";
+    refusal = "no other controller is heard that could be backup";
   }
   if (!refusal.empty()) {
-    effects.emplace_back(Salvaged{refusal});
+    effects.emplace_back(NewGroupForced{refusal});
     return;
   }
   if (std::pair(event.state.epoch, event.state.sequence) > std::pair(state.epoch, state.sequence)) {
     state = event.state;
   }
-  std::uint64_t const generation = std::max(vote.decided.epoch, state.epoch) / salvageStride + 1;
-  cargo::EpochRecord record{generation * salvageStride + dice() % (salvageStride / 2), event.fleet, self.id, backups, chooseWitnesses(self.id, backups)};
+  std::uint64_t const generation = std::max(vote.decided.epoch, state.epoch) / forcedEpochStride + 1;
+  messages::EpochRecord record{generation * forcedEpochStride + random() % (forcedEpochStride / 2), event.fleet, self.id, backups, chooseWitnesses(self.id, backups)};
   learn(record, true);
-  effects.emplace_back(Salvaged{});
-  hailAll();
+  effects.emplace_back(NewGroupForced{});
+  heartbeatAll();
 }
 
-void Council::Impl::learn(cargo::EpochRecord const& record, bool withState) {
+void ReplicationGroup::Impl::learn(messages::EpochRecord const& record, bool withState) {
   if (record.epoch <= vote.decided.epoch) {
     return;
   }
   if (vote.decided.epoch > 0 && record.fleet != vote.decided.fleet) {
-    effects.emplace_back(Note{signal::Event::peerStrange, "a record of fleet " + record.fleet});
+    effects.emplace_back(Note{logging::Event::peerStrange, "a record of fleet " + record.fleet});
     return;
   }
-  effects.emplace_back(Note{record.epoch == 1 ? signal::Event::founded : signal::Event::epochGranted,
+  effects.emplace_back(Note{record.epoch == 1 ? logging::Event::founded : logging::Event::epochGranted,
                             std::to_string(record.epoch) + " primary " + record.primary + " backups " + joined(record.backups)});
   bool const keepsTicket = record.primary == self.id;
   std::optional<std::uint64_t> const held = ticket;
   if (keepsTicket) {
     ticket.reset();
   }
-  endRegime();
+  endLeadership();
   ticket = keepsTicket ? held : std::nullopt;
   proposal = {};
   vote.decided = record;
@@ -398,54 +398,54 @@
   vote.accepted.reset();
   quietSince = now;
   persist(true, withState, {});
-  beginRegime();
+  beginLeadership();
 }
 
-void Council::Impl::endRegime() {
-  if (regime == Regime::active) {
+void ReplicationGroup::Impl::endLeadership() {
+  if (leadership == Leadership::active) {
     effects.emplace_back(Inactive{});
-    effects.emplace_back(Note{signal::Event::primaryStopped, std::to_string(vote.decided.epoch)});
+    effects.emplace_back(Note{logging::Event::primaryStopped, std::to_string(vote.decided.epoch)});
   }
-  regime = Regime::none;
-  authorityAt.reset();
+  leadership = Leadership::none;
+  confirmedAt.reset();
   if (ticket) {
     effects.emplace_back(Doubtful{*ticket});
     ticket.reset();
   }
 }
 
-void Council::Impl::beginRegime() {
-  if (!isPrimary() || isSealed()) {
+void ReplicationGroup::Impl::beginLeadership() {
+  if (!isPrimary() || isFenced()) {
     return;
   }
-  regime = Regime::joining;
+  leadership = Leadership::joining;
   echoedAt.clear();
-  regimePersist = persist(false, true, {});
+  leadershipPersist = persist(false, true, {});
   localDone = false;
-  sendRegimeSync();
+  beginLeadershipSync();
 }
 
-void Council::Impl::sendRegimeSync() {
-  regimeToken = ++lastToken;
+void ReplicationGroup::Impl::beginLeadershipSync() {
+  leadershipToken = ++lastToken;
   backupsToSync = {vote.decided.backups.begin(), vote.decided.backups.end()};
-  sendRegimeSyncs();
+  sendLeadershipSyncs();
 }
 
-void Council::Impl::sendRegimeSyncs() {
+void ReplicationGroup::Impl::sendLeadershipSyncs() {
   syncSentAt = now;
   for (std::string const& backup : backupsToSync) {
-    send(backup, cargo::Sync{vote.decided, regimeToken, false, state});
+    send(backup, messages::Sync{vote.decided, leadershipToken, false, state});
   }
 }
 
-void Council::Impl::checkCommit() {
-  if (!localDone || !backupsToSync.empty() || isSealed()) {
+void ReplicationGroup::Impl::checkCommit() {
+  if (!localDone || !backupsToSync.empty() || isFenced()) {
     return;
   }
-  if (regime == Regime::joining) {
-    regime = Regime::active;
+  if (leadership == Leadership::joining) {
+    leadership = Leadership::active;
     effects.emplace_back(Active{vote.decided.epoch, state});
-    effects.emplace_back(Note{signal::Event::primaryBegan, std::to_string(vote.decided.epoch)});
+    effects.emplace_back(Note{logging::Event::primaryBegan, std::to_string(vote.decided.epoch)});
   }
   if (ticket) {
     effects.emplace_back(Committed{*ticket, state});
@@ -453,8 +453,8 @@
   }
 }
 
-void Council::Impl::on(Offer const& event) {
-  if (regime != Regime::active || ticket || retiring || isSealed() || !localDone || !backupsToSync.empty()) {
+void ReplicationGroup::Impl::on(Offer const& event) {
+  if (leadership != Leadership::active || ticket || retiring || isFenced() || !localDone || !backupsToSync.empty()) {
     effects.emplace_back(Doubtful{event.ticket});
     return;
   }
@@ -464,47 +464,47 @@
   state.epoch = vote.decided.epoch;
   state.sequence = next;
   localDone = false;
-  regimePersist = persist(false, true, {});
-  sendRegimeSync();
+  leadershipPersist = persist(false, true, {});
+  beginLeadershipSync();
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Sync const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Sync const& message) {
   learn(message.decided);
   if (message.decided.epoch != vote.decided.epoch || message.decided.epoch == 0) {
     return;
   }
   bool withVote = false;
-  if (message.sealed) {
+  if (message.fenced) {
     if (!isReplica(from)) {
       return;
     }
-    if ((isPrimary() || isBackup()) && !isSealed()) {
-      sealSelf();
+    if ((isPrimary() || isBackup()) && !isFenced()) {
+      fenceSelf();
       withVote = true;
     }
     yieldUntil = now + policy.lostMs;
   } else {
     std::strong_ordering const order = std::pair(message.state.epoch, message.state.sequence) <=> std::pair(state.epoch, state.sequence);
-    if (isPrimary() && regime == Regime::joining && isOf(vote.decided.backups, from) && order > 0 &&
+    if (isPrimary() && leadership == Leadership::joining && isOf(vote.decided.backups, from) && order > 0 &&
         message.state.epoch == vote.decided.epoch) {
       state = message.state;
-      regimePersist = persist(false, true, {});
+      leadershipPersist = persist(false, true, {});
       localDone = false;
-      sendRegimeSync();
+      beginLeadershipSync();
       return;
     }
-    if (from != vote.decided.primary || !isBackup() || isSealed()) {
+    if (from != vote.decided.primary || !isBackup() || isFenced()) {
       return;
     }
     if (state.epoch == vote.decided.epoch && order < 0) {
-      send(from, cargo::Sync{vote.decided, message.token, false, state});
+      send(from, messages::Sync{vote.decided, message.token, false, state});
       return;
     }
   }
   bool const changed = !(state == message.state);
-  std::vector<Effect> then{Send{from, "", cargo::Synced{vote.decided.epoch, message.token}}};
+  std::vector<Effect> then{Send{from, "", messages::Synced{vote.decided.epoch, message.token}}};
   if (changed && state.epoch < message.state.epoch) {
-    effects.emplace_back(Note{signal::Event::replicaRebuilt, std::to_string(message.state.epoch) + "." +
+    effects.emplace_back(Note{logging::Event::replicaRebuilt, std::to_string(message.state.epoch) + "." +
                                                                  std::to_string(message.state.sequence)});
   }
   if (changed && ticket) {
@@ -515,11 +515,11 @@
   persist(withVote, true, std::move(then));
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Synced const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Synced const& message) {
   if (message.epoch != vote.decided.epoch) {
     return;
   }
-  if (regime != Regime::none && message.token == regimeToken && backupsToSync.erase(from) > 0) {
+  if (leadership != Leadership::none && message.token == leadershipToken && backupsToSync.erase(from) > 0) {
     checkCommit();
   }
   if (proposal.step == Step::syncing && message.token == proposal.syncToken && proposal.toSync.erase(from) > 0 &&
@@ -528,18 +528,18 @@
   }
 }
 
-void Council::Impl::sealSelf() {
-  vote.sealed = std::max(vote.sealed, vote.decided.epoch);
-  if (regime == Regime::active) {
+void ReplicationGroup::Impl::fenceSelf() {
+  vote.fenced = std::max(vote.fenced, vote.decided.epoch);
+  if (leadership == Leadership::active) {
     effects.emplace_back(Inactive{});
-    effects.emplace_back(Note{signal::Event::primaryStopped, std::to_string(vote.decided.epoch)});
+    effects.emplace_back(Note{logging::Event::primaryStopped, std::to_string(vote.decided.epoch)});
   }
-  regime = Regime::none;
-  authorityAt.reset();
+  leadership = Leadership::none;
+  confirmedAt.reset();
 }
 
-void Council::Impl::noteAuthority() {
-  if (regime != Regime::active) {
+void ReplicationGroup::Impl::confirmLeadership() {
+  if (leadership != Leadership::active) {
     return;
   }
   TimePoint earliest = now;
@@ -549,19 +549,19 @@
     }
     earliest = std::min(earliest, echoedAt[backup]);
   }
-  authorityAt = std::max(authorityAt.value_or(TimePoint{}), earliest);
+  confirmedAt = std::max(confirmedAt.value_or(TimePoint{}), earliest);
 }
 
-std::string Council::Impl::zoneOf(std::string const& id) const {
+std::string ReplicationGroup::Impl::zoneOf(std::string const& id) const {
   std::map<std::string, Heard>::const_iterator const found = heard.find(id);
   return id == self.id ? self.zone : found == heard.end() ? "" : found->second.member.zone;
 }
 
-bool Council::Impl::apart(std::string const& left, std::string const& right) const {
+bool ReplicationGroup::Impl::apart(std::string const& left, std::string const& right) const {
   return !zoneOf(left).empty() && !zoneOf(right).empty() && zoneOf(left) != zoneOf(right);
 }
 
-std::vector<std::string> Council::Impl::chooseBackups(std::string const& primary) const {
+std::vector<std::string> ReplicationGroup::Impl::chooseBackups(std::string const& primary) const {
   std::vector<std::string> out;
   while (1 + out.size() < policy.mostReplicas) {
     std::string best;
@@ -588,7 +588,7 @@
   return out;
 }
 
-std::size_t Council::Impl::zonesOf(std::vector<std::string> const& ids) const {
+std::size_t ReplicationGroup::Impl::zonesOf(std::vector<std::string> const& ids) const {
   std::set<std::string> zones;
   for (std::string const& id : ids) {
     zones.insert(zoneOf(id));
@@ -596,13 +596,13 @@
   return zones.size() - zones.count("");
 }
 
-std::vector<std::string> Council::Impl::listing(std::string const& primary, std::vector<std::string> const& backups) const {
+std::vector<std::string> ReplicationGroup::Impl::listing(std::string const& primary, std::vector<std::string> const& backups) const {
   std::vector<std::string> out{primary};
   out.insert(out.end(), backups.begin(), backups.end());
   return out;
 }
 
-std::vector<std::string> Council::Impl::chooseWitnesses(std::string const& primary,
+std::vector<std::string> ReplicationGroup::Impl::chooseWitnesses(std::string const& primary,
                                                         std::vector<std::string> const& backups) const {
   std::vector<std::string> out = listing(primary, backups);
   std::vector<std::string> const& listed = vote.decided.witnesses;
@@ -640,7 +640,7 @@
   return out;
 }
 
-bool Council::Impl::superseded(std::string const& id) const {
+bool ReplicationGroup::Impl::superseded(std::string const& id) const {
   std::map<std::string, Heard>::const_iterator const old = heard.find(id);
   return old != heard.end() && std::any_of(heard.begin(), heard.end(), [&](std::pair<std::string const, Heard> const& entry) {
            return entry.first != id && entry.second.member.address == old->second.member.address &&
@@ -648,7 +648,7 @@
          });
 }
 
-bool Council::Impl::witnessesNeedChange() const {
+bool ReplicationGroup::Impl::witnessesNeedChange() const {
   if (now - startedAt < policy.lostMs || now - quietSince < policy.repairMs) {
     return false;
   }
@@ -671,26 +671,26 @@
          zonesOf(listing(self.id, backups)) > zonesOf(listing(self.id, vote.decided.backups));
 }
 
-bool Council::Impl::partnersFresh() const {
+bool ReplicationGroup::Impl::partnersFresh() const {
   return fresh(proposal.primary, policy.lostMs) &&
          std::all_of(proposal.backups.begin(), proposal.backups.end(),
                      [&](std::string const& id) { return fresh(id, policy.lostMs); });
 }
 
-void Council::Impl::sendSealedSyncs() {
+void ReplicationGroup::Impl::sendFencedSyncs() {
   proposal.sentAt = now;
   for (std::string const& id : proposal.toSync) {
-    send(id, cargo::Sync{vote.decided, proposal.syncToken, true, state});
+    send(id, messages::Sync{vote.decided, proposal.syncToken, true, state});
   }
 }
 
-bool Council::Impl::backupsFresh(Ms within) const {
+bool ReplicationGroup::Impl::backupsFresh(Ms within) const {
   return std::all_of(vote.decided.backups.begin(), vote.decided.backups.end(),
                      [&](std::string const& id) { return fresh(id, within); });
 }
 
-void Council::Impl::pushProposal() {
-  if (persisting.contains(sealPersist) && proposal.step == Step::choosing) {
+void ReplicationGroup::Impl::pushProposal() {
+  if (persisting.contains(fencePersist) && proposal.step == Step::choosing) {
     return;
   }
   switch (proposal.step) {
@@ -704,9 +704,9 @@
       }
       proposal.primary = self.id;
       if (handsOver && !backups.empty()) {
-        std::vector<std::string>::const_iterator const heir = std::find_if(
+        std::vector<std::string>::const_iterator const successor = std::find_if(
             vote.decided.backups.begin(), vote.decided.backups.end(), [&](std::string const& id) { return fresh(id, policy.lostMs); });
-        proposal.primary = heir == vote.decided.backups.end() ? backups.front() : *heir;
+        proposal.primary = successor == vote.decided.backups.end() ? backups.front() : *successor;
         backups = chooseBackups(proposal.primary);
         if (1 + backups.size() < policy.leastReplicas) {
           backups.push_back(self.id);
@@ -721,7 +721,7 @@
       if (proposal.toSync.empty()) {
         beginBallot();
       } else {
-        sendSealedSyncs();
+        sendFencedSyncs();
       }
       return;
     }
@@ -730,7 +730,7 @@
         proposal.step = Step::choosing;
         pushProposal();
       } else if (now - proposal.sentAt >= policy.resendMs) {
-        sendSealedSyncs();
+        sendFencedSyncs();
       }
       return;
     case Step::preparing:
@@ -738,7 +738,7 @@
       if (now < proposal.retryAt && now - proposal.sentAt >= policy.resendMs) {
         sendBallot();
       } else if (now >= proposal.retryAt) {
-        effects.emplace_back(Note{signal::Event::ballotLost, std::to_string(proposal.ballot.round)});
+        effects.emplace_back(Note{logging::Event::ballotLost, std::to_string(proposal.ballot.round)});
         if (vote.decided.epoch > 0 && !partnersFresh()) {
           proposal.step = Step::choosing;
           pushProposal();
@@ -750,13 +750,13 @@
   }
 }
 
-void Council::Impl::beginBallot() {
+void ReplicationGroup::Impl::beginBallot() {
   proposal.step = Step::preparing;
   proposal.ballot = {++highestRound, self.id};
   proposal.best.reset();
   proposal.bestBallot = {};
   proposal.yes.clear();
-  proposal.retryAt = now + policy.ballotMs + Ms(static_cast<long>(dice() % static_cast<std::uint64_t>(policy.ballotMs.count())));
+  proposal.retryAt = now + policy.ballotMs + Ms(static_cast<long>(random() % static_cast<std::uint64_t>(policy.ballotMs.count())));
   if (vote.decided.epoch > 0) {
     proposal.voters = vote.decided.witnesses;
     proposal.record = {vote.decided.epoch + 1, vote.decided.fleet, proposal.primary, proposal.backups,
@@ -765,12 +765,12 @@
   sendBallot();
 }
 
-void Council::Impl::sendBallot() {
+void ReplicationGroup::Impl::sendBallot() {
   std::uint64_t const epoch = vote.decided.epoch;
   Step const step = proposal.step;
-  cargo::Message const message = step == Step::preparing
-                                     ? cargo::Message(cargo::Prepare{vote.decided, proposal.ballot})
-                                     : cargo::Message(cargo::Accept{vote.decided, proposal.ballot, proposal.record});
+  messages::Message const message = step == Step::preparing
+                                     ? messages::Message(messages::Prepare{vote.decided, proposal.ballot})
+                                     : messages::Message(messages::Accept{vote.decided, proposal.ballot, proposal.record});
   std::vector<std::string> const voters = proposal.voters;
   proposal.sentAt = now;
   for (std::string const& voter : voters) {
@@ -784,10 +784,10 @@
   }
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Prepare const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Prepare const& message) {
   learn(message.decided);
   if (message.decided.epoch < vote.decided.epoch) {
-    cargo::Hail hint;
+    messages::Heartbeat hint;
     hint.decided = vote.decided;
     hint.epoch = vote.decided.epoch;
     hint.ailing = ailing() || retiring;
@@ -798,7 +798,7 @@
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
-  cargo::Promise answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised, vote.acceptedBallot,
+  messages::Promise answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised, vote.acceptedBallot,
                         vote.accepted};
   if (!answer.granted) {
     send(from, answer);
@@ -808,7 +808,7 @@
   persist(true, false, {Send{from, "", answer}});
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Promise const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Promise const& message) {
   if (message.slot != slot() || proposal.step != Step::preparing || message.ballot != proposal.ballot) {
     return;
   }
@@ -826,7 +826,7 @@
   }
 }
 
-void Council::Impl::beginAccept() {
+void ReplicationGroup::Impl::beginAccept() {
   proposal.step = Step::accepting;
   proposal.yes.clear();
   if (proposal.best) {
@@ -835,13 +835,13 @@
   sendBallot();
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Accept const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Accept const& message) {
   learn(message.decided);
   if (message.decided.epoch != vote.decided.epoch || !mayVote()) {
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
-  cargo::Accepted answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised};
+  messages::Accepted answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised};
   if (!answer.granted) {
     send(from, answer);
     return;
@@ -852,7 +852,7 @@
   persist(true, false, {Send{from, "", answer}});
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Accepted const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Accepted const& message) {
   if (message.slot != slot() || proposal.step != Step::accepting || message.ballot != proposal.ballot) {
     return;
   }
@@ -862,58 +862,58 @@
   }
   proposal.yes.insert(from);
   if (proposal.yes.size() >= quorum()) {
-    cargo::EpochRecord const record = proposal.record;
+    messages::EpochRecord const record = proposal.record;
     learn(record);
-    hailAll();
+    heartbeatAll();
   }
 }
 
-void Council::Impl::hear(std::string const& from, cargo::Hail const& message) {
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Heartbeat const& message) {
   Heard& entry = heard[from];
   entry.at = now;
   entry.ever = true;
-  entry.hail = message;
+  entry.heartbeat = message;
   entry.lastToken = message.token != 0 ? message.token : entry.lastToken;
   learn(message.decided);
   bool const reached = std::exchange(entry.reached, true);
-  if (regime == Regime::joining && !reached && isOf(vote.decided.backups, from)) {
-    sendRegimeSyncs();
+  if (leadership == Leadership::joining && !reached && isOf(vote.decided.backups, from)) {
+    sendLeadershipSyncs();
   }
-  if (regime == Regime::active && isOf(vote.decided.backups, from) && epochOf(message) == vote.decided.epoch) {
-    for (std::pair<std::uint64_t, TimePoint> const& sent : hailed) {
+  if (leadership == Leadership::active && isOf(vote.decided.backups, from) && epochOf(message) == vote.decided.epoch) {
+    for (std::pair<std::uint64_t, TimePoint> const& sent : heartbeatsSent) {
       if (sent.first == message.echoed) {
         echoedAt[from] = std::max(echoedAt[from], sent.second);
       }
     }
-    noteAuthority();
+    confirmLeadership();
   }
-  if (isBackup() && from == vote.decided.primary && message.token != 0 && now + policy.hailMs > entry.nextHailAt) {
-    entry.nextHailAt = now;
-    hail();
+  if (isBackup() && from == vote.decided.primary && message.token != 0 && now + policy.heartbeatMs > entry.nextHeartbeatAt) {
+    entry.nextHeartbeatAt = now;
+    heartbeat();
   }
 }
 
-void Council::Impl::hailAll() {
+void ReplicationGroup::Impl::heartbeatAll() {
   for (std::pair<std::string const, Heard>& entry : heard) {
-    entry.second.nextHailAt = now;
+    entry.second.nextHeartbeatAt = now;
   }
-  hail();
+  heartbeat();
 }
 
-void Council::Impl::hail() {
+void ReplicationGroup::Impl::heartbeat() {
   std::uint64_t token = 0;
   for (std::pair<std::string const, Heard>& entry : heard) {
-    if (now < entry.second.nextHailAt) {
+    if (now < entry.second.nextHeartbeatAt) {
       continue;
     }
     bool const quick = vote.decided.epoch == 0 || (isPrimary() && isOf(vote.decided.backups, entry.first));
-    entry.second.nextHailAt = now + (quick ? policy.hailMs : policy.idleHailMs);
+    entry.second.nextHeartbeatAt = now + (quick ? policy.heartbeatMs : policy.idleHeartbeatMs);
     if (token == 0) {
       token = ++lastToken;
-      hailed.emplace_back(token, now);
+      heartbeatsSent.emplace_back(token, now);
     }
-    cargo::Hail const& last = entry.second.hail;
-    cargo::Hail message;
+    messages::Heartbeat const& last = entry.second.heartbeat;
+    messages::Heartbeat message;
     if (last.epoch == 0 || epochOf(last) != vote.decided.epoch) {
       message.decided = vote.decided;
     }
@@ -923,12 +923,12 @@
     message.ailing = ailing() || retiring;
     effects.emplace_back(Send{entry.first, entry.second.member.address, message});
   }
-  while (hailed.size() > 64) {
-    hailed.pop_front();
+  while (heartbeatsSent.size() > 64) {
+    heartbeatsSent.pop_front();
   }
 }
 
-void Council::Impl::tryFounding() {
+void ReplicationGroup::Impl::tryFounding() {
   std::vector<std::string>::const_iterator const turn = std::lower_bound(founders.begin(), founders.end(), self.address);
   if (!mayVote() || retiring || now - quietSince < policy.lostMs + policy.founderTurnMs * (turn - founders.begin())) {
     return;
@@ -947,7 +947,7 @@
   }
   proposal.record = {1, "", self.id, chooseBackups(self.id), {}};
   char fleet[20];
-  std::snprintf(fleet, sizeof fleet, "%016llx", static_cast<unsigned long long>(dice()));
+  std::snprintf(fleet, sizeof fleet, "%016llx", static_cast<unsigned long long>(random()));
   proposal.record.fleet = fleet;
   proposal.record.witnesses = chooseWitnesses(self.id, proposal.record.backups);
   proposal.voters.clear();
@@ -957,8 +957,8 @@
   beginBallot();
 }
 
-void Council::Impl::on(Tick const&) {
-  hail();
+void ReplicationGroup::Impl::on(Tick const&) {
+  heartbeat();
   if (broken) {
     return;
   }
@@ -976,32 +976,32 @@
     return;
   }
   if (isPrimary()) {
-    if (regime != Regime::none && !backupsToSync.empty() && now - syncSentAt >= policy.resendMs) {
-      sendRegimeSyncs();
+    if (leadership != Leadership::none && !backupsToSync.empty() && now - syncSentAt >= policy.resendMs) {
+      sendLeadershipSyncs();
     }
-    noteAuthority();
+    confirmLeadership();
     bool const settled = now - quietSince >= policy.lostMs;
     bool const backupGone = settled && !backupsFresh(policy.lostMs);
     bool const handsOver = retiring && !ticket && !chooseBackups(self.id).empty();
-    if (!isSealed() && !ailing() && (handsOver || backupGone || (!ticket && witnessesNeedChange())) && couldGoOn()) {
+    if (!isFenced() && !ailing() && (handsOver || backupGone || (!ticket && witnessesNeedChange())) && couldGoOn()) {
       if (backupGone) {
-        effects.emplace_back(Note{signal::Event::backupLost, joined(vote.decided.backups)});
+        effects.emplace_back(Note{logging::Event::backupLost, joined(vote.decided.backups)});
       }
-      sealSelf();
+      fenceSelf();
       persist(true, false, {});
       proposal.step = Step::choosing;
-    } else if (isSealed() && !ailing()) {
+    } else if (isFenced() && !ailing()) {
       proposal.step = Step::choosing;
     }
   } else if (isBackup()) {
-    std::vector<std::string> const& heirs = vote.decided.backups;
-    Ms const patience = policy.takeoverMs + policy.heirTurnMs * (std::find(heirs.begin(), heirs.end(), self.id) - heirs.begin());
+    std::vector<std::string> const& successors = vote.decided.backups;
+    Ms const patience = policy.takeoverMs + policy.successorTurnMs * (std::find(successors.begin(), successors.end(), self.id) - successors.begin());
     bool const gone = now - quietSince >= patience && !fresh(vote.decided.primary, patience);
-    if (!isSealed() && !ailing() && gone && couldGoOn()) {
-      sealSelf();
+    if (!isFenced() && !ailing() && gone && couldGoOn()) {
+      fenceSelf();
       persist(true, false, {});
       proposal.step = Step::choosing;
-    } else if (isSealed() && !ailing() && now >= yieldUntil) {
+    } else if (isFenced() && !ailing() && now >= yieldUntil) {
       proposal.step = Step::choosing;
     }
   }
@@ -1017,12 +1017,12 @@
   return policy;
 }
 
-Council::Council(Policy const& policy) : impl_(std::make_unique<Impl>(policy)) {}
-Council::~Council() = default;
-Council::Council(Council&&) noexcept = default;
-Council& Council::operator=(Council&&) noexcept = default;
+ReplicationGroup::ReplicationGroup(Policy const& policy) : impl_(std::make_unique<Impl>(policy)) {}
+ReplicationGroup::~ReplicationGroup() = default;
+ReplicationGroup::ReplicationGroup(ReplicationGroup&&) noexcept = default;
+ReplicationGroup& ReplicationGroup::operator=(ReplicationGroup&&) noexcept = default;
 
-std::vector<Effect> Council::step(TimePoint now, Event const& event) {
+std::vector<Effect> ReplicationGroup::step(TimePoint now, Event const& event) {
   impl_->now = now;
   impl_->effects.clear();
   if (impl_->started || std::holds_alternative<Start>(event)) {
@@ -1031,21 +1031,21 @@
   return std::move(impl_->effects);
 }
 
-bool Council::active() const { return impl_->regime == Regime::active && !impl_->isSealed(); }
-bool Council::busy() const { return impl_->ticket.has_value(); }
-bool Council::ailing() const { return impl_->ailing() && !impl_->diskless; }
-bool Council::retired() const {
-  std::map<std::string, Heard>::const_iterator const heir = impl_->heard.find(impl_->vote.decided.primary);
-  bool const known = heir != impl_->heard.end() && epochOf(heir->second.hail) == impl_->vote.decided.epoch;
-  return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isSealed()));
+bool ReplicationGroup::active() const { return impl_->leadership == Leadership::active && !impl_->isFenced(); }
+bool ReplicationGroup::busy() const { return impl_->ticket.has_value(); }
+bool ReplicationGroup::ailing() const { return impl_->ailing() && !impl_->diskless; }
+bool ReplicationGroup::retired() const {
+  std::map<std::string, Heard>::const_iterator const successor = impl_->heard.find(impl_->vote.decided.primary);
+  bool const known = successor != impl_->heard.end() && epochOf(successor->second.heartbeat) == impl_->vote.decided.epoch;
+  return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isFenced()));
 }
-std::string const& Council::id() const { return impl_->self.id; }
-cargo::EpochRecord const& Council::decided() const { return impl_->vote.decided; }
-cargo::State const& Council::state() const { return impl_->state; }
-std::uint64_t Council::sealed() const { return impl_->vote.sealed; }
-std::optional<TimePoint> Council::authority() const { return impl_->authorityAt; }
+std::string const& ReplicationGroup::id() const { return impl_->self.id; }
+messages::EpochRecord const& ReplicationGroup::decided() const { return impl_->vote.decided; }
+messages::State const& ReplicationGroup::state() const { return impl_->state; }
+std::uint64_t ReplicationGroup::fenced() const { return impl_->vote.fenced; }
+std::optional<TimePoint> ReplicationGroup::leadershipConfirmedAt() const { return impl_->confirmedAt; }
 
-std::string Council::primaryAddress() const {
+std::string ReplicationGroup::primaryAddress() const {
   std::string const& primary = impl_->vote.decided.primary;
   if (primary == impl_->self.id) {
     return impl_->ailing() ? "" : impl_->self.address;
@@ -1054,7 +1054,7 @@
   return found == impl_->heard.end() ? "" : found->second.member.address;
 }
 
-std::optional<std::chrono::milliseconds> Council::heardMs(TimePoint now, std::string const& member) const {
+std::optional<std::chrono::milliseconds> ReplicationGroup::heardMs(TimePoint now, std::string const& member) const {
   std::map<std::string, Heard>::const_iterator const found = impl_->heard.find(member);
   if (found == impl_->heard.end() || !found->second.ever) {
     return std::nullopt;
--- a/libs/tally/include/limeramp/tally/ledger.h
+++ b/libs/retry/include/limeramp/retry/ledger.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "limeramp/tally/verdict.h"
+#include "limeramp/retry/verdict.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
 
-namespace limeramp::tally {
+namespace limeramp::retry {
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
--- a/libs/tally/include/limeramp/tally/verdict.h
+++ b/libs/retry/include/limeramp/retry/verdict.h
@@ -2,7 +2,7 @@
 
 #include <string_view>
 
-namespace limeramp::tally {
+namespace limeramp::retry {
 
 enum class Verdict { notRun, mayHaveRun, ran };
 
--- a/libs/tally/src/ledger.cpp
+++ b/libs/retry/src/ledger.cpp
@@ -1,8 +1,8 @@
-#include "limeramp/tally/ledger.h"
+#include "limeramp/retry/ledger.h"
 
 #include <algorithm>
 
-namespace limeramp::tally {
+namespace limeramp::retry {
 
 void Ledger::assign(std::uint64_t attempt, std::uint64_t server, TimePoint now) {
   attempts_.push_back({attempt, server, now, Phase::assigned, Verdict::mayHaveRun, true});
--- a/libs/hold/include/limeramp/hold/store.h
+++ b/libs/storage/include/limeramp/storage/record_store.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace limeramp::hold {
+namespace limeramp::storage {
 
 using Puts = std::vector<std::pair<std::string, std::string>>;
 
@@ -26,12 +26,12 @@
   std::string detail;
 };
 
-class Store {
+class RecordStore {
  public:
-  static absl::StatusOr<std::unique_ptr<Store>> open(std::string const& folder, Shape const& shape = {});
-  ~Store();
-  Store(Store const&) = delete;
-  Store& operator=(Store const&) = delete;
+  static absl::StatusOr<std::unique_ptr<RecordStore>> open(std::string const& folder, Shape const& shape = {});
+  ~RecordStore();
+  RecordStore(RecordStore const&) = delete;
+  RecordStore& operator=(RecordStore const&) = delete;
 
   Findings const& findings() const;
   std::map<std::string, std::string> const& values() const;
@@ -39,7 +39,7 @@
   absl::Status setAside();
 
  private:
-  Store();
+  RecordStore();
   struct Impl;
   std::unique_ptr<Impl> impl_;
 };
--- a/libs/hold/src/store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/hold/store.h"
+#include "limeramp/storage/record_store.h"
 
-#include "limeramp/cargo/codec.h"
+#include "limeramp/messages/codec.h"
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -15,7 +15,7 @@
 #include <filesystem>
 #include <optional>
 
-namespace limeramp::hold {
+namespace limeramp::storage {
 namespace {
 
 struct Pair {
@@ -96,7 +96,7 @@
       break;
     }
     absl::StatusOr<Batch> batch =
-        cargo::unpack<Batch>(std::string_view(bytes).substr(at + sizeof(Head), head->size));
+        messages::unpack<Batch>(std::string_view(bytes).substr(at + sizeof(Head), head->size));
     if (!batch.ok()) {
       out.rotten = true;
       break;
@@ -132,7 +132,7 @@
 
 }
 
-struct Store::Impl {
+struct RecordStore::Impl {
   std::string folder;
   Shape shape;
   Findings findings;
@@ -240,7 +240,7 @@
   }
 
   absl::Status append(Batch const& batch) {
-    std::string const payload = cargo::pack(batch);
+    std::string const payload = messages::pack(batch);
     Head head{magicMark, static_cast<std::uint32_t>(payload.size()), generation, serial, 0};
     head.checksum = checksumOf(head, payload.data());
     std::string record(aligned(sizeof head + payload.size()), '\0');
@@ -301,11 +301,11 @@
   }
 };
 
-Store::Store() : impl_(std::make_unique<Impl>()) {}
-Store::~Store() = default;
+RecordStore::RecordStore() : impl_(std::make_unique<Impl>()) {}
+RecordStore::~RecordStore() = default;
 
-absl::StatusOr<std::unique_ptr<Store>> Store::open(std::string const& folder, Shape const& shape) {
-  std::unique_ptr<Store> store(new Store());
+absl::StatusOr<std::unique_ptr<RecordStore>> RecordStore::open(std::string const& folder, Shape const& shape) {
+  std::unique_ptr<RecordStore> store(new RecordStore());
   Impl& impl = *store->impl_;
   impl.folder = folder;
   impl.shape = shape;
@@ -328,10 +328,10 @@
   return store;
 }
 
-Findings const& Store::findings() const { return impl_->findings; }
-std::map<std::string, std::string> const& Store::values() const { return impl_->values; }
+Findings const& RecordStore::findings() const { return impl_->findings; }
+std::map<std::string, std::string> const& RecordStore::values() const { return impl_->values; }
 
-absl::Status Store::put(Puts const& puts) {
+absl::Status RecordStore::put(Puts const& puts) {
   if (impl_->broken) {
     return absl::FailedPreconditionError("an earlier write failed");
   }
@@ -343,7 +343,7 @@
   return status;
 }
 
-absl::Status Store::setAside() {
+absl::Status RecordStore::setAside() {
   impl_->closeFiles();
   std::string const suffix =
       ".damaged-" + std::to_string(std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1));
--- /dev/null
+++ b/programs/gateway.cpp
@@ -0,0 +1,7 @@
+#include "limeramp/gateway/gateway_server.h"
+#include "program.h"
+
+int main(int argc, char** argv) {
+  return limeramp::programs::run<limeramp::gateway::GatewayServer>(
+      "limeramp-gateway", "the front of limeramp: searches, forwards, operators", {true, false}, argc, argv);
+}
--- a/programs/tender.cpp
+++ b/programs/limerampctl.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/manifest/json.h"
-#include "limeramp/rigging/http.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/config/json.h"
+#include "limeramp/net/http.h"
 
 #include <cxxopts.hpp>
 
@@ -18,16 +18,16 @@
 
 enum Exit { done = 0, problem = 1, usage = 2, refused = 3, conflict = 4, notRun = 5, unknown = 6, notReady = 7 };
 
-char const* const purpose = R"(tender talks to any node of a limeramp fleet.
+char const* const purpose = R"(limerampctl talks to any node of a limeramp fleet.
 
-  tender [flags] show                  the configuration in force, its version on stderr
-  tender [flags] put FILE              send a whole configuration
-  tender [flags] patch FILE            send a merge patch on --base VERSION
-  tender [flags] status                the node's own view
-  tender [flags] ready                 exit 0 if the node is ready, 7 if not
-  tender [flags] drain                 ask the node to finish and take nothing new
-  tender [flags] --yes forget NODE...  nodes that are gone for good and cannot prove it leave the roster at once
-  tender [flags] --yes salvage IP:PORT begin a new control group at this harbourmaster, from the newest
+  limerampctl [flags] show                  the configuration in force, its version on stderr
+  limerampctl [flags] put FILE              send a whole configuration
+  limerampctl [flags] patch FILE            send a merge patch on --base VERSION
+  limerampctl [flags] status                the node's own view
+  limerampctl [flags] ready                 exit 0 if the node is ready, 7 if not
+  limerampctl [flags] drain                 ask the node to finish and take nothing new
+  limerampctl [flags] --yes forget NODE...  nodes that are gone for good and cannot prove it leave the roster at once
+  limerampctl [flags] --yes force-new-group IP:PORT begin a new control group at this controller, from the newest
                                        configuration that any of --nodes holds
 
 FILE may be - for standard input. Exit: 0 taken or answered, 1 no answer, 2 wrong usage, 3 refused,
@@ -35,34 +35,34 @@
 )";
 
 char const* const forgetWarning =
-    "tender: these nodes are then counted as dead. If one of them lives on, cut off from here together with others,\n"
-    "tender: it may serve callers under an old configuration for as long as the cut lasts. Say --yes if they are gone.\n";
+    "limerampctl: these nodes are then counted as dead. If one of them lives on, cut off from here together with others,\n"
+    "limerampctl: it may serve callers under an old configuration for as long as the cut lasts. Say --yes if they are gone.\n";
 
-char const* const salvageWarning =
-    "tender: only when most of the control group's disks are gone for good. Changes that none of --nodes has are lost,\n"
-    "tender: what is left of the old group is overruled when it returns. Do it at one harbourmaster only, once, and\n"
-    "tender: name all nodes you can reach. Say --yes if that is wanted.\n";
+char const* const forceNewGroupWarning =
+    "limerampctl: only when most of the control group's disks are gone for good. Changes that none of --nodes has are lost,\n"
+    "limerampctl: what is left of the old group is overruled when it returns. Do it at one controller only, once, and\n"
+    "limerampctl: name all nodes you can reach. Say --yes if that is wanted.\n";
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
 struct Outcome {
-  rigging::Exchange exchange;
+  net::Exchange exchange;
   std::string node;
 };
 
-Outcome ask(std::vector<rigging::Address> const& nodes, rigging::Request const& request, Ms waitMs);
+Outcome ask(std::vector<net::Address> const& nodes, net::Request const& request, Ms waitMs);
 
-std::optional<std::string> newestOf(std::vector<rigging::Address> const& nodes) {
+std::optional<std::string> newestOf(std::vector<net::Address> const& nodes) {
   std::optional<std::string> best;
-  manifest::Version newest;
-  for (rigging::Address const& node : nodes) {
+  config::Version newest;
+  for (net::Address const& node : nodes) {
     Outcome const outcome = ask({node}, {"GET", "/limeramp/status", {}, "", ""}, Ms(2000));
     absl::StatusOr<picojson::value> const body =
-        outcome.exchange.answer ? manifest::parseJson(outcome.exchange.answer->body, {4u << 20, 24, 400'000})
+        outcome.exchange.answer ? config::parseJson(outcome.exchange.answer->body, {4u << 20, 24, 400'000})
                                 : absl::UnavailableError("no answer");
-    bool const reads = body.ok() && body->is<picojson::object>() && body->get("role").to_str() == "quay";
-    std::optional<manifest::Version> const state = reads ? manifest::Version::parse(body->get("state").to_str()) : std::nullopt;
-    std::cerr << "tender: " << node.text() << (state ? " holds " + state->text() : " gives no state") << '\n';
+    bool const reads = body.ok() && body->is<picojson::object>() && body->get("role").to_str() == "gateway";
+    std::optional<config::Version> const state = reads ? config::Version::parse(body->get("state").to_str()) : std::nullopt;
+    std::cerr << "limerampctl: " << node.text() << (state ? " holds " + state->text() : " gives no state") << '\n';
     if (state && *state > newest) {
       newest = *state;
       best = node.text();
@@ -71,18 +71,18 @@
   return best;
 }
 
-Outcome ask(std::vector<rigging::Address> const& nodes, rigging::Request const& request, Ms waitMs) {
-  rigging::Network network;
-  rigging::HttpClient client(network, {});
+Outcome ask(std::vector<net::Address> const& nodes, net::Request const& request, Ms waitMs) {
+  net::Network network;
+  net::HttpClient client(network, {});
   Outcome outcome;
   std::uint64_t number = 0;
-  for (rigging::Address const& node : nodes) {
-    std::promise<rigging::Exchange> promise;
-    std::future<rigging::Exchange> future = promise.get_future();
+  for (net::Address const& node : nodes) {
+    std::promise<net::Exchange> promise;
+    std::future<net::Exchange> future = promise.get_future();
     client.begin(++number, node, request, Clock::now() + waitMs,
-                 [&promise](rigging::Exchange exchange) { promise.set_value(std::move(exchange)); });
+                 [&promise](net::Exchange exchange) { promise.set_value(std::move(exchange)); });
     outcome = {future.get(), node.text()};
-    if (outcome.exchange.answer || outcome.exchange.verdict != tally::Verdict::notRun) {
+    if (outcome.exchange.answer || outcome.exchange.verdict != retry::Verdict::notRun) {
       break;
     }
   }
@@ -107,19 +107,19 @@
 
 int report(Outcome const& outcome, std::string const& verb, std::string const& change) {
   if (!outcome.exchange.answer) {
-    bool const certain = outcome.exchange.verdict == tally::Verdict::notRun;
-    std::cerr << "tender: " << outcome.node << ": " << outcome.exchange.reason << '\n';
+    bool const certain = outcome.exchange.verdict == retry::Verdict::notRun;
+    std::cerr << "limerampctl: " << outcome.node << ": " << outcome.exchange.reason << '\n';
     if (verb == "put" || verb == "patch" || verb == "forget") {
-      std::cerr << "tender: change " << change << (certain ? " was not carried out" : " may have been taken; ask again with --change")
+      std::cerr << "limerampctl: change " << change << (certain ? " was not carried out" : " may have been taken; ask again with --change")
                 << '\n';
       return certain ? Exit::notRun : Exit::unknown;
     }
     return Exit::problem;
   }
-  rigging::Answer const& answer = *outcome.exchange.answer;
+  net::Answer const& answer = *outcome.exchange.answer;
   std::cout << answer.body;
   if (verb == "show") {
-    std::cerr << "version " << rigging::findHeader(answer.headers, "limeramp-version").value_or("unknown") << '\n';
+    std::cerr << "version " << net::findHeader(answer.headers, "limeramp-version").value_or("unknown") << '\n';
   }
   switch (answer.status) {
     case 200:
@@ -141,7 +141,7 @@
 }
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("tender", purpose);
+  cxxopts::Options options("limerampctl", purpose);
   options.add_options()("nodes", "IP:PORT of one or more nodes, tried in turn", cxxopts::value<std::vector<std::string>>())(
       "base", "version that a patch, or a whole configuration, replaces", cxxopts::value<std::string>())(
       "change", "id of the change; the same id never takes effect twice", cxxopts::value<std::string>())(
@@ -158,15 +158,15 @@
       return Exit::done;
     }
     if (flags.count("version") > 0) {
-      std::cout << "tender 0.1.0\n";
+      std::cout << "limerampctl 0.1.0\n";
       return Exit::done;
     }
-    std::vector<rigging::Address> nodes;
+    std::vector<net::Address> nodes;
     if (flags.count("nodes") > 0) {
       for (std::string const& text : flags["nodes"].as<std::vector<std::string>>()) {
-        std::optional<rigging::Address> const address = rigging::Address::parse(text);
+        std::optional<net::Address> const address = net::Address::parse(text);
         if (!address) {
-          std::cerr << "tender: '" << text << "' must be an IP number and a port\n";
+          std::cerr << "limerampctl: '" << text << "' must be an IP number and a port\n";
           return Exit::usage;
         }
         nodes.push_back(*address);
@@ -178,30 +178,30 @@
         flags.count("rest") > 0 ? flags["rest"].as<std::vector<std::string>>() : std::vector<std::string>{};
     bool const writes = verb == "put" || verb == "patch";
     bool const sends = writes || verb == "forget";
-    bool const salvages = verb == "salvage";
-    bool const counted = salvages ? rest.size() == 1 && rigging::Address::parse(rest.front()) : verb == "forget" ? !rest.empty() : rest.size() == (writes ? 1u : 0u);
+    bool const forcedGroups = verb == "force-new-group";
+    bool const counted = forcedGroups ? rest.size() == 1 && net::Address::parse(rest.front()) : verb == "forget" ? !rest.empty() : rest.size() == (writes ? 1u : 0u);
     if (nodes.empty() || !flags.unmatched().empty() || waitMs <= 0 || waitMs > 60'000 ||
         !counted || (verb == "patch" && flags.count("base") == 0)) {
-      std::cerr << "tender: " << (nodes.empty() ? "--nodes is needed" : "wrong usage") << "; see tender --help\n";
+      std::cerr << "limerampctl: " << (nodes.empty() ? "--nodes is needed" : "wrong usage") << "; see limerampctl --help\n";
       return Exit::usage;
     }
-    rigging::Request request;
+    net::Request request;
     std::string change;
-    if ((verb == "forget" || salvages) && flags.count("yes") == 0) {
-      std::cerr << (salvages ? salvageWarning : forgetWarning);
+    if ((verb == "forget" || forcedGroups) && flags.count("yes") == 0) {
+      std::cerr << (forcedGroups ? forceNewGroupWarning : forgetWarning);
       return Exit::usage;
     }
-    if (salvages) {
+    if (forcedGroups) {
       std::optional<std::string> const from = newestOf(nodes);
       if (!from) {
-        std::cerr << "tender: none of the nodes holds a configuration\n";
+        std::cerr << "limerampctl: none of the nodes holds a configuration\n";
         return Exit::notRun;
       }
-      request = {"POST", "/limeramp/salvage", {{"content-type", "application/json"}}, "{\"from\":" + json(*from) + "}", ""};
-      return report(ask({*rigging::Address::parse(rest.front())}, request, Ms(8000)), verb, "");
+      request = {"POST", "/limeramp/force-new-group", {{"content-type", "application/json"}}, "{\"from\":" + json(*from) + "}", ""};
+      return report(ask({*net::Address::parse(rest.front())}, request, Ms(8000)), verb, "");
     }
     if (writes && !readFile(rest.front(), request.body)) {
-      std::cerr << "tender: " << rest.front() << " cannot be read\n";
+      std::cerr << "limerampctl: " << rest.front() << " cannot be read\n";
       return Exit::usage;
     }
     for (std::string const& node : verb == "forget" ? rest : std::vector<std::string>{}) {
@@ -230,12 +230,12 @@
       request.method = "POST";
       request.target = "/limeramp/drain";
     } else {
-      std::cerr << "tender: '" << verb << "' is not a verb; see tender --help\n";
+      std::cerr << "limerampctl: '" << verb << "' is not a verb; see limerampctl --help\n";
       return Exit::usage;
     }
     return report(ask(nodes, request, Ms(waitMs + (sends ? 1000 : 0))), verb, change);
   } catch (cxxopts::exceptions::exception const& wrong) {
-    std::cerr << "tender: " << wrong.what() << '\n';
+    std::cerr << "limerampctl: " << wrong.what() << '\n';
     return Exit::usage;
   }
 }
--- a/programs/program.h
+++ b/programs/program.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/manifest/flags.h"
-#include "limeramp/signal/signal.h"
+#include "limeramp/config/flags.h"
+#include "limeramp/logging/logging.h"
 
 #include <csignal>
 #include <functional>
@@ -13,16 +13,16 @@
 namespace limeramp::programs {
 
 template <typename Service>
-using Start = std::function<std::unique_ptr<Service>(manifest::Settings const& settings, std::string& error)>;
+using Start = std::function<std::unique_ptr<Service>(config::Settings const& settings, std::string& error)>;
 
 template <typename Service>
-int serve(std::string const& program, manifest::Settings const& settings, Start<Service> const& start,
+int serve(std::string const& program, config::Settings const& settings, Start<Service> const& start,
           std::function<void(Service&)> const& reload = {}) {
-  std::map<std::string, signal::Level> const levels{{"debug", signal::Level::debug},
-                                                    {"info", signal::Level::info},
-                                                    {"warning", signal::Level::warning},
-                                                    {"error", signal::Level::error}};
-  signal::open(program, settings.node, levels.at(settings.logLevel));
+  std::map<std::string, logging::Level> const levels{{"debug", logging::Level::debug},
+                                                    {"info", logging::Level::info},
+                                                    {"warning", logging::Level::warning},
+                                                    {"error", logging::Level::error}};
+  logging::open(program, settings.node, levels.at(settings.logLevel));
   sigset_t awaited;
   sigemptyset(&awaited);
   for (int const number : {SIGTERM, SIGINT, SIGHUP}) {
@@ -36,7 +36,7 @@
     std::cerr << program << ": " << error << '\n';
     return 1;
   }
-  signal::raise(signal::Event::processStarted, {{"zone", settings.zone}});
+  logging::raise(logging::Event::processStarted, {{"zone", settings.zone}});
   int number = 0;
   for (;;) {
     sigwait(&awaited, &number);
@@ -47,25 +47,25 @@
       reload(*service);
     }
   }
-  signal::raise(signal::Event::processStopping, {{"signal", std::to_string(number)}});
+  logging::raise(logging::Event::processStopping, {{"signal", std::to_string(number)}});
   service->drain();
   return 0;
 }
 
 template <typename Service>
-int run(std::string const& program, std::string const& purpose, manifest::SettingsNeeds const& needs, int argc,
+int run(std::string const& program, std::string const& purpose, config::SettingsNeeds const& needs, int argc,
         char const* const* argv) {
-  manifest::FlagOutcome const outcome = manifest::settingsFromFlags(program, purpose, needs, argc, argv);
-  if (manifest::FlagText const* const text = std::get_if<manifest::FlagText>(&outcome)) {
+  config::FlagOutcome const outcome = config::settingsFromFlags(program, purpose, needs, argc, argv);
+  if (config::FlagText const* const text = std::get_if<config::FlagText>(&outcome)) {
     std::cout << text->text;
     return 0;
   }
-  if (manifest::FlagProblem const* const problem = std::get_if<manifest::FlagProblem>(&outcome)) {
+  if (config::FlagProblem const* const problem = std::get_if<config::FlagProblem>(&outcome)) {
     std::cerr << program << ": " << problem->text << '\n';
     return 2;
   }
-  Start<Service> const start = [](manifest::Settings const& settings, std::string& error) { return Service::start(settings, error); };
-  return serve<Service>(program, std::get<manifest::Settings>(outcome), start);
+  Start<Service> const start = [](config::Settings const& settings, std::string& error) { return Service::start(settings, error); };
+  return serve<Service>(program, std::get<config::Settings>(outcome), start);
 }
 
 }
--- a/programs/wake.cpp
+++ b/programs/trace.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/manifest/json.h"
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/rigging/http.h"
+#include "limeramp/config/json.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/net/http.h"
 
 #include <cxxopts.hpp>
 
@@ -19,9 +19,9 @@
 using Clock = std::chrono::steady_clock;
 using Ms = std::chrono::milliseconds;
 
-char const* const purpose = R"(wake follows one change through all nodes of a fleet.
+char const* const purpose = R"(limeramp-trace follows one change through all nodes of a fleet.
 
-  wake --nodes IP:PORT[,...] [--want VERSION] [--wait-ms N] [--every-ms N]
+  limeramp-trace --nodes IP:PORT[,...] [--want VERSION] [--wait-ms N] [--every-ms N]
 
 It asks the nodes given, finds the others through them, and prints for each node when the version was first seen
 there: stored (in the node's state) and in force. Without --want it follows the newest version that any node knows at
@@ -37,7 +37,7 @@
   bool replica = true;
   bool ready = false;
   std::string standing;
-  manifest::Version version;
+  config::Version version;
   std::optional<Clock::time_point> stored;
   std::optional<Clock::time_point> inForce;
   Clock::time_point lastHeard{};
@@ -48,10 +48,10 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::map<std::string, Sight> nodes;
-  std::optional<manifest::Version> want;
+  std::optional<config::Version> want;
   bool next = false;
   bool settled = false;
-  manifest::Version newest;
+  config::Version newest;
 };
 
 std::string textOf(picojson::value const& body, std::string const& key) {
@@ -68,8 +68,8 @@
   sight.heard = true;
   sight.lastHeard = now;
   sight.ready = body.contains("ready") && body.get("ready").evaluate_as_boolean();
-  sight.version = manifest::Version::parse(textOf(body, "version")).value_or(manifest::Version{});
-  sight.replica = sight.role == "quay" || (body.contains("replica") && body.get("replica").evaluate_as_boolean());
+  sight.version = config::Version::parse(textOf(body, "version")).value_or(config::Version{});
+  sight.replica = sight.role == "gateway" || (body.contains("replica") && body.get("replica").evaluate_as_boolean());
   if (!watch.settled) {
     watch.newest = std::max(watch.newest, sight.version);
   } else if (watch.next && !watch.want && sight.version > watch.newest) {
@@ -77,7 +77,7 @@
   }
   if (watch.want && sight.version >= *watch.want) {
     sight.stored = sight.stored.value_or(now);
-    bool const serves = sight.role != "quay" || sight.standing == "current" || sight.standing == "upheld";
+    bool const serves = sight.role != "gateway" || sight.standing == "current" || sight.standing == "upheld";
     if (serves) {
       sight.inForce = sight.inForce.value_or(now);
     }
@@ -88,7 +88,7 @@
     }
     for (picojson::value const& peer : body.get(list).get<picojson::array>()) {
       std::string const other = textOf(peer, "address");
-      if (rigging::Address::parse(other) && watch.nodes.size() < 2000 && !watch.nodes.contains(other)) {
+      if (net::Address::parse(other) && watch.nodes.size() < 2000 && !watch.nodes.contains(other)) {
         Sight fresh;
         fresh.node = textOf(peer, "node");
         fresh.role = textOf(peer, "role");
@@ -102,7 +102,7 @@
 }
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("wake", purpose);
+  cxxopts::Options options("limeramp-trace", purpose);
   options.add_options()("nodes", "IP:PORT of one or more nodes", cxxopts::value<std::vector<std::string>>())(
       "want", "version to follow", cxxopts::value<std::string>())("next", "follow the first version newer than those known at the start")(
       "wait-ms", "how long to watch", cxxopts::value<long>()->default_value("10000"))(
@@ -115,14 +115,14 @@
       return 0;
     }
     if (flags.count("version") > 0) {
-      std::cout << "wake 0.1.0\n";
+      std::cout << "limeramp-trace 0.1.0\n";
       return 0;
     }
     Watch watch;
     if (flags.count("nodes") > 0) {
       for (std::string const& text : flags["nodes"].as<std::vector<std::string>>()) {
-        if (!rigging::Address::parse(text)) {
-          std::cerr << "wake: '" << text << "' must be an IP number and a port\n";
+        if (!net::Address::parse(text)) {
+          std::cerr << "limeramp-trace: '" << text << "' must be an IP number and a port\n";
           return 2;
         }
         watch.nodes.emplace(text, Sight{});
@@ -131,16 +131,16 @@
     long const waitMs = flags["wait-ms"].as<long>();
     long const everyMs = flags["every-ms"].as<long>();
     if (flags.count("want") > 0) {
-      watch.want = manifest::Version::parse(flags["want"].as<std::string>());
+      watch.want = config::Version::parse(flags["want"].as<std::string>());
     }
     if (watch.nodes.empty() || !flags.unmatched().empty() || waitMs < 1 || waitMs > 600'000 || everyMs < 5 ||
         (flags.count("want") > 0 && !watch.want)) {
-      std::cerr << "wake: --nodes is needed, --want is a version as in 3.14; see wake --help\n";
+      std::cerr << "limeramp-trace: --nodes is needed, --want is a version as in 3.14; see limeramp-trace --help\n";
       return 2;
     }
     watch.next = flags.count("next") > 0;
-    rigging::Network network;
-    rigging::HttpClient client(network, {4 << 20, 2, Ms(5000)});
+    net::Network network;
+    net::HttpClient client(network, {4 << 20, 2, Ms(5000)});
     Clock::time_point const start = Clock::now();
     std::uint64_t number = 0;
     std::unique_lock<std::mutex> lock(watch.mutex);
@@ -154,13 +154,13 @@
         }
       }
       for (std::string const& address : due) {
-        rigging::Request request{"GET", "/limeramp/status", {}, "", ""};
-        client.begin(++number, *rigging::Address::parse(address), request, Clock::now() + Ms(1000),
-                     [&watch, address](rigging::Exchange const& exchange) {
+        net::Request request{"GET", "/limeramp/status", {}, "", ""};
+        client.begin(++number, *net::Address::parse(address), request, Clock::now() + Ms(1000),
+                     [&watch, address](net::Exchange const& exchange) {
                        std::unique_lock<std::mutex> const inner(watch.mutex);
                        watch.nodes[address].pending = false;
                        if (exchange.answer && exchange.answer->status == 200) {
-                         absl::StatusOr<picojson::value> const body = manifest::parseJson(exchange.answer->body, {4u << 20, 24, 400'000});
+                         absl::StatusOr<picojson::value> const body = config::parseJson(exchange.answer->body, {4u << 20, 24, 400'000});
                          if (body.ok() && body->is<picojson::object>()) {
                            readStatus(watch, address, *body);
                          }
@@ -214,7 +214,7 @@
     std::printf("nodes %zu, lagging %zu, not heard %zu, last in force after %ld ms\n", watch.nodes.size(), lagging, silent, worst);
     return lagging + silent == 0 ? 0 : 1;
   } catch (cxxopts::exceptions::exception const& wrong) {
-    std::cerr << "wake: " << wrong.what() << '\n';
+    std::cerr << "limeramp-trace: " << wrong.what() << '\n';
     return 2;
   }
 }
--- a/tests/audit_check.py
+++ b/tests/audit_check.py
@@ -10,9 +10,9 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.dont_write_bytecode = True
-loader = importlib.machinery.SourceFileLoader("regatta", os.path.join(HERE, "..", "testside", "regatta"))
-regatta = importlib.util.module_from_spec(importlib.util.spec_from_loader("regatta", loader))
-loader.exec_module(regatta)
+loader = importlib.machinery.SourceFileLoader("fleet", os.path.join(HERE, "..", "testside", "fleet"))
+fleet = importlib.util.module_from_spec(importlib.util.spec_from_loader("fleet", loader))
+loader.exec_module(fleet)
 
 DOCUMENT = {"searches": {}, "routes": {}}
 
@@ -59,7 +59,7 @@
         change(story)
         story.write()
         with contextlib.redirect_stdout(io.StringIO()):
-            return [word for _, word, _, _ in regatta.audit(story)]
+            return [word for _, word, _, _ in fleet.audit(story)]
 
 
 def answer(**more):
--- a/tests/manifest_test.cpp
+++ b/tests/config_test.cpp
@@ -1,11 +1,11 @@
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/manifest/settings.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/config/settings.h"
 
 #include <gtest/gtest.h>
 
 namespace {
 
-using namespace limeramp::manifest;
+using namespace limeramp::config;
 
 std::string const good = R"({
   "services": {"p0": {"capacity": 20}, "p1": {}, "logs": {}},
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -1,5 +1,5 @@
-#include "drydock/roads.h"
-#include "limeramp/harbour/zones.h"
+#include "simulator/fleet_simulation.h"
+#include "limeramp/control/zones.h"
 
 #include <gtest/gtest.h>
 
@@ -10,50 +10,50 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::drydock;
+using namespace limeramp::simulator;
 
 std::string bodyOf(std::uint64_t number) {
   return "{\"services\":{\"a\":{\"capacity\":" + std::to_string(number + 1) + "}}}";
 }
 
-bool settle(Roads& roads, std::uint64_t ticket) {
+bool settle(FleetSimulation& roads, std::uint64_t ticket) {
   for (int round = 0; round < 400 && !roads.answers.contains(ticket); ++round) {
     roads.run(Ms(25));
   }
   return roads.answers.contains(ticket);
 }
 
-harbour::Verdict verdictOf(Roads& roads, std::optional<std::uint64_t> ticket) {
+control::Verdict verdictOf(FleetSimulation& roads, std::optional<std::uint64_t> ticket) {
   if (!ticket || !settle(roads, *ticket)) {
-    return harbour::Verdict::notRun;
+    return control::Verdict::notRun;
   }
   return roads.answers.at(*ticket).decided.verdict;
 }
 
-harbour::Verdict insist(Roads& roads, std::string const& id, std::uint64_t number) {
-  harbour::Verdict verdict = harbour::Verdict::notRun;
-  for (int round = 0; round < 60 && verdict != harbour::Verdict::taken; ++round) {
+control::Verdict insist(FleetSimulation& roads, std::string const& id, std::uint64_t number) {
+  control::Verdict verdict = control::Verdict::notRun;
+  for (int round = 0; round < 60 && verdict != control::Verdict::taken; ++round) {
     verdict = verdictOf(roads, roads.change(id, bodyOf(number)));
     roads.run(Ms(200));
   }
   return verdict;
 }
 
-bool startServing(Roads& roads, std::size_t quays, Ms within = Ms(10'000)) {
+bool startServing(FleetSimulation& roads, std::size_t gateways, Ms within = Ms(10'000)) {
   roads.startAll();
-  return insist(roads, "first", 1) == harbour::Verdict::taken && roads.awaitServing(quays, within);
+  return insist(roads, "first", 1) == control::Verdict::taken && roads.awaitServing(gateways, within);
 }
 
 TEST(Delivery, AChangeIsEverywhereWhenItIsAcknowledged) {
-  Roads roads(3, 3, 8, 3);
+  FleetSimulation roads(3, 3, 8, 3);
   ASSERT_TRUE(startServing(roads, 8));
   std::optional<std::uint64_t> const ticket = roads.change("second", bodyOf(2));
-  TimePoint const asked = roads.sea.now();
-  ASSERT_EQ(verdictOf(roads, ticket), harbour::Verdict::taken);
+  TimePoint const asked = roads.network.now();
+  ASSERT_EQ(verdictOf(roads, ticket), control::Verdict::taken);
   EXPECT_LT(roads.answers.at(*ticket).at - asked, Ms(1000));
   for (Machine const& machine : roads.machines) {
-    if (machine.quay) {
-      EXPECT_EQ(machine.quay->version, roads.newestAcknowledged());
+    if (machine.gateway) {
+      EXPECT_EQ(machine.gateway->version, roads.newestAcknowledged());
     }
   }
 }
@@ -61,19 +61,19 @@
 TEST(Delivery, OfTwoOperatorsOnOneVersionExactlyOneWinsInEveryOrder) {
   for (bool const swapped : {false, true}) {
     for (int gapMs = 0; gapMs <= 40; gapMs += 4) {
-      Roads roads(70 + static_cast<std::uint64_t>(gapMs), 3, 4, 2);
+      FleetSimulation roads(70 + static_cast<std::uint64_t>(gapMs), 3, 4, 2);
       roads.startAll();
-      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-      manifest::Version const base = roads.newestAcknowledged();
+      ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken);
+      config::Version const base = roads.newestAcknowledged();
       std::optional<std::uint64_t> const one = roads.change(swapped ? "b" : "a", R"({"services":{"x":{}}})", base, true);
       roads.run(Ms(gapMs));
       std::optional<std::uint64_t> const two = roads.change(swapped ? "a" : "b", R"({"services":{"never":{}}})", base, true);
-      EXPECT_EQ(verdictOf(roads, one), harbour::Verdict::taken);
-      EXPECT_EQ(verdictOf(roads, two), harbour::Verdict::conflict);
+      EXPECT_EQ(verdictOf(roads, one), control::Verdict::taken);
+      EXPECT_EQ(verdictOf(roads, two), control::Verdict::conflict);
       roads.run(Ms(2000));
       for (Machine const& machine : roads.machines) {
-        if (machine.quay) {
-          EXPECT_EQ(machine.quay->courier->state()->document.find("never"), std::string::npos);
+        if (machine.gateway) {
+          EXPECT_EQ(machine.gateway->delivery->state()->document.find("never"), std::string::npos);
         }
       }
     }
@@ -81,74 +81,74 @@
 }
 
 TEST(Delivery, ARepeatedChangeTakesEffectOnceAndIsToldAgain) {
-  Roads roads(5, 3, 4, 2);
+  FleetSimulation roads(5, 3, 4, 2);
   roads.startAll();
-  ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
-  manifest::Version const before = roads.newestAcknowledged();
+  ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken);
+  config::Version const before = roads.newestAcknowledged();
   std::optional<std::uint64_t> const again = roads.change("first", bodyOf(1));
-  EXPECT_EQ(verdictOf(roads, again), harbour::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, again), control::Verdict::taken);
   EXPECT_EQ(roads.answers.at(*again).decided.version, before);
-  EXPECT_EQ(verdictOf(roads, roads.change("first", bodyOf(9))), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change("first", bodyOf(9))), control::Verdict::refused);
 }
 
 std::string revised(std::uint64_t revision, std::string const& service) {
   return "{ \"revision\": " + std::to_string(revision) + ", \"services\": {\"" + service + "\": {}} }";
 }
 
-harbour::Change onRevision(Roads& roads, std::uint64_t base, std::string const& body, bool patch = false) {
+control::Change onRevision(FleetSimulation& roads, std::uint64_t base, std::string const& body, bool patch = false) {
   std::string const id = "on" + std::to_string(base) + (patch ? "patch" : "whole") + body;
-  return {0, id, {}, patch, body, roads.sea.now() + Ms(8000), base, {}};
+  return {0, id, {}, patch, body, roads.network.now() + Ms(8000), base, {}};
 }
 
-std::optional<harbour::ReadBack> readBack(Roads& roads, std::size_t index, Ms wait = Ms(900)) {
+std::optional<control::ReadBack> readBack(FleetSimulation& roads, std::size_t index, Ms wait = Ms(900)) {
   std::uint64_t const ticket = roads.read(index, wait);
   roads.run(wait + Ms(50));
   return roads.readBacks.contains(ticket) ? std::optional(roads.readBacks.at(ticket)) : std::nullopt;
 }
 
 TEST(Revisions, RiseAndEachIsTheBaseOfOneChangeOnly) {
-  Roads roads(61, 3, 4, 2);
+  FleetSimulation roads(61, 3, 4, 2);
   roads.startAll();
   roads.run(Ms(4000));
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 1, revised(2, "x")))), harbour::Verdict::conflict);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(5, "x")))), harbour::Verdict::taken);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(5, "x")))), harbour::Verdict::taken);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(6, "y")))), harbour::Verdict::conflict);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(5, "y")))), harbour::Verdict::refused);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(4, "y")))), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 1, revised(2, "x")))), control::Verdict::conflict);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(5, "x")))), control::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(5, "x")))), control::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, revised(6, "y")))), control::Verdict::conflict);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(5, "y")))), control::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(4, "y")))), control::Verdict::refused);
   EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, "{\"revision\":9,\"services\":{\"z\":{}}}", true))),
-            harbour::Verdict::taken);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(12, "w")))), harbour::Verdict::conflict);
-  std::optional<harbour::ReadBack> const back = readBack(roads, *roads.primary());
+            control::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 5, revised(12, "w")))), control::Verdict::conflict);
+  std::optional<control::ReadBack> const back = readBack(roads, *roads.primary());
   ASSERT_TRUE(back);
   EXPECT_EQ(back->revision, 9u);
   EXPECT_EQ(back->document, R"({"revision":9,"services":{"x":{},"z":{}}})");
-  EXPECT_EQ(insist(roads, "without a revision", 3), harbour::Verdict::taken);
-  EXPECT_EQ(roads.machines[*roads.primary()].master->plane->published().revision, 9u);
+  EXPECT_EQ(insist(roads, "without a revision", 3), control::Verdict::taken);
+  EXPECT_EQ(roads.machines[*roads.primary()].controller->plane->published().revision, 9u);
 }
 
 TEST(Revisions, OfTwoOperatorsOnOneRevisionExactlyOneWinsInEveryOrder) {
   for (bool const swapped : {false, true}) {
     for (int gapMs = 0; gapMs <= 40; gapMs += 4) {
-      Roads roads(170 + static_cast<std::uint64_t>(gapMs), 3, 4, 2);
+      FleetSimulation roads(170 + static_cast<std::uint64_t>(gapMs), 3, 4, 2);
       roads.startAll();
-      ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+      ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken);
       std::optional<std::uint64_t> const one = roads.change(onRevision(roads, 0, revised(swapped ? 7 : 8, "x")));
       roads.run(Ms(gapMs));
       std::optional<std::uint64_t> const two = roads.change(onRevision(roads, 0, revised(swapped ? 8 : 7, "never")));
       std::optional<std::uint64_t> const same = roads.change(onRevision(roads, 0, revised(swapped ? 7 : 8, "x")));
-      EXPECT_EQ(verdictOf(roads, one), harbour::Verdict::taken);
-      EXPECT_EQ(verdictOf(roads, two), harbour::Verdict::conflict);
-      EXPECT_EQ(verdictOf(roads, same), harbour::Verdict::taken);
+      EXPECT_EQ(verdictOf(roads, one), control::Verdict::taken);
+      EXPECT_EQ(verdictOf(roads, two), control::Verdict::conflict);
+      EXPECT_EQ(verdictOf(roads, same), control::Verdict::taken);
     }
   }
 }
 
 TEST(Revisions, ALanguageDecidesWhatIsStoredAndHowAChangeIsMerged) {
-  Roads roads(62, 3, 2, 2);
+  FleetSimulation roads(62, 3, 2, 2);
   roads.language.verbatim = true;
   roads.language.check = [](std::string const& document) {
-    manifest::Checked out;
+    config::Checked out;
     if (document.starts_with("#")) {
       out.configuration.emplace().revision = document.size();
     } else {
@@ -161,11 +161,11 @@
   };
   roads.startAll();
   roads.run(Ms(4000));
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, "no"))), harbour::Verdict::refused);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, "#  1"))), harbour::Verdict::taken);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 4, "", true))), harbour::Verdict::refused);
-  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 4, " 2", true))), harbour::Verdict::taken);
-  std::optional<harbour::ReadBack> const back = readBack(roads, *roads.primary());
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, "no"))), control::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 0, "#  1"))), control::Verdict::taken);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 4, "", true))), control::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.change(onRevision(roads, 4, " 2", true))), control::Verdict::taken);
+  std::optional<control::ReadBack> const back = readBack(roads, *roads.primary());
   ASSERT_TRUE(back);
   EXPECT_EQ(back->document, "#  1 2");
   EXPECT_EQ(back->revision, 6u);
@@ -173,16 +173,16 @@
 
 TEST(ReadBack, IsTheNewestTakenAlsoFromAPrimaryThatHasLostItsPlace) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    Roads roads(seed, 3, 4, 3);
+    FleetSimulation roads(seed, 3, 4, 3);
     roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken) << seed;
+    ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken) << seed;
     std::size_t const old = *roads.primary();
     ASSERT_TRUE(readBack(roads, old)) << seed;
     roads.split({old});
-    roads.run(Ms(static_cast<long>(roads.sea.roll(1200))));
-    std::optional<harbour::ReadBack> const early = readBack(roads, old);
+    roads.run(Ms(static_cast<long>(roads.network.roll(1200))));
+    std::optional<control::ReadBack> const early = readBack(roads, old);
     EXPECT_FALSE(early) << seed;
-    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(insist(roads, "second", 2), control::Verdict::taken) << seed;
     EXPECT_FALSE(readBack(roads, old)) << seed;
     ASSERT_TRUE(roads.primary()) << seed;
     for (std::size_t index = 0; index < 3; ++index) {
@@ -198,38 +198,38 @@
   }
 }
 
-TEST(EmptiedZones, AreOrderedTakenBackAndOutliveAWholeConfiguration) {
-  Roads roads(63, 3, 6, 3);
+TEST(EvacuatedZones, AreOrderedTakenBackAndOutliveAWholeConfiguration) {
+  FleetSimulation roads(63, 3, 6, 3);
   ASSERT_TRUE(startServing(roads, 6));
   for (int round = 0; round < 2; ++round) {
-    ASSERT_EQ(verdictOf(roads, roads.order("z1", true)), harbour::Verdict::taken);
+    ASSERT_EQ(verdictOf(roads, roads.order("z1", true)), control::Verdict::taken);
   }
-  EXPECT_EQ(insist(roads, "whole", 5), harbour::Verdict::taken);
+  EXPECT_EQ(insist(roads, "whole", 5), control::Verdict::taken);
   for (Machine const& machine : roads.machines) {
-    if (machine.quay) {
-      EXPECT_EQ(machine.quay->courier->state()->emptiedZones, std::vector<std::string>{"z1"});
+    if (machine.gateway) {
+      EXPECT_EQ(machine.gateway->delivery->state()->evacuatedZones, std::vector<std::string>{"z1"});
     }
   }
-  manifest::Configuration configuration;
-  configuration.emptiedZones = {"z2"};
-  EXPECT_EQ(harbour::emptiedZones(roads.machines[*roads.primary()].master->plane->published(), configuration),
+  config::Configuration configuration;
+  configuration.evacuatedZones = {"z2"};
+  EXPECT_EQ(control::evacuatedZones(roads.machines[*roads.primary()].controller->plane->published(), configuration),
             (std::set<std::string>{"z1", "z2"}));
   for (int round = 0; round < 2; ++round) {
-    ASSERT_EQ(verdictOf(roads, roads.order("z1", false)), harbour::Verdict::taken);
+    ASSERT_EQ(verdictOf(roads, roads.order("z1", false)), control::Verdict::taken);
   }
-  EXPECT_TRUE(roads.machines[*roads.primary()].master->plane->published().emptiedZones.empty());
+  EXPECT_TRUE(roads.machines[*roads.primary()].controller->plane->published().evacuatedZones.empty());
   for (int number = 0; number < 100; ++number) {
-    ASSERT_EQ(verdictOf(roads, roads.order("n" + std::to_string(number), true)), harbour::Verdict::taken) << number;
+    ASSERT_EQ(verdictOf(roads, roads.order("n" + std::to_string(number), true)), control::Verdict::taken) << number;
   }
-  EXPECT_EQ(verdictOf(roads, roads.order("one more", true)), harbour::Verdict::refused);
+  EXPECT_EQ(verdictOf(roads, roads.order("one more", true)), control::Verdict::refused);
   EXPECT_EQ(roads.complaints, std::vector<std::string>{});
 }
 
-TEST(EmptiedZones, AnAcknowledgedOrderOutlivesTheLossOfAnyReplicaAndAllPowerAtOnce) {
+TEST(EvacuatedZones, AnAcknowledgedOrderOutlivesTheLossOfAnyReplicaAndAllPowerAtOnce) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-    Roads roads(seed, 3, 6, 3);
+    FleetSimulation roads(seed, 3, 6, 3);
     ASSERT_TRUE(startServing(roads, 6)) << seed;
-    ASSERT_EQ(verdictOf(roads, roads.order("z1", true)), harbour::Verdict::taken) << seed;
+    ASSERT_EQ(verdictOf(roads, roads.order("z1", true)), control::Verdict::taken) << seed;
     std::size_t const lost = seed % 4 == 3 ? roads.machines.size() : seed % 4;
     for (std::size_t index = 0; index < roads.machines.size(); ++index) {
       roads.kill(index);
@@ -241,8 +241,8 @@
     }
     EXPECT_TRUE(roads.awaitServing(6, Ms(12'000))) << seed;
     for (Machine const& machine : roads.machines) {
-      if (machine.up && machine.quay) {
-        EXPECT_EQ(machine.quay->courier->state()->emptiedZones, std::vector<std::string>{"z1"}) << seed;
+      if (machine.up && machine.gateway) {
+        EXPECT_EQ(machine.gateway->delivery->state()->evacuatedZones, std::vector<std::string>{"z1"}) << seed;
       }
     }
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
@@ -251,13 +251,13 @@
 
 TEST(Orders, ACallIsAnsweredWithinItsTimeAlsoByAPrimaryWithoutItsBackup) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 4, 3);
+    FleetSimulation roads(seed, 3, 4, 3);
     roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken) << seed;
+    ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken) << seed;
     std::size_t const old = *roads.primary();
     roads.split({old});
     std::vector<std::uint64_t> tickets;
-    TimePoint const asked = roads.sea.now();
+    TimePoint const asked = roads.network.now();
     for (char const* const id : {"a", "b"}) {
       std::optional<std::uint64_t> const ticket = roads.change({0, id, {}, false, bodyOf(7), asked + Ms(900), {}, {}});
       ASSERT_TRUE(ticket);
@@ -265,21 +265,21 @@
     }
     roads.run(Ms(950));
     ASSERT_TRUE(roads.answers.contains(tickets[0]) && roads.answers.contains(tickets[1])) << seed;
-    EXPECT_EQ(roads.answers.at(tickets[0]).decided.verdict, harbour::Verdict::unknown);
-    EXPECT_EQ(roads.answers.at(tickets[1]).decided.verdict, harbour::Verdict::notRun);
+    EXPECT_EQ(roads.answers.at(tickets[0]).decided.verdict, control::Verdict::unknown);
+    EXPECT_EQ(roads.answers.at(tickets[1]).decided.verdict, control::Verdict::notRun);
     roads.run(Ms(400));
     std::uint64_t const late = roads.read(old, Ms(900));
     ASSERT_TRUE(roads.answers.contains(late)) << seed;
-    EXPECT_EQ(roads.answers.at(late).decided.verdict, harbour::Verdict::notRun);
+    EXPECT_EQ(roads.answers.at(late).decided.verdict, control::Verdict::notRun);
     roads.mendAll();
-    EXPECT_EQ(insist(roads, "a", 7), harbour::Verdict::taken) << seed;
-    EXPECT_EQ(insist(roads, "b", 7), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(insist(roads, "a", 7), control::Verdict::taken) << seed;
+    EXPECT_EQ(insist(roads, "b", 7), control::Verdict::taken) << seed;
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
 }
 
 TEST(Delivery, LossOfTheControlGroupAloneStopsNobody) {
-  Roads roads(6, 3, 8, 3);
+  FleetSimulation roads(6, 3, 8, 3);
   ASSERT_TRUE(startServing(roads, 8));
   for (std::size_t index = 0; index < 3; ++index) {
     roads.kill(index);
@@ -292,41 +292,41 @@
   for (std::size_t index = 0; index < 3; ++index) {
     roads.start(index);
   }
-  EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken);
+  EXPECT_EQ(insist(roads, "second", 2), control::Verdict::taken);
   EXPECT_TRUE(roads.complaints.empty());
 }
 
 TEST(Delivery, ACutOffNodeStopsBeforeAnythingIsAcknowledgedWithoutIt) {
   for (std::size_t cutCount = 1; cutCount <= 8; ++cutCount) {
-    Roads roads(80 + cutCount, 3, 8, 3);
+    FleetSimulation roads(80 + cutCount, 3, 8, 3);
     ASSERT_TRUE(startServing(roads, 8));
     std::set<std::size_t> side;
     for (std::size_t index = 0; index < cutCount; ++index) {
       side.insert(3 + index);
     }
     roads.split(side);
-    harbour::Verdict const verdict = verdictOf(roads, roads.change("second", bodyOf(2)));
+    control::Verdict const verdict = verdictOf(roads, roads.change("second", bodyOf(2)));
     roads.run(Ms(6000));
-    EXPECT_EQ(verdict, cutCount < 4 ? harbour::Verdict::taken : harbour::Verdict::unknown) << cutCount;
+    EXPECT_EQ(verdict, cutCount < 4 ? control::Verdict::taken : control::Verdict::unknown) << cutCount;
     std::size_t here = 0;
     for (std::size_t const index : side) {
       here += roads.serves(index) ? 1 : 0;
     }
     EXPECT_EQ(here, cutCount > 4 ? cutCount : 0u) << cutCount;
     roads.mendAll();
-    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken);
+    EXPECT_EQ(insist(roads, "second", 2), control::Verdict::taken);
     EXPECT_TRUE(roads.awaitServing(8, Ms(5000)));
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << cutCount;
   }
 }
 
 TEST(Delivery, ANodeThatForgotDoesNotUpholdOneThatWasCutOff) {
-  Roads roads(9, 3, 3, 1);
+  FleetSimulation roads(9, 3, 3, 1);
   ASSERT_TRUE(startServing(roads, 3));
   std::size_t const cutOff = 3;
   std::size_t const forgetful = 4;
   roads.split({cutOff});
-  ASSERT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::taken);
+  ASSERT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::taken);
   roads.kill(forgetful);
   roads.run(Ms(100));
   roads.mendAll();
@@ -336,45 +336,45 @@
     roads.run(Ms(50));
     EXPECT_FALSE(round > 40 && roads.serves(forgetful));
   }
-  EXPECT_EQ(roads.machines[forgetful].quay->version, roads.machines[cutOff].quay->version);
+  EXPECT_EQ(roads.machines[forgetful].gateway->version, roads.machines[cutOff].gateway->version);
   EXPECT_FALSE(roads.serves(cutOff));
   EXPECT_EQ(roads.complaints, std::vector<std::string>{});
 }
 
-std::vector<std::size_t> herdOf(Roads& roads, std::size_t masters, std::size_t quays, std::size_t count) {
+std::vector<std::size_t> herdOf(FleetSimulation& roads, std::size_t controllers, std::size_t gateways, std::size_t count) {
   std::vector<std::size_t> out;
-  for (std::size_t index = masters; index < masters + quays; ++index) {
+  for (std::size_t index = controllers; index < controllers + gateways; ++index) {
     out.push_back(index);
   }
-  std::shuffle(out.begin(), out.end(), roads.sea.dice());
+  std::shuffle(out.begin(), out.end(), roads.network.random());
   out.resize(count);
   return out;
 }
 
 TEST(Herd, MoreThanHalfKilledAtOnceAndReplacedByNewNamesLetsChangesGoOn) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 11, 4);
+    FleetSimulation roads(seed, 3, 11, 4);
     ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     for (std::size_t const index : herd) {
       roads.kill(index);
     }
-    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::taken) << seed;
     roads.run(Ms(4000));
-    EXPECT_EQ(roads.machines[*roads.primary()].master->plane->published().roster.size(), 4u) << seed;
+    EXPECT_EQ(roads.machines[*roads.primary()].controller->plane->published().roster.size(), 4u) << seed;
     for (std::size_t const index : herd) {
       roads.replace(index);
       roads.start(index);
     }
     EXPECT_TRUE(roads.awaitServing(11, Ms(5000))) << seed;
-    EXPECT_EQ(insist(roads, "third", 3), harbour::Verdict::taken);
+    EXPECT_EQ(insist(roads, "third", 3), control::Verdict::taken);
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
 }
 
 TEST(Herd, WarnedNodesLeaveTheRosterServeOnAndAreNotMissed) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 11, 4);
+    FleetSimulation roads(seed, 3, 11, 4);
     ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     for (std::size_t const index : herd) {
@@ -384,36 +384,36 @@
       roads.run(Ms(50));
       EXPECT_EQ(roads.serving(), 11u);
     }
-    EXPECT_EQ(roads.machines[*roads.primary()].master->plane->published().roster.size(), 4u) << seed;
+    EXPECT_EQ(roads.machines[*roads.primary()].controller->plane->published().roster.size(), 4u) << seed;
     for (std::size_t const index : herd) {
       roads.loseHost(index);
     }
-    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::taken) << seed;
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
 }
 
 TEST(Herd, LostHostsThatProveNothingNeedTheOperatorsWord) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    Roads roads(seed, 3, 11, 4);
+    FleetSimulation roads(seed, 3, 11, 4);
     ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::string> names;
     for (std::size_t const index : herdOf(roads, 3, 11, 7)) {
-      names.push_back(roads.machines[index].quay->node);
-      EXPECT_EQ(verdictOf(roads, roads.forget({names.back()})), harbour::Verdict::refused);
+      names.push_back(roads.machines[index].gateway->node);
+      EXPECT_EQ(verdictOf(roads, roads.forget({names.back()})), control::Verdict::refused);
       roads.loseHost(index);
     }
-    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
-    EXPECT_EQ(verdictOf(roads, roads.forget({"nobody"})), harbour::Verdict::refused);
-    EXPECT_EQ(verdictOf(roads, roads.forget(names)), harbour::Verdict::taken) << seed;
-    EXPECT_EQ(verdictOf(roads, roads.change("third", bodyOf(3))), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::unknown) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.forget({"nobody"})), control::Verdict::refused);
+    EXPECT_EQ(verdictOf(roads, roads.forget(names)), control::Verdict::taken) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.change("third", bodyOf(3))), control::Verdict::taken) << seed;
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
 }
 
 TEST(Herd, CutOffNodesThatUpholdOneAnotherAreNeverTakenForDead) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 11, 4);
+    FleetSimulation roads(seed, 3, 11, 4);
     ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     std::size_t const killed = seed % 3 == 2 ? 3 : seed % 3;
@@ -421,8 +421,8 @@
     for (std::size_t index = 0; index < killed; ++index) {
       roads.kill(herd[index]);
     }
-    harbour::Verdict const verdict = verdictOf(roads, roads.change("second", bodyOf(2)));
-    EXPECT_EQ(verdict, killed < 2 ? harbour::Verdict::unknown : harbour::Verdict::taken) << seed;
+    control::Verdict const verdict = verdictOf(roads, roads.change("second", bodyOf(2)));
+    EXPECT_EQ(verdict, killed < 2 ? control::Verdict::unknown : control::Verdict::taken) << seed;
     roads.run(Ms(3000));
     for (std::size_t index = 0; index < killed; ++index) {
       roads.start(herd[index]);
@@ -431,7 +431,7 @@
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
     roads.mendAll();
     EXPECT_TRUE(roads.awaitServing(11, Ms(5000))) << seed;
-    EXPECT_EQ(insist(roads, "third", 3), harbour::Verdict::taken);
+    EXPECT_EQ(insist(roads, "third", 3), control::Verdict::taken);
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
 }
@@ -439,7 +439,7 @@
 TEST(Herd, ADeathProvedBeforeAChangeSaysNothingAboutIt) {
   std::size_t upheld = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 11, 4);
+    FleetSimulation roads(seed, 3, 11, 4);
     ASSERT_TRUE(startServing(roads, 11));
     std::vector<std::size_t> const herd = herdOf(roads, 3, 11, 7);
     for (std::size_t const index : herd) {
@@ -452,7 +452,7 @@
     ASSERT_TRUE(roads.awaitServing(11, Ms(5000))) << seed;
     roads.run(Ms(800));
     roads.split({herd.begin(), herd.end()});
-    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::unknown) << seed;
     roads.run(Ms(2500));
     for (std::size_t const index : herd) {
       upheld += roads.serves(index) ? 1 : 0;
@@ -463,7 +463,7 @@
 }
 
 TEST(Cost, InCalmThreeMastersAndTenNodesInThreeZonesSendLittleAcrossZones) {
-  Roads roads(7, 3, 10, 3);
+  FleetSimulation roads(7, 3, 10, 3);
   ASSERT_TRUE(startServing(roads, 10));
   roads.run(Ms(20'000));
   roads.weighs = true;
@@ -482,13 +482,13 @@
 
 TEST(Roster, WhileAChangeOfItIsOnItsWayTheOldMajorityCountsToo) {
   for (std::uint64_t seed = 1; seed <= 120; ++seed) {
-    Roads roads(seed, 3, 9, 1);
+    FleetSimulation roads(seed, 3, 9, 1);
     for (std::size_t index = 0; index < 6; ++index) {
       roads.start(index);
     }
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken);
+    ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken);
     ASSERT_TRUE(roads.awaitServing(3, Ms(10'000)));
-    std::size_t const lonely = 3 + roads.sea.roll(3);
+    std::size_t const lonely = 3 + roads.network.roll(3);
     std::set<std::size_t> side{3, 4, 5};
     side.erase(lonely);
     roads.split(side);
@@ -496,15 +496,15 @@
       roads.start(index);
     }
     roads.run(Ms(1500));
-    EXPECT_GT(roads.machines[*roads.primary()].master->plane->published().roster.size(), 3u);
-    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
+    EXPECT_GT(roads.machines[*roads.primary()].controller->plane->published().roster.size(), 3u);
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::unknown) << seed;
     roads.run(Ms(3000));
     for (std::size_t const index : side) {
       EXPECT_TRUE(roads.serves(index)) << seed;
     }
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
     roads.mendAll();
-    EXPECT_EQ(insist(roads, "third", 3), harbour::Verdict::taken);
+    EXPECT_EQ(insist(roads, "third", 3), control::Verdict::taken);
     EXPECT_TRUE(roads.awaitServing(9, Ms(5000))) << seed;
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
@@ -513,19 +513,19 @@
 TEST(Zone, EachOneMayBeLostWholeAndReturnWithAnEmptyDisk) {
   for (std::size_t const zones : {3u, 4u}) {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-      std::size_t const masters = zones;
-      Roads roads(seed, masters, 12 - zones, zones);
+      std::size_t const controllers = zones;
+      FleetSimulation roads(seed, controllers, 12 - zones, zones);
       ASSERT_TRUE(startServing(roads, 12 - zones));
       for (std::size_t zone = 0; zone < zones; ++zone) {
         std::size_t lost = 0;
         for (std::size_t index = zone; index < roads.machines.size(); index += zones) {
           seed % 2 == 0 ? roads.loseHost(index) : roads.kill(index);
-          lost += index >= masters ? 1 : 0;
+          lost += index >= controllers ? 1 : 0;
         }
         std::string const name = "lost" + std::to_string(zone);
-        TimePoint const began = roads.sea.now();
-        EXPECT_EQ(insist(roads, name, 10 + zone), harbour::Verdict::taken) << seed << " zone " << zone;
-        EXPECT_LT(roads.sea.now() - began, Ms(5000)) << seed << " zone " << zone;
+        TimePoint const began = roads.network.now();
+        EXPECT_EQ(insist(roads, name, 10 + zone), control::Verdict::taken) << seed << " zone " << zone;
+        EXPECT_LT(roads.network.now() - began, Ms(5000)) << seed << " zone " << zone;
         EXPECT_EQ(roads.serving(), 12 - zones - lost) << seed << " zone " << zone;
         roads.run(Ms(6000));
         roads.replace(zone);
@@ -544,35 +544,35 @@
   Ms worst{0};
   for (std::size_t lostDisk = 0; lostDisk <= 3; ++lostDisk) {
     for (std::uint64_t seed = 1; seed <= 25; ++seed) {
-      Roads roads(seed, 3, 8, 3);
+      FleetSimulation roads(seed, 3, 8, 3);
       ASSERT_TRUE(startServing(roads, 8));
-      manifest::Version const before = roads.newestAcknowledged();
+      config::Version const before = roads.newestAcknowledged();
       std::vector<std::size_t> order;
       for (std::size_t index = 0; index < roads.machines.size(); ++index) {
         roads.kill(index);
         order.push_back(index);
       }
-      roads.run(Ms(static_cast<long>(roads.sea.roll(4000))));
-      std::shuffle(order.begin(), order.end(), roads.sea.dice());
+      roads.run(Ms(static_cast<long>(roads.network.roll(4000))));
+      std::shuffle(order.begin(), order.end(), roads.network.random());
       if (lostDisk < 3) {
         roads.replace(lostDisk);
       }
       for (std::size_t const index : order) {
-        if (roads.machines[index].quay && roads.sea.chance(0.3)) {
+        if (roads.machines[index].gateway && roads.network.chance(0.3)) {
           roads.replace(index);
         }
         roads.start(index);
-        roads.run(Ms(static_cast<long>(roads.sea.roll(300))));
+        roads.run(Ms(static_cast<long>(roads.network.roll(300))));
       }
-      TimePoint const back = roads.sea.now();
+      TimePoint const back = roads.network.now();
       EXPECT_TRUE(roads.awaitServing(8, Ms(12'000))) << lostDisk << " seed " << seed << roads.picture();
-      worst = std::max(worst, std::chrono::duration_cast<Ms>(roads.sea.now() - back));
+      worst = std::max(worst, std::chrono::duration_cast<Ms>(roads.network.now() - back));
       for (Machine const& machine : roads.machines) {
-        if (machine.quay) {
-          EXPECT_GE(machine.quay->version, before);
+        if (machine.gateway) {
+          EXPECT_GE(machine.gateway->version, before);
         }
       }
-      EXPECT_EQ(insist(roads, "after", 3), harbour::Verdict::taken);
+      EXPECT_EQ(insist(roads, "after", 3), control::Verdict::taken);
       EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
     }
   }
@@ -596,33 +596,33 @@
     std::vector<long> changeAgain;
     std::vector<long> rate;
     for (std::uint64_t seed = 1; seed <= (count == 100 ? 3u : count == 30 ? 2u : 5u); ++seed) {
-      Roads roads(seed, 4, count, 4);
+      FleetSimulation roads(seed, 4, count, 4);
       ASSERT_TRUE(startServing(roads, count, Ms(15'000)));
       roads.run(Ms(2000));
       std::size_t const sent = roads.messages;
       roads.run(Ms(5000));
       rate.push_back(static_cast<long>((roads.messages - sent) / 5 / (count + 4)));
-      std::size_t const plain = 4 + roads.sea.roll(count);
-      std::string const name = roads.machines[plain].quay->node;
-      TimePoint began = roads.sea.now();
+      std::size_t const plain = 4 + roads.network.roll(count);
+      std::string const name = roads.machines[plain].gateway->node;
+      TimePoint began = roads.network.now();
       roads.kill(plain);
       std::function<bool()> const listed = [&] {
-        std::vector<cargo::RosterEntry> const& roster = roads.machines[*roads.primary()].master->plane->published().roster;
-        return std::any_of(roster.begin(), roster.end(), [&](cargo::RosterEntry const& entry) { return entry.node == name; });
+        std::vector<messages::RosterEntry> const& roster = roads.machines[*roads.primary()].controller->plane->published().roster;
+        return std::any_of(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) { return entry.node == name; });
       };
-      while (listed() && roads.sea.now() - began < Ms(20'000)) {
+      while (listed() && roads.network.now() - began < Ms(20'000)) {
         roads.run(Ms(20));
       }
-      offRoster.push_back(std::chrono::duration_cast<Ms>(roads.sea.now() - began).count());
+      offRoster.push_back(std::chrono::duration_cast<Ms>(roads.network.now() - began).count());
       roads.start(plain);
       ASSERT_TRUE(roads.awaitServing(count, Ms(10'000)));
       std::vector<std::string> names;
       for (std::size_t index = 4; index < count + 4; index += 4) {
-        names.push_back(roads.machines[index].quay->node);
+        names.push_back(roads.machines[index].gateway->node);
       }
-      std::string const home = fairway::rankHomes("configuration/z0", names).front();
+      std::string const home = distribution::rankHomes("configuration/z0", names).front();
       for (std::size_t index = 4; index < count + 4; ++index) {
-        if (roads.machines[index].quay->node == home) {
+        if (roads.machines[index].gateway->node == home) {
           roads.loseHost(index);
         }
       }
@@ -630,17 +630,17 @@
       for (int round = 0; round < 200; ++round) {
         roads.run(Ms(20));
         for (Machine const& machine : roads.machines) {
-          if (machine.up && machine.quay) {
-            oldest = std::max(oldest, machine.quay->courier->footing(roads.sea.now()).ageMs);
+          if (machine.up && machine.gateway) {
+            oldest = std::max(oldest, machine.gateway->delivery->status(roads.network.now()).ageMs);
           }
         }
       }
       EXPECT_EQ(roads.serving(), count - 1);
       oldestAge.push_back(oldest.count());
-      began = roads.sea.now();
+      began = roads.network.now();
       roads.loseHost(*roads.primary());
-      EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken);
-      changeAgain.push_back(std::chrono::duration_cast<Ms>(roads.sea.now() - began).count() - 200);
+      EXPECT_EQ(insist(roads, "second", 2), control::Verdict::taken);
+      changeAgain.push_back(std::chrono::duration_cast<Ms>(roads.network.now() - began).count() - 200);
       EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
     }
     std::printf("%zu nodes: %s messages a second from each; killed node off the roster after %s ms; oldest news anywhere after a "
@@ -655,19 +655,19 @@
 
 TEST(Delivery, APrimaryWhoseDiskFailsIsNotTakenForThePrimaryAnyMore) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 8, 3);
+    FleetSimulation roads(seed, 3, 8, 3);
     ASSERT_TRUE(startServing(roads, 8));
     std::size_t const failed = *roads.primary();
-    roads.machines[failed].master->diskFails = true;
-    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::unknown) << seed;
-    TimePoint const began = roads.sea.now();
-    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken) << seed;
-    EXPECT_LT(roads.sea.now() - began, Ms(4000)) << seed;
+    roads.machines[failed].controller->diskFails = true;
+    EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::unknown) << seed;
+    TimePoint const began = roads.network.now();
+    EXPECT_EQ(insist(roads, "second", 2), control::Verdict::taken) << seed;
+    EXPECT_LT(roads.network.now() - began, Ms(4000)) << seed;
     roads.run(Ms(1000));
     for (int round = 0; round < 20; ++round) {
       roads.run(Ms(250));
       for (Machine const& machine : roads.machines) {
-        EXPECT_TRUE(!machine.quay || machine.quay->courier->primaryAddress() == roads.machines[*roads.primary()].address())
+        EXPECT_TRUE(!machine.gateway || machine.gateway->delivery->primaryAddress() == roads.machines[*roads.primary()].address())
             << seed << " round " << round;
       }
     }
@@ -677,7 +677,7 @@
 
 TEST(Recovery, ARollingRestartWithoutAnyControlDarkensNobodyForLong) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Roads roads(seed, 3, 7, 3);
+    FleetSimulation roads(seed, 3, 7, 3);
     ASSERT_TRUE(startServing(roads, 7));
     for (std::size_t index = 0; index < 3; ++index) {
       roads.kill(index);
@@ -692,7 +692,7 @@
     for (std::size_t index = 0; index < 3; ++index) {
       roads.start(index);
     }
-    EXPECT_EQ(insist(roads, "second", 2), harbour::Verdict::taken);
+    EXPECT_EQ(insist(roads, "second", 2), control::Verdict::taken);
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
 }
@@ -701,9 +701,9 @@
   std::size_t acknowledged = 0;
   std::size_t served = 0;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-    Roads roads(seed, 3, 3, 1);
+    FleetSimulation roads(seed, 3, 3, 1);
     ASSERT_TRUE(startServing(roads, 3));
-    std::size_t const forgetful = 3 + roads.sea.roll(3);
+    std::size_t const forgetful = 3 + roads.network.roll(3);
     std::size_t const other = 3 + (forgetful - 3 + 1) % 3;
     std::size_t const late = 3 + (forgetful - 3 + 2) % 3;
     roads.split({other, late});
@@ -714,15 +714,15 @@
     roads.mendAll();
     roads.split({other, late, forgetful});
     roads.start(forgetful);
-    roads.run(Ms(1500 + static_cast<long>(roads.sea.roll(1500))));
+    roads.run(Ms(1500 + static_cast<long>(roads.network.roll(1500))));
     served += roads.serves(forgetful) ? 1 : 0;
     roads.split({other});
     roads.run(Ms(2500));
     roads.mendAll();
-    for (std::size_t const master : {0u, 1u, 2u}) {
+    for (std::size_t const controller : {0u, 1u, 2u}) {
       for (std::size_t const away : {late, forgetful}) {
-        roads.cut(master, away);
-        roads.cut(away, master);
+        roads.cut(controller, away);
+        roads.cut(away, controller);
       }
     }
     roads.cut(other, late);
@@ -730,7 +730,7 @@
     roads.cut(late, other);
     roads.cut(forgetful, other);
     roads.run(Ms(7000));
-    bool const taken = roads.answers.contains(*ticket) && roads.answers.at(*ticket).decided.verdict == harbour::Verdict::taken;
+    bool const taken = roads.answers.contains(*ticket) && roads.answers.at(*ticket).decided.verdict == control::Verdict::taken;
     acknowledged += taken ? 1 : 0;
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
@@ -742,7 +742,7 @@
 TEST(Delivery, AHomeThatDiesOrFreezesIsReplaced) {
   for (std::size_t victim = 3; victim < 11; ++victim) {
     for (bool const frozen : {false, true}) {
-      Roads roads(victim, 3, 8, 2);
+      FleetSimulation roads(victim, 3, 8, 2);
       ASSERT_TRUE(startServing(roads, 8));
       if (frozen) {
         roads.freeze(victim);
@@ -755,7 +755,7 @@
         worst = std::min(worst, roads.serving());
       }
       EXPECT_EQ(worst, 7u) << victim;
-      EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), harbour::Verdict::taken);
+      EXPECT_EQ(verdictOf(roads, roads.change("second", bodyOf(2))), control::Verdict::taken);
       roads.run(Ms(4000));
       if (frozen) {
         roads.thaw(victim);
@@ -774,14 +774,14 @@
   std::size_t upheld = 0;
   std::size_t replacements = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    std::size_t const masters = 3 + seed % 2;
-    Roads roads(seed, masters, 7, 3);
+    std::size_t const controllers = 3 + seed % 2;
+    FleetSimulation roads(seed, controllers, 7, 3);
     roads.startAll();
-    ASSERT_EQ(insist(roads, "first", 1), harbour::Verdict::taken) << seed;
+    ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken) << seed;
     std::vector<std::uint64_t> tickets;
     std::set<std::size_t> leaving;
     for (int round = 0; round < 250; ++round) {
-      roads.run(Ms(20 + static_cast<long>(roads.sea.roll(120))));
+      roads.run(Ms(20 + static_cast<long>(roads.network.roll(120))));
       if (round % 3 == 0) {
         std::optional<std::uint64_t> const ticket =
             roads.change("c" + std::to_string(round), bodyOf(static_cast<std::uint64_t>(round)));
@@ -789,9 +789,9 @@
           tickets.push_back(*ticket);
         }
       }
-      std::size_t const index = roads.sea.roll(roads.machines.size());
+      std::size_t const index = roads.network.roll(roads.machines.size());
       Machine& machine = roads.machines[index];
-      switch (roads.sea.roll(19)) {
+      switch (roads.network.roll(19)) {
         case 0:
           if (machine.up) {
             roads.kill(index);
@@ -814,12 +814,12 @@
           roads.thaw(index);
           break;
         case 7:
-          roads.cut(index, roads.sea.roll(roads.machines.size()));
+          roads.cut(index, roads.network.roll(roads.machines.size()));
           break;
         case 8: {
           std::set<std::size_t> side;
           for (std::size_t other = 0; other < roads.machines.size(); ++other) {
-            if (roads.sea.chance(0.4)) {
+            if (roads.network.chance(0.4)) {
               side.insert(other);
             }
           }
@@ -831,14 +831,14 @@
           roads.mendAll();
           break;
         case 11:
-          if (machine.quay && !machine.up) {
+          if (machine.gateway && !machine.up) {
             roads.replace(index);
             roads.start(index);
             ++replacements;
           }
           break;
         case 12:
-          if (machine.quay && machine.up) {
+          if (machine.gateway && machine.up) {
             roads.leave(index);
             leaving.insert(index);
           }
@@ -860,13 +860,13 @@
       }
       roads.thaw(index);
     }
-    EXPECT_EQ(insist(roads, "last", 7), harbour::Verdict::taken) << seed;
+    EXPECT_EQ(insist(roads, "last", 7), control::Verdict::taken) << seed;
     EXPECT_TRUE(roads.awaitServing(7, Ms(10'000))) << seed << roads.picture();
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << "seed " << seed;
     for (std::uint64_t const ticket : tickets) {
       if (roads.answers.contains(ticket)) {
-        taken += roads.answers.at(ticket).decided.verdict == harbour::Verdict::taken ? 1 : 0;
-        unknown += roads.answers.at(ticket).decided.verdict == harbour::Verdict::unknown ? 1 : 0;
+        taken += roads.answers.at(ticket).decided.verdict == control::Verdict::taken ? 1 : 0;
+        unknown += roads.answers.at(ticket).decided.verdict == control::Verdict::unknown ? 1 : 0;
       }
     }
     upheld += roads.upheld;
--- a/tests/berth_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,5 +1,5 @@
-#include "drydock/sea.h"
-#include "limeramp/berth/desk.h"
+#include "simulator/simulated_network.h"
+#include "limeramp/discovery/server_directory.h"
 
 #include <gtest/gtest.h>
 
@@ -9,8 +9,8 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::berth;
-using drydock::Sea;
+using namespace limeramp::discovery;
+using simulator::SimulatedNetwork;
 using Ms = std::chrono::milliseconds;
 
 struct Node {
@@ -18,24 +18,24 @@
   std::string address;
   bool up = true;
   bool readsList = true;
-  drydock::TimePoint readsSince{};
+  simulator::TimePoint readsSince{};
 };
 
 struct Zone {
-  Zone(std::uint64_t seed, std::size_t count) : sea(seed), nodes(count) {
+  Zone(std::uint64_t seed, std::size_t count) : network(seed), nodes(count) {
     for (std::size_t index = 0; index < count; ++index) {
       nodes[index].address = "127.0.0." + std::to_string(index + 1) + ":7000";
       start(index);
     }
   }
 
-  Sea sea;
+  SimulatedNetwork network;
   std::vector<Node> nodes;
   List list;
   std::size_t reads = 0;
   std::size_t pageRows = 0;
   bool overRate = false;
-  std::vector<drydock::TimePoint> readAt;
+  std::vector<simulator::TimePoint> readAt;
   std::size_t changes = 0;
 
   List pageOf(std::string const& token) const {
@@ -45,8 +45,8 @@
     List out;
     std::size_t const from = token.empty() ? 0 : std::stoul(token.substr(2));
     std::size_t at = 0;
-    for (std::pair<std::string const, std::vector<shoal::ServerRow>> const& service : list.services) {
-      for (shoal::ServerRow const& row : service.second) {
+    for (std::pair<std::string const, std::vector<dispatch::ServerRow>> const& service : list.services) {
+      for (dispatch::ServerRow const& row : service.second) {
         if (at >= from && at < from + pageRows) {
           out.services[service.first].push_back(row);
           ++out.rows;
@@ -62,7 +62,7 @@
     Node& node = nodes[index];
     node.desk.emplace(DeskPolicy{}, "m" + std::to_string(index), node.address, "z1");
     node.up = true;
-    node.readsSince = sea.now();
+    node.readsSince = network.now();
     tick(index, ++lives[index]);
   }
 
@@ -77,65 +77,65 @@
     for (Node const& node : nodes) {
       around.zoneAddresses.push_back(node.address);
     }
-    follow(index, nodes[index].desk->tick(sea.now(), around));
-    sea.after(Ms(20), [this, index, life] { tick(index, life); });
+    follow(index, nodes[index].desk->tick(network.now(), around));
+    network.after(Ms(20), [this, index, life] { tick(index, life); });
   }
 
   void follow(std::size_t index, DeskStep const& step) {
     changes += step.changed.size();
-    for (fairway::Outgoing const& outgoing : step.sends) {
+    for (distribution::Outgoing const& outgoing : step.sends) {
       for (std::size_t to = 0; to < nodes.size(); ++to) {
         if (nodes[to].address != outgoing.address) {
           continue;
         }
-        cargo::Message const message = outgoing.message;
-        sea.after(std::chrono::microseconds(200 + sea.roll(3000)), [this, index, to, message] {
+        messages::Message const message = outgoing.message;
+        network.after(std::chrono::microseconds(200 + network.roll(3000)), [this, index, to, message] {
           if (!nodes[to].up) {
             return;
           }
-          if (cargo::TablePoll const* const poll = std::get_if<cargo::TablePoll>(&message)) {
-            follow(to, nodes[to].desk->hear(sea.now(), nodes[index].address, *poll));
+          if (messages::TablePoll const* const poll = std::get_if<messages::TablePoll>(&message)) {
+            follow(to, nodes[to].desk->hear(network.now(), nodes[index].address, *poll));
           } else {
-            follow(to, nodes[to].desk->hear(sea.now(), nodes[index].address, std::get<cargo::TableNews>(message)));
+            follow(to, nodes[to].desk->hear(network.now(), nodes[index].address, std::get<messages::TableNews>(message)));
           }
         });
       }
     }
     if (step.readList) {
       ++reads;
-      readAt.push_back(sea.now());
+      readAt.push_back(network.now());
       std::uint64_t const life = lives[index];
       std::string const page = step.page;
-      sea.after(Ms(5 + static_cast<long>(sea.roll(40))), [this, index, life, page] {
+      network.after(Ms(5 + static_cast<long>(network.roll(40))), [this, index, life, page] {
         if (!nodes[index].up || lives[index] != life) {
           return;
         }
         if (nodes[index].readsList && !overRate) {
-          follow(index, nodes[index].desk->listed(sea.now(), pageOf(page)));
+          follow(index, nodes[index].desk->listed(network.now(), pageOf(page)));
         } else {
-          nodes[index].desk->listFailed(sea.now(), overRate);
+          nodes[index].desk->listFailed(network.now(), overRate);
         }
       });
     }
   }
 
-  void put(std::string const& service, shoal::ServerRow const& row) {
+  void put(std::string const& service, dispatch::ServerRow const& row) {
     list.services[service].push_back(row);
     ++list.rows;
   }
 
-  void run(Ms time) { sea.runUntil(sea.now() + time); }
+  void run(Ms time) { network.runUntil(network.now() + time); }
 };
 
-shoal::ServerRow rowAt(std::string const& address) {
-  shoal::ServerRow row;
+dispatch::ServerRow rowAt(std::string const& address) {
+  dispatch::ServerRow row;
   row.address = address;
   row.zone = "z1";
   row.slowStartMs = Ms(5000);
   return row;
 }
 
-TEST(Berth, ADepartureShowsEverywhereInTimeWhileHomesDieAndListsFail) {
+TEST(ServerDirectory, ADepartureShowsEverywhereInTimeWhileHomesDieAndListsFail) {
   Ms worst{0};
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     Zone zone(seed, 4);
@@ -143,26 +143,26 @@
     zone.put("a", rowAt("s2"));
     zone.run(Ms(3000));
     for (std::size_t index = 0; index < 4; ++index) {
-      if (zone.sea.chance(0.4)) {
+      if (zone.network.chance(0.4)) {
         zone.nodes[index].readsList = false;
       }
     }
-    zone.nodes[zone.sea.roll(4)].readsList = true;
-    zone.run(Ms(static_cast<long>(zone.sea.roll(6000))));
-    std::size_t const victim = zone.sea.roll(4);
-    if (zone.sea.chance(0.5)) {
+    zone.nodes[zone.network.roll(4)].readsList = true;
+    zone.run(Ms(static_cast<long>(zone.network.roll(6000))));
+    std::size_t const victim = zone.network.roll(4);
+    if (zone.network.chance(0.5)) {
       zone.nodes[victim].up = false;
     }
     zone.list.services["a"][0].leaving = true;
-    drydock::TimePoint const shown = zone.sea.now();
+    simulator::TimePoint const shown = zone.network.now();
     std::vector<bool> seen(4, false);
     for (int round = 0; round < 150; ++round) {
       zone.run(Ms(20));
       for (std::size_t index = 0; index < 4; ++index) {
-        std::vector<shoal::ServerRow> const rows = zone.nodes[index].desk->rows(zone.sea.now(), "a");
+        std::vector<dispatch::ServerRow> const rows = zone.nodes[index].desk->rows(zone.network.now(), "a");
         if (!seen[index] && zone.nodes[index].up && rows.size() == 2 && rows[0].leaving) {
           seen[index] = true;
-          worst = std::max(worst, std::chrono::duration_cast<Ms>(zone.sea.now() - shown));
+          worst = std::max(worst, std::chrono::duration_cast<Ms>(zone.network.now() - shown));
         }
       }
     }
@@ -174,35 +174,35 @@
   EXPECT_LE(worst, Ms(2900));
 }
 
-TEST(Berth, ADepartureShowsInTimeWhenTheReaderDiesAtThatMoment) {
+TEST(ServerDirectory, ADepartureShowsInTimeWhenTheReaderDiesAtThatMoment) {
   Ms worst{0};
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Zone zone(seed, 3 + seed % 6);
     zone.put("a", rowAt("s1"));
     zone.put("a", rowAt("s2"));
-    zone.run(Ms(4000 + static_cast<long>(zone.sea.roll(1000))));
+    zone.run(Ms(4000 + static_cast<long>(zone.network.roll(1000))));
     std::vector<std::string> addresses;
     for (Node const& node : zone.nodes) {
       addresses.push_back(node.address);
     }
-    std::string const reader = fairway::rankHomes("list/z1", addresses).front();
-    Ms const diesMs(static_cast<long>(zone.sea.roll(800)));
-    zone.sea.after(diesMs, [&] {
+    std::string const reader = distribution::rankHomes("list/z1", addresses).front();
+    Ms const diesMs(static_cast<long>(zone.network.roll(800)));
+    zone.network.after(diesMs, [&] {
       for (Node& node : zone.nodes) {
         node.up = node.up && node.address != reader;
       }
     });
     zone.run(Ms(400));
     zone.list.services["a"][0].leaving = true;
-    drydock::TimePoint const shown = zone.sea.now();
+    simulator::TimePoint const shown = zone.network.now();
     std::vector<bool> seen(zone.nodes.size(), false);
     for (int round = 0; round < 300; ++round) {
       zone.run(Ms(10));
       for (std::size_t index = 0; index < zone.nodes.size(); ++index) {
-        std::vector<shoal::ServerRow> const rows = zone.nodes[index].desk->rows(zone.sea.now(), "a");
+        std::vector<dispatch::ServerRow> const rows = zone.nodes[index].desk->rows(zone.network.now(), "a");
         if (!seen[index] && zone.nodes[index].up && rows.size() == 2 && rows[0].leaving) {
           seen[index] = true;
-          worst = std::max(worst, std::chrono::duration_cast<Ms>(zone.sea.now() - shown));
+          worst = std::max(worst, std::chrono::duration_cast<Ms>(zone.network.now() - shown));
         }
       }
     }
@@ -214,7 +214,7 @@
   EXPECT_LE(worst, Ms(2000));
 }
 
-TEST(Berth, AListInPagesCountsOnceItsLastPageIsInAndARowBetweenPagesIsNotLostAtOnce) {
+TEST(ServerDirectory, AListInPagesCountsOnceItsLastPageIsInAndARowBetweenPagesIsNotLostAtOnce) {
   for (std::size_t const pageRows : {1u, 2u, 3u, 7u}) {
     Zone zone(pageRows, 3);
     zone.pageRows = pageRows;
@@ -224,29 +224,29 @@
     zone.put("b", rowAt("t"));
     zone.run(Ms(8000));
     for (Node const& node : zone.nodes) {
-      EXPECT_EQ(node.desk->rows(zone.sea.now(), "a").size(), 5u);
-      EXPECT_EQ(node.desk->rows(zone.sea.now(), "b").size(), 1u);
+      EXPECT_EQ(node.desk->rows(zone.network.now(), "a").size(), 5u);
+      EXPECT_EQ(node.desk->rows(zone.network.now(), "b").size(), 1u);
     }
     zone.list.services["a"].erase(zone.list.services["a"].begin());
     bool lost = false;
     bool gone = false;
     for (int round = 0; round < 400; ++round) {
       zone.run(Ms(20));
-      std::vector<shoal::ServerRow> const rows = zone.nodes[0].desk->rows(zone.sea.now(), "a");
+      std::vector<dispatch::ServerRow> const rows = zone.nodes[0].desk->rows(zone.network.now(), "a");
       lost = lost || rows.size() < 4;
-      gone = rows.size() == 4 && std::none_of(rows.begin(), rows.end(), [](shoal::ServerRow const& row) { return row.leaving; });
+      gone = rows.size() == 4 && std::none_of(rows.begin(), rows.end(), [](dispatch::ServerRow const& row) { return row.leaving; });
     }
     EXPECT_FALSE(lost) << pageRows;
     EXPECT_TRUE(gone) << pageRows;
   }
 }
 
-TEST(Berth, ColdTimeThatRunsDownIsNoNewsButItsBeginningItsRiseAndItsEndAre) {
+TEST(ServerDirectory, ColdTimeThatRunsDownIsNoNewsButItsBeginningItsRiseAndItsEndAre) {
   Zone zone(8, 3);
   zone.put("a", rowAt("s1"));
   zone.run(Ms(4000));
   std::size_t before = zone.changes;
-  shoal::ServerRow& row = zone.list.services["a"][0];
+  dispatch::ServerRow& row = zone.list.services["a"][0];
   row.coldMs = Ms(3000);
   for (int round = 0; round < 100; ++round) {
     zone.run(Ms(20));
@@ -254,30 +254,30 @@
   }
   EXPECT_EQ(zone.changes - before, 3u);
   for (Node const& node : zone.nodes) {
-    EXPECT_NEAR(static_cast<double>(node.desk->rows(zone.sea.now(), "a")[0].coldMs.count()), 1000, 150);
+    EXPECT_NEAR(static_cast<double>(node.desk->rows(zone.network.now(), "a")[0].coldMs.count()), 1000, 150);
   }
   before = zone.changes;
   row.coldMs = Ms(9000);
   zone.run(Ms(1000));
   EXPECT_GE(zone.changes - before, 3u);
   for (Node const& node : zone.nodes) {
-    EXPECT_GT(node.desk->rows(zone.sea.now(), "a")[0].coldMs, Ms(7900));
+    EXPECT_GT(node.desk->rows(zone.network.now(), "a")[0].coldMs, Ms(7900));
   }
   row.coldMs = Ms(0);
   zone.run(Ms(1000));
   for (Node const& node : zone.nodes) {
-    EXPECT_EQ(node.desk->rows(zone.sea.now(), "a")[0].coldMs, Ms(0));
+    EXPECT_EQ(node.desk->rows(zone.network.now(), "a")[0].coldMs, Ms(0));
   }
-  EXPECT_GT(zone.nodes[0].desk->rows(zone.sea.now(), "a")[0].ageMs, Ms(5000));
+  EXPECT_GT(zone.nodes[0].desk->rows(zone.network.now(), "a")[0].ageMs, Ms(5000));
   row.life = "l2";
   zone.run(Ms(1500));
   for (Node const& node : zone.nodes) {
-    EXPECT_EQ(node.desk->rows(zone.sea.now(), "a")[0].life, "l2");
-    EXPECT_LT(node.desk->rows(zone.sea.now(), "a")[0].ageMs, Ms(1600));
+    EXPECT_EQ(node.desk->rows(zone.network.now(), "a")[0].life, "l2");
+    EXPECT_LT(node.desk->rows(zone.network.now(), "a")[0].ageMs, Ms(1600));
   }
 }
 
-TEST(Berth, RefusedForTheRateAReaderBacksOffAndComesBack) {
+TEST(ServerDirectory, RefusedForTheRateAReaderBacksOffAndComesBack) {
   Zone zone(9, 8);
   zone.put("a", rowAt("s1"));
   zone.run(Ms(4000));
@@ -290,7 +290,7 @@
   zone.list.services["a"][0].leaving = true;
   zone.run(Ms(3000));
   for (Node const& node : zone.nodes) {
-    EXPECT_TRUE(node.desk->rows(zone.sea.now(), "a")[0].leaving);
+    EXPECT_TRUE(node.desk->rows(zone.network.now(), "a")[0].leaving);
   }
   zone.run(Ms(5000));
   zone.readAt.clear();
@@ -299,7 +299,7 @@
   EXPECT_GE(zone.readAt.size(), 10'000u / 400 - 4);
 }
 
-TEST(Berth, TheOwnListNamesLivesColdTimeAndTheNextPage) {
+TEST(ServerDirectory, TheOwnListNamesLivesColdTimeAndTheNextPage) {
   absl::StatusOr<List> const list = readList(
       R"({"servers":[{"address":"127.0.0.1:1","service":"a","zone":"z","capacity":3,"life":"l1","cold_ms":250}],"next_page":"x"})");
   ASSERT_TRUE(list.ok());
@@ -309,7 +309,7 @@
   EXPECT_TRUE(readList(R"({"servers":[],"next_page":null})")->nextPage.empty());
 }
 
-TEST(Berth, ARowThatChangesServiceOrZoneMovesWholeAndIsFreshInItsNewPlace) {
+TEST(ServerDirectory, ARowThatChangesServiceOrZoneMovesWholeAndIsFreshInItsNewPlace) {
   Zone zone(3, 3);
   zone.put("a", rowAt("s1"));
   zone.put("b", rowAt("s2"));
@@ -320,8 +320,8 @@
   zone.list.services["b"][0].capacity = 25;
   zone.run(Ms(3000));
   for (Node const& node : zone.nodes) {
-    EXPECT_TRUE(node.desk->rows(zone.sea.now(), "a").empty());
-    std::vector<shoal::ServerRow> const rows = node.desk->rows(zone.sea.now(), "b");
+    EXPECT_TRUE(node.desk->rows(zone.network.now(), "a").empty());
+    std::vector<dispatch::ServerRow> const rows = node.desk->rows(zone.network.now(), "b");
     ASSERT_EQ(rows.size(), 2u);
     EXPECT_EQ(rows[0].zone, "z2");
     EXPECT_EQ(rows[0].capacity, 25);
@@ -330,7 +330,7 @@
   }
 }
 
-TEST(Berth, ANodeThatRestartsLearnsTheAgesAndOneHomeReadsForAll) {
+TEST(ServerDirectory, ANodeThatRestartsLearnsTheAgesAndOneHomeReadsForAll) {
   Zone zone(4, 4);
   zone.put("a", rowAt("s1"));
   zone.put("b", rowAt("s2"));
@@ -344,20 +344,20 @@
     zone.start(index);
     zone.run(Ms(4000));
     for (std::string const service : {"a", "b"}) {
-      EXPECT_GT(zone.nodes[index].desk->rows(zone.sea.now(), service)[0].ageMs, Ms(30'000)) << index << service;
+      EXPECT_GT(zone.nodes[index].desk->rows(zone.network.now(), service)[0].ageMs, Ms(30'000)) << index << service;
     }
   }
 }
 
-TEST(Berth, AListThatTurnsEmptyAtOnceIsHeldForAWhileAndThenBelieved) {
+TEST(ServerDirectory, AListThatTurnsEmptyAtOnceIsHeldForAWhileAndThenBelieved) {
   Zone zone(5, 2);
   zone.put("a", rowAt("s1"));
   zone.run(Ms(3000));
   zone.list = List{};
   zone.run(Ms(8000));
-  EXPECT_EQ(zone.nodes[0].desk->rows(zone.sea.now(), "a").size(), 1u);
+  EXPECT_EQ(zone.nodes[0].desk->rows(zone.network.now(), "a").size(), 1u);
   zone.run(Ms(6000));
-  EXPECT_TRUE(zone.nodes[0].desk->rows(zone.sea.now(), "a").empty());
+  EXPECT_TRUE(zone.nodes[0].desk->rows(zone.network.now(), "a").empty());
 }
 
 }
--- a/tests/shoal_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1,5 +1,5 @@
-#include "limeramp/shoal/machine.h"
-#include "limeramp/shoal/part.h"
+#include "limeramp/dispatch/machine.h"
+#include "limeramp/dispatch/part.h"
 
 #include <gtest/gtest.h>
 
@@ -13,7 +13,7 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::shoal;
+using namespace limeramp::dispatch;
 using Ms = std::chrono::milliseconds;
 
 TimePoint const start{std::chrono::hours(1)};
@@ -55,8 +55,8 @@
               bool repeatable, Ms deadlineMs, std::string const& tenant = "t") {
     step(Arrive{request, tenant, std::move(services), minimum, most, repeatable, now + deadlineMs});
   }
-  void good(std::uint64_t attempt) { step(Returned{attempt, true, true, tally::Verdict::ran, {}}); }
-  void bad(std::uint64_t attempt, tally::Verdict verdict) { step(Returned{attempt, false, false, verdict, {}}); }
+  void good(std::uint64_t attempt) { step(Returned{attempt, true, true, retry::Verdict::ran, {}}); }
+  void bad(std::uint64_t attempt, retry::Verdict verdict) { step(Returned{attempt, false, false, verdict, {}}); }
   void pass(Ms passedMs) {
     for (Ms done{0}; done < passedMs; done += Ms(5)) {
       now += Ms(5);
@@ -129,7 +129,7 @@
 }
 
 TEST(Rerun, AForwardThatIsNotRepeatableIsNeverSentTwiceUnlessItDidNotRun) {
-  for (tally::Verdict const verdict : {tally::Verdict::notRun, tally::Verdict::mayHaveRun}) {
+  for (retry::Verdict const verdict : {retry::Verdict::notRun, retry::Verdict::mayHaveRun}) {
     Bench bench;
     bench.servers("a", 3);
     bench.warm("a", 5);
@@ -137,13 +137,13 @@
     bench.pass(Ms(100));
     ASSERT_EQ(bench.sent.size(), 1u);
     bench.bad(bench.sent[0].attempt, verdict);
-    if (verdict == tally::Verdict::notRun) {
+    if (verdict == retry::Verdict::notRun) {
       EXPECT_EQ(bench.sent.size(), 2u);
       EXPECT_TRUE(bench.finished.empty());
     } else {
       EXPECT_EQ(bench.sent.size(), 1u);
       ASSERT_EQ(bench.finished.size(), 1u);
-      EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::mayHaveRun);
+      EXPECT_EQ(bench.finished[0].verdict, retry::Verdict::mayHaveRun);
     }
   }
 }
@@ -182,7 +182,7 @@
   bench.servers("a", 1);
   bench.servers("b", 1);
   bench.arrive(1, {"a", "b"}, 1, 2, true, Ms(500));
-  bench.bad(bench.sent[0].attempt, tally::Verdict::mayHaveRun);
+  bench.bad(bench.sent[0].attempt, retry::Verdict::mayHaveRun);
   EXPECT_TRUE(bench.finished.empty());
   bench.good(bench.sent[1].attempt);
   ASSERT_EQ(bench.finished.size(), 1u);
@@ -195,10 +195,10 @@
   bench.servers("a", 1);
   bench.servers("b", 1);
   bench.arrive(1, {"a", "b"}, 2, 1, true, Ms(5000));
-  bench.bad(bench.sent[0].attempt, tally::Verdict::mayHaveRun);
+  bench.bad(bench.sent[0].attempt, retry::Verdict::mayHaveRun);
   ASSERT_EQ(bench.finished.size(), 1u);
   EXPECT_EQ(bench.finished[0].ending, Ending::failed);
-  EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::mayHaveRun);
+  EXPECT_EQ(bench.finished[0].verdict, retry::Verdict::mayHaveRun);
   EXPECT_EQ(bench.cancelled, std::vector<std::uint64_t>{bench.sent[1].attempt});
 }
 
@@ -247,7 +247,7 @@
     touched.insert(send.request);
   }
   for (Finish const& finish : bench.finished) {
-    EXPECT_EQ(finish.verdict == tally::Verdict::notRun, !touched.contains(finish.request));
+    EXPECT_EQ(finish.verdict == retry::Verdict::notRun, !touched.contains(finish.request));
   }
 }
 
@@ -283,7 +283,7 @@
       Send const last = bench.sent.back();
       if (last.server == "a-1") {
         ++refused;
-        bench.bad(last.attempt, tally::Verdict::notRun);
+        bench.bad(last.attempt, retry::Verdict::notRun);
       } else {
         bench.good(last.attempt);
       }
@@ -310,7 +310,7 @@
     bench.step(Servers{"a", {row}});
     bench.arrive(1, {"a"}, 1, 2, true, Ms(500));
     if (refusedOnce) {
-      bench.bad(bench.sent.back().attempt, tally::Verdict::notRun);
+      bench.bad(bench.sent.back().attempt, retry::Verdict::notRun);
     } else {
       bench.good(bench.sent.back().attempt);
     }
@@ -331,7 +331,7 @@
 Returned refusedBy(std::uint64_t attempt, bool full, bool otherLife) {
   Returned returned;
   returned.attempt = attempt;
-  returned.verdict = tally::Verdict::notRun;
+  returned.verdict = retry::Verdict::notRun;
   returned.full = full;
   returned.otherLife = otherLife;
   return returned;
@@ -346,7 +346,7 @@
       Send const last = bench.sent.back();
       EXPECT_EQ(last.life, last.server == "s" ? "l1" : "l9");
       if (last.server == "s") {
-        bench.bad(last.attempt, tally::Verdict::notRun);
+        bench.bad(last.attempt, retry::Verdict::notRun);
       } else {
         bench.good(last.attempt);
       }
@@ -413,7 +413,7 @@
         }
         ASSERT_EQ(bench.finished.size(), 1u);
         EXPECT_EQ(bench.finished[0].ending, Ending::refused);
-        EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::notRun);
+        EXPECT_EQ(bench.finished[0].verdict, retry::Verdict::notRun);
         ASSERT_TRUE(bench.finished[0].retryAfter.has_value());
         EXPECT_GE(*bench.finished[0].retryAfter, Ms(20));
         EXPECT_LE(*bench.finished[0].retryAfter, Ms(300));
@@ -428,16 +428,16 @@
     bench.place(0);
     bench.servers("a", 9);
     bench.arrive(1, {"a"}, 1, 1, repeatable, Ms(500));
-    bench.bad(bench.sent[0].attempt, tally::Verdict::notRun);
+    bench.bad(bench.sent[0].attempt, retry::Verdict::notRun);
     ASSERT_EQ(bench.sent.size(), 2u);
     bench.good(bench.sent[1].attempt);
     EXPECT_EQ(bench.finished.back().ending, Ending::complete);
     bench.arrive(2, {"a"}, 1, 1, repeatable, Ms(500));
     while (bench.machine.requests() > 0) {
-      bench.bad(bench.sent.back().attempt, tally::Verdict::notRun);
+      bench.bad(bench.sent.back().attempt, retry::Verdict::notRun);
     }
     EXPECT_EQ(bench.finished.back().ending, Ending::refused);
-    EXPECT_EQ(bench.sent.size(), 2u + tally::Ledger::mostUnreached + 1);
+    EXPECT_EQ(bench.sent.size(), 2u + retry::Ledger::mostUnreached + 1);
   }
 }
 
@@ -476,7 +476,7 @@
   bench.pass(Ms(4000));
   bench.arrive(1, {"a"}, 1, 1, true, Ms(500));
   std::string const cold = bench.sent.back().server;
-  Returned returned{bench.sent.back().attempt, true, true, tally::Verdict::ran, {}};
+  Returned returned{bench.sent.back().attempt, true, true, retry::Verdict::ran, {}};
   returned.coldMs = Ms(1000);
   bench.step(returned);
   for (std::uint64_t request = 2; request <= 90; ++request) {
@@ -508,7 +508,7 @@
   bench.arrive(2, {"a"}, 1, 1, true, Ms(500));
   EXPECT_EQ(bench.sent.size(), 1u);
   ASSERT_EQ(bench.finished.size(), 1u);
-  EXPECT_EQ(bench.finished[0].verdict, tally::Verdict::notRun);
+  EXPECT_EQ(bench.finished[0].verdict, retry::Verdict::notRun);
   bench.good(bench.sent[0].attempt);
   EXPECT_EQ(bench.finished.size(), 2u);
 }
@@ -516,7 +516,7 @@
 TEST(Budget, OverEveryStretchOfTimeExtrasStayBelowAFifthPlusTheDepth) {
   double highest = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    std::mt19937_64 dice(seed);
+    std::mt19937_64 random(seed);
     Bench bench;
     bench.servers("a", 4);
     bench.place(6);
@@ -524,22 +524,22 @@
     std::vector<std::uint64_t> openAttempts;
     std::size_t seen = 0;
     for (std::uint64_t request = 1; request <= 1500; ++request) {
-      bench.now += Ms(static_cast<long>(dice() % (request / 500 == 1 ? 80 : 10)));
+      bench.now += Ms(static_cast<long>(random() % (request / 500 == 1 ? 80 : 10)));
       bench.arrive(request, {"a"}, 1, 4, true, Ms(300));
       bench.step(Tick{});
       for (; seen < bench.sent.size(); ++seen) {
         bool const first = std::none_of(bench.sent.begin(), bench.sent.begin() + static_cast<long>(seen),
                                         [&](Send const& send) { return send.request == bench.sent[seen].request; });
         arrivals.emplace_back(bench.now, first);
-        if (request < 500 || dice() % 3 != 0) {
+        if (request < 500 || random() % 3 != 0) {
           openAttempts.push_back(bench.sent[seen].attempt);
         }
       }
-      if (!openAttempts.empty() && (request < 500 || dice() % 2 == 0)) {
+      if (!openAttempts.empty() && (request < 500 || random() % 2 == 0)) {
         std::uint64_t const attempt = openAttempts.back();
         openAttempts.pop_back();
-        if (request >= 500 && dice() % 4 == 0) {
-          bench.bad(attempt, tally::Verdict::mayHaveRun);
+        if (request >= 500 && random() % 4 == 0) {
+          bench.bad(attempt, retry::Verdict::mayHaveRun);
         } else {
           bench.good(attempt);
         }
@@ -558,14 +558,14 @@
 }
 
 struct Rules {
-  explicit Rules(std::uint64_t seedIn, Policy const& policy = {}) : dice(seedIn), bench(policy) {}
+  explicit Rules(std::uint64_t seedIn, Policy const& policy = {}) : random(seedIn), bench(policy) {}
 
-  std::mt19937_64 dice;
+  std::mt19937_64 random;
   Bench bench;
   std::multimap<TimePoint, Send> due;
   std::size_t known = 0;
 
-  std::uint64_t roll(std::uint64_t sides) { return dice() % sides; }
+  std::uint64_t roll(std::uint64_t sides) { return random() % sides; }
   void ask(std::uint64_t request, std::vector<std::string> services, std::size_t minimum, bool repeatable, Ms aimMs,
            Ms deadlineMs, std::size_t priority = 0) {
     bench.step(Arrive{request, "t", std::move(services), minimum, 3, repeatable, bench.now + deadlineMs,
@@ -611,10 +611,10 @@
         open.erase(at);
         std::uint64_t const fate = rules.roll(4);
         if (fate == 0) {
-          bench.bad(send.attempt, tally::Verdict::notRun);
+          bench.bad(send.attempt, retry::Verdict::notRun);
         } else if (fate == 1) {
           mayHaveRun.insert(send.request);
-          bench.bad(send.attempt, tally::Verdict::mayHaveRun);
+          bench.bad(send.attempt, retry::Verdict::mayHaveRun);
         } else {
           mayHaveRun.insert(send.request);
           bench.good(send.attempt);
@@ -666,7 +666,7 @@
   EXPECT_GT(bench.finished.size(), 2u);
   for (Finish const& finish : bench.finished) {
     EXPECT_EQ(finish.ending, Ending::refused);
-    EXPECT_EQ(finish.verdict, tally::Verdict::notRun);
+    EXPECT_EQ(finish.verdict, retry::Verdict::notRun);
     ASSERT_TRUE(finish.retryAfter.has_value());
     EXPECT_GE(*finish.retryAfter, policy.retryLeastMs);
     EXPECT_LE(*finish.retryAfter, policy.retryMostMs);
@@ -724,7 +724,7 @@
       due.erase(due.begin());
       bool const good = !answers.bad.contains(send.server);
       std::map<std::string, double>::const_iterator const load = answers.load.find(send.server);
-      bench.step(Returned{send.attempt, good, good, good ? tally::Verdict::ran : tally::Verdict::mayHaveRun,
+      bench.step(Returned{send.attempt, good, good, good ? retry::Verdict::ran : retry::Verdict::mayHaveRun,
                           load == answers.load.end() ? std::nullopt : std::optional<double>(load->second), false, false, {}});
     }
     if (rules.roll(10) == 0) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,5 @@
-#include "drydock/sea.h"
-#include "limeramp/shoal/machine.h"
+#include "simulator/simulated_network.h"
+#include "limeramp/dispatch/machine.h"
 
 #include <gtest/gtest.h>
 
@@ -13,8 +13,8 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::shoal;
-using drydock::Sea;
+using namespace limeramp::dispatch;
+using simulator::SimulatedNetwork;
 using Ms = std::chrono::milliseconds;
 
 struct Server {
@@ -35,14 +35,14 @@
 };
 
 struct Fleet {
-  Fleet(std::uint64_t seed, std::size_t fronts, Policy const& policyIn) : sea(seed), policy(policyIn) {
+  Fleet(std::uint64_t seed, std::size_t fronts, Policy const& policyIn) : network(seed), policy(policyIn) {
     for (std::size_t index = 0; index < fronts; ++index) {
       machines.emplace_back(policy);
       lives.push_back(0);
     }
   }
 
-  Sea sea;
+  SimulatedNetwork network;
   Policy policy;
   std::vector<Machine> machines;
   std::vector<std::uint64_t> lives;
@@ -69,8 +69,8 @@
         row.address = server.first;
         row.capacity = server.second.capacity;
         row.slowStartMs = server.second.slowStartMs;
-        row.ageMs = std::chrono::duration_cast<Ms>(sea.now() - server.second.startedAt);
-        row.coldMs = std::max(Ms(0), std::chrono::duration_cast<Ms>(server.second.coldUntil - sea.now()));
+        row.ageMs = std::chrono::duration_cast<Ms>(network.now() - server.second.startedAt);
+        row.coldMs = std::max(Ms(0), std::chrono::duration_cast<Ms>(server.second.coldUntil - network.now()));
         row.coldPerSecond = server.second.coldPerSecond;
         event.rows.push_back(row);
       }
@@ -94,7 +94,7 @@
       return;
     }
     step(front, Tick{});
-    sea.after(Ms(5), [this, front, life] { tick(front, life); });
+    network.after(Ms(5), [this, front, life] { tick(front, life); });
   }
 
   void arrive(std::size_t front, std::vector<std::string> const& names, std::size_t minimum, Ms deadlineMs,
@@ -102,50 +102,50 @@
     std::uint64_t const request = ++lastRequest;
     asked[{front, request}] = names;
     tenants[{front, request}] = tenant;
-    arrivedAt[{front, request}] = sea.now();
+    arrivedAt[{front, request}] = network.now();
     ++launched[tenant];
-    step(front, Arrive{request, tenant, names, minimum, 3, true, sea.now() + deadlineMs});
+    step(front, Arrive{request, tenant, names, minimum, 3, true, network.now() + deadlineMs});
   }
 
   void step(std::size_t front, Event const& event) {
-    for (Effect const& effect : machines[front].step(sea.now(), event)) {
+    for (Effect const& effect : machines[front].step(network.now(), event)) {
       if (Send const* const send = std::get_if<Send>(&effect)) {
         std::string const service = asked.at({front, send->request})[send->leg];
         Server& server = services[service][send->server];
         std::uint64_t const attempt = send->attempt;
         std::uint64_t const life = lives[front];
         if (server.dead) {
-          sea.after(std::chrono::microseconds(300), [this, front, life, attempt] {
-            answer(front, life, Returned{attempt, false, false, tally::Verdict::notRun, {}});
+          network.after(std::chrono::microseconds(300), [this, front, life, attempt] {
+            answer(front, life, Returned{attempt, false, false, retry::Verdict::notRun, {}});
           });
           continue;
         }
         bool const first = seen.emplace(front, send->request, send->leg).second;
-        arrivals[service].emplace_back(sea.now(), first);
-        server.arrivals.push_back(sea.now());
+        arrivals[service].emplace_back(network.now(), first);
+        server.arrivals.push_back(network.now());
         if (server.silent) {
           continue;
         }
         if (server.failing) {
-          sea.after(Ms(3), [this, front, life, attempt] {
-            answer(front, life, Returned{attempt, false, false, tally::Verdict::mayHaveRun, {}});
+          network.after(Ms(3), [this, front, life, attempt] {
+            answer(front, life, Returned{attempt, false, false, retry::Verdict::mayHaveRun, {}});
           });
           continue;
         }
         if (server.serial) {
-          server.busyUntil = std::max(server.busyUntil, sea.now()) +
+          server.busyUntil = std::max(server.busyUntil, network.now()) +
                              std::chrono::microseconds(static_cast<long>(1e6 / server.capacity));
-          sea.after(std::chrono::duration_cast<std::chrono::microseconds>(server.busyUntil - sea.now()) + Ms(5),
+          network.after(std::chrono::duration_cast<std::chrono::microseconds>(server.busyUntil - network.now()) + Ms(5),
                     [this, front, life, attempt] {
-            answer(front, life, Returned{attempt, true, true, tally::Verdict::ran, {}});
+            answer(front, life, Returned{attempt, true, true, retry::Verdict::ran, {}});
           });
           continue;
         }
-        double const waitMs = (server.ragged && sea.chance(0.1) ? 3 : 1) * server.latencyMs * (0.7 + 0.6 * static_cast<double>(sea.roll(1000)) / 1000);
+        double const waitMs = (server.ragged && network.chance(0.1) ? 3 : 1) * server.latencyMs * (0.7 + 0.6 * static_cast<double>(network.roll(1000)) / 1000);
         std::chrono::microseconds const pause =
-            std::chrono::duration_cast<std::chrono::microseconds>(std::max(server.pausedUntil, sea.now()) - sea.now());
-        sea.after(pause + std::chrono::microseconds(static_cast<long>(waitMs * 1000)), [this, front, life, attempt] {
-          answer(front, life, Returned{attempt, true, true, tally::Verdict::ran, {}});
+            std::chrono::duration_cast<std::chrono::microseconds>(std::max(server.pausedUntil, network.now()) - network.now());
+        network.after(pause + std::chrono::microseconds(static_cast<long>(waitMs * 1000)), [this, front, life, attempt] {
+          answer(front, life, Returned{attempt, true, true, retry::Verdict::ran, {}});
         });
       } else if (Finish const* const finish = std::get_if<Finish>(&effect)) {
         complete += finish->ending == Ending::complete ? 1 : 0;
@@ -155,7 +155,7 @@
         answered[tenants.at({front, finish->request})] += good ? 1 : 0;
         tenants.erase({front, finish->request});
         if (good) {
-          tookMs.push_back(std::chrono::duration<double, std::milli>(sea.now() - arrivedAt.at({front, finish->request})).count());
+          tookMs.push_back(std::chrono::duration<double, std::milli>(network.now() - arrivedAt.at({front, finish->request})).count());
         }
         arrivedAt.erase({front, finish->request});
         asked.erase({front, finish->request});
@@ -170,11 +170,11 @@
   }
 
   void load(double perSecond, Ms time, std::vector<std::string> const& names, std::size_t minimum, Ms deadlineMs) {
-    TimePoint const end = sea.now() + time;
-    while (sea.now() < end) {
-      double const gapMs = -std::log(1 - static_cast<double>(sea.roll(1'000'000)) / 1e6) * 1000 / perSecond;
-      sea.runUntil(sea.now() + std::chrono::microseconds(1 + static_cast<long>(gapMs * 1000)));
-      std::size_t const front = sea.roll(machines.size());
+    TimePoint const end = network.now() + time;
+    while (network.now() < end) {
+      double const gapMs = -std::log(1 - static_cast<double>(network.roll(1'000'000)) / 1e6) * 1000 / perSecond;
+      network.runUntil(network.now() + std::chrono::microseconds(1 + static_cast<long>(gapMs * 1000)));
+      std::size_t const front = network.roll(machines.size());
       if (live(front)) {
         arrive(front, names, minimum, deadlineMs);
       }
@@ -208,16 +208,16 @@
     }
     fleet.load(300, Ms(4000), names, 1, Ms(400));
     for (std::string const& name : names) {
-      std::size_t const hurt = fleet.sea.roll(5);
+      std::size_t const hurt = fleet.network.roll(5);
       for (std::size_t number = 0; number < hurt; ++number) {
         Server& server = fleet.services[name][name + "-" + std::to_string(number)];
-        (fleet.sea.chance(0.4) ? server.dead : fleet.sea.chance(0.5) ? server.silent : server.failing) = true;
+        (fleet.network.chance(0.4) ? server.dead : fleet.network.chance(0.5) ? server.silent : server.failing) = true;
       }
     }
     for (int round = 0; round < 24; ++round) {
       fleet.load(round % 6 > 3 ? 20 : 300, Ms(400), names, 1, Ms(400));
       for (std::size_t restarts = seed % 2 == 0 ? 6 : 1; restarts > 0; --restarts) {
-        fleet.start(fleet.sea.roll(11));
+        fleet.start(fleet.network.roll(11));
       }
     }
     for (std::string const& name : names) {
@@ -246,7 +246,7 @@
     Server fresh;
     fresh.capacity = 60;
     fresh.slowStartMs = Ms(5000);
-    fresh.startedAt = fleet.sea.now();
+    fresh.startedAt = fleet.network.now();
     for (int number = 0; number < 3; ++number) {
       fleet.services["p0"]["p0-" + std::to_string(number)].dead = true;
     }
@@ -292,7 +292,7 @@
       for (std::uint64_t seed = 1; seed <= 6; ++seed) {
         Fleet fleet(seed * 1000 + fronts, fronts, Policy{});
         Server cold;
-        cold.coldUntil = fleet.sea.now() + Ms(1'000'000);
+        cold.coldUntil = fleet.network.now() + Ms(1'000'000);
         cold.coldPerSecond = perSecond;
         fleet.services["p0"]["p0-0"] = cold;
         std::vector<std::size_t> roster;
@@ -304,12 +304,12 @@
         std::size_t const calm = fleet.services["p0"]["p0-0"].arrivals.size();
         least = std::min(least, calm);
         for (int round = 0; round < 14; ++round) {
-          std::size_t const front = fleet.sea.roll(fronts);
+          std::size_t const front = fleet.network.roll(fronts);
           std::vector<std::size_t>::iterator const place = std::find(roster.begin(), roster.end(), front);
-          if (fleet.sea.chance(0.3) && place != roster.end()) {
+          if (fleet.network.chance(0.3) && place != roster.end()) {
             fleet.start(front);
           } else if (place == roster.end()) {
-            roster.insert(roster.begin() + static_cast<long>(fleet.sea.roll(roster.size() + 1)), front);
+            roster.insert(roster.begin() + static_cast<long>(fleet.network.roll(roster.size() + 1)), front);
           } else if (roster.size() > 1) {
             roster.erase(place);
           }
@@ -318,7 +318,7 @@
             Place const own{roster.size(), static_cast<std::size_t>(at - roster.begin()), 3.0};
             bool const in = at != roster.end();
             std::uint64_t const life = fleet.lives[other];
-            fleet.sea.after(Ms(static_cast<long>(fleet.sea.roll(2000))), [&fleet, other, own, in, life] {
+            fleet.network.after(Ms(static_cast<long>(fleet.network.roll(2000))), [&fleet, other, own, in, life] {
               if (!in) {
                 ++fleet.lives[other];
               } else if (fleet.lives[other] == life && fleet.live(other)) {
@@ -329,7 +329,7 @@
               }
             });
           }
-          fleet.load(200, Ms(400 + static_cast<long>(fleet.sea.roll(6000))), {"p0"}, 1, Ms(400));
+          fleet.load(200, Ms(400 + static_cast<long>(fleet.network.roll(6000))), {"p0"}, 1, Ms(400));
         }
         most = std::max(most, mostInASecond(fleet.services["p0"]["p0-0"].arrivals));
       }
@@ -383,16 +383,16 @@
       fleet.start(front);
     }
     fleet.load(64, Ms(3000), names, 3, Ms(400));
-    TimePoint const end = fleet.sea.now() + Ms(12'000);
+    TimePoint const end = fleet.network.now() + Ms(12'000);
     fleet.answered.clear();
     fleet.launched.clear();
-    while (fleet.sea.now() < end) {
-      fleet.sea.runUntil(fleet.sea.now() + std::chrono::microseconds(1 + fleet.sea.roll(4000)));
-      bool const calm = fleet.sea.chance(64.0 / 494.0);
-      Ms const deadlineMs(250 + static_cast<long>(fleet.sea.roll(250)));
-      fleet.arrive(fleet.sea.roll(11), names, 3, deadlineMs, calm ? "calm" : "flood");
+    while (fleet.network.now() < end) {
+      fleet.network.runUntil(fleet.network.now() + std::chrono::microseconds(1 + fleet.network.roll(4000)));
+      bool const calm = fleet.network.chance(64.0 / 494.0);
+      Ms const deadlineMs(250 + static_cast<long>(fleet.network.roll(250)));
+      fleet.arrive(fleet.network.roll(11), names, 3, deadlineMs, calm ? "calm" : "flood");
     }
-    fleet.sea.runUntil(fleet.sea.now() + Ms(1000));
+    fleet.network.runUntil(fleet.network.now() + Ms(1000));
     worst = std::min(worst, static_cast<double>(fleet.answered["calm"]) / static_cast<double>(fleet.launched["calm"]));
     floodLeast = std::min(floodLeast, fleet.answered["flood"]);
   }
@@ -431,7 +431,7 @@
     }
     fleet.load(320, Ms(3000), names, 3, Ms(400));
     for (std::string const& name : names) {
-      Server& victim = fleet.services[name][name + "-" + std::to_string(fleet.sea.roll(4))];
+      Server& victim = fleet.services[name][name + "-" + std::to_string(fleet.network.roll(4))];
       victim.latencyMs = trouble == "slow" ? 250 : victim.latencyMs;
       for (std::pair<std::string const, Server>& server : fleet.services[name]) {
         server.second.ragged = trouble == "ragged";
@@ -447,12 +447,12 @@
     }
     for (int round = 0; round < 12; ++round) {
       for (int pauses = 0; trouble == "pauses" && pauses < 2; ++pauses) {
-        std::string const& name = names[fleet.sea.roll(4)];
-        fleet.services[name][name + "-" + std::to_string(fleet.sea.roll(4))].pausedUntil = fleet.sea.now() + Ms(200);
+        std::string const& name = names[fleet.network.roll(4)];
+        fleet.services[name][name + "-" + std::to_string(fleet.network.roll(4))].pausedUntil = fleet.network.now() + Ms(200);
       }
       fleet.load(320, Ms(500), names, 3, Ms(400));
     }
-    fleet.sea.runUntil(fleet.sea.now() + Ms(600));
+    fleet.network.runUntil(fleet.network.now() + Ms(600));
     for (Machine const& machine : fleet.machines) {
       lost += machine.counters().lostRaces;
     }
@@ -521,7 +521,7 @@
     std::uint64_t const atLeaving = sent[0].server == "leaves" ? sent[0].attempt : sent[1].attempt;
     leaves.leaving = true;
     std::vector<Event> const events{Servers{"a", {stays, leaves}}, Arrive{3, "t", {"a"}, 1, 1, true, now + Ms(500)},
-                                    Returned{atLeaving, true, true, tally::Verdict::ran, {}}};
+                                    Returned{atLeaving, true, true, retry::Verdict::ran, {}}};
     std::vector<std::size_t> places{0, 1, 2};
     for (int turn = 0; turn < order; ++turn) {
       std::next_permutation(places.begin(), places.end());
--- a/tests/foreign_test.cpp
+++ b/tests/foreign_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/quayside/plane.h"
+#include "limeramp/gateway/request_plane.h"
 
 #include <gtest/gtest.h>
 
@@ -11,12 +11,12 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::quayside;
-using rigging::findHeader;
-using tally::Verdict;
+using namespace limeramp::gateway;
+using net::findHeader;
+using retry::Verdict;
 using Ms = std::chrono::milliseconds;
 
-std::variant<Caller, Refusal> readCaller(rigging::Request const& request) {
+std::variant<Caller, Refusal> readCaller(net::Request const& request) {
   Caller out;
   out.host = findHeader(request.headers, "host").value_or("");
   out.id = findHeader(request.headers, "x-id").value_or("");
@@ -26,7 +26,7 @@
   return out;
 }
 
-Heard readAnswer(rigging::Answer const& answer, Asked const& asked) {
+Heard readAnswer(net::Answer const& answer, Asked const& asked) {
   Heard out;
   if (findHeader(answer.headers, "x-id") != asked.request) {
     out.reason = "another request's";
@@ -39,15 +39,15 @@
   out.returned.good = !notRun && (success || !asked.part);
   out.returned.healthy = !notRun && success;
   if (asked.part && out.returned.good) {
-    out.part = shoal::Part{{asked.service, asked.cut, asked.request}, {answer.body}, "seal-" + asked.service};
+    out.part = dispatch::Part{{asked.service, asked.cut, asked.request}, {answer.body}, "seal-" + asked.service};
   }
   return out;
 }
 
-rigging::Answer writeGathered(Gathered const& gathered) {
-  rigging::Answer out;
+net::Answer writeGathered(Gathered const& gathered) {
+  net::Answer out;
   std::string seals;
-  for (shoal::PartPtr const& part : gathered.parts) {
+  for (dispatch::PartPtr const& part : gathered.parts) {
     seals += (seals.empty() ? "" : " ") + part->seal;
   }
   out.headers = {{"x-seals", seals}, {"x-missing", std::to_string(gathered.missing.size())}, {"x-version", gathered.version}};
@@ -57,21 +57,21 @@
   return out;
 }
 
-rigging::Answer writeRefusal(Refusal const& refusal) {
-  return {500 + static_cast<int>(refusal.why), {{"x-verdict", std::string(tally::nameOf(refusal.verdict))}}, refusal.reason};
+net::Answer writeRefusal(Refusal const& refusal) {
+  return {500 + static_cast<int>(refusal.why), {{"x-verdict", std::string(retry::nameOf(refusal.verdict))}}, refusal.reason};
 }
 
 Dialect foreign() {
   Dialect out;
   out.readCaller = readCaller;
   out.writeGathered = writeGathered;
-  out.writeForwarded = [](rigging::Answer& answer, std::string const&, std::string const& version) {
+  out.writeForwarded = [](net::Answer& answer, std::string const&, std::string const& version) {
     answer.headers.emplace_back("x-version", version);
   };
   out.writeRefusal = writeRefusal;
-  out.writeAsk = [](rigging::Request& request, Asked const& asked) {
+  out.writeAsk = [](net::Request& request, Asked const& asked) {
     for (std::string_view const name : {"x-left", "x-service", "x-life", "x-version"}) {
-      rigging::dropHeader(request.headers, name);
+      net::dropHeader(request.headers, name);
     }
     request.headers.emplace_back("x-left", std::to_string(asked.remainingMs.count()));
     request.headers.emplace_back("x-service", asked.service);
@@ -82,8 +82,8 @@
   return out;
 }
 
-manifest::Search searchOver(std::vector<std::string> const& services, std::size_t minimum) {
-  manifest::Search out;
+config::Search searchOver(std::vector<std::string> const& services, std::size_t minimum) {
+  config::Search out;
   out.name = "find";
   out.host = "find.example";
   out.prefix = "/find/";
@@ -96,8 +96,8 @@
   return out;
 }
 
-manifest::Route routeTo(std::string const& name, std::vector<manifest::Choice> const& choices, bool repeatable) {
-  manifest::Route out;
+config::Route routeTo(std::string const& name, std::vector<config::Choice> const& choices, bool repeatable) {
+  config::Route out;
   out.name = name;
   out.host = "file.example";
   out.prefix = "/" + name + "/";
@@ -108,8 +108,8 @@
   return out;
 }
 
-manifest::Configuration configurationOver(std::vector<std::string> const& shards, std::size_t minimum) {
-  manifest::Configuration out;
+config::Configuration configurationOver(std::vector<std::string> const& shards, std::size_t minimum) {
+  config::Configuration out;
   out.searches.push_back(searchOver(shards, minimum));
   out.routes.push_back(routeTo("write", {{"w0", 1}}, false));
   out.routes.push_back(routeTo("read", {{"w0", 1}}, true));
@@ -121,14 +121,14 @@
 }
 
 struct Node {
-  explicit Node(std::string const& name = "m01", manifest::Configuration const& first = configurationOver({"s0", "s1"}, 1))
-      : plane(Self{name, "127.0.0.1:7000", "z1", 5}, shoal::Policy{}, foreign()) {
+  explicit Node(std::string const& name = "m01", config::Configuration const& first = configurationOver({"s0", "s1"}, 1))
+      : plane(Self{name, "127.0.0.1:7000", "z1", 5}, dispatch::Policy{}, foreign()) {
     enforce(2, first);
-    step(Placed{shoal::Place{1, 0, 30, 0.2, "z1"}});
+    step(Placed{dispatch::Place{1, 0, 30, 0.2, "z1"}});
     for (std::string const service : {"s0", "s1", "s2", "r0", "r1", "w0", "w1", "none"}) {
-      shoal::Servers servers{service, {}};
+      dispatch::Servers servers{service, {}};
       for (std::string const number : {"1", "2", "3", "4"}) {
-        shoal::ServerRow row;
+        dispatch::ServerRow row;
         row.address = "127.0.0.9:" + number;
         row.zone = "z1";
         row.life = "life-" + number;
@@ -146,11 +146,11 @@
   std::map<std::uint64_t, std::uint64_t> requestOf;
   std::uint64_t last = 0;
 
-  void enforce(std::uint64_t sequence, manifest::Configuration const& configuration) {
-    manifest::Snapshot snapshot;
+  void enforce(std::uint64_t sequence, config::Configuration const& configuration) {
+    config::Snapshot snapshot;
     snapshot.version = {1, sequence};
     snapshot.configuration = configuration;
-    step(InForce{std::make_shared<manifest::Snapshot const>(snapshot)});
+    step(InForce{std::make_shared<config::Snapshot const>(snapshot)});
   }
 
   void step(Event const& event) {
@@ -162,12 +162,12 @@
       } else if (CancelOut const* const cancel = std::get_if<CancelOut>(&effect)) {
         cancelled.insert(cancel->attempt);
       } else if (Merge const* const merge = std::get_if<Merge>(&effect)) {
-        step(Merged{merge->request, shoal::mergeParts(merge->parts, merge->result_size)});
+        step(Merged{merge->request, dispatch::mergeParts(merge->parts, merge->result_size)});
       }
     }
   }
 
-  std::uint64_t arrive(std::string const& host, std::string const& target, std::string const& id, rigging::Headers headers = {}) {
+  std::uint64_t arrive(std::string const& host, std::string const& target, std::string const& id, net::Headers headers = {}) {
     headers.emplace_back("host", host);
     headers.emplace_back("x-id", id);
     step(Arrived{++last, {"GET", target, std::move(headers), "", ""}, false, std::nullopt});
@@ -177,11 +177,11 @@
   static std::string headerOf(SendOut const& send, std::string const& name) { return findHeader(send.content.headers, name).value_or(""); }
 
   void answer(SendOut const& to, int status, std::string const& body, std::string const& id = "", bool unrun = false) {
-    rigging::Headers headers{{"x-id", id.empty() ? headerOf(to, "x-id") : id}};
+    net::Headers headers{{"x-id", id.empty() ? headerOf(to, "x-id") : id}};
     if (unrun) {
       headers.emplace_back("x-unrun", "1");
     }
-    step(Exchanged{to.attempt, {rigging::Answer{status, std::move(headers), body}, Verdict::ran, ""}});
+    step(Exchanged{to.attempt, {net::Answer{status, std::move(headers), body}, Verdict::ran, ""}});
   }
 
   void lose(SendOut const& to, Verdict verdict) { step(Exchanged{to.attempt, {std::nullopt, verdict, "lost"}}); }
@@ -265,10 +265,10 @@
   std::size_t successes = 0;
   std::size_t failures = 0;
   for (unsigned seed = 1; seed <= 300; ++seed) {
-    std::mt19937 dice(seed);
-    std::size_t const minimum = 1 + dice() % 3;
+    std::mt19937 random(seed);
+    std::size_t const minimum = 1 + random() % 3;
     Node node("m01", configurationOver({"s0", "s1", "s2"}, minimum));
-    if (dice() % 2 == 0) {
+    if (random() % 2 == 0) {
       node.fillBudget();
     }
     node.arrive("find.example", "/find/1", "a");
@@ -276,7 +276,7 @@
     for (std::size_t index = 0; index < 40; ++index) {
       if (index < node.sent.size()) {
         SendOut const to = node.sent[index];
-        switch (node.cancelled.contains(to.attempt) ? 5 : dice() % 5) {
+        switch (node.cancelled.contains(to.attempt) ? 5 : random() % 5) {
           case 0:
             good.insert(node.replies.empty() ? Node::headerOf(to, "x-service") : "");
             node.answer(to, 200, Node::headerOf(to, "x-service"));
@@ -288,7 +288,7 @@
             node.answer(to, 503, "", "", true);
             break;
           case 3:
-            node.lose(to, dice() % 2 == 0 ? Verdict::notRun : Verdict::mayHaveRun);
+            node.lose(to, random() % 2 == 0 ? Verdict::notRun : Verdict::mayHaveRun);
             break;
           default:
             break;
@@ -366,7 +366,7 @@
   for (std::pair<long, long> const& one : std::vector<std::pair<long, long>>{{200, 200}, {800, 800}, {5000, 800}, {0, 800}}) {
     Node node;
     node.fillBudget();
-    rigging::Headers headers;
+    net::Headers headers;
     if (one.first > 0) {
       headers.emplace_back("x-left", std::to_string(one.first));
     }
@@ -402,7 +402,7 @@
   std::size_t promised = 0;
   std::size_t doubtful = 0;
   for (unsigned seed = 1; seed <= 400; ++seed) {
-    std::mt19937 dice(seed);
+    std::mt19937 random(seed);
     Node node;
     node.fillBudget();
     std::map<std::string, std::vector<std::uint64_t>> attempts;
@@ -436,9 +436,9 @@
         }
       }
       if (!node.sent.empty()) {
-        SendOut const to = node.sent[dice() % node.sent.size()];
+        SendOut const to = node.sent[random() % node.sent.size()];
         if (!provedUnrun.contains(to.attempt) && !node.cancelled.contains(to.attempt)) {
-          std::uint32_t const kind = dice() % 6;
+          std::uint32_t const kind = random() % 6;
           provedUnrun[to.attempt] = kind < 3;
           if (kind < 2) {
             node.answer(to, 503, "", "", true);
@@ -451,7 +451,7 @@
           }
         }
       }
-      node.pass(Ms(dice() % 40));
+      node.pass(Ms(random() % 40));
     }
   }
   std::printf("seeds 1 to 400: %zu sent again on proof, %zu promises, %zu left in doubt\n", again, promised, doubtful);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,5 +1,5 @@
-#include "limeramp/rigging/http.h"
-#include "limeramp/rigging/mail.h"
+#include "limeramp/net/http.h"
+#include "limeramp/net/peer_sender.h"
 #include "raw_socket.h"
 
 #include <gtest/gtest.h>
@@ -12,10 +12,10 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::rigging;
+using namespace limeramp::net;
 using Clock = std::chrono::steady_clock;
 using Ms = std::chrono::milliseconds;
-using tally::Verdict;
+using retry::Verdict;
 
 std::string const okAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 #include "raw_socket.h"
 
 #include <gtest/gtest.h>
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::rigging;
+using namespace limeramp::net;
 using Ms = std::chrono::milliseconds;
 
 Address const anyPort{"127.0.0.1", 0};
@@ -172,8 +172,8 @@
       "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n4\r\ndefg\r\n0\r\nlate: trailer\r\n\r\n";
   caller.send(request);
   EXPECT_TRUE(caller.message().ends_with("POST /c abcdefg"));
-  for (char const letter : request) {
-    caller.send(std::string_view(&letter, 1));
+  for (char const inbound : request) {
+    caller.send(std::string_view(&inbound, 1));
   }
   EXPECT_TRUE(caller.message().ends_with("POST /c abcdefg"));
   std::string const body(700'000, 'l');
--- a/tests/signal_test.cpp
+++ b/tests/logging_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/signal/signal.h"
+#include "limeramp/logging/logging.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-using namespace limeramp::signal;
+using namespace limeramp::logging;
 
 TEST(Catalogue, EveryEventStandsInTheDocsWithItsNameAndMeaning) {
   std::ifstream file(EVENTS_PAGE);
--- a/tests/cargo_test.cpp
+++ b/tests/messages_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/cargo/messages.h"
+#include "limeramp/messages/messages.h"
 
 #include <gtest/gtest.h>
 
@@ -6,9 +6,9 @@
 
 namespace {
 
-using namespace limeramp::cargo;
+using namespace limeramp::messages;
 
-Parcel sample() {
+PeerMessage sample() {
   Sync sync;
   sync.decided = {7, "fleet", "a", {"b", "d"}, {"a", "b", "c"}};
   sync.token = 99;
@@ -17,18 +17,18 @@
   return {"fleet", "a", "127.0.0.1:9", sync};
 }
 
-TEST(Cargo, MessagesComeBackWhole) {
-  Parcel const parcel = sample();
-  absl::StatusOr<Parcel> const back = unseal(seal(parcel));
+TEST(Messages, MessagesComeBackWhole) {
+  PeerMessage const received = sample();
+  absl::StatusOr<PeerMessage> const back = unseal(seal(received));
   ASSERT_TRUE(back.ok()) << back.status();
   EXPECT_EQ(back->from, "a");
   Sync const& sync = std::get<Sync>(back->message);
-  EXPECT_EQ(sync.decided, std::get<Sync>(parcel.message).decided);
-  EXPECT_EQ(sync.state, std::get<Sync>(parcel.message).state);
+  EXPECT_EQ(sync.decided, std::get<Sync>(received.message).decided);
+  EXPECT_EQ(sync.state, std::get<Sync>(received.message).state);
   News news;
   news.state = State{};
   news.state->sequence = 12;
-  absl::StatusOr<Parcel> const second = unseal(seal({"f", "n", "x", news}));
+  absl::StatusOr<PeerMessage> const second = unseal(seal({"f", "n", "x", news}));
   ASSERT_TRUE(second.ok());
   EXPECT_EQ(std::get<News>(second->message).state->sequence, 12u);
 }
@@ -63,7 +63,7 @@
 
 struct FirstEnvelope {
   static constexpr char const* name = "Envelope";
-  std::int64_t protocol = limeramp::cargo::protocol;
+  std::int64_t protocol = limeramp::messages::protocol;
   std::string fleet;
   std::string from;
   std::string address;
@@ -94,7 +94,7 @@
   older.token = 7;
   older.self = {"m01", "127.0.0.1:1", 3, true};
   older.followers = {{"m02", "127.0.0.1:2", 4, false}, {"m03", "127.0.0.1:3", 5, true}};
-  absl::StatusOr<Parcel> const back =
+  absl::StatusOr<PeerMessage> const back =
       unseal(enclose(pack(envelopeOf("Poll", pack(older), schemaOf<OlderPoll>()))));
   ASSERT_TRUE(back.ok()) << back.status();
   Poll const& poll = std::get<Poll>(back->message);
@@ -111,17 +111,17 @@
 }
 
 TEST(Versions, AnEnvelopeFromBeforeSchemasWereSentIsRead) {
-  Hail hail;
-  hail.token = 41;
-  hail.ailing = true;
+  Heartbeat heartbeat;
+  heartbeat.token = 41;
+  heartbeat.ailing = true;
   FirstEnvelope first;
   first.fleet = "f";
   first.kind = "Hail";
-  first.body = pack(hail);
-  absl::StatusOr<Parcel> const back = unseal(enclose(pack(first)));
+  first.body = pack(heartbeat);
+  absl::StatusOr<PeerMessage> const back = unseal(enclose(pack(first)));
   ASSERT_TRUE(back.ok()) << back.status();
-  EXPECT_EQ(std::get<Hail>(back->message).token, 41u);
-  EXPECT_TRUE(std::get<Hail>(back->message).ailing);
+  EXPECT_EQ(std::get<Heartbeat>(back->message).token, 41u);
+  EXPECT_TRUE(std::get<Heartbeat>(back->message).ailing);
 }
 
 TEST(Versions, SchemasThatDoNotFitOrHaveNoBoundAreRefused) {
@@ -140,14 +140,14 @@
   }
 }
 
-TEST(Cargo, BytesThatDoNotFitTheirSchemaAreRefusedWithoutTheChecksumToo) {
+TEST(Messages, BytesThatDoNotFitTheirSchemaAreRefusedWithoutTheChecksumToo) {
   std::string const whole = pack(std::get<Sync>(sample().message));
-  std::mt19937_64 dice(12);
+  std::mt19937_64 random(12);
   std::size_t refused = 0;
   for (int round = 0; round < 20'000; ++round) {
     std::string spoilt = whole;
-    for (std::uint64_t left = 1 + dice() % 3; left > 0; --left) {
-      spoilt[dice() % spoilt.size()] = static_cast<char>(dice() % 256);
+    for (std::uint64_t left = 1 + random() % 3; left > 0; --left) {
+      spoilt[random() % spoilt.size()] = static_cast<char>(random() % 256);
     }
     refused += unpack<Sync>(spoilt).ok() ? 0 : 1;
   }
@@ -155,17 +155,17 @@
   EXPECT_LT(refused, 19'900u);
 }
 
-TEST(Cargo, SpoiltBytesAreRefusedAndNeverCrash) {
+TEST(Messages, SpoiltBytesAreRefusedAndNeverCrash) {
   std::string const whole = seal(sample());
   for (std::size_t length = 0; length < whole.size(); ++length) {
     EXPECT_FALSE(unseal(std::string_view(whole).substr(0, length)).ok()) << length;
   }
-  std::mt19937_64 dice(11);
+  std::mt19937_64 random(11);
   std::size_t refused = 0;
   for (int round = 0; round < 20'000; ++round) {
     std::string spoilt = whole;
-    for (std::uint64_t left = 1 + dice() % 4; left > 0; --left) {
-      spoilt[dice() % spoilt.size()] ^= static_cast<char>(1 + dice() % 255);
+    for (std::uint64_t left = 1 + random() % 4; left > 0; --left) {
+      spoilt[random() % spoilt.size()] ^= static_cast<char>(1 + random() % 255);
     }
     if (spoilt == whole) {
       spoilt.pop_back();
--- a/tests/rigging_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/rigging/http.h"
-#include "limeramp/rigging/ring.h"
-#include "limeramp/shoal/part.h"
+#include "limeramp/net/http.h"
+#include "limeramp/net/ring.h"
+#include "limeramp/dispatch/part.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,7 +17,7 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::rigging;
+using namespace limeramp::net;
 using Clock = std::chrono::steady_clock;
 namespace asio = boost::asio;
 
@@ -91,7 +91,7 @@
     client.begin(number, server->address(), {"POST", target, {}, body, ""}, Clock::now() + std::chrono::seconds(60),
                  [&, body, target](Exchange const& exchange) {
                    right += exchange.answer && exchange.answer->body == target + "|" + body &&
-                                    exchange.verdict == tally::Verdict::ran
+                                    exchange.verdict == retry::Verdict::ran
                                 ? 1
                                 : 0;
                    left.count_down();
@@ -112,13 +112,13 @@
     asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
     closedPort = acceptor.local_endpoint().port();
   }
-  EXPECT_EQ(ask(client, 1, {"127.0.0.1", closedPort}, {"GET", "/", {}, "", ""}).verdict, tally::Verdict::notRun);
+  EXPECT_EQ(ask(client, 1, {"127.0.0.1", closedPort}, {"GET", "/", {}, "", ""}).verdict, retry::Verdict::notRun);
   for (std::string const answer : {"", "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nshort", "nonsense\r\n\r\n",
                                    "HTTP/1.1 200 OK\r\ncontent-length: 500000\r\n\r\n", "HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n"}) {
     RawServer server({answer}, false);
     Exchange const exchange = ask(client, 2, server.address(), {"GET", "/", {}, "", ""});
     EXPECT_FALSE(exchange.answer.has_value()) << answer;
-    EXPECT_EQ(exchange.verdict, tally::Verdict::mayHaveRun) << answer;
+    EXPECT_EQ(exchange.verdict, retry::Verdict::mayHaveRun) << answer;
   }
   network.stop();
 }
@@ -194,11 +194,11 @@
   std::latch left(200);
   std::atomic<int> good{0};
   {
-    shoal::Mill mill(2);
+    dispatch::Mill mill(2);
     for (int number = 0; number < 200; ++number) {
       std::string const id = "r" + std::to_string(number);
       std::string const body = R"({"stamp":{"shard":"a","cut":"c","request":")" + id + R"("},"records":["x","y"]})";
-      mill.read(body, {"a", "c", number % 2 == 0 ? id : "other"}, 1, [&](absl::StatusOr<shoal::Part> const& part) {
+      mill.read(body, {"a", "c", number % 2 == 0 ? id : "other"}, 1, [&](absl::StatusOr<dispatch::Part> const& part) {
         good += part.ok() ? 1 : 0;
         left.count_down();
       });
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-using namespace limeramp::rigging;
+using namespace limeramp::net;
 using Clock = std::chrono::steady_clock;
 using Ms = std::chrono::milliseconds;
 
--- a/tests/views_test.cpp
+++ b/tests/peer_views_test.cpp
@@ -1,5 +1,5 @@
-#include "drydock/sea.h"
-#include "limeramp/fairway/views.h"
+#include "simulator/simulated_network.h"
+#include "limeramp/distribution/peer_views.h"
 
 #include <gtest/gtest.h>
 
@@ -11,12 +11,12 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::fairway;
-using drydock::Sea;
+using namespace limeramp::distribution;
+using simulator::SimulatedNetwork;
 using Ms = std::chrono::milliseconds;
 
 struct Crowd {
-  Crowd(std::uint64_t seed, std::size_t count) : sea(seed) {
+  Crowd(std::uint64_t seed, std::size_t count) : network(seed) {
     for (std::size_t index = 0; index < count; ++index) {
       addresses.push_back("127.0." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1) + ":7000");
       views.emplace_back();
@@ -25,9 +25,9 @@
     }
   }
 
-  Sea sea;
+  SimulatedNetwork network;
   std::vector<std::string> addresses;
-  std::vector<std::optional<Views>> views;
+  std::vector<std::optional<PeerViews>> views;
   std::vector<bool> up;
   std::vector<std::size_t> sent;
 
@@ -35,8 +35,8 @@
 
   void start(std::size_t index) {
     std::vector<std::string> const seeds(addresses.begin(), addresses.begin() + 3);
-    views[index].emplace(ViewPolicy{}, cargo::Peer{nameOf(index), addresses[index], "z", "quay", sea.dice()(), 0}, seeds,
-                         sea.dice()());
+    views[index].emplace(ViewPolicy{}, messages::Peer{nameOf(index), addresses[index], "z", messages::gatewayRole, network.random()(), 0}, seeds,
+                         network.random()());
     up[index] = true;
     tick(index);
   }
@@ -45,18 +45,18 @@
     if (!up[index]) {
       return;
     }
-    send(index, views[index]->tick(sea.now()));
-    sea.after(Ms(20), [this, index] { tick(index); });
+    send(index, views[index]->tick(network.now()));
+    network.after(Ms(20), [this, index] { tick(index); });
   }
 
   void send(std::size_t from, std::vector<Outgoing> const& sends) {
     for (Outgoing const& outgoing : sends) {
       ++sent[from];
       std::size_t const to = static_cast<std::size_t>(std::find(addresses.begin(), addresses.end(), outgoing.address) - addresses.begin());
-      cargo::Shuffle const shuffle = std::get<cargo::Shuffle>(outgoing.message);
-      sea.after(std::chrono::microseconds(200 + sea.roll(3000)), [this, from, to, shuffle] {
+      messages::Shuffle const shuffle = std::get<messages::Shuffle>(outgoing.message);
+      network.after(std::chrono::microseconds(200 + network.roll(3000)), [this, from, to, shuffle] {
         if (to < up.size() && up[to]) {
-          send(to, views[to]->hear(sea.now(), nameOf(from), addresses[from], shuffle));
+          send(to, views[to]->hear(network.now(), nameOf(from), addresses[from], shuffle));
         }
       });
     }
@@ -66,8 +66,8 @@
     std::size_t count = 0;
     for (std::size_t index = 0; index < views.size(); ++index) {
       if (up[index]) {
-        std::vector<cargo::Peer> const peers = views[index]->peers(sea.now());
-        count += std::any_of(peers.begin(), peers.end(), [&](cargo::Peer const& peer) { return peer.node == node; }) ? 1 : 0;
+        std::vector<messages::Peer> const peers = views[index]->peers(network.now());
+        count += std::any_of(peers.begin(), peers.end(), [&](messages::Peer const& peer) { return peer.node == node; }) ? 1 : 0;
       }
     }
     return count;
@@ -79,7 +79,7 @@
     while (!left.empty()) {
       std::size_t const at = left.back();
       left.pop_back();
-      for (cargo::Peer const& peer : views[at]->peers(sea.now())) {
+      for (messages::Peer const& peer : views[at]->peers(network.now())) {
         std::size_t const next = static_cast<std::size_t>(std::stoul(peer.node.substr(1)));
         if (up[next] && seen.insert(next).second) {
           left.push_back(next);
@@ -90,7 +90,7 @@
   }
 };
 
-TEST(Views, UnderChurnTheCrowdStaysOneAndTheDeadAreForgotten) {
+TEST(PeerViews, UnderChurnTheCrowdStaysOneAndTheDeadAreForgotten) {
   for (std::size_t const count : {10u, 30u, 100u}) {
     std::vector<long> forgotten;
     std::vector<long> joined;
@@ -101,43 +101,43 @@
       for (std::size_t index = 0; index < count; ++index) {
         crowd.start(index);
       }
-      crowd.sea.runUntil(crowd.sea.now() + Ms(10'000));
+      crowd.network.runUntil(crowd.network.now() + Ms(10'000));
       EXPECT_EQ(crowd.reachedFrom(count - 1), count);
       std::fill(crowd.sent.begin(), crowd.sent.end(), 0);
-      drydock::TimePoint const before = crowd.sea.now();
-      crowd.sea.runUntil(before + Ms(10'000));
+      simulator::TimePoint const before = crowd.network.now();
+      crowd.network.runUntil(before + Ms(10'000));
       for (std::size_t const sent : crowd.sent) {
         messages += static_cast<double>(sent) / static_cast<double>(count) / 10 / static_cast<double>(seeds);
       }
       std::vector<std::size_t> dead;
       for (std::size_t index = 3; index < count; ++index) {
-        if (crowd.sea.chance(0.4)) {
+        if (crowd.network.chance(0.4)) {
           crowd.up[index] = false;
           dead.push_back(index);
         }
       }
-      drydock::TimePoint const killed = crowd.sea.now();
+      simulator::TimePoint const killed = crowd.network.now();
       std::set<std::size_t> held(dead.begin(), dead.end());
-      while (!held.empty() && crowd.sea.now() - killed < Ms(20'000)) {
-        crowd.sea.runUntil(crowd.sea.now() + Ms(100));
+      while (!held.empty() && crowd.network.now() - killed < Ms(20'000)) {
+        crowd.network.runUntil(crowd.network.now() + Ms(100));
         std::erase_if(held, [&](std::size_t index) {
           bool const gone = crowd.holders(crowd.nameOf(index)) == 0;
           if (gone) {
-            forgotten.push_back(std::chrono::duration_cast<Ms>(crowd.sea.now() - killed).count());
+            forgotten.push_back(std::chrono::duration_cast<Ms>(crowd.network.now() - killed).count());
           }
           return gone;
         });
       }
       EXPECT_TRUE(held.empty());
       for (std::size_t const index : dead) {
-        drydock::TimePoint const began = crowd.sea.now();
+        simulator::TimePoint const began = crowd.network.now();
         crowd.start(index);
-        while (crowd.holders(crowd.nameOf(index)) < 3 && crowd.sea.now() - began < Ms(10'000)) {
-          crowd.sea.runUntil(crowd.sea.now() + Ms(50));
+        while (crowd.holders(crowd.nameOf(index)) < 3 && crowd.network.now() - began < Ms(10'000)) {
+          crowd.network.runUntil(crowd.network.now() + Ms(50));
         }
-        joined.push_back(std::chrono::duration_cast<Ms>(crowd.sea.now() - began).count());
+        joined.push_back(std::chrono::duration_cast<Ms>(crowd.network.now() - began).count());
       }
-      crowd.sea.runUntil(crowd.sea.now() + Ms(3000));
+      crowd.network.runUntil(crowd.network.now() + Ms(3000));
       EXPECT_EQ(crowd.reachedFrom(count - 1), count) << seed;
     }
     std::sort(forgotten.begin(), forgotten.end());
@@ -155,13 +155,13 @@
 TEST(Founding, OneSeedOfThreeMayBeMissingButNotTwo) {
   std::vector<std::string> const seeds{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"};
   for (std::size_t heard = 0; heard < 3; ++heard) {
-    Views views({}, cargo::Peer{"m1", seeds[0], "z", "harbourmaster", 1, 0}, seeds, 5);
+    PeerViews views({}, messages::Peer{"m1", seeds[0], "z", messages::controllerRole, 1, 0}, seeds, 5);
     TimePoint const start{std::chrono::hours(1)};
     for (long waitMs = 0; waitMs <= 8000; waitMs += 100) {
       TimePoint const now = start + Ms(waitMs);
       views.tick(now);
       for (std::size_t seed = 1; seed <= heard; ++seed) {
-        views.hear(now, "m" + std::to_string(seed + 1), seeds[seed], cargo::Shuffle{true, {}});
+        views.hear(now, "m" + std::to_string(seed + 1), seeds[seed], messages::Shuffle{true, {}});
       }
       EXPECT_EQ(views.mayFound(now), heard == 2 || (heard == 1 && waitMs >= 4000)) << heard << " " << waitMs;
     }
--- a/tests/logbook_test.cpp
+++ b/tests/query_test.cpp
@@ -1,10 +1,10 @@
-#include "limeramp/logbook/logbook.h"
+#include "limeramp/query/query_engine.h"
 
 #include <gtest/gtest.h>
 
 namespace {
 
-using namespace limeramp::logbook;
+using namespace limeramp::query;
 
 std::vector<Sheet> const sheets{{"servers", {"address", "load", "down"}, {{std::string("a"), 0.5, std::int64_t(0)},
                                                                           {std::string("b'\"x"), 1.5, std::int64_t(1)}}}};
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -32,21 +32,21 @@
   }
   ~RawSocket() { close(); }
 
-  static RawSocket to(rigging::Address const& address) {
+  static RawSocket to(net::Address const& address) {
     RawSocket out(::socket(AF_INET, SOCK_STREAM, 0));
     sockaddr_in const place = placeOf(address);
     ::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place);
     return out;
   }
 
-  static RawSocket dial(rigging::Address const& address) {
+  static RawSocket dial(net::Address const& address) {
     RawSocket out(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
     sockaddr_in const place = placeOf(address);
     ::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place);
     return out;
   }
 
-  static sockaddr_in placeOf(rigging::Address const& address) {
+  static sockaddr_in placeOf(net::Address const& address) {
     sockaddr_in out{};
     out.sin_family = AF_INET;
     out.sin_port = htons(address.port);
@@ -78,7 +78,7 @@
   std::string message() {
     std::string out = head();
     std::string folded = out;
-    std::transform(folded.begin(), folded.end(), folded.begin(), [](unsigned char letter) { return std::tolower(letter); });
+    std::transform(folded.begin(), folded.end(), folded.begin(), [](unsigned char inbound) { return std::tolower(inbound); });
     std::size_t const at = folded.find("content-length: ");
     std::size_t const length = at == std::string::npos ? 0 : std::strtoul(folded.c_str() + at + 16, nullptr, 10);
     while (unread_.size() < length && fill()) {
@@ -155,12 +155,12 @@
   RawListener& operator=(RawListener const&) = delete;
   ~RawListener() { ::close(descriptor_); }
 
-  rigging::Address address() const { return address_; }
+  net::Address address() const { return address_; }
   RawSocket accept() { return RawSocket(::accept(descriptor_, nullptr, nullptr)); }
 
  private:
   int descriptor_;
-  rigging::Address address_;
+  net::Address address_;
 };
 
 }
