--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/harbour/desk.h"
-#include "limeramp/harbour/dialect.h"
-#include "limeramp/harbour/relay.h"
+#include "limeramp/control/operator_api.h"
+#include "limeramp/control/dialect.h"
+#include "limeramp/control/relay.h"
 
 #include <gtest/gtest.h>
 
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::harbour;
+using namespace limeramp::control;
 using Ms = std::chrono::milliseconds;
 
 struct Bench {
@@ -125,24 +125,24 @@
 TEST(Forgetting, MalformedWordsAreRefusedByPath) {
   for (char const* const body : {"", "[]", "{}", R"({"nodes":[]})", R"({"nodes":["a",3]})", R"({"nodes":[""]})",
                                   R"({"nodes":["a"],"now":true})", R"({"nodes":"a"})"}) {
-    std::variant<std::vector<std::string>, rigging::Answer> const read = readForget(body);
-    ASSERT_TRUE(std::holds_alternative<rigging::Answer>(read)) << body;
-    EXPECT_EQ(std::get<rigging::Answer>(read).status, 400);
-    EXPECT_NE(std::get<rigging::Answer>(read).body.find("\"path\""), std::string::npos);
+    std::variant<std::vector<std::string>, net::Answer> const read = readForget(body);
+    ASSERT_TRUE(std::holds_alternative<net::Answer>(read)) << body;
+    EXPECT_EQ(std::get<net::Answer>(read).status, 400);
+    EXPECT_NE(std::get<net::Answer>(read).body.find("\"path\""), std::string::npos);
   }
   for (char const* const body : {"", "{}", R"({"from":3})", R"({"from":"somewhere"})", R"({"from":"127.0.0.1:1","sure":true})"}) {
-    EXPECT_TRUE(std::holds_alternative<rigging::Answer>(readSalvage(body))) << body;
+    EXPECT_TRUE(std::holds_alternative<net::Answer>(readForceNewGroup(body))) << body;
   }
-  EXPECT_EQ(std::get<std::string>(readSalvage(R"({"from":"127.0.0.1:1"})")), "127.0.0.1:1");
+  EXPECT_EQ(std::get<std::string>(readForceNewGroup(R"({"from":"127.0.0.1:1"})")), "127.0.0.1:1");
   EXPECT_EQ(std::get<std::vector<std::string>>(readForget(R"({"nodes":["a","b"]})")).size(), 2u);
 }
 
 TEST(Probing, OnlyARefusalOrAnotherNameProvesADeath) {
-  rigging::Exchange exchange;
+  net::Exchange exchange;
   EXPECT_FALSE(provesGone(exchange, "m01"));
   exchange.refused = true;
   EXPECT_TRUE(provesGone(exchange, "m01"));
-  exchange = {rigging::Answer{503, {}, R"({"ready":false,"node":"m01"})"}, tally::Verdict::ran, ""};
+  exchange = {net::Answer{503, {}, R"({"ready":false,"node":"m01"})"}, retry::Verdict::ran, ""};
   EXPECT_FALSE(provesGone(exchange, "m01"));
   EXPECT_TRUE(provesGone(exchange, "m02"));
   for (char const* const odd : {"", "{}", "nonsense", R"({"node":3})"}) {
@@ -151,20 +151,20 @@
   }
 }
 
-rigging::Request requestOf(std::string const& method, std::string const& target, rigging::Headers const& headers = {},
+net::Request requestOf(std::string const& method, std::string const& target, net::Headers const& headers = {},
                            std::string const& body = "") {
   return {method, target, headers, body, ""};
 }
 
-Change changeOf(rigging::Request const& request) {
+Change changeOf(net::Request const& request) {
   return std::get<Change>(readChange(request, TimePoint(std::chrono::hours(1)), "fresh"));
 }
 
 TEST(Orders, TheSameCallOnABaseHasTheSameIdAtEveryNodeAndAnotherCallHasAnother) {
   std::string const path = configurationPath;
-  rigging::Headers const onFive{{"limeramp-base-revision", "5"}};
+  net::Headers const onFive{{"limeramp-base-revision", "5"}};
   std::set<std::string> ids;
-  for (rigging::Request const& request :
+  for (net::Request const& request :
        {requestOf("PUT", path, onFive, "{}"), requestOf("PATCH", path, onFive, "{}"), requestOf("PUT", path, onFive, "{ }"),
         requestOf("PUT", path, {{"limeramp-base-revision", "6"}}, "{}"), requestOf("PUT", path, {{"limeramp-base", "5.1"}}, "{}")}) {
     EXPECT_EQ(changeOf(request).id, changeOf(request).id);
@@ -173,50 +173,50 @@
   EXPECT_EQ(changeOf(requestOf("PUT", path, onFive)).baseRevision, std::optional<std::uint64_t>(5));
   EXPECT_EQ(changeOf(requestOf("PUT", path)).id, "fresh");
   EXPECT_EQ(changeOf(requestOf("PUT", path, {{"limeramp-base", "5.1"}, {"limeramp-change", "mine"}})).id, "mine");
-  for (rigging::Request const& wrong :
+  for (net::Request const& wrong :
        {requestOf("PATCH", path), requestOf("PUT", path, {{"limeramp-base-revision", "5x"}}),
         requestOf("PUT", path, {{"limeramp-base-revision", ""}}), requestOf("PUT", "/limeramp/zones/a b/emptied")}) {
-    EXPECT_TRUE(std::holds_alternative<rigging::Answer>(readChange(wrong, TimePoint(), "fresh")));
+    EXPECT_TRUE(std::holds_alternative<net::Answer>(readChange(wrong, TimePoint(), "fresh")));
   }
 }
 
 TEST(Orders, AZoneIsNamedByThePath) {
-  EXPECT_TRUE(changeOf(requestOf("PUT", "/limeramp/zones/north-1/emptied")).zone->emptied);
+  EXPECT_TRUE(changeOf(requestOf("PUT", "/limeramp/zones/north-1/emptied")).zone->evacuated);
   EXPECT_EQ(changeOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")).zone->zone, "north-1");
-  EXPECT_FALSE(changeOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")).zone->emptied);
+  EXPECT_FALSE(changeOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")).zone->evacuated);
   EXPECT_FALSE(changeOf(requestOf("PUT", configurationPath)).zone);
-  EXPECT_EQ(errandOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")), Errand::change);
-  EXPECT_EQ(errandOf(requestOf("GET", configurationPath)), Errand::read);
+  EXPECT_EQ(operatorCallOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")), OperatorCall::change);
+  EXPECT_EQ(operatorCallOf(requestOf("GET", configurationPath)), OperatorCall::read);
   for (char const* const odd : {"/limeramp/zones//emptied", "/limeramp/zones/emptied", "/limeramp/zones/a", "/limeramp/zones/"}) {
-    EXPECT_EQ(errandOf(requestOf("PUT", odd)), Errand::none) << odd;
+    EXPECT_EQ(operatorCallOf(requestOf("PUT", odd)), OperatorCall::none) << odd;
   }
 }
 
 TEST(Orders, AnOperatorsWordsAreTranslatedBothWaysAndBounded) {
   OperatorDialect dialect;
-  dialect.toOwn = [](rigging::Request const& asked) {
+  dialect.toOwn = [](net::Request const& asked) {
     return asked.target == "/zones" ? std::optional(requestOf("PUT", "/limeramp/zones/a/emptied")) : std::nullopt;
   };
-  dialect.fromOwn = [](rigging::Request const& asked, rigging::Answer own) {
+  dialect.fromOwn = [](net::Request const& asked, net::Answer own) {
     own.headers.emplace_back("to", asked.target);
     own.status += 1;
     return own;
   };
-  std::vector<rigging::Request> ran;
-  std::optional<rigging::Answer> answer;
-  Serve const own = [&](rigging::Request request, rigging::Responder const& respond) {
+  std::vector<net::Request> ran;
+  std::optional<net::Answer> answer;
+  Serve const own = [&](net::Request request, net::Responder const& respond) {
     ran.push_back(std::move(request));
     respond({200, {}, "own"});
   };
-  serveOperator(dialect, requestOf("GET", "/other"), [&](rigging::Answer got) { answer = std::move(got); }, own);
+  serveOperator(dialect, requestOf("GET", "/other"), [&](net::Answer got) { answer = std::move(got); }, own);
   EXPECT_TRUE(ran.empty());
   EXPECT_EQ(answer->status, 404);
-  serveOperator(dialect, requestOf("POST", "/zones"), [&](rigging::Answer got) { answer = std::move(got); }, own);
+  serveOperator(dialect, requestOf("POST", "/zones"), [&](net::Answer got) { answer = std::move(got); }, own);
   ASSERT_EQ(ran.size(), 1u);
-  EXPECT_EQ(rigging::findHeader(ran[0].headers, deadlineHeader), std::optional<std::string>("900"));
+  EXPECT_EQ(net::findHeader(ran[0].headers, deadlineHeader), std::optional<std::string>("900"));
   EXPECT_EQ(answer->status, 201);
-  EXPECT_EQ(rigging::findHeader(answer->headers, "to"), std::optional<std::string>("/zones"));
-  serveOperator({}, requestOf("GET", "/as/is"), [&](rigging::Answer got) { answer = std::move(got); }, own);
+  EXPECT_EQ(net::findHeader(answer->headers, "to"), std::optional<std::string>("/zones"));
+  serveOperator({}, requestOf("GET", "/as/is"), [&](net::Answer got) { answer = std::move(got); }, own);
   EXPECT_EQ(ran.back().target, "/as/is");
 }
 
--- a/tests/council_test.cpp
+++ b/tests/replication_test.cpp
@@ -1,4 +1,4 @@
-#include "drydock/councils.h"
+#include "simulator/replication_simulation.h"
 
 #include <gtest/gtest.h>
 
@@ -7,20 +7,20 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::drydock;
+using namespace limeramp::simulator;
 
-void expectAlive(Councils& group, std::string const& when) {
+void expectAlive(ReplicationSimulation& group, std::string const& when) {
   std::size_t const before = group.commits;
   for (int round = 0; round < 400 && group.commits == before; ++round) {
     group.run(Ms(25));
     group.offer();
   }
   std::string picture;
-  for (CouncilNode const& node : group.nodes) {
-    cargo::EpochRecord const& decided = node.council.decided();
+  for (SimulatedMember const& node : group.nodes) {
+    messages::EpochRecord const& decided = node.group.decided();
     picture += "\n" + node.id + (node.up ? " up" : " down") + (node.frozen ? " frozen" : "") +
-               (node.council.ailing() ? " ailing" : "") + " epoch " + std::to_string(decided.epoch) + " sealed " +
-               std::to_string(node.council.sealed()) + " primary " + decided.primary + " backup " + (decided.backups.empty() ? "" : decided.backups.front()) +
+               (node.group.ailing() ? " ailing" : "") + " epoch " + std::to_string(decided.epoch) + " sealed " +
+               std::to_string(node.group.fenced()) + " primary " + decided.primary + " backup " + (decided.backups.empty() ? "" : decided.backups.front()) +
                " witnesses";
     for (std::string const& witness : decided.witnesses) {
       picture += " " + witness;
@@ -29,7 +29,7 @@
   EXPECT_GT(group.commits, before) << when << picture;
 }
 
-std::size_t primaryOf(Councils& group) {
+std::size_t primaryOf(ReplicationSimulation& group) {
   for (int round = 0; round < 400 && !group.active(); ++round) {
     group.run(Ms(25));
   }
@@ -37,20 +37,20 @@
   return group.active().value_or(0);
 }
 
-void startAll(Councils& group) {
+void startAll(ReplicationSimulation& group) {
   for (std::size_t index = 0; index < group.nodes.size(); ++index) {
     group.start(index);
   }
 }
 
 TEST(Founding, TwoOfThreeSeedsDoNotFoundAndAnyNumberFromThreeOnDoesOnce) {
-  Councils two(5, 3, 0);
+  ReplicationSimulation two(5, 3, 0);
   two.start(0);
   two.start(1);
   two.run(Ms(20'000));
   EXPECT_FALSE(two.active().has_value());
   for (std::size_t const count : {3u, 4u, 5u, 8u, 16u}) {
-    Councils group(5 + count, count, 0.1);
+    ReplicationSimulation group(5 + count, count, 0.1);
     startAll(group);
     expectAlive(group, "after founding");
     EXPECT_EQ(group.fleets.size(), 1u);
@@ -61,16 +61,16 @@
 TEST(Founding, CutsAndLossesAtEveryMomentNeverGiveTwoGroups) {
   std::size_t founded = 0;
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
-    Councils group(seed, 3 + seed % 6, 0.1);
+    ReplicationSimulation group(seed, 3 + seed % 6, 0.1);
     for (std::size_t index = 0; index < group.nodes.size(); ++index) {
       group.start(index);
-      group.run(Ms(static_cast<long>(group.sea.roll(300))));
+      group.run(Ms(static_cast<long>(group.network.roll(300))));
     }
     for (int round = 0; round < 60; ++round) {
-      std::size_t const index = group.sea.roll(group.nodes.size());
-      switch (group.sea.roll(6)) {
+      std::size_t const index = group.network.roll(group.nodes.size());
+      switch (group.network.roll(6)) {
         case 0:
-          group.cut(index, group.sea.roll(group.nodes.size()));
+          group.cut(index, group.network.roll(group.nodes.size()));
           break;
         case 1:
           group.mendAll();
@@ -80,7 +80,7 @@
           group.start(index);
           break;
         case 3:
-          if (seed % 2 == 0 && group.nodes[index].mayFound && group.sea.chance(0.1)) {
+          if (seed % 2 == 0 && group.nodes[index].mayFound && group.network.chance(0.1)) {
             group.wipeInPlace(index);
             group.start(index);
           }
@@ -92,7 +92,7 @@
           group.thaw(index);
           break;
       }
-      group.run(Ms(static_cast<long>(group.sea.roll(200))));
+      group.run(Ms(static_cast<long>(group.network.roll(200))));
     }
     for (std::size_t index = 0; index < group.nodes.size(); ++index) {
       group.thaw(index);
@@ -100,8 +100,8 @@
     group.mendAll();
     group.run(Ms(20'000));
     std::set<std::string> fleets;
-    for (CouncilNode const& node : group.nodes) {
-      fleets.insert(node.council.decided().fleet);
+    for (SimulatedMember const& node : group.nodes) {
+      fleets.insert(node.group.decided().fleet);
     }
     fleets.erase("");
     EXPECT_LE(fleets.size(), 1u) << "seed " << seed;
@@ -115,7 +115,7 @@
 
 TEST(Founding, OfTwoSidesOfACutOnlyTheOneWithMostSeedsFounds) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    Councils group(seed, 9, 0.02);
+    ReplicationSimulation group(seed, 9, 0.02);
     std::size_t const lone = seed % 3;
     for (std::size_t left = 0; left < 9; ++left) {
       for (std::size_t right = 0; right < 9; ++right) {
@@ -129,18 +129,18 @@
     startAll(group);
     group.run(Ms(10'000));
     EXPECT_EQ(group.fleets.size(), 1u) << seed;
-    EXPECT_EQ(group.nodes[lone].council.decided().epoch, 0u) << seed;
+    EXPECT_EQ(group.nodes[lone].group.decided().epoch, 0u) << seed;
     group.mendAll();
     expectAlive(group, "after the cut");
     group.run(Ms(5'000));
-    EXPECT_EQ(group.nodes[lone].council.decided().fleet, *group.fleets.begin()) << seed;
+    EXPECT_EQ(group.nodes[lone].group.decided().fleet, *group.fleets.begin()) << seed;
     EXPECT_EQ(group.fleets.size(), 1u) << seed;
   }
 }
 
 TEST(Founding, MachinesThatLostTheirDisksNeverVoteForANewGroup) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Councils group(seed, 4, 0);
+    ReplicationSimulation group(seed, 4, 0);
     startAll(group);
     expectAlive(group, "at first");
     std::string const fleet = *group.fleets.begin();
@@ -156,34 +156,34 @@
 
 TEST(Founding, ASeedThatComesEmptyDoesNotHoldUpTheOthers) {
   for (std::size_t which = 0; which < 3; ++which) {
-    Councils group(7, 4, 0);
+    ReplicationSimulation group(7, 4, 0);
     group.nodes[which].mayFound = false;
     startAll(group);
     expectAlive(group, "with one empty seed");
-    EXPECT_LT(group.sea.now() - TimePoint(std::chrono::hours(1)), Ms(5000)) << which;
+    EXPECT_LT(group.network.now() - TimePoint(std::chrono::hours(1)), Ms(5000)) << which;
   }
 }
 
 TEST(Founding, OneOrTwoSeedsFoundWithThoseThereAre) {
-  Councils pair(5, 2, 0);
+  ReplicationSimulation pair(5, 2, 0);
   startAll(pair);
   expectAlive(pair, "two");
   EXPECT_EQ(pair.fleets.size(), 1u);
-  Councils lone(5, 1, 0);
+  ReplicationSimulation lone(5, 1, 0);
   startAll(lone);
   lone.run(Ms(20'000));
   EXPECT_FALSE(lone.active().has_value()) << "one disk may be lost";
 }
 
-TEST(Council, PrimaryKilledAtEveryStepOfAWriteLosesNoAcknowledgedChange) {
+TEST(ReplicationGroup, PrimaryKilledAtEveryStepOfAWriteLosesNoAcknowledgedChange) {
   for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
     for (bool const powerLoss : {false, true}) {
-      Councils group(100 + stepUs, 3, 0);
+      ReplicationSimulation group(100 + stepUs, 3, 0);
       startAll(group);
       expectAlive(group, "at first");
       std::size_t const primary = primaryOf(group);
       group.offer();
-      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
       group.kill(primary, powerLoss);
       expectAlive(group, "after the kill at " + std::to_string(stepUs));
       group.start(primary);
@@ -194,15 +194,15 @@
   }
 }
 
-TEST(Council, PrimaryThatRestartsAtOnceAtEveryStepOfAWriteGoesOn) {
+TEST(ReplicationGroup, PrimaryThatRestartsAtOnceAtEveryStepOfAWriteGoesOn) {
   for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-      Councils group(seed, 3, 0);
+      ReplicationSimulation group(seed, 3, 0);
       startAll(group);
       expectAlive(group, "at first");
       std::size_t const primary = primaryOf(group);
       group.offer();
-      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
       group.kill(primary, true);
       group.start(primary);
       expectAlive(group, "after the restart at " + std::to_string(stepUs));
@@ -211,7 +211,7 @@
   }
 }
 
-std::size_t indexOf(Councils& group, std::string const& id) {
+std::size_t indexOf(ReplicationSimulation& group, std::string const& id) {
   for (std::size_t index = 0; index < group.nodes.size(); ++index) {
     if (group.nodes[index].id == id) {
       return index;
@@ -225,25 +225,25 @@
   Ms withoutWarning{1'000'000};
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     for (bool const warned : {true, false}) {
-      Councils group(seed, 3 + seed % 2, 0.01);
+      ReplicationSimulation group(seed, 3 + seed % 2, 0.01);
       startAll(group);
       expectAlive(group, "at first");
       std::size_t const primary = primaryOf(group);
       if (warned) {
         group.retire(primary);
-        for (int round = 0; round < 200 && !group.nodes[primary].council.retired(); ++round) {
+        for (int round = 0; round < 200 && !group.nodes[primary].group.retired(); ++round) {
           group.run(Ms(10));
         }
-        EXPECT_TRUE(group.nodes[primary].council.retired()) << seed;
+        EXPECT_TRUE(group.nodes[primary].group.retired()) << seed;
       }
-      TimePoint const ended = group.sea.now();
+      TimePoint const ended = group.network.now();
       group.kill(primary, false);
       std::size_t const before = group.commits;
-      while (group.commits == before && group.sea.now() - ended < Ms(20'000)) {
+      while (group.commits == before && group.network.now() - ended < Ms(20'000)) {
         group.run(Ms(10));
         group.offer();
       }
-      Ms const gap = std::chrono::duration_cast<Ms>(group.sea.now() - ended);
+      Ms const gap = std::chrono::duration_cast<Ms>(group.network.now() - ended);
       (warned ? worst : withoutWarning) = warned ? std::max(worst, gap) : std::min(withoutWarning, gap);
       group.start(primary);
       group.run(Ms(2000));
@@ -259,13 +259,13 @@
 
 TEST(Retiring, KilledAtEveryStepOfItsHandOverLosesNothing) {
   for (std::uint64_t stepUs = 0; stepUs < 60'000; stepUs += 500) {
-    Councils group(500 + stepUs, 3, 0);
+    ReplicationSimulation group(500 + stepUs, 3, 0);
     startAll(group);
     expectAlive(group, "at first");
     std::size_t const primary = primaryOf(group);
     group.offer();
     group.retire(primary);
-    group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+    group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
     group.kill(primary, stepUs % 1000 == 0);
     expectAlive(group, "after the end at " + std::to_string(stepUs));
     group.start(primary);
@@ -277,14 +277,14 @@
 
 TEST(Zones, ReplicasAndWitnessesSpreadAgainAfterReplacements) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-    Councils group(seed, 5, 0.01);
+    ReplicationSimulation group(seed, 5, 0.01);
     for (std::size_t index = 0; index < 5; ++index) {
       group.nodes[index].zone = index < 3 ? "z" + std::to_string(index) : "z0";
     }
     startAll(group);
     expectAlive(group, "at first");
     std::vector<std::size_t> order{0, 1, 2, 3, 4};
-    std::shuffle(order.begin(), order.end(), group.sea.dice());
+    std::shuffle(order.begin(), order.end(), group.network.random());
     for (std::size_t const lost : order) {
       group.wipe(lost);
       expectAlive(group, "with one lost");
@@ -292,7 +292,7 @@
       group.start(lost);
       group.run(Ms(15'000));
       std::size_t const primary = primaryOf(group);
-      cargo::EpochRecord const& record = group.nodes[primary].council.decided();
+      messages::EpochRecord const& record = group.nodes[primary].group.decided();
       std::set<std::string> zones;
       for (std::string const& id : record.witnesses) {
         zones.insert(group.nodes[indexOf(group, id)].zone);
@@ -301,28 +301,28 @@
       EXPECT_NE(group.nodes[primary].zone, group.nodes[indexOf(group, record.backups.front())].zone) << seed << " " << lost;
       std::uint64_t const epoch = record.epoch;
       group.run(Ms(20'000));
-      EXPECT_EQ(group.nodes[primaryOf(group)].council.decided().epoch, epoch) << "without a reason";
+      EXPECT_EQ(group.nodes[primaryOf(group)].group.decided().epoch, epoch) << "without a reason";
     }
     EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
   }
 }
 
-TEST(Salvage, AfterAMajorityOfWitnessesIsGoneANewGroupGoesOnAndTheOldOneComesTooLate) {
+TEST(ForceNewGroup, AfterAMajorityOfWitnessesIsGoneANewGroupGoesOnAndTheOldOneComesTooLate) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    Councils group(seed, 4, 0);
+    ReplicationSimulation group(seed, 4, 0);
     startAll(group);
     expectAlive(group, "at first");
     std::size_t const primary = primaryOf(group);
-    cargo::EpochRecord const record = group.nodes[primary].council.decided();
-    cargo::State const newest = group.nodes[primary].council.state();
-    EXPECT_EQ(group.salvage(indexOf(group, record.backups.front()), newest, record.fleet), "primary and backup are alive");
+    messages::EpochRecord const record = group.nodes[primary].group.decided();
+    messages::State const newest = group.nodes[primary].group.state();
+    EXPECT_EQ(group.forceNewGroup(indexOf(group, record.backups.front()), newest, record.fleet), "primary and backup are alive");
     std::vector<std::size_t> lost;
     for (std::string const& id : record.witnesses) {
       lost.push_back(indexOf(group, id));
     }
     std::map<std::string, std::string> const oldDisk = group.nodes[primary].disk;
     std::string const oldId = group.nodes[primary].id;
-    std::shuffle(lost.begin(), lost.end(), group.sea.dice());
+    std::shuffle(lost.begin(), lost.end(), group.network.random());
     bool const keepsOne = seed % 2 == 0;
     for (std::size_t place = keepsOne ? 1 : 0; place < lost.size(); ++place) {
       group.wipe(lost[place]);
@@ -332,11 +332,11 @@
     EXPECT_FALSE(group.active().has_value());
     std::size_t const chosen = lost.back();
     if (keepsOne) {
-      EXPECT_EQ(group.salvage(lost.front(), newest, "another"), "this harbourmaster is of another fleet");
+      EXPECT_EQ(group.forceNewGroup(lost.front(), newest, "another"), "this controller is of another fleet");
     }
-    EXPECT_EQ(group.salvage(chosen, newest, record.fleet), "");
-    expectAlive(group, "after the salvage");
-    EXPECT_GT(group.nodes[primaryOf(group)].council.decided().epoch, record.epoch + 1000);
+    EXPECT_EQ(group.forceNewGroup(chosen, newest, record.fleet), "");
+    expectAlive(group, "after the new group was forced");
+    EXPECT_GT(group.nodes[primaryOf(group)].group.decided().epoch, record.epoch + 1000);
     std::size_t const other = lost[lost.size() - 2];
     group.kill(other, true);
     group.nodes[other].id = oldId;
@@ -347,20 +347,20 @@
       group.offer();
     }
     expectAlive(group, "with one of the old group back");
-    EXPECT_GT(group.nodes[other].council.decided().epoch, record.epoch + 1000);
+    EXPECT_GT(group.nodes[other].group.decided().epoch, record.epoch + 1000);
     EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
     EXPECT_EQ(group.fleets.size(), 1u);
   }
 }
 
-TEST(Council, AFrozenPrimaryThatThawsAcknowledgesNothing) {
+TEST(ReplicationGroup, AFrozenPrimaryThatThawsAcknowledgesNothing) {
   for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 500) {
-    Councils group(300 + stepUs, 3, 0);
+    ReplicationSimulation group(300 + stepUs, 3, 0);
     startAll(group);
     expectAlive(group, "at first");
     std::size_t const primary = primaryOf(group);
     group.offer();
-    group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+    group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
     group.freeze(primary);
     group.run(Ms(1000));
     expectAlive(group, "while frozen");
@@ -372,30 +372,30 @@
   }
 }
 
-TEST(Council, ABackupThatSealedItselfConfirmsNothingAnyMoreThoughItIsLostNext) {
+TEST(ReplicationGroup, ABackupThatSealedItselfConfirmsNothingAnyMoreThoughItIsLostNext) {
   std::size_t offered = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     for (std::uint64_t stepUs = 0; stepUs < 20'000; stepUs += 1'000) {
-      Councils group(seed, 3, 0);
+      ReplicationSimulation group(seed, 3, 0);
       startAll(group);
       expectAlive(group, "at first");
       group.run(Ms(700));
       std::size_t const primary = primaryOf(group);
-      cargo::EpochRecord const record = group.nodes[primary].council.decided();
+      messages::EpochRecord const record = group.nodes[primary].group.decided();
       std::size_t const backup = indexOf(group, record.backups.front());
       group.cut(primary, backup);
-      for (int round = 0; round < 40'000 && group.nodes[backup].council.sealed() < record.epoch; ++round) {
-        group.sea.runUntil(group.sea.now() + std::chrono::microseconds(100));
+      for (int round = 0; round < 40'000 && group.nodes[backup].group.fenced() < record.epoch; ++round) {
+        group.network.runUntil(group.network.now() + std::chrono::microseconds(100));
       }
       group.mendAll();
-      group.sea.runUntil(group.sea.now() + std::chrono::milliseconds(6));
-      offered += group.nodes[primary].council.active() && !group.nodes[primary].council.busy() ? 1 : 0;
+      group.network.runUntil(group.network.now() + std::chrono::milliseconds(6));
+      offered += group.nodes[primary].group.active() && !group.nodes[primary].group.busy() ? 1 : 0;
       group.offer();
       group.setLoss(0.4);
-      for (int round = 0; round < 20'000 && group.nodes[backup].council.decided().epoch == record.epoch; ++round) {
-        group.sea.runUntil(group.sea.now() + std::chrono::microseconds(100));
+      for (int round = 0; round < 20'000 && group.nodes[backup].group.decided().epoch == record.epoch; ++round) {
+        group.network.runUntil(group.network.now() + std::chrono::microseconds(100));
       }
-      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
       group.wipe(backup);
       group.setLoss(0);
       expectAlive(group, "after the loss of the backup at " + std::to_string(stepUs));
@@ -405,26 +405,26 @@
   EXPECT_GT(offered, 300u);
 }
 
-TEST(Council, AllProcessesKilledAtEveryStepOfAWriteAndBackWithinASecond) {
+TEST(ReplicationGroup, AllProcessesKilledAtEveryStepOfAWriteAndBackWithinASecond) {
   Ms slowest{0};
   for (std::size_t const losses : {1u, 2u}) {
     for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
-      Councils group(700 + stepUs, losses == 1 ? 3 : 8, 0.01, losses);
+      ReplicationSimulation group(700 + stepUs, losses == 1 ? 3 : 8, 0.01, losses);
       startAll(group);
       expectAlive(group, "at first");
       group.run(Ms(2000));
       group.offer();
-      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+      group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
       for (std::size_t index = 0; index < group.nodes.size(); ++index) {
         group.kill(index, false);
       }
-      TimePoint const lostAt = group.sea.now();
+      TimePoint const lostAt = group.network.now();
       for (std::size_t index = 0; index < group.nodes.size(); ++index) {
-        group.run(Ms(static_cast<long>(group.sea.roll(1000 / group.nodes.size()))));
+        group.run(Ms(static_cast<long>(group.network.roll(1000 / group.nodes.size()))));
         group.start(index);
       }
       expectAlive(group, "after the herd came back at " + std::to_string(stepUs));
-      slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.sea.now() - lostAt));
+      slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.network.now() - lostAt));
       EXPECT_EQ(group.complaints, std::vector<std::string>{}) << stepUs;
     }
   }
@@ -432,10 +432,10 @@
   EXPECT_LT(slowest, Ms(8000));
 }
 
-TEST(Council, OneDiskMachineOfThreeLostDoesNotStopWritesAndAnEmptyOneJoins) {
+TEST(ReplicationGroup, OneDiskMachineOfThreeLostDoesNotStopWritesAndAnEmptyOneJoins) {
   for (std::size_t which = 0; which < 3; ++which) {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-      Councils group(seed, 3, 0.02);
+      ReplicationSimulation group(seed, 3, 0.02);
       startAll(group);
       expectAlive(group, "at first");
       group.wipe(which);
@@ -444,7 +444,7 @@
       group.run(Ms(15'000));
       expectAlive(group, "with the empty one");
       std::size_t const primary = primaryOf(group);
-      std::vector<std::string> const& witnesses = group.nodes[primary].council.decided().witnesses;
+      std::vector<std::string> const& witnesses = group.nodes[primary].group.decided().witnesses;
       EXPECT_EQ(std::count(witnesses.begin(), witnesses.end(), group.nodes[which].id), 1);
       std::size_t const next = (which + 1) % 3;
       group.wipe(next);
@@ -455,10 +455,10 @@
   }
 }
 
-TEST(Council, AllKilledAtOnceReturnInAnyOrderWithinTheirTime) {
+TEST(ReplicationGroup, AllKilledAtOnceReturnInAnyOrderWithinTheirTime) {
   std::vector<std::size_t> order{0, 1, 2};
   do {
-    Councils group(17, 3, 0);
+    ReplicationSimulation group(17, 3, 0);
     startAll(group);
     expectAlive(group, "at first");
     group.offer();
@@ -470,20 +470,20 @@
       group.start(index);
       group.run(Ms(300));
     }
-    TimePoint const back = group.sea.now();
+    TimePoint const back = group.network.now();
     expectAlive(group, "after the total loss");
-    EXPECT_LT(group.sea.now() - back, Ms(5000));
+    EXPECT_LT(group.network.now() - back, Ms(5000));
     EXPECT_TRUE(group.complaints.empty());
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
-std::vector<std::size_t> twoOf(Councils& group, std::uint64_t turn) {
+std::vector<std::size_t> twoOf(ReplicationSimulation& group, std::uint64_t turn) {
   std::vector<std::size_t> all;
   for (std::size_t index = 0; index < group.nodes.size(); ++index) {
     all.push_back(index);
   }
-  std::shuffle(all.begin(), all.end(), group.sea.dice());
-  cargo::EpochRecord const& record = group.nodes[primaryOf(group)].council.decided();
+  std::shuffle(all.begin(), all.end(), group.network.random());
+  messages::EpochRecord const& record = group.nodes[primaryOf(group)].group.decided();
   std::vector<std::string> wanted{record.primary};
   wanted.insert(wanted.end(), record.backups.begin(), record.backups.end());
   wanted.erase(wanted.begin() + static_cast<long>(turn % wanted.size()));
@@ -503,7 +503,7 @@
   Ms slowest{0};
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     for (std::uint64_t stepUs = 0; stepUs < 12'000; stepUs += 250) {
-      Councils group(1000 * seed + stepUs, 8, seed % 2 == 0 ? 0.02 : 0, 2);
+      ReplicationSimulation group(1000 * seed + stepUs, 8, seed % 2 == 0 ? 0.02 : 0, 2);
       startAll(group);
       expectAlive(group, "at first");
       group.run(Ms(3000));
@@ -511,13 +511,13 @@
       for (bool const inPlace : {false, true}) {
         std::vector<std::size_t> const lost = twoOf(group, ++turn);
         group.offer();
-        group.sea.runUntil(group.sea.now() + std::chrono::microseconds(stepUs));
+        group.network.runUntil(group.network.now() + std::chrono::microseconds(stepUs));
         for (std::size_t const index : lost) {
           inPlace ? group.wipeInPlace(index) : group.wipe(index);
         }
-        TimePoint const lostAt = group.sea.now();
+        TimePoint const lostAt = group.network.now();
         expectAlive(group, "with two lost at " + std::to_string(stepUs));
-        slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.sea.now() - lostAt));
+        slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.network.now() - lostAt));
         for (std::size_t const index : lost) {
           group.start(index);
         }
@@ -534,28 +534,28 @@
   std::uint64_t turn = 0;
   Ms slowest{0};
   for (std::uint64_t seed = 1; seed <= 120; ++seed) {
-    Councils group(seed, 8, 0, 2);
+    ReplicationSimulation group(seed, 8, 0, 2);
     startAll(group);
     expectAlive(group, "at first");
     group.run(Ms(3000));
     std::size_t const before = group.commits;
     group.offer();
     while (group.commits == before) {
-      group.sea.runUntil(group.sea.now() + std::chrono::microseconds(100));
+      group.network.runUntil(group.network.now() + std::chrono::microseconds(100));
     }
     std::vector<std::size_t> const lost = twoOf(group, ++turn);
     for (std::size_t index = 0; index < 8; ++index) {
       std::count(lost.begin(), lost.end(), index) > 0 ? group.wipeInPlace(index) : group.kill(index, true);
     }
     std::vector<std::size_t> order{0, 1, 2, 3, 4, 5, 6, 7};
-    std::shuffle(order.begin(), order.end(), group.sea.dice());
+    std::shuffle(order.begin(), order.end(), group.network.random());
     for (std::size_t const index : order) {
       group.start(index);
-      group.run(Ms(static_cast<long>(group.sea.roll(150))));
+      group.run(Ms(static_cast<long>(group.network.roll(150))));
     }
-    TimePoint const back = group.sea.now();
+    TimePoint const back = group.network.now();
     expectAlive(group, "after the total loss of seed " + std::to_string(seed));
-    slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.sea.now() - back));
+    slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.network.now() - back));
     EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
     EXPECT_EQ(group.fleets.size(), 1u);
   }
@@ -565,7 +565,7 @@
 
 TEST(TwoLosses, AZoneOfTwoAndItsReturnWithoutDisks) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    Councils group(seed, 8, 0.01, 2);
+    ReplicationSimulation group(seed, 8, 0.01, 2);
     startAll(group);
     expectAlive(group, "at first");
     group.run(Ms(8000));
@@ -573,20 +573,20 @@
       group.wipeInPlace(zone);
       group.wipeInPlace(zone + 4);
       expectAlive(group, "without zone " + std::to_string(zone));
-      group.run(Ms(static_cast<long>(group.sea.roll(3000))));
+      group.run(Ms(static_cast<long>(group.network.roll(3000))));
       group.start(zone);
       group.start(zone + 4);
       group.run(Ms(4000));
     }
-    cargo::EpochRecord const& record = group.nodes[primaryOf(group)].council.decided();
+    messages::EpochRecord const& record = group.nodes[primaryOf(group)].group.decided();
     EXPECT_EQ(record.backups.size(), 2u) << seed;
     EXPECT_EQ(record.witnesses.size(), 5u) << seed;
     EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
   }
 }
 
-TEST(Council, ALoneMemberAcknowledgesAloneWhenNoLossIsToBeBorne) {
-  Councils group(31, 1, 0, 0);
+TEST(ReplicationGroup, ALoneMemberAcknowledgesAloneWhenNoLossIsToBeBorne) {
+  ReplicationSimulation group(31, 1, 0, 0);
   group.start(0);
   expectAlive(group, "alone");
   group.kill(0, true);
@@ -595,16 +595,16 @@
   EXPECT_EQ(group.complaints, std::vector<std::string>{});
 }
 
-TEST(Council, AMachineWipedInPlaceIsAWitnessAgainWithinFourSeconds) {
+TEST(ReplicationGroup, AMachineWipedInPlaceIsAWitnessAgainWithinFourSeconds) {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    Councils group(seed, 3, 0.01);
+    ReplicationSimulation group(seed, 3, 0.01);
     startAll(group);
     expectAlive(group, "at first");
     std::vector<std::size_t> order{0, 1, 2};
-    std::shuffle(order.begin(), order.end(), group.sea.dice());
+    std::shuffle(order.begin(), order.end(), group.network.random());
     for (std::size_t const index : order) {
       group.wipeInPlace(index);
-      group.run(Ms(static_cast<long>(200 + group.sea.roll(2500))));
+      group.run(Ms(static_cast<long>(200 + group.network.roll(2500))));
       group.start(index);
       group.run(Ms(4000));
       expectAlive(group, "after machine " + std::to_string(index) + " came back empty, seed " + std::to_string(seed));
@@ -614,8 +614,8 @@
   }
 }
 
-TEST(Council, RecordsStoredByAnotherVersionAreReadByTheirOwnSchema) {
-  Councils group(29, 3, 0);
+TEST(ReplicationGroup, RecordsStoredByAnotherVersionAreReadByTheirOwnSchema) {
+  ReplicationSimulation group(29, 3, 0);
   startAll(group);
   expectAlive(group, "at first");
   for (std::size_t index = 0; index < 3; ++index) {
@@ -631,8 +631,8 @@
   EXPECT_EQ(group.fleets.size(), 1u);
 }
 
-TEST(Council, ADiskThatStallsHandsTheDutyOver) {
-  Councils group(23, 3, 0);
+TEST(ReplicationGroup, ADiskThatStallsHandsTheDutyOver) {
+  ReplicationSimulation group(23, 3, 0);
   startAll(group);
   expectAlive(group, "at first");
   std::size_t const primary = primaryOf(group);
@@ -644,10 +644,10 @@
   EXPECT_TRUE(group.complaints.empty());
 }
 
-TEST(Council, OneWayCutsAndIsolationNeverGiveTwoHistories) {
+TEST(ReplicationGroup, OneWayCutsAndIsolationNeverGiveTwoHistories) {
   for (std::size_t from = 0; from < 3; ++from) {
     for (std::size_t to = 0; to < 3; ++to) {
-      Councils group(40 + from * 3 + to, 3, 0);
+      ReplicationSimulation group(40 + from * 3 + to, 3, 0);
       startAll(group);
       expectAlive(group, "at first");
       if (from != to) {
@@ -670,15 +670,15 @@
   }
 }
 
-TEST(Council, AWitnessThatLosesPowerBetweenTwoRivalsRemembersItsVote) {
+TEST(ReplicationGroup, AWitnessThatLosesPowerBetweenTwoRivalsRemembersItsVote) {
   std::size_t rivalries = 0;
   for (std::uint64_t seed = 1; seed <= 2; ++seed) {
     for (int waitMs = 1200; waitMs < 1900; waitMs += 3) {
-      Councils group(seed, 4, 0);
+      ReplicationSimulation group(seed, 4, 0);
       startAll(group);
       expectAlive(group, "at first");
       std::size_t const primary = primaryOf(group);
-      cargo::EpochRecord const record = group.nodes[primary].council.decided();
+      messages::EpochRecord const record = group.nodes[primary].group.decided();
       std::size_t backup = 0;
       std::size_t witness = 0;
       for (std::size_t index = 0; index < 4; ++index) {
@@ -700,30 +700,30 @@
       group.mendAll();
       group.run(Ms(1500));
       expectAlive(group, "after the power loss at " + std::to_string(waitMs));
-      rivalries += group.nodes[primary].council.sealed() > 0 && group.nodes[backup].council.sealed() > 0 ? 1 : 0;
+      rivalries += group.nodes[primary].group.fenced() > 0 && group.nodes[backup].group.fenced() > 0 ? 1 : 0;
       EXPECT_EQ(group.complaints, std::vector<std::string>{}) << waitMs << " seed " << seed;
     }
   }
   EXPECT_GT(rivalries, 100u);
 }
 
-TEST(Council, SeededStormsKeepEveryAcknowledgedChange) {
+TEST(ReplicationGroup, SeededStormsKeepEveryAcknowledgedChange) {
   std::size_t commits = 0;
   std::size_t takeovers = 0;
   for (std::uint64_t seed = 1; seed <= 150; ++seed) {
     std::size_t const count = 3 + seed % 3;
-    Councils group(seed, count, 0.02 + 0.02 * static_cast<double>(seed % 4));
+    ReplicationSimulation group(seed, count, 0.02 + 0.02 * static_cast<double>(seed % 4));
     startAll(group);
     std::size_t wipes = 0;
     for (int round = 0; round < 600; ++round) {
-      group.run(Ms(20 + static_cast<long>(group.sea.roll(80))));
+      group.run(Ms(20 + static_cast<long>(group.network.roll(80))));
       group.offer();
-      std::size_t const index = group.sea.roll(count);
-      CouncilNode& node = group.nodes[index];
-      switch (group.sea.roll(24)) {
+      std::size_t const index = group.network.roll(count);
+      SimulatedMember& node = group.nodes[index];
+      switch (group.network.roll(24)) {
         case 0:
           if (node.up) {
-            group.kill(index, group.sea.chance(0.5));
+            group.kill(index, group.network.chance(0.5));
           }
           break;
         case 1:
@@ -742,7 +742,7 @@
           group.thaw(index);
           break;
         case 6:
-          group.cut(index, group.sea.roll(count));
+          group.cut(index, group.network.roll(count));
           break;
         case 7:
         case 8:
@@ -754,13 +754,13 @@
           }
           break;
         case 10: {
-          bool const quiet = std::all_of(group.nodes.begin(), group.nodes.end(), [](CouncilNode const& other) {
+          bool const quiet = std::all_of(group.nodes.begin(), group.nodes.end(), [](SimulatedMember const& other) {
             return other.up && !other.frozen && !other.diskStuck;
           });
           std::optional<std::size_t> const active = group.active();
-          if (quiet && active && wipes < 3 && group.nodes[*active].council.sealed() < group.nodes[*active].council.decided().epoch &&
-              std::all_of(group.nodes.begin(), group.nodes.end(), [&](CouncilNode const& other) {
-                return other.council.decided().epoch == group.nodes[*active].council.decided().epoch;
+          if (quiet && active && wipes < 3 && group.nodes[*active].group.fenced() < group.nodes[*active].group.decided().epoch &&
+              std::all_of(group.nodes.begin(), group.nodes.end(), [&](SimulatedMember const& other) {
+                return other.group.decided().epoch == group.nodes[*active].group.decided().epoch;
               })) {
             group.wipe(index);
             ++wipes;
@@ -777,8 +777,8 @@
         case 11:
           if (node.up && !node.frozen) {
             group.retire(index);
-            group.run(Ms(static_cast<long>(group.sea.roll(400))));
-            group.kill(index, group.sea.chance(0.5));
+            group.run(Ms(static_cast<long>(group.network.roll(400))));
+            group.kill(index, group.network.chance(0.5));
             group.start(index);
           }
           break;
--- a/tests/plane_test.cpp
+++ b/tests/request_plane_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/quayside/plane.h"
+#include "limeramp/gateway/request_plane.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::quayside;
+using namespace limeramp::gateway;
 using Ms = std::chrono::milliseconds;
 
 std::string const document = R"({
@@ -18,28 +18,28 @@
              "away": {"tenant": "far", "prefix": "/", "service": "logs", "max_attempts": 2}},
   "cells": {"north": {"tenants": ["far"], "nodes": ["m09"]}}})";
 
-manifest::SnapshotPtr snapshotOf(std::string const& text, std::uint64_t sequence) {
-  manifest::Snapshot snapshot;
+config::SnapshotPtr snapshotOf(std::string const& text, std::uint64_t sequence) {
+  config::Snapshot snapshot;
   snapshot.version = {1, sequence};
   snapshot.text = text;
-  snapshot.configuration = *manifest::checkConfiguration(*manifest::parseJson(text)).configuration;
-  return std::make_shared<manifest::Snapshot const>(snapshot);
+  snapshot.configuration = *config::checkConfiguration(*config::parseJson(text)).configuration;
+  return std::make_shared<config::Snapshot const>(snapshot);
 }
 
-struct Front {
-  Plane plane{Self{"m01", "127.0.0.1:7000", "z1", 5}, shoal::Policy{}};
+struct GatewayServer {
+  Plane plane{Self{"m01", "127.0.0.1:7000", "z1", 5}, dispatch::Policy{}};
   TimePoint now{std::chrono::hours(1)};
   std::vector<SendOut> sent;
   std::vector<Reply> replies;
   std::vector<CancelOut> cancelled;
   std::uint64_t last = 0;
 
-  Front() {
+  GatewayServer() {
     step(InForce{snapshotOf(document, 2)});
     for (std::string const service : {"p0", "p1", "logs"}) {
-      shoal::Servers servers{service, {}};
+      dispatch::Servers servers{service, {}};
       for (std::string const address : {"127.0.0.8:1", "127.0.0.9:1"}) {
-        shoal::ServerRow row;
+        dispatch::ServerRow row;
         row.address = address;
         servers.rows.push_back(row);
       }
@@ -56,28 +56,28 @@
       } else if (CancelOut const* const cancel = std::get_if<CancelOut>(&effect)) {
         cancelled.push_back(*cancel);
       } else if (Grind const* const grind = std::get_if<Grind>(&effect)) {
-        step(Ground{grind->attempt, shoal::readPart(grind->body, grind->expected, grind->result_size), grind->load});
+        step(Ground{grind->attempt, dispatch::readPart(grind->body, grind->expected, grind->result_size), grind->load});
       } else if (Merge const* const merge = std::get_if<Merge>(&effect)) {
-        step(Merged{merge->request, shoal::mergeParts(merge->parts, merge->result_size)});
+        step(Merged{merge->request, dispatch::mergeParts(merge->parts, merge->result_size)});
       }
     }
   }
-  void arrive(std::string const& target, rigging::Headers headers = {{"limeramp-tenant", "t"}}, bool passed = false,
+  void arrive(std::string const& target, net::Headers headers = {{"limeramp-tenant", "t"}}, bool passed = false,
               std::string const& body = "") {
     step(Arrived{++last, {body.empty() ? "GET" : "POST", target, std::move(headers), body, ""}, passed, std::nullopt});
   }
   void answer(SendOut const& to, int status, std::string const& body) {
-    step(Exchanged{to.attempt, {rigging::Answer{status, {{"x-own", "1"}, {"limeramp-verdict", "not_run"}}, body}, tally::Verdict::ran, ""}});
+    step(Exchanged{to.attempt, {net::Answer{status, {{"x-own", "1"}, {"limeramp-verdict", "not_run"}}, body}, retry::Verdict::ran, ""}});
   }
   void part(SendOut const& to, std::string const& cut, std::string const& record, int status = 200) {
-    answer(to, status, "{\"stamp\":{\"shard\":\"" + *rigging::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
-                        "\",\"request\":\"" + *rigging::findHeader(to.content.headers, "limeramp-request") + "\"},\"records\":[\"" +
+    answer(to, status, "{\"stamp\":{\"shard\":\"" + *net::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
+                        "\",\"request\":\"" + *net::findHeader(to.content.headers, "limeramp-request") + "\"},\"records\":[\"" +
                         record + "\"]}");
   }
 };
 
 TEST(Arrival, MalformedRequestsAreRefusedAndReachNoServer) {
-  std::vector<std::pair<rigging::Headers, int>> const cases{
+  std::vector<std::pair<net::Headers, int>> const cases{
       {{}, 400},
       {{{"limeramp-tenant", "nobody"}}, 404},
       {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "0"}}, 400},
@@ -85,43 +85,43 @@
       {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "soon"}}, 400},
       {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "12x"}}, 400},
       {{{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "99999999"}}, 400}};
-  for (std::pair<rigging::Headers, int> const& one : cases) {
-    Front front;
+  for (std::pair<net::Headers, int> const& one : cases) {
+    GatewayServer front;
     front.arrive("/logs/1", one.first);
     ASSERT_EQ(front.replies.size(), 1u);
     EXPECT_EQ(front.replies[0].answer.status, one.second);
-    EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "not_run");
+    EXPECT_EQ(net::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "not_run");
     EXPECT_TRUE(front.sent.empty());
   }
 }
 
 TEST(Forwarding, KeepsTheRequestAndTheServersAnswerAndDropsHopByHopHeaders) {
-  Front front;
+  GatewayServer front;
   front.arrive("/logs/1?a=%20b&c", {{"Limeramp-Tenant", "t"}, {"connection", "close, x-hop"}, {"x-hop", "1"}, {"x-keep", "2"},
                                      {"limeramp-request", "forged"}, {"limeramp-deadline-ms", "700"}}, false, "body");
   ASSERT_EQ(front.sent.size(), 1u);
-  rigging::Request const& content = front.sent[0].content;
+  net::Request const& content = front.sent[0].content;
   EXPECT_EQ(content.method, "POST");
   EXPECT_EQ(content.target, "/logs/1?a=%20b&c");
   EXPECT_EQ(content.body, "body");
-  EXPECT_FALSE(rigging::findHeader(content.headers, "x-hop").has_value());
-  EXPECT_EQ(rigging::findHeader(content.headers, "x-keep"), "2");
-  EXPECT_EQ(rigging::findHeader(content.headers, "limeramp-deadline-ms"), "700");
-  EXPECT_EQ(rigging::findHeader(content.headers, "limeramp-version"), "1.2");
+  EXPECT_FALSE(net::findHeader(content.headers, "x-hop").has_value());
+  EXPECT_EQ(net::findHeader(content.headers, "x-keep"), "2");
+  EXPECT_EQ(net::findHeader(content.headers, "limeramp-deadline-ms"), "700");
+  EXPECT_EQ(net::findHeader(content.headers, "limeramp-version"), "1.2");
   EXPECT_EQ(std::count_if(content.headers.begin(), content.headers.end(),
                           [](std::pair<std::string, std::string> const& header) { return header.first == "limeramp-request"; }), 1);
-  EXPECT_NE(rigging::findHeader(content.headers, "limeramp-request"), "forged");
+  EXPECT_NE(net::findHeader(content.headers, "limeramp-request"), "forged");
   front.answer(front.sent[0], 503, "busy");
   ASSERT_EQ(front.replies.size(), 1u);
   EXPECT_EQ(front.replies[0].answer.status, 503);
   EXPECT_EQ(front.replies[0].answer.body, "busy");
-  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "ran");
+  EXPECT_EQ(net::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "ran");
   EXPECT_EQ(front.sent.size(), 1u);
 }
 
 TEST(Pinning, ARequestKeepsItsConfigurationAndRefusesPartsOfAnother) {
-  Front front;
-  front.step(Placed{shoal::Place{1, 0, 3}});
+  GatewayServer front;
+  front.step(Placed{dispatch::Place{1, 0, 3}});
   for (std::size_t round = 0; round < 6; ++round) {
     front.arrive("/packages");
     front.part(front.sent[round * 2], "c1", "a");
@@ -139,18 +139,18 @@
   front.part(front.sent[0], "c2", "z");
   front.part(front.sent[1], "c1", "a");
   ASSERT_GE(front.sent.size(), 3u);
-  EXPECT_EQ(rigging::findHeader(front.sent[2].content.headers, "limeramp-version"), "1.2");
+  EXPECT_EQ(net::findHeader(front.sent[2].content.headers, "limeramp-version"), "1.2");
   front.part(front.sent[2], "c1", "b");
   ASSERT_EQ(front.replies.size(), 1u);
-  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-version"), "1.2");
+  EXPECT_EQ(net::findHeader(front.replies[0].answer.headers, "limeramp-version"), "1.2");
   EXPECT_NE(front.replies[0].answer.body.find(R"("records":["b","a"])"), std::string::npos);
   EXPECT_EQ(front.replies[0].answer.body.find("c2"), std::string::npos);
   front.arrive("/packages");
-  EXPECT_EQ(rigging::findHeader(front.sent.back().content.headers, "limeramp-version"), "1.3");
+  EXPECT_EQ(net::findHeader(front.sent.back().content.headers, "limeramp-version"), "1.3");
 }
 
 TEST(Search, AFailureIsNeverDressedAsAPart) {
-  Front front;
+  GatewayServer front;
   front.arrive("/packages");
   front.answer(front.sent[0], 500, "{}");
   front.answer(front.sent[1], 200, "not json");
@@ -166,11 +166,11 @@
   front.step(Tick{});
   ASSERT_EQ(front.replies.size(), 1u);
   EXPECT_GE(front.replies[0].answer.status, 500);
-  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
+  EXPECT_EQ(net::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
 }
 
 TEST(Search, AFailingStatusWithAWholePartIsStillAFailure) {
-  Front front;
+  GatewayServer front;
   front.arrive("/packages");
   for (std::size_t index = 0; index < front.sent.size() && index < 8; ++index) {
     SendOut const to = front.sent[index];
@@ -184,26 +184,26 @@
 }
 
 TEST(Cells, ANodeOutsidePassesOnceAndAnOwnerNever) {
-  Front front;
+  GatewayServer front;
   front.step(Owners{"north", {"127.0.0.7:7000", "127.0.0.6:7000"}});
-  rigging::Headers const far{{"limeramp-tenant", "far"}};
+  net::Headers const far{{"limeramp-tenant", "far"}};
   front.arrive("/x", far);
   ASSERT_EQ(front.sent.size(), 1u);
   EXPECT_TRUE(front.sent[0].carried);
-  front.step(Exchanged{front.sent[0].attempt, {std::nullopt, tally::Verdict::mayHaveRun, "broken"}});
+  front.step(Exchanged{front.sent[0].attempt, {std::nullopt, retry::Verdict::mayHaveRun, "broken"}});
   ASSERT_EQ(front.replies.size(), 1u);
-  EXPECT_EQ(rigging::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
+  EXPECT_EQ(net::findHeader(front.replies[0].answer.headers, "limeramp-verdict"), "may_have_run");
   EXPECT_EQ(front.sent.size(), 1u);
   front.arrive("/x", far);
-  front.step(Exchanged{front.sent[1].attempt, {std::nullopt, tally::Verdict::notRun, "refused"}});
+  front.step(Exchanged{front.sent[1].attempt, {std::nullopt, retry::Verdict::notRun, "refused"}});
   EXPECT_EQ(front.sent.size(), 3u);
   front.arrive("/x", far, true);
   EXPECT_EQ(front.sent.size(), 3u);
-  EXPECT_EQ(rigging::findHeader(front.replies.back().answer.headers, "limeramp-verdict"), "not_run");
+  EXPECT_EQ(net::findHeader(front.replies.back().answer.headers, "limeramp-verdict"), "not_run");
 }
 
 TEST(Late, AnAnswerOfAnEndedRequestGoesNowhere) {
-  Front front;
+  GatewayServer front;
   front.arrive("/logs/1", {{"limeramp-tenant", "t"}, {"limeramp-deadline-ms", "100"}});
   front.now += Ms(100);
   front.step(Tick{});
--- a/tests/hold_test.cpp
+++ b/tests/storage_test.cpp
@@ -1,4 +1,4 @@
-#include "limeramp/hold/store.h"
+#include "limeramp/storage/record_store.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-using namespace limeramp::hold;
+using namespace limeramp::storage;
 
 Shape const small{3, 8192};
 
@@ -29,17 +29,17 @@
   std::string path;
 };
 
-std::unique_ptr<Store> open(Folder const& folder) {
-  absl::StatusOr<std::unique_ptr<Store>> store = Store::open(folder.path, small);
+std::unique_ptr<RecordStore> open(Folder const& folder) {
+  absl::StatusOr<std::unique_ptr<RecordStore>> store = RecordStore::open(folder.path, small);
   EXPECT_TRUE(store.ok()) << store.status();
   return *std::move(store);
 }
 
-TEST(Store, KeepsTheLastValueOverManyTurnsOfTheRing) {
+TEST(RecordStore, KeepsTheLastValueOverManyTurnsOfTheRing) {
   Folder const folder;
   EXPECT_TRUE(open(folder)->findings().empty);
   for (int round = 0; round < 60; ++round) {
-    std::unique_ptr<Store> const store = open(folder);
+    std::unique_ptr<RecordStore> const store = open(folder);
     EXPECT_FALSE(store->findings().damaged);
     EXPECT_FALSE(store->findings().tailCut);
     if (round > 0) {
@@ -52,17 +52,17 @@
   }
 }
 
-TEST(Store, OnlyOneProcessHoldsAFolder) {
+TEST(RecordStore, OnlyOneProcessHoldsAFolder) {
   Folder const folder;
-  std::unique_ptr<Store> const store = open(folder);
-  EXPECT_FALSE(Store::open(folder.path, small).ok());
+  std::unique_ptr<RecordStore> const store = open(folder);
+  EXPECT_FALSE(RecordStore::open(folder.path, small).ok());
 }
 
-TEST(Store, EveryCutOfTheLastRecordLeavesTheOnesBefore) {
+TEST(RecordStore, EveryCutOfTheLastRecordLeavesTheOnesBefore) {
   for (std::streamoff cut = 0; cut < 40; cut += 3) {
     Folder const folder;
     std::uintmax_t const at = [&] {
-      std::unique_ptr<Store> const store = open(folder);
+      std::unique_ptr<RecordStore> const store = open(folder);
       EXPECT_TRUE(store->put({{"a", "1"}}).ok());
       EXPECT_TRUE(store->put({{"a", "2"}}).ok());
       return std::uintmax_t(0);
@@ -83,24 +83,24 @@
       file.put('\0');
     }
     file.close();
-    std::unique_ptr<Store> const store = open(folder);
+    std::unique_ptr<RecordStore> const store = open(folder);
     EXPECT_FALSE(store->findings().damaged) << cut;
     EXPECT_EQ(store->values().at("a"), "1") << cut;
     ASSERT_TRUE(store->put({{"a", "3"}}).ok());
   }
 }
 
-TEST(Store, DamageBeforeTheLastRecordIsReportedAndNotServed) {
+TEST(RecordStore, DamageBeforeTheLastRecordIsReportedAndNotServed) {
   for (std::streamoff const at : {4, 30, 60, 150}) {
     Folder const folder;
     {
-      std::unique_ptr<Store> const store = open(folder);
+      std::unique_ptr<RecordStore> const store = open(folder);
       for (int round = 0; round < 5; ++round) {
         ASSERT_TRUE(store->put({{"a", std::to_string(round)}, {"pad", std::string(60, 'p')}}).ok());
       }
     }
     folder.flip("ring-1", at);
-    std::unique_ptr<Store> const store = open(folder);
+    std::unique_ptr<RecordStore> const store = open(folder);
     EXPECT_TRUE(store->findings().damaged) << at;
     EXPECT_TRUE(store->values().empty());
     EXPECT_FALSE(store->put({{"a", "9"}}).ok());
@@ -109,10 +109,10 @@
   }
 }
 
-TEST(Store, APowerLossWhileTheRingTurnsFallsBackToTheWholeFileBefore) {
+TEST(RecordStore, APowerLossWhileTheRingTurnsFallsBackToTheWholeFileBefore) {
   Folder const folder;
   {
-    std::unique_ptr<Store> const store = open(folder);
+    std::unique_ptr<RecordStore> const store = open(folder);
     for (int round = 0; round < 8; ++round) {
       ASSERT_TRUE(store->put({{"turn", std::to_string(round)}, {"bulk", std::string(900, 'x')}}).ok());
     }
@@ -121,14 +121,14 @@
   file.seekp(100);
   file << std::string(8092, '\0');
   file.close();
-  std::unique_ptr<Store> const store = open(folder);
+  std::unique_ptr<RecordStore> const store = open(folder);
   EXPECT_FALSE(store->findings().damaged);
   EXPECT_TRUE(store->values().contains("turn"));
 }
 
-TEST(Store, ARecordLargerThanAFileFailsForGood) {
+TEST(RecordStore, ARecordLargerThanAFileFailsForGood) {
   Folder const folder;
-  std::unique_ptr<Store> const store = open(folder);
+  std::unique_ptr<RecordStore> const store = open(folder);
   ASSERT_TRUE(store->put({{"a", "1"}}).ok());
   EXPECT_FALSE(store->put({{"a", std::string(10'000, 'x')}}).ok());
   EXPECT_FALSE(store->put({{"a", "2"}}).ok());
--- a/tests/worth_test.cpp
+++ b/tests/worth_test.cpp
@@ -1,5 +1,5 @@
-#include "drydock/sea.h"
-#include "limeramp/shoal/machine.h"
+#include "simulator/simulated_network.h"
+#include "limeramp/dispatch/machine.h"
 
 #include <gtest/gtest.h>
 
@@ -13,8 +13,8 @@
 namespace {
 
 using namespace limeramp;
-using namespace limeramp::shoal;
-using drydock::Sea;
+using namespace limeramp::dispatch;
+using simulator::SimulatedNetwork;
 using Ms = std::chrono::milliseconds;
 using Us = std::chrono::microseconds;
 
@@ -70,14 +70,14 @@
 };
 
 struct Town {
-  Town(std::uint64_t seed, std::size_t zonesIn, std::size_t fronts, Policy const& policyIn) : sea(seed), zones(zonesIn) {
+  Town(std::uint64_t seed, std::size_t zonesIn, std::size_t fronts, Policy const& policyIn) : network(seed), zones(zonesIn) {
     for (std::size_t front = 0; front < fronts; ++front) {
       machines.emplace_back(policyIn);
       wakes.push_back(TimePoint::max());
     }
   }
 
-  Sea sea;
+  SimulatedNetwork network;
   std::size_t zones;
   std::vector<Machine> machines;
   std::vector<TimePoint> wakes;
@@ -107,21 +107,21 @@
       server.service = service;
       server.zone = "z" + std::to_string(number % zones);
       server.slots = slots;
-      server.workFactor = 0.85 + 0.3 * static_cast<double>(sea.roll(1000)) / 1000;
+      server.workFactor = 0.85 + 0.3 * static_cast<double>(network.roll(1000)) / 1000;
       server.pauseMs = pauseMs;
       std::string const address = service + "-" + std::to_string(number);
       servers[address] = server;
       if (pauseMs.count() > 0) {
-        sea.after(Ms(static_cast<long>(sea.roll(4000))), [this, address] { pause(address); });
+        network.after(Ms(static_cast<long>(network.roll(4000))), [this, address] { pause(address); });
       }
     }
   }
 
   void pause(std::string const& address) {
     Server& server = servers[address];
-    server.pausedUntil = sea.now() + server.pauseMs;
-    sea.after(server.pauseMs, [this, address] { work(address); });
-    sea.after(Ms(4000), [this, address] { pause(address); });
+    server.pausedUntil = network.now() + server.pauseMs;
+    network.after(server.pauseMs, [this, address] { work(address); });
+    network.after(Ms(4000), [this, address] { pause(address); });
   }
 
   void tables() {
@@ -133,7 +133,7 @@
       row.address = entry.first;
       row.zone = entry.second.zone;
       row.capacity = static_cast<double>(entry.second.slots);
-      row.coldMs = std::max(Ms(0), std::chrono::duration_cast<Ms>(entry.second.coldUntil - sea.now()));
+      row.coldMs = std::max(Ms(0), std::chrono::duration_cast<Ms>(entry.second.coldUntil - network.now()));
       event.rows.push_back(row);
     }
     for (std::size_t front = 0; front < machines.size(); ++front) {
@@ -153,12 +153,12 @@
   void bringBackCold(std::string const& address) {
     Server& server = servers[address];
     server.dark = false;
-    server.coldUntil = sea.now() + Ms(3000);
-    sea.after(Ms(500), [this] { tables(); });
+    server.coldUntil = network.now() + Ms(3000);
+    network.after(Ms(500), [this] { tables(); });
   }
 
   void step(std::size_t front, Event const& event) {
-    for (Effect const& effect : machines[front].step(sea.now(), event)) {
+    for (Effect const& effect : machines[front].step(network.now(), event)) {
       if (Send const* const send = std::get_if<Send>(&effect)) {
         carry(front, *send);
       } else if (Cancel const* const cancel = std::get_if<Cancel>(&effect)) {
@@ -167,11 +167,11 @@
         finished(front, *finish);
       }
     }
-    std::optional<TimePoint> const wake = machines[front].nextWake(sea.now());
-    if (wake && (*wake < wakes[front] || wakes[front] <= sea.now())) {
-      TimePoint const at = std::max(*wake, sea.now() + Us(100));
+    std::optional<TimePoint> const wake = machines[front].nextWake(network.now());
+    if (wake && (*wake < wakes[front] || wakes[front] <= network.now())) {
+      TimePoint const at = std::max(*wake, network.now() + Us(100));
       wakes[front] = at;
-      sea.after(std::chrono::duration_cast<Us>(at - sea.now()) + Us(1), [this, front, at] {
+      network.after(std::chrono::duration_cast<Us>(at - network.now()) + Us(1), [this, front, at] {
         if (wakes[front] == at) {
           wakes[front] = TimePoint::max();
           step(front, Tick{});
@@ -184,19 +184,19 @@
     Server& server = servers.at(send.server);
     Kind const& kind = kinds[open.at({front, send.request}).kind];
     bool const first = seen.emplace(front, send.request, send.leg).second;
-    arrivals[server.service].emplace_back(sea.now(), first);
-    server.arrivals.push_back(sea.now());
+    arrivals[server.service].emplace_back(network.now(), first);
+    server.arrivals.push_back(network.now());
     ++attempts;
     remote += server.zone != zoneOf(front) ? 1 : 0;
     if (!kind.repeatable && !ran.emplace(front, send.request).second) {
       ++ranTwice;
     }
     placed[{front, send.attempt}] = send.server;
-    double const spread = -std::log(1 - static_cast<double>(sea.roll(1'000'000)) / 1e6);
+    double const spread = -std::log(1 - static_cast<double>(network.roll(1'000'000)) / 1e6);
     Job const job{front, send.attempt, kind.workMs * (0.7 + 0.3 * std::min(spread, 5.0)), send.deadline};
     std::string const address = send.server;
     std::uint64_t const request = send.request;
-    sea.after(wireUs(front, server), [this, address, job, request] { take(address, job, request); });
+    network.after(wireUs(front, server), [this, address, job, request] { take(address, job, request); });
   }
 
   void reply(std::string const& address, std::size_t front, Returned event) {
@@ -205,10 +205,10 @@
       return;
     }
     event.load = static_cast<double>(server.queue.size() + server.running.size()) / static_cast<double>(server.slots);
-    if (sea.now() < server.coldUntil) {
-      event.coldMs = std::chrono::duration_cast<Ms>(server.coldUntil - sea.now());
+    if (network.now() < server.coldUntil) {
+      event.coldMs = std::chrono::duration_cast<Ms>(server.coldUntil - network.now());
     }
-    sea.after(wireUs(front, server), [this, front, event] {
+    network.after(wireUs(front, server), [this, front, event] {
       placed.erase({front, event.attempt});
       step(front, event);
     });
@@ -221,7 +221,7 @@
     }
     if (server.running.size() + server.queue.size() >= server.slots * 4) {
       ran.erase({job.front, request});
-      reply(address, job.front, Returned{job.attempt, false, false, tally::Verdict::notRun, {}, false, true, {}});
+      reply(address, job.front, Returned{job.attempt, false, false, retry::Verdict::notRun, {}, false, true, {}});
       return;
     }
     server.queue.push_back(job);
@@ -230,7 +230,7 @@
 
   void work(std::string const& address) {
     Server& server = servers[address];
-    if (server.dark || sea.now() < server.pausedUntil) {
+    if (server.dark || network.now() < server.pausedUntil) {
       return;
     }
     while (server.running.size() < server.slots && !server.queue.empty()) {
@@ -238,9 +238,9 @@
       server.queue.pop_front();
       std::uint64_t const id = ++lastJob;
       server.running[id] = job.front;
-      double const coldFactor = sea.now() < server.coldUntil ? 3 : 1;
+      double const coldFactor = network.now() < server.coldUntil ? 3 : 1;
       double const lengthMs = job.workMs * server.workFactor * coldFactor;
-      sea.after(Us(static_cast<long>(lengthMs * 1000)), [this, address, id, job] { done(address, id, job); });
+      network.after(Us(static_cast<long>(lengthMs * 1000)), [this, address, id, job] { done(address, id, job); });
     }
   }
 
@@ -249,15 +249,15 @@
     if (!server.running.contains(id)) {
       return;
     }
-    if (sea.now() < server.pausedUntil) {
-      sea.after(std::chrono::duration_cast<Us>(server.pausedUntil - sea.now()), [this, address, id, job] { done(address, id, job); });
+    if (network.now() < server.pausedUntil) {
+      network.after(std::chrono::duration_cast<Us>(server.pausedUntil - network.now()), [this, address, id, job] { done(address, id, job); });
       return;
     }
     server.running.erase(id);
-    bool const bad = sea.chance(server.badShare);
+    bool const bad = network.chance(server.badShare);
     if (placed.contains({job.front, job.attempt})) {
       reply(address, job.front,
-            Returned{job.attempt, !bad, !bad, bad ? tally::Verdict::mayHaveRun : tally::Verdict::ran, {}, false, false, {}});
+            Returned{job.attempt, !bad, !bad, bad ? retry::Verdict::mayHaveRun : retry::Verdict::ran, {}, false, false, {}});
     }
     work(address);
   }
@@ -270,7 +270,7 @@
     std::string const address = at->second;
     placed.erase(at);
     ++brokenOff;
-    sea.after(wireUs(front, servers[address]), [this, address, front, attempt] {
+    network.after(wireUs(front, servers[address]), [this, address, front, attempt] {
       std::erase_if(servers[address].queue, [&](Job const& job) { return job.front == front && job.attempt == attempt; });
     });
   }
@@ -281,7 +281,7 @@
     bool const good = finish.ending == Ending::complete || finish.ending == Ending::partial;
     double const whole = static_cast<double>(kind.services.size());
     double const share = (whole - static_cast<double>(finish.missing.size())) / whole;
-    bool const inTime = sea.now() - at->second.at <= kind.aimMs;
+    bool const inTime = network.now() - at->second.at <= kind.aimMs;
     double const earned = good ? kind.worth * share * share * (inTime ? 1 : kind.lateShare) : 0;
     std::uint64_t const second = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::seconds>(at->second.at - TimePoint(std::chrono::hours(1))).count());
@@ -297,27 +297,27 @@
   }
 
   void load(Ms time, double times = 1) {
-    TimePoint const end = sea.now() + time;
+    TimePoint const end = network.now() + time;
     double perSecond = 0;
     for (Kind const& kind : kinds) {
       perSecond += kind.perSecond;
     }
-    while (sea.now() < end) {
-      double const gapMs = -std::log(1 - static_cast<double>(sea.roll(1'000'000)) / 1e6) * 1000 / (perSecond * times);
-      sea.runUntil(sea.now() + Us(1 + static_cast<long>(gapMs * 1000)));
-      double pick = perSecond * static_cast<double>(sea.roll(1'000'000)) / 1e6;
+    while (network.now() < end) {
+      double const gapMs = -std::log(1 - static_cast<double>(network.roll(1'000'000)) / 1e6) * 1000 / (perSecond * times);
+      network.runUntil(network.now() + Us(1 + static_cast<long>(gapMs * 1000)));
+      double pick = perSecond * static_cast<double>(network.roll(1'000'000)) / 1e6;
       std::size_t kind = 0;
       while (kind + 1 < kinds.size() && pick >= kinds[kind].perSecond) {
         pick -= kinds[kind++].perSecond;
       }
-      std::size_t const front = sea.roll(machines.size());
+      std::size_t const front = network.roll(machines.size());
       Kind const& asked = kinds[kind];
       std::uint64_t const request = ++lastRequest;
-      open[{front, request}] = {kind, sea.now()};
+      open[{front, request}] = {kind, network.now()};
       std::size_t const minimum =
           static_cast<std::size_t>(std::ceil(asked.minimumShare * static_cast<double>(asked.services.size()) - 1e-9));
       step(front, Arrive{request, "t", asked.services, std::max<std::size_t>(1, minimum), asked.mostAttempts, asked.repeatable,
-                         sea.now() + asked.deadlineMs, sea.now() + asked.aimMs, asked.priority, kind});
+                         network.now() + asked.deadlineMs, network.now() + asked.aimMs, asked.priority, kind});
     }
   }
 
@@ -366,41 +366,41 @@
   Outcome outcome;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     Town town(seed * 7919, dear ? 3 : 4, dear ? 10 : 11, policy);
-    furnish(town, dear, Ms(40 + static_cast<long>(town.sea.roll(150))));
+    furnish(town, dear, Ms(40 + static_cast<long>(town.network.roll(150))));
     town.start();
     town.load(Ms(4000));
-    std::string const victim = shards[town.sea.roll(4)];
+    std::string const victim = shards[town.network.roll(4)];
     std::vector<std::string> hurt;
     for (std::string const& shard : shards) {
       if (trouble.starts_with("dark shard") ? shard == victim : true) {
         for (std::size_t number = 0; number < (trouble.starts_with("dark shard") ? 4u : 1u); ++number) {
-          hurt.push_back(shard + "-" + std::to_string(trouble.starts_with("dark shard") ? number : town.sea.roll(4)));
+          hurt.push_back(shard + "-" + std::to_string(trouble.starts_with("dark shard") ? number : town.network.roll(4)));
         }
       }
     }
     for (std::string const& address : hurt) {
       Server& server = town.servers[address];
       server.dark = trouble == "dark" || trouble.starts_with("dark shard");
-      server.workFactor *= trouble == "slow" ? 4 + 4.5 * static_cast<double>(town.sea.roll(1000)) / 1000 : 1;
+      server.workFactor *= trouble == "slow" ? 4 + 4.5 * static_cast<double>(town.network.roll(1000)) / 1000 : 1;
       server.badShare = trouble == "bad" ? 0.7 : 0;
       if (server.dark) {
-        town.sea.after(Ms(4000), [&town, address] { town.bringBackCold(address); });
+        town.network.after(Ms(4000), [&town, address] { town.bringBackCold(address); });
       }
     }
     if (trouble == "dark shard, slow") {
-      town.sea.after(Ms(2800), [&town, victim] {
+      town.network.after(Ms(2800), [&town, victim] {
         for (std::size_t count = 0; count < 3;) {
-          std::string const& shard = shards[town.sea.roll(4)];
-          Server& server = town.servers[shard + "-" + std::to_string(town.sea.roll(4))];
+          std::string const& shard = shards[town.network.roll(4)];
+          Server& server = town.servers[shard + "-" + std::to_string(town.network.roll(4))];
           if (shard != victim && server.workFactor < 2) {
-            server.workFactor *= 5 + 3 * static_cast<double>(town.sea.roll(1000)) / 1000;
+            server.workFactor *= 5 + 3 * static_cast<double>(town.network.roll(1000)) / 1000;
             ++count;
           }
         }
       });
     }
     town.load(Ms(8000), trouble == "overload" ? 2.5 : 1);
-    town.sea.runUntil(town.sea.now() + Ms(6000));
+    town.network.runUntil(town.network.now() + Ms(6000));
     outcome.worth += town.worth() / static_cast<double>(seeds);
     outcome.least = std::min(outcome.least, town.worth());
     outcome.remote += town.remoteShare() / static_cast<double>(seeds);
--- a/testside/capacity/draught.cpp
+++ b/testside/capacity/cost_benchmark.cpp
@@ -1,11 +1,11 @@
-#include "drydock/sea.h"
-#include "limeramp/berth/list.h"
-#include "limeramp/cargo/messages.h"
-#include "limeramp/fairway/courier.h"
-#include "limeramp/fairway/views.h"
-#include "limeramp/manifest/configuration.h"
-#include "limeramp/quayside/plane.h"
-#include "limeramp/rigging/http.h"
+#include "simulator/simulated_network.h"
+#include "limeramp/discovery/list.h"
+#include "limeramp/messages/messages.h"
+#include "limeramp/distribution/config_delivery.h"
+#include "limeramp/distribution/peer_views.h"
+#include "limeramp/config/configuration.h"
+#include "limeramp/gateway/request_plane.h"
+#include "limeramp/net/http.h"
 
 #include <cxxopts.hpp>
 #include <xxhash.h>
@@ -109,16 +109,16 @@
   for (std::size_t index = 0; index < parts; ++index) {
     bodies.push_back(partBody("p" + std::to_string(index), "r", 10));
   }
-  std::vector<shoal::PartPtr> read;
+  std::vector<dispatch::PartPtr> read;
   double const from = threadUs();
   for (std::size_t index = 0; index < parts; ++index) {
-    absl::StatusOr<shoal::Part> part = shoal::readPart(bodies[index], {"p" + std::to_string(index), "c1", "r"}, 10);
-    read.push_back(std::make_shared<shoal::Part const>(*std::move(part)));
+    absl::StatusOr<dispatch::Part> part = dispatch::readPart(bodies[index], {"p" + std::to_string(index), "c1", "r"}, 10);
+    read.push_back(std::make_shared<dispatch::Part const>(*std::move(part)));
   }
   double const between = threadUs();
   std::size_t kept = 0;
   for (int round = 0; round < 5; ++round) {
-    kept += shoal::mergeParts(read, 10).size();
+    kept += dispatch::mergeParts(read, 10).size();
   }
   double const to = threadUs();
   double const count = static_cast<double>(parts);
@@ -126,10 +126,10 @@
   add("one part merged", {{"parts", count}}, "us", (to - between) / 5 / count + (kept == 0 ? 1 : 0));
 }
 
-manifest::SnapshotPtr snapshotOf(std::size_t shards) {
-  manifest::Snapshot snapshot;
+config::SnapshotPtr snapshotOf(std::size_t shards) {
+  config::Snapshot snapshot;
   snapshot.version = {1, 1};
-  manifest::Search search;
+  config::Search search;
   search.name = "all";
   search.tenant = "t";
   search.prefix = "/all";
@@ -140,13 +140,13 @@
     search.shards.push_back({name, "c1"});
   }
   snapshot.configuration.searches.push_back(search);
-  return std::make_shared<manifest::Snapshot const>(snapshot);
+  return std::make_shared<config::Snapshot const>(snapshot);
 }
 
 void measureQueries(std::size_t shards, std::size_t inFlight, std::size_t rounds) {
-  using namespace quayside;
-  Plane plane(Self{"m1", "10.0.0.1:7000", "z1", 5}, shoal::Policy{});
-  tally::TimePoint now{std::chrono::hours(1)};
+  using namespace gateway;
+  Plane plane(Self{"m1", "10.0.0.1:7000", "z1", 5}, dispatch::Policy{});
+  retry::TimePoint now{std::chrono::hours(1)};
   std::deque<SendOut> sent;
   std::deque<Grind> grinds;
   std::deque<Merge> merges;
@@ -171,9 +171,9 @@
   step(InForce{snapshotOf(shards)});
   double const heapBefore = heapBytes();
   for (std::size_t index = 0; index < shards; ++index) {
-    shoal::Servers servers{"p" + std::to_string(index), {}};
+    dispatch::Servers servers{"p" + std::to_string(index), {}};
     for (std::size_t number = 0; number < 5; ++number) {
-      shoal::ServerRow row;
+      dispatch::ServerRow row;
       row.address = "10." + std::to_string(index / 200) + "." + std::to_string(index % 200) + "." + std::to_string(number) + ":9000";
       row.zone = "z1";
       servers.rows.push_back(row);
@@ -201,13 +201,13 @@
     while (!sent.empty()) {
       SendOut const out = std::move(sent.front());
       sent.pop_front();
-      std::string const body = partBody(*rigging::findHeader(out.content.headers, "limeramp-shard"), *rigging::findHeader(out.content.headers, "limeramp-request"), 10);
+      std::string const body = partBody(*net::findHeader(out.content.headers, "limeramp-shard"), *net::findHeader(out.content.headers, "limeramp-request"), 10);
       spentUs = 0;
-      step(Exchanged{out.attempt, {rigging::Answer{200, {{"content-type", "application/json"}}, body}, tally::Verdict::ran, ""}});
+      step(Exchanged{out.attempt, {net::Answer{200, {{"content-type", "application/json"}}, body}, retry::Verdict::ran, ""}});
       while (!grinds.empty()) {
         Grind const grind = std::move(grinds.front());
         grinds.pop_front();
-        step(Ground{grind.attempt, shoal::readPart(grind.body, grind.expected, grind.result_size), grind.load});
+        step(Ground{grind.attempt, dispatch::readPart(grind.body, grind.expected, grind.result_size), grind.load});
       }
       answerUs += spentUs;
       ++exchanges;
@@ -223,7 +223,7 @@
     while (!merges.empty()) {
       Merge const merge = std::move(merges.front());
       merges.pop_front();
-      step(Merged{merge.request, shoal::mergeParts(merge.parts, merge.result_size)});
+      step(Merged{merge.request, dispatch::mergeParts(merge.parts, merge.result_size)});
     }
     answerUs += spentUs;
   }
@@ -237,38 +237,38 @@
 
 // Servers of 5.6 to 10.4 ms, one answer in a thousand 100 ms late; one front, 200 queries a second, all answers wanted.
 void measureTail(std::size_t shards, double depth, std::uint64_t seed) {
-  drydock::Sea sea(seed);
-  shoal::Machine machine(shoal::Policy{});
+  simulator::SimulatedNetwork network(seed);
+  dispatch::Machine machine(dispatch::Policy{});
   std::vector<std::string> names;
-  std::map<std::uint64_t, tally::TimePoint> arrivedAt;
+  std::map<std::uint64_t, retry::TimePoint> arrivedAt;
   Values tookMs;
   std::size_t answered = 0;
   std::size_t complete = 0;
   std::size_t missing = 0;
-  std::function<void(shoal::Event const&)> step = [&](shoal::Event const& event) {
-    for (shoal::Effect const& effect : machine.step(sea.now(), event)) {
-      if (shoal::Send const* const send = std::get_if<shoal::Send>(&effect)) {
-        std::chrono::microseconds const wait(5'600 + sea.roll(4'800) + (sea.roll(1000) == 0 ? 100'000 : 0));
+  std::function<void(dispatch::Event const&)> step = [&](dispatch::Event const& event) {
+    for (dispatch::Effect const& effect : machine.step(network.now(), event)) {
+      if (dispatch::Send const* const send = std::get_if<dispatch::Send>(&effect)) {
+        std::chrono::microseconds const wait(5'600 + network.roll(4'800) + (network.roll(1000) == 0 ? 100'000 : 0));
         std::uint64_t const attempt = send->attempt;
-        sea.after(wait, [&step, attempt] { step(shoal::Returned{attempt, true, true, tally::Verdict::ran, {}}); });
-      } else if (shoal::Finish const* const finish = std::get_if<shoal::Finish>(&effect)) {
-        std::map<std::uint64_t, tally::TimePoint>::iterator const found = arrivedAt.find(finish->request);
+        network.after(wait, [&step, attempt] { step(dispatch::Returned{attempt, true, true, retry::Verdict::ran, {}}); });
+      } else if (dispatch::Finish const* const finish = std::get_if<dispatch::Finish>(&effect)) {
+        std::map<std::uint64_t, retry::TimePoint>::iterator const found = arrivedAt.find(finish->request);
         if (found == arrivedAt.end()) {
           continue;
         }
         ++answered;
-        complete += finish->ending == shoal::Ending::complete ? 1 : 0;
+        complete += finish->ending == dispatch::Ending::complete ? 1 : 0;
         missing += finish->missing.size();
-        tookMs.push_back(std::chrono::duration<double, std::milli>(sea.now() - found->second).count());
+        tookMs.push_back(std::chrono::duration<double, std::milli>(network.now() - found->second).count());
       }
     }
   };
-  step(shoal::Place{1300, 0, depth});
+  step(dispatch::Place{1300, 0, depth});
   for (std::size_t index = 0; index < shards; ++index) {
     names.push_back("p" + std::to_string(index));
-    shoal::Servers servers{names.back(), {}};
+    dispatch::Servers servers{names.back(), {}};
     for (std::size_t number = 0; number < 5; ++number) {
-      shoal::ServerRow row;
+      dispatch::ServerRow row;
       row.address = names.back() + "-" + std::to_string(number);
       servers.rows.push_back(row);
     }
@@ -278,18 +278,18 @@
   std::uint64_t const all = 400;
   for (std::uint64_t request = 1; request <= all; ++request) {
     if (request > warm) {
-      arrivedAt[request] = sea.now();
+      arrivedAt[request] = network.now();
     }
-    step(shoal::Arrive{request, "t", names, shards / 2, 2, true, sea.now() + Ms(66)});
-    tally::TimePoint const next = sea.now() + std::chrono::microseconds(1 + sea.roll(10'000));
-    while (sea.now() < next) {
-      sea.runUntil(std::min(next, sea.now() + Ms(4)));
-      step(shoal::Tick{});
+    step(dispatch::Arrive{request, "t", names, shards / 2, 2, true, network.now() + Ms(66)});
+    retry::TimePoint const next = network.now() + std::chrono::microseconds(1 + network.roll(10'000));
+    while (network.now() < next) {
+      network.runUntil(std::min(next, network.now() + Ms(4)));
+      step(dispatch::Tick{});
     }
   }
   for (int round = 0; round < 40; ++round) {
-    sea.runUntil(sea.now() + Ms(4));
-    step(shoal::Tick{});
+    network.runUntil(network.now() + Ms(4));
+    step(dispatch::Tick{});
   }
   std::sort(tookMs.begin(), tookMs.end());
   std::map<std::string, double> const at{{"shards", static_cast<double>(shards)}, {"budget_depth", depth}};
@@ -306,20 +306,20 @@
   std::condition_variable changed;
   std::size_t back = 0;
   std::size_t good = 0;
-  std::vector<rigging::Responder> held;
+  std::vector<net::Responder> held;
 };
 
 void measureExchanges(std::size_t wanted) {
-  rigging::Network network;
-  rigging::Network far;
+  net::Network network;
+  net::Network far;
   std::string error;
   std::string const body = partBody("p0", "r", 10);
-  std::unique_ptr<rigging::HttpServer> const server = rigging::HttpServer::listen(
-      far, *rigging::Address::parse("127.0.0.1:0"), {}, [&body](rigging::Request const&, rigging::Responder respond) {
+  std::unique_ptr<net::HttpServer> const server = net::HttpServer::listen(
+      far, *net::Address::parse("127.0.0.1:0"), {}, [&body](net::Request const&, net::Responder respond) {
         respond({200, {{"content-type", "application/json"}, {"limeramp-load", "0.3"}}, body});
       }, error);
-  rigging::HttpClient client(network, {});
-  rigging::Address const address = server->address();
+  net::HttpClient client(network, {});
+  net::Address const address = server->address();
   Post post;
   std::function<void(std::size_t)> const go = [&](std::size_t count) {
     std::size_t begun = 0;
@@ -331,7 +331,7 @@
         lock.unlock();
         client.begin(begun, address,
                      {"GET", "/all?q=x", {{"limeramp-tenant", "t"}, {"limeramp-request", "m1-5-1"}, {"limeramp-shard", "p0"}, {"limeramp-deadline-ms", "500"}, {"limeramp-version", "1.1"}}, "", ""},
-                     std::chrono::steady_clock::now() + std::chrono::seconds(5), [&post](rigging::Exchange const& exchange) {
+                     std::chrono::steady_clock::now() + std::chrono::seconds(5), [&post](net::Exchange const& exchange) {
                        std::unique_lock<std::mutex> const hold(post.mutex);
                        ++post.back;
                        post.good += exchange.answer ? 1 : 0;
@@ -355,22 +355,22 @@
 }
 
 void measureConnections(std::size_t wanted) {
-  rigging::Network network;
-  rigging::Network far;
+  net::Network network;
+  net::Network far;
   std::string error;
   Post post;
-  std::unique_ptr<rigging::HttpServer> const server = rigging::HttpServer::listen(
-      far, *rigging::Address::parse("127.0.0.1:0"), {}, [&post](rigging::Request const&, rigging::Responder respond) {
+  std::unique_ptr<net::HttpServer> const server = net::HttpServer::listen(
+      far, *net::Address::parse("127.0.0.1:0"), {}, [&post](net::Request const&, net::Responder respond) {
         std::unique_lock<std::mutex> const hold(post.mutex);
         post.held.push_back(std::move(respond));
         post.changed.notify_one();
       }, error);
-  rigging::HttpClient client(network, {64 << 10, wanted, Ms(60'000)});
+  net::HttpClient client(network, {64 << 10, wanted, Ms(60'000)});
   double const residentBefore = residentBytes();
   double const descriptorsBefore = descriptors();
   for (std::size_t index = 1; index <= wanted; ++index) {
     client.begin(index, server->address(), {"GET", "/", {}, "", ""}, std::chrono::steady_clock::now() + std::chrono::seconds(30),
-                 [&post](rigging::Exchange const& exchange) {
+                 [&post](net::Exchange const& exchange) {
                    std::unique_lock<std::mutex> const hold(post.mutex);
                    ++post.back;
                    post.good += exchange.answer ? 1 : 0;
@@ -382,9 +382,9 @@
   double const count = static_cast<double>(wanted);
   add("memory for a connection, both ends, an exchange under way", {{"connections", count}}, "bytes", (residentBytes() - residentBefore) / count);
   add("descriptors for a connection, both ends", {{"connections", count}}, "", (descriptors() - descriptorsBefore) / count);
-  std::vector<rigging::Responder> const held = std::move(post.held);
+  std::vector<net::Responder> const held = std::move(post.held);
   lock.unlock();
-  for (rigging::Responder const& respond : held) {
+  for (net::Responder const& respond : held) {
     respond({200, {}, "x"});
   }
   lock.lock();
@@ -395,8 +395,8 @@
   far.stop();
 }
 
-cargo::State stateOf(std::size_t nodes, std::size_t documentBytes) {
-  cargo::State state;
+messages::State stateOf(std::size_t nodes, std::size_t documentBytes) {
+  messages::State state;
   state.epoch = 3;
   state.sequence = 400;
   state.document = std::string(documentBytes, 'd');
@@ -412,53 +412,53 @@
 
 void measureState(std::size_t nodes) {
   std::map<std::string, double> const at{{"nodes", static_cast<double>(nodes)}};
-  cargo::News news;
+  messages::News news;
   news.node = "m1000";
   news.state = stateOf(nodes, 80'000);
   double const from = threadUs();
-  std::string sealed;
+  std::string fenced;
   for (int round = 0; round < 5; ++round) {
-    sealed = cargo::seal({"fleet", "m1000", "10.1.0.1:7000", news});
+    fenced = messages::seal({"fleet", "m1000", "10.1.0.1:7000", news});
   }
   double const between = threadUs();
   for (int round = 0; round < 5; ++round) {
-    absl::StatusOr<cargo::Parcel> const parcel = cargo::unseal(sealed);
-    if (!parcel.ok()) {
+    absl::StatusOr<messages::PeerMessage> const received = messages::unseal(fenced);
+    if (!received.ok()) {
       std::fprintf(stderr, "the snapshot does not read\n");
     }
   }
   add("snapshot sealed, 80,000 bytes of configuration", at, "us", (between - from) / 5);
   add("snapshot unsealed", at, "us", (threadUs() - between) / 5);
-  add("size of a snapshot", at, "bytes", static_cast<double>(sealed.size()));
+  add("size of a snapshot", at, "bytes", static_cast<double>(fenced.size()));
   double const heapBefore = heapBytes();
-  std::deque<cargo::State> const kept(8, *news.state);
+  std::deque<messages::State> const kept(8, *news.state);
   add("memory for the state in a node", at, "bytes", (heapBytes() - heapBefore) / static_cast<double>(kept.size()));
 }
 
 void measurePoll(std::size_t followers) {
   std::map<std::string, double> const at{{"followers", static_cast<double>(followers)}};
-  cargo::Poll poll;
+  messages::Poll poll;
   poll.token = 1'234'567;
   poll.self = {"m1000", "10.1.0.1:7000", "z1", 3, 400};
-  poll.bearings.push_back({"m1000", 1'234'567'890'123, false, {}});
+  poll.peerStatuses.push_back({"m1000", 1'234'567'890'123, false, {}});
   for (std::size_t index = 0; index < followers; ++index) {
     std::string const name = "m" + std::to_string(1001 + index);
     poll.followers.push_back({name, "10.1.0." + std::to_string(index + 2) + ":7000", "z1", 3, 400});
-    poll.bearings.push_back({name, 1'234'567'890'123 + index, false, {}});
+    poll.peerStatuses.push_back({name, 1'234'567'890'123 + index, false, {}});
   }
   double const from = threadUs();
-  std::string sealed;
+  std::string fenced;
   for (int round = 0; round < 50; ++round) {
-    sealed = cargo::seal({"fleet", "m1000", "10.1.0.1:7000", poll});
+    fenced = messages::seal({"fleet", "m1000", "10.1.0.1:7000", poll});
   }
   double const between = threadUs();
   for (int round = 0; round < 50; ++round) {
-    absl::StatusOr<cargo::Parcel> const parcel = cargo::unseal(sealed);
-    if (!parcel.ok()) {
+    absl::StatusOr<messages::PeerMessage> const received = messages::unseal(fenced);
+    if (!received.ok()) {
       std::fprintf(stderr, "the poll does not read\n");
     }
   }
-  add("size of a home's poll", at, "bytes", static_cast<double>(sealed.size()));
+  add("size of a home's poll", at, "bytes", static_cast<double>(fenced.size()));
   add("home's poll sealed", at, "us", (between - from) / 50);
   add("home's poll unsealed", at, "us", (threadUs() - between) / 50);
 }
@@ -485,9 +485,9 @@
   std::string const text = documentOf(shards, routes);
   double const heapBefore = heapBytes();
   double const from = threadUs();
-  std::optional<manifest::Configuration> kept;
+  std::optional<config::Configuration> kept;
   {
-    manifest::Checked checked = manifest::checkConfiguration(*manifest::parseJson(text));
+    config::Checked checked = config::checkConfiguration(*config::parseJson(text));
     if (!checked.configuration) {
       std::fprintf(stderr, "refused: %s %s\n", checked.problems.front().path.c_str(), checked.problems.front().reason.c_str());
       return;
@@ -508,7 +508,7 @@
   }
   text += "]}";
   double const from = threadUs();
-  absl::StatusOr<berth::List> const list = berth::readList(text);
+  absl::StatusOr<discovery::List> const list = discovery::readList(text);
   add("list of servers read", at, "us", threadUs() - from);
   add("size of the list of servers", at, "bytes", static_cast<double>(text.size()));
   if (!list.ok() || list->rows != servers) {
@@ -518,12 +518,12 @@
 
 void measureViews() {
   double const heapBefore = heapBytes();
-  fairway::Views views({}, {"m0", "10.0.0.1:7000", "z1", "quay", 1, 0}, {"10.0.0.2:7000"}, 7);
-  cargo::Shuffle shuffle{true, {}};
+  distribution::PeerViews views({}, {"m0", "10.0.0.1:7000", "z1", messages::gatewayRole, 1, 0}, {"10.0.0.2:7000"}, 7);
+  messages::Shuffle shuffle{true, {}};
   for (std::size_t index = 1; index <= 32; ++index) {
-    shuffle.peers.push_back({"m" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7000", "z1", "quay", 1'234'567'890'123, 100});
+    shuffle.peers.push_back({"m" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7000", "z1", messages::gatewayRole, 1'234'567'890'123, 100});
   }
-  views.hear(fairway::TimePoint(std::chrono::hours(1)), "m1", "10.1.0.1:7000", shuffle);
+  views.hear(distribution::TimePoint(std::chrono::hours(1)), "m1", "10.1.0.1:7000", shuffle);
   double const after = heapBytes() - heapBefore;
   add("memory for a known node in a view", {{"peers", 32}}, "bytes", after / 32);
 }
@@ -550,7 +550,7 @@
 }
 
 int main(int count, char** words) {
-  cxxopts::Options options("draught", "processor time, memory and bytes of one exchange, part, message, snapshot");
+  cxxopts::Options options("cost_benchmark", "processor time, memory and bytes of one exchange, part, message, snapshot");
   options.add_options()("rounds", "", cxxopts::value<std::uint64_t>()->default_value("5"))(
       "only", "parts, queries, tail, exchanges, connections, control; empty for all", cxxopts::value<std::string>()->default_value(""))(
       "exchanges", "", cxxopts::value<std::size_t>()->default_value("20000"))("help", "");
--- a/testside/capacity/fleet.h
+++ b/testside/capacity/fleet.h
@@ -13,7 +13,7 @@
 
 struct Shape {
   std::size_t nodes = 100;
-  std::size_t masters = 5;
+  std::size_t controllers = 5;
   std::size_t servers = 500;
   std::size_t shards = 4;
   std::size_t zones = 18;
--- a/testside/capacity/plimsoll.cpp
+++ b/testside/capacity/scale_simulation.cpp
@@ -105,7 +105,7 @@
 }
 
 int main(int count, char** words) {
-  cxxopts::Options options("plimsoll", "hollow nodes in virtual time: what control costs at a size");
+  cxxopts::Options options("scale_simulation", "hollow nodes in virtual time: what control costs at a size");
   options.add_options()("nodes", "", cxxopts::value<std::size_t>()->default_value("100"))(
       "servers", "", cxxopts::value<std::size_t>()->default_value("500"))("shards", "", cxxopts::value<std::size_t>()->default_value("4"))(
       "zones", "", cxxopts::value<std::size_t>()->default_value("18"))("regions", "", cxxopts::value<std::size_t>()->default_value("6"))(
--- a/testside/capacity/slopes.py
+++ b/testside/capacity/slopes.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Fits the reports of plimsoll and draught: a line, n log n or a square; prints a table, draws an SVG."""
+"""Fits the reports of scale_simulation and cost_benchmark: a line, n log n or a square; prints a table, draws an SVG."""
 
 import argparse
 import json
--- a/testside/reef.cpp
+++ b/testside/fault_injection_preload.cpp
@@ -29,7 +29,7 @@
 
 Orders readOrders() {
   Orders orders;
-  char const* const path = getenv("REEF");
+  char const* const path = getenv("FAULT_INJECTION");
   FILE* const file = path == nullptr ? nullptr : fopen(path, "re");
   if (file == nullptr) {
     return orders;
--- a/testside/breakwater.cpp
+++ b/testside/fault_proxy.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/manifest/json.h"
-#include "limeramp/rigging/http.h"
-#include "stand.h"
+#include "limeramp/config/json.h"
+#include "limeramp/net/http.h"
+#include "stub_program.h"
 
 #include <cxxopts.hpp>
 
@@ -20,12 +20,12 @@
 struct Wall {
   std::mutex mutex;
   std::set<std::pair<std::string, std::string>> cuts;
-  std::vector<std::pair<Clock::time_point, rigging::Responder>> drowned;
+  std::vector<std::pair<Clock::time_point, net::Responder>> drowned;
   std::atomic<std::uint64_t> last{0};
   std::atomic<std::uint64_t> passed{0};
 
   void forgetOld() {
-    std::erase_if(drowned, [](std::pair<Clock::time_point, rigging::Responder> const& entry) {
+    std::erase_if(drowned, [](std::pair<Clock::time_point, net::Responder> const& entry) {
       bool const old = Clock::now() - entry.first > std::chrono::seconds(3);
       if (old) {
         entry.second({503, {}, ""});
@@ -34,8 +34,8 @@
     });
   }
 
-  rigging::Answer control(std::string const& body) {
-    absl::StatusOr<picojson::value> const parsed = manifest::parseJson(body, {4u << 20, 5, 100'000});
+  net::Answer control(std::string const& body) {
+    absl::StatusOr<picojson::value> const parsed = config::parseJson(body, {4u << 20, 5, 100'000});
     if (!parsed.ok() || !parsed->is<picojson::array>()) {
       return {400, {}, "an array of [from, to] is needed\n"};
     }
@@ -51,9 +51,9 @@
     return {200, {}, "{\"cuts\":" + std::to_string(cuts.size()) + ",\"passed\":" + std::to_string(passed) + "}\n"};
   }
 
-  void relay(rigging::HttpClient& client, std::string const& here, rigging::Address const& behind, rigging::Request request,
-             rigging::Responder respond) {
-    std::string const from = rigging::findHeader(request.headers, "limeramp-from").value_or("");
+  void relay(net::HttpClient& client, std::string const& here, net::Address const& behind, net::Request request,
+             net::Responder respond) {
+    std::string const from = net::findHeader(request.headers, "limeramp-from").value_or("");
     {
       std::unique_lock<std::mutex> const lock(mutex);
       forgetOld();
@@ -64,8 +64,8 @@
     }
     ++passed;
     client.begin(++last, behind, std::move(request), Clock::now() + std::chrono::seconds(15),
-                 [respond = std::move(respond)](rigging::Exchange const& exchange) {
-                   respond(exchange.answer.value_or(rigging::Answer{502, {}, ""}));
+                 [respond = std::move(respond)](net::Exchange const& exchange) {
+                   respond(exchange.answer.value_or(net::Answer{502, {}, ""}));
                  });
   }
 };
@@ -73,7 +73,7 @@
 }
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("breakwater", "a stand-in for the network between nodes: passes their messages on, or cuts them");
+  cxxopts::Options options("fault_proxy", "a stand-in for the network between nodes: passes their messages on, or cuts them");
   options.add_options()("listen", "address for control", cxxopts::value<std::string>())(
       "map", "JSON file: an object of the address to listen on and the address behind it", cxxopts::value<std::string>())("help", "this text");
   try {
@@ -85,42 +85,42 @@
     std::ifstream file(flags["map"].as<std::string>());
     std::stringstream text;
     text << file.rdbuf();
-    absl::StatusOr<picojson::value> const map = manifest::parseJson(text.str());
+    absl::StatusOr<picojson::value> const map = config::parseJson(text.str());
     if (!map.ok() || !map->is<picojson::object>()) {
-      std::cerr << "breakwater: --map must be an object of addresses\n";
+      std::cerr << "fault_proxy: --map must be an object of addresses\n";
       return 2;
     }
     Wall wall;
-    rigging::Network network;
-    rigging::HttpClient client(network, {8 << 20, 16, std::chrono::seconds(2)});
-    std::vector<std::unique_ptr<rigging::HttpServer>> servers;
-    rigging::ServerBounds bounds;
+    net::Network network;
+    net::HttpClient client(network, {8 << 20, 16, std::chrono::seconds(2)});
+    std::vector<std::unique_ptr<net::HttpServer>> servers;
+    net::ServerBounds bounds;
     bounds.maxBodyBytes = 8 << 20;
     for (std::pair<std::string const, picojson::value> const& entry : map->get<picojson::object>()) {
-      std::optional<rigging::Address> const here = rigging::Address::parse(entry.first);
-      std::optional<rigging::Address> const behind = rigging::Address::parse(entry.second.to_str());
+      std::optional<net::Address> const here = net::Address::parse(entry.first);
+      std::optional<net::Address> const behind = net::Address::parse(entry.second.to_str());
       if (!here || !behind || !here->host.starts_with("127.") || !behind->host.starts_with("127.")) {
-        std::cerr << "breakwater: " << entry.first << " is not a pair of loopback addresses\n";
+        std::cerr << "fault_proxy: " << entry.first << " is not a pair of loopback addresses\n";
         return 2;
       }
       std::string error;
-      servers.push_back(rigging::HttpServer::listen(
+      servers.push_back(net::HttpServer::listen(
           network, *here, bounds,
-          [&wall, &client, name = entry.first, behind](rigging::Request request, rigging::Responder respond) {
+          [&wall, &client, name = entry.first, behind](net::Request request, net::Responder respond) {
             wall.relay(client, name, *behind, std::move(request), std::move(respond));
           },
           error));
       if (servers.back() == nullptr) {
-        std::cerr << "breakwater: " << error << '\n';
+        std::cerr << "fault_proxy: " << error << '\n';
         return 1;
       }
     }
-    return testside::standUntilEnded("breakwater", flags["listen"].as<std::string>(),
-                                     [&wall](rigging::Request request, rigging::Responder respond) {
+    return testside::standUntilEnded("fault_proxy", flags["listen"].as<std::string>(),
+                                     [&wall](net::Request request, net::Responder respond) {
                                        respond(wall.control(request.body));
                                      });
   } catch (cxxopts::exceptions::exception const& wrong) {
-    std::cerr << "breakwater: " << wrong.what() << '\n';
+    std::cerr << "fault_proxy: " << wrong.what() << '\n';
     return 2;
   }
 }
--- a/testside/skipper.cpp
+++ b/testside/load_generator.cpp
@@ -1,6 +1,6 @@
-#include "cargo_marks.h"
-#include "limeramp/manifest/reader.h"
-#include "limeramp/rigging/http.h"
+#include "message_sizes.h"
+#include "limeramp/config/reader.h"
+#include "limeramp/net/http.h"
 
 #include <cxxopts.hpp>
 
@@ -22,7 +22,7 @@
 using Clock = std::chrono::steady_clock;
 using Ms = std::chrono::milliseconds;
 
-struct Errand {
+struct OperatorCall {
   std::string name;
   std::string tenant;
   std::string path;
@@ -39,7 +39,7 @@
 };
 
 struct Gate {
-  rigging::Address address;
+  net::Address address;
   bool ready = false;
 };
 
@@ -50,11 +50,11 @@
   std::uint64_t missing = 0;
 };
 
-struct Voyage {
+struct LoadRun {
   std::mutex mutex;
   std::condition_variable changed;
   std::vector<Gate> gates;
-  std::vector<Errand> errands;
+  std::vector<OperatorCall> calls;
   std::ofstream log;
   Tally tally;
   std::vector<std::string> wrongs;
@@ -62,13 +62,13 @@
   double impatience = 0;
   std::uint64_t lastId = 0;
   std::uint64_t seed = 1;
-  std::string run;
-  std::mt19937_64 dice;
+  std::string name;
+  std::mt19937_64 random;
 };
 
-std::string judgeSearch(Errand const& errand, std::string const& target, rigging::Answer const& answer,
+std::string judgeSearch(OperatorCall const& call, std::string const& target, net::Answer const& answer,
                         std::string& stamps, std::uint64_t& missing) {
-  absl::StatusOr<picojson::value> const parsed = manifest::parseJson(answer.body);
+  absl::StatusOr<picojson::value> const parsed = config::parseJson(answer.body);
   if (!parsed.ok() || !parsed->is<picojson::object>()) {
     return "the answer is not JSON";
   }
@@ -86,20 +86,20 @@
     stamps += (stamps.empty() ? "" : ",") + shard + "=" + stamp.get("cut").to_str();
   }
   missing = static_cast<std::uint64_t>(body.get("missing").get<double>());
-  if (shards.size() + missing != errand.shards) {
+  if (shards.size() + missing != call.shards) {
     return "parts and missing shards do not add up";
   }
-  if (shards.size() < errand.minimum) {
+  if (shards.size() < call.minimum) {
     return "success with too few shards";
   }
   std::vector<std::string> expected;
   for (std::string const& shard : shards) {
-    for (std::size_t index = 0; index < errand.records; ++index) {
+    for (std::size_t index = 0; index < call.records; ++index) {
       expected.push_back(testside::recordOf(target, shard, index));
     }
   }
   std::sort(expected.rbegin(), expected.rend());
-  expected.resize(std::min(expected.size(), errand.result_size));
+  expected.resize(std::min(expected.size(), call.result_size));
   std::vector<std::string> got;
   for (picojson::value const& record : body.get("records").get<picojson::array>()) {
     got.push_back(record.to_str());
@@ -107,87 +107,87 @@
   return got == expected ? "" : "the records are not the greatest of the parts";
 }
 
-std::string judgeForward(std::string const& id, std::string const& target, Errand const& errand,
-                         rigging::Answer const& answer) {
-  absl::StatusOr<picojson::value> const parsed = manifest::parseJson(answer.body);
+std::string judgeForward(std::string const& id, std::string const& target, OperatorCall const& call,
+                         net::Answer const& answer) {
+  absl::StatusOr<picojson::value> const parsed = config::parseJson(answer.body);
   if (!parsed.ok() || !parsed->is<picojson::object>()) {
     return "success that is not the server's answer";
   }
   if (parsed->get("caller").to_str() != id || parsed->get("target").to_str() != target ||
-      parsed->get("method").to_str() != errand.method ||
-      parsed->get("bytes").to_str() != picojson::value(static_cast<double>(errand.bodyBytes)).to_str()) {
+      parsed->get("method").to_str() != call.method ||
+      parsed->get("bytes").to_str() != picojson::value(static_cast<double>(call.bodyBytes)).to_str()) {
     return "somebody else's answer";
   }
   return "";
 }
 
-void launch(Voyage& voyage, rigging::HttpClient& client, Errand const& errand, int again) {
-  std::unique_lock<std::mutex> lock(voyage.mutex);
+void launch(LoadRun& run, net::HttpClient& client, OperatorCall const& call, int again) {
+  std::unique_lock<std::mutex> lock(run.mutex);
   std::vector<std::size_t> able;
-  for (std::size_t index = 0; index < voyage.gates.size(); ++index) {
-    if (voyage.gates[index].ready) {
+  for (std::size_t index = 0; index < run.gates.size(); ++index) {
+    if (run.gates[index].ready) {
       able.push_back(index);
     }
   }
   if (able.empty()) {
-    ++voyage.tally.counts["no ready node"];
+    ++run.tally.counts["no ready node"];
     return;
   }
-  rigging::Address const gate = voyage.gates[able[voyage.dice() % able.size()]].address;
-  std::uint64_t const number = ++voyage.lastId;
+  net::Address const gate = run.gates[able[run.random() % able.size()]].address;
+  std::uint64_t const number = ++run.lastId;
   long const deadlineMs =
-      errand.leastMs + static_cast<long>(voyage.dice() % static_cast<std::uint64_t>(errand.mostMs - errand.leastMs + 1));
-  std::string const id = voyage.run + "-" + std::to_string(number);
-  rigging::Request request;
-  request.method = errand.method;
-  request.target = errand.path + "/" + std::to_string(voyage.dice() % 100'000) + "?q=" + std::to_string(number);
-  request.headers = {{"limeramp-tenant", errand.tenant}, {"limeramp-deadline-ms", std::to_string(deadlineMs)}, {"skipper-id", id}};
-  request.body = std::string(errand.bodyBytes, 'b');
+      call.leastMs + static_cast<long>(run.random() % static_cast<std::uint64_t>(call.mostMs - call.leastMs + 1));
+  std::string const id = run.name + "-" + std::to_string(number);
+  net::Request request;
+  request.method = call.method;
+  request.target = call.path + "/" + std::to_string(run.random() % 100'000) + "?q=" + std::to_string(number);
+  request.headers = {{"limeramp-tenant", call.tenant}, {"limeramp-deadline-ms", std::to_string(deadlineMs)}, {"load_generator-id", id}};
+  request.body = std::string(call.bodyBytes, 'b');
   std::string const target = request.target;
-  ++voyage.open;
+  ++run.open;
   lock.unlock();
   Clock::time_point const begun = Clock::now();
   client.begin(number, gate, std::move(request), begun + Ms(deadlineMs + 1000),
-               [&voyage, &client, errand, id, target, begun, deadlineMs, gate, again](rigging::Exchange const& exchange) {
+               [&run, &client, call, id, target, begun, deadlineMs, gate, again](net::Exchange const& exchange) {
     double const tookMs = std::chrono::duration<double, std::milli>(Clock::now() - begun).count();
-    std::string verdict = exchange.answer ? rigging::findHeader(exchange.answer->headers, "limeramp-verdict").value_or("-")
-                                          : std::string("unheard/") + std::string(tally::nameOf(exchange.verdict));
+    std::string verdict = exchange.answer ? net::findHeader(exchange.answer->headers, "limeramp-verdict").value_or("-")
+                                          : std::string("unheard/") + std::string(retry::nameOf(exchange.verdict));
     std::string const version =
-        exchange.answer ? rigging::findHeader(exchange.answer->headers, "limeramp-version").value_or("-") : "-";
+        exchange.answer ? net::findHeader(exchange.answer->headers, "limeramp-version").value_or("-") : "-";
     int const status = exchange.answer ? exchange.answer->status : 0;
     std::string wrong;
     std::string stamps;
     std::uint64_t missing = 0;
     if (status == 200) {
-      wrong = errand.search ? judgeSearch(errand, target, *exchange.answer, stamps, missing)
-                            : judgeForward(id, target, errand, *exchange.answer);
+      wrong = call.search ? judgeSearch(call, target, *exchange.answer, stamps, missing)
+                            : judgeForward(id, target, call, *exchange.answer);
     }
-    std::unique_lock<std::mutex> inner(voyage.mutex);
-    std::string const kind = errand.search ? "search " : "forward ";
-    ++voyage.tally.counts[kind + (status == 0 ? verdict : std::to_string(status) + " " + verdict)];
+    std::unique_lock<std::mutex> inner(run.mutex);
+    std::string const kind = call.search ? "search " : "forward ";
+    ++run.tally.counts[kind + (status == 0 ? verdict : std::to_string(status) + " " + verdict)];
     if (tookMs > static_cast<double>(deadlineMs) + 50) {
-      ++voyage.tally.counts[kind + "later than its deadline by over 50 ms"];
+      ++run.tally.counts[kind + "later than its deadline by over 50 ms"];
     }
     if (status == 200) {
-      (errand.search ? voyage.tally.searchMs : voyage.tally.forwardMs).push_back(tookMs);
-      voyage.tally.missing += missing;
-      voyage.tally.counts["searches with missing shards"] += missing > 0 ? 1 : 0;
+      (call.search ? run.tally.searchMs : run.tally.forwardMs).push_back(tookMs);
+      run.tally.missing += missing;
+      run.tally.counts["searches with missing shards"] += missing > 0 ? 1 : 0;
     }
     if (!wrong.empty()) {
-      voyage.wrongs.push_back(id + ": " + wrong);
+      run.wrongs.push_back(id + ": " + wrong);
     }
-    voyage.log << std::chrono::duration_cast<std::chrono::microseconds>(begun.time_since_epoch()).count() << '\t' << id
-               << '\t' << errand.name << '\t' << (errand.search ? "search" : "forward") << '\t' << status << '\t' << verdict
+    run.log << std::chrono::duration_cast<std::chrono::microseconds>(begun.time_since_epoch()).count() << '\t' << id
+               << '\t' << call.name << '\t' << (call.search ? "search" : "forward") << '\t' << status << '\t' << verdict
                << '\t' << version << '\t' << stamps << '\t' << missing << '\t' << tookMs << '\t' << deadlineMs << '\t'
                << gate.text() << '\t' << wrong << '\n';
-    bool const retry = again > 0 && status == 503 && std::uniform_real_distribution<double>(0, 1)(voyage.dice) < voyage.impatience;
+    bool const retry = again > 0 && status == 503 && std::uniform_real_distribution<double>(0, 1)(run.random) < run.impatience;
     inner.unlock();
     if (retry) {
-      launch(voyage, client, errand, again - 1);
+      launch(run, client, call, again - 1);
     }
     inner.lock();
-    --voyage.open;
-    voyage.changed.notify_all();
+    --run.open;
+    run.changed.notify_all();
   });
 }
 
@@ -202,7 +202,7 @@
 }
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("skipper", "stand-in callers: a bounded load on loopback, each answer checked");
+  cxxopts::Options options("load_generator", "stand-in callers: a bounded load on loopback, each answer checked");
   options.add_options()("plan", "JSON file with gates and errands", cxxopts::value<std::string>())(
       "rate", "requests a second", cxxopts::value<double>()->default_value("50"))(
       "seconds", "length", cxxopts::value<double>()->default_value("10"))(
@@ -218,64 +218,64 @@
     std::ifstream file(flags["plan"].as<std::string>());
     std::stringstream text;
     text << file.rdbuf();
-    absl::StatusOr<picojson::value> const plan = manifest::parseJson(text.str());
+    absl::StatusOr<picojson::value> const plan = config::parseJson(text.str());
     if (!plan.ok()) {
-      std::cerr << "skipper: " << plan.status().message() << '\n';
+      std::cerr << "load_generator: " << plan.status().message() << '\n';
       return 2;
     }
-    Voyage voyage;
-    voyage.seed = flags["seed"].as<std::uint64_t>();
-    voyage.dice.seed(voyage.seed);
-    voyage.impatience = flags["impatience"].as<double>();
-    voyage.log.open(flags["log"].as<std::string>(), std::ios::app);
-    voyage.run = "s" + std::to_string(Clock::now().time_since_epoch() / std::chrono::microseconds(1) % 1'000'000'000);
-    std::vector<manifest::Problem> problems;
-    manifest::Reader reader(*plan, "", problems);
+    LoadRun run;
+    run.seed = flags["seed"].as<std::uint64_t>();
+    run.random.seed(run.seed);
+    run.impatience = flags["impatience"].as<double>();
+    run.log.open(flags["log"].as<std::string>(), std::ios::app);
+    run.name = "s" + std::to_string(Clock::now().time_since_epoch() / std::chrono::microseconds(1) % 1'000'000'000);
+    std::vector<config::Problem> problems;
+    config::Reader reader(*plan, "", problems);
     for (std::string const& gate : reader.texts("gates", 100)) {
-      std::optional<rigging::Address> const address = rigging::Address::parse(gate);
+      std::optional<net::Address> const address = net::Address::parse(gate);
       if (!address || !address->host.starts_with("127.")) {
         problems.push_back({"/gates", gate + " is not on loopback"});
       } else {
-        voyage.gates.push_back({*address, false});
+        run.gates.push_back({*address, false});
       }
     }
-    reader.eachItem("errands", 1, 50, [&](manifest::Reader& inner) {
-      Errand errand;
-      errand.name = inner.text("name", std::nullopt);
-      errand.tenant = inner.text("tenant", std::nullopt);
-      errand.path = inner.text("path", std::nullopt);
-      errand.method = inner.text("method", "GET");
-      errand.search = inner.flag("search", false);
-      errand.result_size = inner.whole("result_size", 10, 1, 10'000);
-      errand.shards = inner.whole("shards", 4, 1, 64);
-      errand.minimum = inner.whole("minimum", 1, 1, 64);
-      errand.records = inner.whole("records", 20, 1, 10'000);
-      errand.bodyBytes = inner.whole("body_bytes", 0, 0, 100'000);
-      errand.share = inner.number("share", 1.0, 0, 1000);
-      errand.leastMs = static_cast<long>(inner.whole("least_ms", 250, 1, 60'000));
-      errand.mostMs = static_cast<long>(inner.whole("most_ms", 500, 1, 60'000));
-      voyage.errands.push_back(std::move(errand));
+    reader.eachItem("errands", 1, 50, [&](config::Reader& inner) {
+      OperatorCall call;
+      call.name = inner.text("name", std::nullopt);
+      call.tenant = inner.text("tenant", std::nullopt);
+      call.path = inner.text("path", std::nullopt);
+      call.method = inner.text("method", "GET");
+      call.search = inner.flag("search", false);
+      call.result_size = inner.whole("result_size", 10, 1, 10'000);
+      call.shards = inner.whole("shards", 4, 1, 64);
+      call.minimum = inner.whole("minimum", 1, 1, 64);
+      call.records = inner.whole("records", 20, 1, 10'000);
+      call.bodyBytes = inner.whole("body_bytes", 0, 0, 100'000);
+      call.share = inner.number("share", 1.0, 0, 1000);
+      call.leastMs = static_cast<long>(inner.whole("least_ms", 250, 1, 60'000));
+      call.mostMs = static_cast<long>(inner.whole("most_ms", 500, 1, 60'000));
+      run.calls.push_back(std::move(call));
     });
     reader.rejectUnknown();
     if (!problems.empty()) {
-      std::cerr << "skipper: " << problems.front().path << ": " << problems.front().reason << '\n';
+      std::cerr << "load_generator: " << problems.front().path << ": " << problems.front().reason << '\n';
       return 2;
     }
     double const rate = std::min(5000.0, flags["rate"].as<double>());
     double const seconds = std::min(3600.0, flags["seconds"].as<double>());
-    rigging::Network network;
-    rigging::HttpClient client(network, {4 << 20, 64, Ms(1000)});
-    rigging::HttpClient prober(network, {1 << 16, 1, Ms(5000)});
+    net::Network network;
+    net::HttpClient client(network, {4 << 20, 64, Ms(1000)});
+    net::HttpClient prober(network, {1 << 16, 1, Ms(5000)});
     std::atomic<bool> ended{false};
     std::thread platform([&] {
       std::uint64_t number = 0;
       while (!ended) {
-        for (std::size_t index = 0; index < voyage.gates.size(); ++index) {
-          rigging::Request request{"GET", "/limeramp/ready", {}, "", ""};
-          prober.begin(++number, voyage.gates[index].address, request, Clock::now() + Ms(700),
-                       [&voyage, index](rigging::Exchange const& exchange) {
-                         std::unique_lock<std::mutex> const lock(voyage.mutex);
-                         voyage.gates[index].ready = exchange.answer && exchange.answer->status == 200;
+        for (std::size_t index = 0; index < run.gates.size(); ++index) {
+          net::Request request{"GET", "/limeramp/ready", {}, "", ""};
+          prober.begin(++number, run.gates[index].address, request, Clock::now() + Ms(700),
+                       [&run, index](net::Exchange const& exchange) {
+                         std::unique_lock<std::mutex> const lock(run.mutex);
+                         run.gates[index].ready = exchange.answer && exchange.answer->status == 200;
                        });
         }
         std::this_thread::sleep_for(Ms(1000));
@@ -283,47 +283,47 @@
     });
     std::this_thread::sleep_for(Ms(800));
     std::vector<double> shares;
-    for (Errand const& errand : voyage.errands) {
-      shares.push_back(errand.share);
+    for (OperatorCall const& call : run.calls) {
+      shares.push_back(call.share);
     }
     std::discrete_distribution<std::size_t> which(shares.begin(), shares.end());
-    std::mt19937_64 dice(voyage.seed);
+    std::mt19937_64 random(run.seed);
     std::exponential_distribution<double> gap(rate);
     Clock::time_point const start = Clock::now();
     double at = 0;
     std::uint64_t launched = 0;
-    while ((at += gap(dice)) < seconds) {
+    while ((at += gap(random)) < seconds) {
       std::this_thread::sleep_until(start + std::chrono::microseconds(static_cast<long>(at * 1e6)));
-      launch(voyage, client, voyage.errands[which(dice)], 3);
+      launch(run, client, run.calls[which(random)], 3);
       ++launched;
     }
     {
-      std::unique_lock<std::mutex> lock(voyage.mutex);
-      voyage.changed.wait_for(lock, std::chrono::seconds(10), [&] { return voyage.open == 0; });
+      std::unique_lock<std::mutex> lock(run.mutex);
+      run.changed.wait_for(lock, std::chrono::seconds(10), [&] { return run.open == 0; });
     }
     ended = true;
     platform.join();
     network.stop();
-    voyage.log.flush();
+    run.log.flush();
     std::printf("launched %llu in %.0f s, rate %.0f, seed %llu\n", static_cast<unsigned long long>(launched), seconds, rate,
-                static_cast<unsigned long long>(voyage.seed));
-    for (std::pair<std::string const, std::uint64_t> const& entry : voyage.tally.counts) {
+                static_cast<unsigned long long>(run.seed));
+    for (std::pair<std::string const, std::uint64_t> const& entry : run.tally.counts) {
       std::printf("%8llu  %s\n", static_cast<unsigned long long>(entry.second), entry.first.c_str());
     }
     for (std::pair<char const*, std::vector<double> const*> const& entry :
-         {std::pair<char const*, std::vector<double> const*>("search", &voyage.tally.searchMs),
-          std::pair<char const*, std::vector<double> const*>("forward", &voyage.tally.forwardMs)}) {
+         {std::pair<char const*, std::vector<double> const*>("search", &run.tally.searchMs),
+          std::pair<char const*, std::vector<double> const*>("forward", &run.tally.forwardMs)}) {
       std::printf("%s ms: p50 %.1f p95 %.1f p99 %.1f max %.1f of %zu\n", entry.first, quantile(*entry.second, 0.5),
                   quantile(*entry.second, 0.95), quantile(*entry.second, 0.99), quantile(*entry.second, 1), entry.second->size());
     }
-    std::printf("missing shards %llu\nwrong answers %zu\n", static_cast<unsigned long long>(voyage.tally.missing),
-                voyage.wrongs.size());
-    for (std::size_t index = 0; index < std::min<std::size_t>(10, voyage.wrongs.size()); ++index) {
-      std::printf("  %s\n", voyage.wrongs[index].c_str());
+    std::printf("missing shards %llu\nwrong answers %zu\n", static_cast<unsigned long long>(run.tally.missing),
+                run.wrongs.size());
+    for (std::size_t index = 0; index < std::min<std::size_t>(10, run.wrongs.size()); ++index) {
+      std::printf("  %s\n", run.wrongs[index].c_str());
     }
-    return voyage.wrongs.empty() ? 0 : 1;
+    return run.wrongs.empty() ? 0 : 1;
   } catch (cxxopts::exceptions::exception const& wrong) {
-    std::cerr << "skipper: " << wrong.what() << '\n';
+    std::cerr << "load_generator: " << wrong.what() << '\n';
     return 2;
   }
 }
--- /dev/null
+++ b/testside/simulator/fleet_simulation.cpp
@@ -0,0 +1,445 @@
+#include "simulator/fleet_simulation.h"
+
+#include <algorithm>
+
+namespace limeramp::simulator {
+namespace {
+
+constexpr Ms inForceMs{2100};
+constexpr std::size_t exchangeBytes = 220;
+
+}
+
+FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t controllers, std::size_t gateways, std::size_t zones) : network(seed) {
+  for (std::size_t index = 0; index < controllers + gateways; ++index) {
+    Machine machine;
+    std::string const zone = "z" + std::to_string(index % zones);
+    std::string const address = "127.0.0." + std::to_string(index + 1) + ":7000";
+    if (index < std::min<std::size_t>(controllers, 3)) {
+      founders_.push_back(address);
+    }
+    if (index < controllers) {
+      machine.controller = SimulatedController{"h" + std::to_string(index), address, zone, {}, {}, {}, {}};
+    } else {
+      machine.gateway = SimulatedGateway{"m" + std::to_string(index), address, zone, {}, {}};
+    }
+    machines.push_back(std::move(machine));
+  }
+}
+
+void FleetSimulation::startAll() {
+  for (std::size_t index = 0; index < machines.size(); ++index) {
+    start(index);
+  }
+}
+
+std::vector<messages::Peer> FleetSimulation::peers() const {
+  std::vector<messages::Peer> out;
+  for (Machine const& machine : machines) {
+    if (machine.up && machine.gateway) {
+      out.push_back({machine.gateway->node, machine.gateway->address, machine.gateway->zone, messages::gatewayRole, machine.life, 0});
+    } else if (machine.up) {
+      out.push_back({machine.controller->id, machine.controller->address, machine.controller->zone, messages::controllerRole, machine.life, 0});
+    }
+  }
+  return out;
+}
+
+void FleetSimulation::start(std::size_t index) {
+  Machine& machine = machines[index];
+  machine.up = true;
+  machine.hostLost = false;
+  machine.frozen = false;
+  machine.thawWork.clear();
+  ++machine.life;
+  if (machine.gateway) {
+    SimulatedGateway& gateway = *machine.gateway;
+    gateway.delivery.emplace(distribution::ConfigDeliveryPolicy{}, messages::Follower{gateway.node, gateway.address, gateway.zone, 0, 0}, network.random()() | 1, network.random()());
+    gateway.version = {};
+  } else {
+    SimulatedController& controller = *machine.controller;
+    controller.unsynced.clear();
+    controller.diskFails = false;
+    controller.group.emplace(replication::Policy{});
+    controller.plane.emplace(control::Policy{}, controller.id, language);
+    step(index, replication::Start{{controller.id, controller.address, controller.zone}, controller.disk, network.random()(), false, founders_});
+  }
+  tick(index, machine.life);
+}
+
+void FleetSimulation::kill(std::size_t index) {
+  Machine& machine = machines[index];
+  machine.up = false;
+  ++machine.life;
+}
+
+void FleetSimulation::loseHost(std::size_t index) {
+  kill(index);
+  machines[index].hostLost = true;
+}
+
+void FleetSimulation::replace(std::size_t index) {
+  kill(index);
+  std::string const address = "127.0.1." + std::to_string(++replaced_) + ":7000";
+  if (machines[index].gateway) {
+    machines[index].gateway->node = "r" + std::to_string(replaced_);
+    machines[index].gateway->address = address;
+  } else {
+    machines[index].controller->address = address;
+    wipe(index);
+  }
+}
+
+void FleetSimulation::wipe(std::size_t index) {
+  kill(index);
+  SimulatedController& controller = *machines[index].controller;
+  controller.disk.clear();
+  controller.mayFound = false;
+  controller.id = "h" + std::to_string(index) + "-" + std::to_string(++replaced_);
+}
+
+void FleetSimulation::probe(std::size_t from, control::Probe const& wanted) {
+  std::uint64_t const life = machines[from].life;
+  std::function<void(bool)> const tell = [this, from, life, token = wanted.token](bool gone) {
+    network.after(std::chrono::microseconds(200 + network.roll(3'000)), [this, from, life, token, gone] {
+      if (machines[from].up && machines[from].life == life) {
+        std::function<void()> const hear = [this, from, token, gone] { drivePlane(from, control::Probed{token, gone}); };
+        machines[from].frozen ? machines[from].thawWork.push_back(hear) : hear();
+      }
+    });
+  };
+  bool taken = false;
+  for (std::size_t to = 0; to < machines.size(); ++to) {
+    if (machines[to].address() != wanted.address) {
+      continue;
+    }
+    taken = true;
+    network.after(std::chrono::microseconds(200 + network.roll(3'000)), [this, to, from, tell, wanted] {
+      Machine const& machine = machines[to];
+      if (cuts_.contains({from, to}) || cuts_.contains({to, from}) || machine.hostLost || machine.frozen) {
+        return;
+      }
+      tell(!machine.up || (machine.gateway && machine.gateway->node != wanted.node));
+    });
+  }
+  if (!taken) {
+    tell(true);
+  }
+}
+
+void FleetSimulation::thaw(std::size_t index) {
+  Machine& machine = machines[index];
+  if (!machine.frozen) {
+    return;
+  }
+  machine.frozen = false;
+  judge(index);
+  std::vector<std::function<void()>> const work = std::move(machine.thawWork);
+  machine.thawWork.clear();
+  for (std::function<void()> const& one : work) {
+    one();
+  }
+}
+
+void FleetSimulation::split(std::set<std::size_t> const& side) {
+  for (std::size_t left = 0; left < machines.size(); ++left) {
+    for (std::size_t right = 0; right < machines.size(); ++right) {
+      if (side.contains(left) != side.contains(right)) {
+        cut(left, right);
+      }
+    }
+  }
+}
+
+bool FleetSimulation::serves(std::size_t index) const {
+  Machine const& machine = machines[index];
+  if (!machine.up || machine.frozen || !machine.gateway) {
+    return false;
+  }
+  distribution::Standing const standing = machine.gateway->delivery->status(network.now()).standing;
+  return standing == distribution::Standing::current || standing == distribution::Standing::upheld;
+}
+
+std::string FleetSimulation::picture() const {
+  std::string out;
+  for (Machine const& machine : machines) {
+    std::string const end = std::string(machine.up ? " up" : " down") + (machine.frozen ? " frozen" : "");
+    if (machine.gateway) {
+      std::optional<messages::State> const& state = machine.gateway->delivery->state();
+      out += "\n" + machine.gateway->node + end + " " + machine.gateway->address + " standing " +
+             std::to_string(static_cast<int>(machine.gateway->delivery->status(network.now()).standing)) + " at " +
+             (state ? config::Version{state->epoch, state->sequence}.text() : "-");
+      continue;
+    }
+    messages::EpochRecord const& decided = machine.controller->group->decided();
+    out += "\n" + machine.controller->id + end + " epoch " + std::to_string(decided.epoch) + " primary " + decided.primary +
+           " backup " + (decided.backups.empty() ? "" : decided.backups.front());
+    if (machine.isActive()) {
+      messages::State const& state = machine.controller->plane->published();
+      out += " active, prior";
+      for (messages::RosterEntry const& entry : state.priorRoster) {
+        out += " " + entry.node;
+      }
+      for (control::NodeView const& node : machine.controller->plane->nodes(network.now())) {
+        out += "\n    " + node.node + " " + node.address + " confirmed " + node.confirmed.text() + " heard " +
+               std::to_string(node.heardMs.count()) + (node.gone ? " gone" : "");
+      }
+    }
+  }
+  return out;
+}
+
+std::size_t FleetSimulation::serving() const {
+  std::size_t count = 0;
+  for (std::size_t index = 0; index < machines.size(); ++index) {
+    count += serves(index) ? 1 : 0;
+  }
+  return count;
+}
+
+bool FleetSimulation::awaitServing(std::size_t wanted, Ms within) {
+  TimePoint const end = network.now() + within;
+  while (network.now() < end && serving() < wanted) {
+    run(Ms(50));
+  }
+  return serving() >= wanted;
+}
+
+void FleetSimulation::complain(std::string const& text) {
+  if (complaints.empty() || complaints.back() != text) {
+    complaints.push_back(text);
+  }
+}
+
+void FleetSimulation::judge(std::size_t index) {
+  Machine& machine = machines[index];
+  if (!machine.gateway || machine.frozen) {
+    return;
+  }
+  SimulatedGateway& gateway = *machine.gateway;
+  std::optional<messages::State> const& state = gateway.delivery->state();
+  if (state) {
+    config::Version const version{state->configurationEpoch, state->configurationSequence};
+    if (version < gateway.version) {
+      complain(gateway.node + " slipped from " + gateway.version.text() + " to " + version.text());
+    }
+    gateway.version = version;
+  }
+  if (!serves(index)) {
+    ++withheld;
+    return;
+  }
+  ++served;
+  upheld += gateway.delivery->status(network.now()).standing == distribution::Standing::upheld ? 1 : 0;
+  for (std::pair<config::Version const, TimePoint> const& entry : acknowledged_) {
+    if (entry.first > gateway.version && network.now() > entry.second + inForceMs) {
+      complain(gateway.node + " serves under " + gateway.version.text() + " later than 2.1 s after " + entry.first.text() +
+               " was acknowledged");
+    }
+  }
+  for (std::pair<std::string const, std::pair<control::ZoneOrder, TimePoint>> const& entry : orderedZones_) {
+    std::vector<std::string> const& zones = state->evacuatedZones;
+    bool const evacuated = std::find(zones.begin(), zones.end(), entry.first) != zones.end();
+    if (evacuated != entry.second.first.evacuated && network.now() > entry.second.second + inForceMs) {
+      complain(gateway.node + " serves with " + entry.first + (evacuated ? " emptied" : " in use") +
+               " later than 2.1 s after the opposite was acknowledged");
+    }
+  }
+}
+
+void FleetSimulation::tick(std::size_t index, std::uint64_t life) {
+  Machine& machine = machines[index];
+  if (!machine.up || machine.life != life) {
+    return;
+  }
+  if (!machine.frozen) {
+    if (machine.gateway) {
+      follow(index, machine.gateway->delivery->tick(network.now(), peers()));
+    } else {
+      replication::Known known;
+      known.mayFound = machine.controller->mayFound;
+      for (messages::Peer const& peer : peers()) {
+        if (peer.role == messages::controllerRole) {
+          known.members.push_back({peer.node, peer.address, peer.zone});
+        }
+      }
+      step(index, known);
+      step(index, replication::Tick{});
+      drivePlane(index, control::Tick{});
+    }
+    judge(index);
+  }
+  network.after(Ms(20), [this, index, life] { tick(index, life); });
+}
+
+void FleetSimulation::follow(std::size_t index, distribution::ConfigDeliveryStep const& step) {
+  for (distribution::Outgoing const& outgoing : step.sends) {
+    send(index, outgoing.address, outgoing.message);
+  }
+  judge(index);
+}
+
+void FleetSimulation::send(std::size_t from, std::string const& address, messages::Message const& message) {
+  ++messages;
+  for (std::size_t to = 0; to < machines.size(); ++to) {
+    if (machines[to].address() != address || cuts_.contains({from, to}) || !machines[to].up) {
+      continue;
+    }
+    if (weighs && machines[to].zone() != machines[from].zone()) {
+      bytesAcrossZones[from] += messages::seal({"0123456789abcdef", "machine-in-a-zone-1/01234567", "10.101.102.103:7081", message}).size() + exchangeBytes;
+    }
+    std::uint64_t const life = machines[to].life;
+    std::chrono::microseconds const wait(200 + network.roll(network.chance(0.01) ? 300'000 : 3'000));
+    network.after(wait, [this, to, life, from, message] {
+      Machine& machine = machines[to];
+      if (!machine.up || machine.life != life) {
+        return;
+      }
+      if (machine.frozen) {
+        machine.thawWork.push_back([this, to, from, message] { deliver(to, from, message); });
+      } else {
+        deliver(to, from, message);
+      }
+    });
+  }
+}
+
+void FleetSimulation::deliver(std::size_t to, std::size_t from, messages::Message const& message) {
+  Machine& machine = machines[to];
+  std::string const address = machines[from].address();
+  if (machine.gateway) {
+    if (messages::Poll const* const poll = std::get_if<messages::Poll>(&message)) {
+      follow(to, machine.gateway->delivery->hear(network.now(), address, *poll));
+    } else if (messages::News const* const news = std::get_if<messages::News>(&message)) {
+      follow(to, machine.gateway->delivery->hear(network.now(), address, *news));
+    }
+  } else if (messages::Poll const* const poll = std::get_if<messages::Poll>(&message)) {
+    drivePlane(to, control::Polled{address, *poll});
+  } else if (machines[from].controller) {
+    step(to, replication::Received{machines[from].controller->id, address, message});
+  }
+}
+
+void FleetSimulation::step(std::size_t index, replication::Event const& event) {
+  SimulatedController& controller = *machines[index].controller;
+  std::uint64_t const life = machines[index].life;
+  for (replication::Effect const& effect : controller.group->step(network.now(), event)) {
+    if (replication::Send const* const outgoing = std::get_if<replication::Send>(&effect)) {
+      send(index, outgoing->address, outgoing->message);
+    } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
+      controller.unsynced.emplace_back(persist->token, persist->puts);
+      std::uint64_t const token = persist->token;
+      network.after(std::chrono::microseconds(500 + network.roll(5'000)), [this, index, life, token] {
+        if (!machines[index].up || machines[index].life != life) {
+          return;
+        }
+        SimulatedController& owner = *machines[index].controller;
+        if (owner.diskFails) {
+          step(index, replication::Persisted{token, false});
+          return;
+        }
+        while (!owner.unsynced.empty() && owner.unsynced.front().first <= token) {
+          std::pair<std::uint64_t, replication::Puts> const done = std::move(owner.unsynced.front());
+          owner.unsynced.erase(owner.unsynced.begin());
+          for (std::pair<std::string, std::string> const& put : done.second) {
+            owner.disk[put.first] = put.second;
+          }
+          std::function<void()> const tell = [this, index, done] { step(index, replication::Persisted{done.first, true}); };
+          if (machines[index].frozen) {
+            machines[index].thawWork.push_back(tell);
+          } else {
+            tell();
+          }
+        }
+      });
+    } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
+      drivePlane(index, *committed);
+    } else if (replication::Doubtful const* const doubtful = std::get_if<replication::Doubtful>(&effect)) {
+      drivePlane(index, *doubtful);
+    } else if (replication::Active const* const active = std::get_if<replication::Active>(&effect)) {
+      drivePlane(index, *active);
+    } else if (std::holds_alternative<replication::Inactive>(effect)) {
+      drivePlane(index, replication::Inactive{});
+    }
+  }
+}
+
+void FleetSimulation::drivePlane(std::size_t index, control::Event const& event) {
+  SimulatedController& controller = *machines[index].controller;
+  for (control::Effect const& effect : controller.plane->step(network.now(), *controller.group, event)) {
+    if (replication::Offer const* const offer = std::get_if<replication::Offer>(&effect)) {
+      step(index, *offer);
+    } else if (control::Decided const* const decided = std::get_if<control::Decided>(&effect)) {
+      answers[decided->ticket] = {*decided, network.now()};
+      if (decided->verdict == control::Verdict::taken && decided->version != config::Version{}) {
+        acknowledged_.emplace(decided->version, network.now());
+      }
+      if (decided->verdict == control::Verdict::taken && orders_.contains(decided->ticket)) {
+        control::ZoneOrder const& order = orders_.at(decided->ticket);
+        orderedZones_[order.zone] = {order, network.now()};
+      }
+    } else if (control::ReadBack const* const back = std::get_if<control::ReadBack>(&effect)) {
+      if (back->version < newestAcknowledged()) {
+        complain(controller.id + " reads back " + back->version.text() + " after " + newestAcknowledged().text());
+      }
+      readBacks[back->ticket] = *back;
+    } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
+      send(index, outgoing->address, outgoing->message);
+    } else if (control::Probe const* const wanted = std::get_if<control::Probe>(&effect)) {
+      probe(index, *wanted);
+    }
+  }
+}
+
+std::optional<std::uint64_t> FleetSimulation::forget(std::vector<std::string> const& nodes) {
+  std::optional<std::size_t> const index = primary();
+  if (!index) {
+    return std::nullopt;
+  }
+  std::uint64_t const ticket = ++lastTicket_;
+  drivePlane(*index, control::Forget{ticket, nodes, network.now() + Ms(8000)});
+  return ticket;
+}
+
+std::optional<std::size_t> FleetSimulation::primary() const {
+  std::optional<std::size_t> best;
+  for (std::size_t index = 0; index < machines.size(); ++index) {
+    Machine const& machine = machines[index];
+    bool const active = machine.up && !machine.frozen && machine.controller && machine.isActive();
+    if (active && (!best || machine.controller->group->decided().epoch > machines[*best].controller->group->decided().epoch)) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+std::optional<std::uint64_t> FleetSimulation::change(std::string const& id, std::string const& body,
+                                           std::optional<config::Version> base, bool patch) {
+  return change({0, id, base, patch, body, network.now() + Ms(8000), {}, {}});
+}
+
+std::optional<std::uint64_t> FleetSimulation::order(std::string const& zone, bool evacuated) {
+  orderedZones_.erase(zone);
+  return change({0, "", {}, false, "", network.now() + Ms(8000), {}, control::ZoneOrder{zone, evacuated}});
+}
+
+std::uint64_t FleetSimulation::read(std::size_t index, Ms wait) {
+  std::uint64_t const ticket = ++lastTicket_;
+  drivePlane(index, control::Read{ticket, network.now() + wait});
+  return ticket;
+}
+
+std::optional<std::uint64_t> FleetSimulation::change(control::Change change) {
+  std::optional<std::size_t> const index = primary();
+  if (!index) {
+    return std::nullopt;
+  }
+  change.ticket = ++lastTicket_;
+  if (change.zone) {
+    orders_.emplace(change.ticket, *change.zone);
+  }
+  drivePlane(*index, change);
+  return change.ticket;
+}
+
+}
--- /dev/null
+++ b/testside/simulator/fleet_simulation.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "simulator/simulated_network.h"
+#include "limeramp/distribution/config_delivery.h"
+#include "limeramp/control/config_service.h"
+#include "limeramp/replication/replication_group.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limeramp::simulator {
+
+struct SimulatedGateway {
+  std::string node;
+  std::string address;
+  std::string zone;
+  std::optional<distribution::ConfigDelivery> delivery;
+  config::Version version;
+};
+
+struct SimulatedController {
+  std::string id;
+  std::string address;
+  std::string zone;
+  std::optional<replication::ReplicationGroup> group;
+  std::optional<control::Plane> plane;
+  std::map<std::string, std::string> disk;
+  std::vector<std::pair<std::uint64_t, replication::Puts>> unsynced;
+  bool diskFails = false;
+  bool mayFound = true;
+};
+
+struct Machine {
+  std::optional<SimulatedGateway> gateway;
+  std::optional<SimulatedController> controller;
+  std::uint64_t life = 0;
+  bool up = false;
+  bool frozen = false;
+  bool hostLost = false;
+  std::vector<std::function<void()>> thawWork;
+  std::string const& zone() const { return gateway ? gateway->zone : controller->zone; }
+  std::string address() const { return gateway ? gateway->address : controller->address; }
+  bool isActive() const { return controller->plane->active() && controller->group->active(); }
+};
+
+struct Answered {
+  control::Decided decided;
+  TimePoint at;
+};
+
+class FleetSimulation {
+ public:
+  FleetSimulation(std::uint64_t seed, std::size_t controllers, std::size_t gateways, std::size_t zones);
+
+  SimulatedNetwork network;
+  std::vector<Machine> machines;
+  std::vector<std::string> complaints;
+  std::map<std::uint64_t, Answered> answers;
+  std::map<std::uint64_t, control::ReadBack> readBacks;
+  config::Language language = config::ownLanguage();
+  std::size_t served = 0;
+  std::size_t withheld = 0;
+  std::size_t upheld = 0;
+  std::size_t messages = 0;
+  bool weighs = false;
+  std::map<std::size_t, std::size_t> bytesAcrossZones;
+  std::chrono::milliseconds slowestMs{0};
+
+  void startAll();
+  void start(std::size_t index);
+  void kill(std::size_t index);
+  void loseHost(std::size_t index);
+  void replace(std::size_t index);
+  void wipe(std::size_t index);
+  void leave(std::size_t index) { machines[index].gateway->delivery->leave(); }
+  void freeze(std::size_t index) { machines[index].frozen = true; }
+  void thaw(std::size_t index);
+  void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
+  void split(std::set<std::size_t> const& side);
+  void mendAll() { cuts_.clear(); }
+  void run(Ms time) { network.runUntil(network.now() + time); }
+  std::optional<std::uint64_t> change(std::string const& id, std::string const& body, std::optional<config::Version> base = {},
+                                      bool patch = false);
+  std::optional<std::uint64_t> change(control::Change change);
+  std::optional<std::uint64_t> order(std::string const& zone, bool evacuated);
+  std::uint64_t read(std::size_t index, Ms wait);
+  std::optional<std::uint64_t> forget(std::vector<std::string> const& nodes);
+  std::optional<std::size_t> primary() const;
+  bool serves(std::size_t index) const;
+  std::size_t serving() const;
+  std::string picture() const;
+  bool awaitServing(std::size_t wanted, Ms within);
+  config::Version newestAcknowledged() const { return acknowledged_.empty() ? config::Version{} : acknowledged_.rbegin()->first; }
+
+ private:
+  void step(std::size_t index, replication::Event const& event);
+  void drivePlane(std::size_t index, control::Event const& event);
+  void send(std::size_t from, std::string const& address, messages::Message const& message);
+  void probe(std::size_t from, control::Probe const& probe);
+  void deliver(std::size_t to, std::size_t from, messages::Message const& message);
+  void follow(std::size_t index, distribution::ConfigDeliveryStep const& step);
+  void tick(std::size_t index, std::uint64_t life);
+  void complain(std::string const& text);
+  void judge(std::size_t index);
+  std::vector<messages::Peer> peers() const;
+
+  std::vector<std::string> founders_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::map<config::Version, TimePoint> acknowledged_;
+  std::map<std::uint64_t, control::ZoneOrder> orders_;
+  std::map<std::string, std::pair<control::ZoneOrder, TimePoint>> orderedZones_;
+  std::uint64_t lastTicket_ = 0;
+  std::size_t replaced_ = 0;
+};
+
+}
--- /dev/null
+++ b/testside/simulator/replication_simulation.cpp
@@ -0,0 +1,222 @@
+#include "simulator/replication_simulation.h"
+
+#include <algorithm>
+
+namespace limeramp::simulator {
+
+ReplicationSimulation::ReplicationSimulation(std::uint64_t seed, std::size_t count, double loss, std::size_t machineLosses)
+    : network(seed), loss_(loss), machineLosses_(machineLosses) {
+  for (std::size_t index = 0; index < count; ++index) {
+    SimulatedMember node;
+    node.id = "h" + std::to_string(index);
+    node.address = "127.0.0." + std::to_string(index + 1) + ":7001";
+    node.zone = "z" + std::to_string(index % 4);
+    if (index < 3) {
+      founders.push_back(node.address);
+    }
+    nodes.push_back(std::move(node));
+  }
+}
+
+void ReplicationSimulation::start(std::size_t index) {
+  SimulatedMember& node = nodes[index];
+  node.group = replication::ReplicationGroup(replication::policyFor(machineLosses_));
+  node.up = true;
+  node.frozen = false;
+  node.diskStuck = false;
+  node.thawWork.clear();
+  node.unsynced.clear();
+  ++node.life;
+  step(index, replication::Start{{node.id, node.address, node.zone}, node.disk, network.random()(), false, founders});
+  tick(index, node.life);
+}
+
+void ReplicationSimulation::kill(std::size_t index, bool powerLoss) {
+  SimulatedMember& node = nodes[index];
+  if (!powerLoss) {
+    for (std::pair<std::uint64_t, replication::Puts> const& pending : node.unsynced) {
+      for (std::pair<std::string, std::string> const& put : pending.second) {
+        node.disk[put.first] = put.second;
+      }
+    }
+  }
+  node.unsynced.clear();
+  node.up = false;
+  ++node.life;
+}
+
+void ReplicationSimulation::wipeInPlace(std::size_t index) {
+  kill(index, true);
+  SimulatedMember& node = nodes[index];
+  node.disk.clear();
+  node.mayFound = false;
+  node.id = "h" + std::to_string(index) + "-" + std::to_string(++renamed_);
+}
+
+void ReplicationSimulation::wipe(std::size_t index) {
+  wipeInPlace(index);
+  nodes[index].address = "127.0.1." + std::to_string(renamed_) + ":7001";
+}
+
+void ReplicationSimulation::freeze(std::size_t index) { nodes[index].frozen = true; }
+
+void ReplicationSimulation::thaw(std::size_t index) {
+  SimulatedMember& node = nodes[index];
+  if (!node.frozen) {
+    return;
+  }
+  node.frozen = false;
+  std::vector<std::function<void()>> const work = std::move(node.thawWork);
+  node.thawWork.clear();
+  for (std::function<void()> const& one : work) {
+    one();
+  }
+}
+
+void ReplicationSimulation::tick(std::size_t index, std::uint64_t life) {
+  SimulatedMember& node = nodes[index];
+  if (!node.up || node.life != life) {
+    return;
+  }
+  if (!node.frozen) {
+    replication::Known known;
+    known.mayFound = node.mayFound;
+    for (SimulatedMember const& other : nodes) {
+      if (other.up) {
+        known.members.push_back({other.id, other.address, other.zone});
+      }
+    }
+    step(index, known);
+    step(index, replication::Tick{});
+  }
+  network.after(Ms(20), [this, index, life] { tick(index, life); });
+}
+
+void ReplicationSimulation::step(std::size_t index, replication::Event const& event) {
+  for (replication::Effect const& effect : nodes[index].group.step(network.now(), event)) {
+    carry(index, effect);
+  }
+  checkLeadershipConfirmation();
+}
+
+void ReplicationSimulation::checkLeadershipConfirmation() {
+  for (SimulatedMember const& node : nodes) {
+    messages::EpochRecord const& decided = node.group.decided();
+    if (decided.epoch > 0 && !(records_.emplace(decided.epoch, decided).first->second == decided)) {
+      complaints.push_back(node.id + " holds a second record of epoch " + std::to_string(decided.epoch));
+    }
+    std::optional<TimePoint> const leadershipConfirmedAt = node.group.leadershipConfirmedAt();
+    if (!node.up || !leadershipConfirmedAt) {
+      continue;
+    }
+    for (std::pair<std::uint64_t const, TimePoint> const& entry : firstCommit_) {
+      if (entry.first > node.group.decided().epoch && entry.second < *leadershipConfirmedAt) {
+        complaints.push_back(node.id + " claims authority after epoch " + std::to_string(entry.first) + " committed");
+      }
+    }
+  }
+}
+
+void ReplicationSimulation::witness(std::size_t index, messages::State const& state, std::string const& what) {
+  if (!state.document.starts_with(committed_) && !committed_.starts_with(state.document)) {
+    complaints.push_back(nodes[index].id + " " + what + " '" + state.document + "' without '" + committed_ + "'");
+  }
+}
+
+void ReplicationSimulation::carry(std::size_t index, replication::Effect const& effect) {
+  std::uint64_t const life = nodes[index].life;
+  if (replication::Send const* const send = std::get_if<replication::Send>(&effect)) {
+    for (std::size_t to = 0; to < nodes.size(); ++to) {
+      if (nodes[to].address != send->address || cuts_.contains({index, to}) || network.chance(loss_)) {
+        continue;
+      }
+      replication::Received const event{nodes[index].id, nodes[index].address, send->message};
+      std::uint64_t const target = nodes[to].life;
+      std::size_t const copies = network.chance(loss_ / 2) ? 2 : 1;
+      for (std::size_t copy = 0; copy < copies; ++copy) {
+        std::chrono::microseconds const wait(200 + network.roll(network.chance(0.02) ? 400'000 : 4'000));
+        network.after(wait, [this, to, target, event] {
+          SimulatedMember& node = nodes[to];
+          if (!node.up || node.life != target) {
+            return;
+          }
+          if (node.frozen) {
+            node.thawWork.push_back([this, to, event] { step(to, event); });
+          } else {
+            step(to, event);
+          }
+        });
+      }
+    }
+  } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
+    nodes[index].unsynced.emplace_back(persist->token, persist->puts);
+    std::uint64_t const token = persist->token;
+    std::function<void()> const finish = [this, index, life, token] {
+      SimulatedMember& node = nodes[index];
+      if (!node.up || node.life != life || node.diskStuck) {
+        return;
+      }
+      while (!node.unsynced.empty() && node.unsynced.front().first <= token) {
+        std::pair<std::uint64_t, replication::Puts> const done = std::move(node.unsynced.front());
+        node.unsynced.erase(node.unsynced.begin());
+        for (std::pair<std::string, std::string> const& put : done.second) {
+          node.disk[put.first] = put.second;
+        }
+        if (node.frozen) {
+          node.thawWork.push_back([this, index, done] { step(index, replication::Persisted{done.first, true}); });
+        } else {
+          step(index, replication::Persisted{done.first, true});
+        }
+        if (node.life != life) {
+          return;
+        }
+      }
+    };
+    network.after(std::chrono::microseconds(500 + network.roll(network.chance(0.05) ? 300'000 : 6'000)), finish);
+  } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
+    witness(index, committed->state, "commits");
+    committed_ = std::max(committed_, committed->state.document,
+                          [](std::string const& left, std::string const& right) { return left.size() < right.size(); });
+    firstCommit_.emplace(committed->state.epoch, network.now());
+    ++commits;
+  } else if (replication::Active const* const active = std::get_if<replication::Active>(&effect)) {
+    witness(index, active->state, "begins with");
+    fleets.insert(nodes[index].group.decided().fleet);
+    ++takeovers;
+  } else if (replication::NewGroupForced const* const newGroupForced = std::get_if<replication::NewGroupForced>(&effect)) {
+    refusal_ = newGroupForced->refusal;
+  } else if (std::holds_alternative<replication::Doubtful>(effect)) {
+    ++doubts;
+  }
+}
+
+std::string ReplicationSimulation::forceNewGroup(std::size_t index, messages::State const& state, std::string const& fleet) {
+  refusal_ = "no answer";
+  step(index, replication::ForceNewGroup{fleet, state});
+  return refusal_;
+}
+
+void ReplicationSimulation::offer() {
+  for (std::size_t index = 0; index < nodes.size(); ++index) {
+    SimulatedMember& node = nodes[index];
+    if (node.up && !node.frozen && node.group.active() && !node.group.busy()) {
+      messages::State state = node.group.state();
+      std::uint64_t const ticket = ++lastTicket_;
+      state.document += std::to_string(ticket) + ",";
+      step(index, replication::Offer{ticket, std::move(state)});
+    }
+  }
+}
+
+std::optional<std::size_t> ReplicationSimulation::active() const {
+  std::optional<std::size_t> best;
+  for (std::size_t index = 0; index < nodes.size(); ++index) {
+    if (nodes[index].up && !nodes[index].frozen && nodes[index].group.active() &&
+        (!best || nodes[index].group.decided().epoch > nodes[*best].group.decided().epoch)) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+}
--- a/testside/drydock/councils.h
+++ b/testside/simulator/replication_simulation.h
@@ -1,22 +1,22 @@
 #pragma once
 
-#include "drydock/sea.h"
-#include "limeramp/pledge/council.h"
+#include "simulator/simulated_network.h"
+#include "limeramp/replication/replication_group.h"
 
 #include <map>
 #include <set>
 #include <string>
 #include <vector>
 
-namespace limeramp::drydock {
+namespace limeramp::simulator {
 
-struct CouncilNode {
+struct SimulatedMember {
   std::string id;
   std::string address;
   std::string zone;
-  pledge::Council council{pledge::Policy{}};
+  replication::ReplicationGroup group{replication::Policy{}};
   std::map<std::string, std::string> disk;
-  std::vector<std::pair<std::uint64_t, pledge::Puts>> unsynced;
+  std::vector<std::pair<std::uint64_t, replication::Puts>> unsynced;
   std::uint64_t life = 0;
   bool up = false;
   bool mayFound = true;
@@ -26,12 +26,12 @@
   std::string word;
 };
 
-class Councils {
+class ReplicationSimulation {
  public:
-  Councils(std::uint64_t seed, std::size_t count, double loss, std::size_t machineLosses = 1);
+  ReplicationSimulation(std::uint64_t seed, std::size_t count, double loss, std::size_t machineLosses = 1);
 
-  Sea sea;
-  std::vector<CouncilNode> nodes;
+  SimulatedNetwork network;
+  std::vector<SimulatedMember> nodes;
   std::vector<std::string> complaints;
   std::size_t commits = 0;
   std::size_t doubts = 0;
@@ -48,18 +48,18 @@
   void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
   void mendAll() { cuts_.clear(); }
   void offer();
-  void retire(std::size_t index) { step(index, pledge::Retire{}); }
-  std::string salvage(std::size_t index, cargo::State const& state, std::string const& fleet);
+  void retire(std::size_t index) { step(index, replication::Retire{}); }
+  std::string forceNewGroup(std::size_t index, messages::State const& state, std::string const& fleet);
   std::optional<std::size_t> active() const;
-  void run(Ms time) { sea.runUntil(sea.now() + time); }
+  void run(Ms time) { network.runUntil(network.now() + time); }
   void setLoss(double loss) { loss_ = loss; }
 
  private:
-  void step(std::size_t index, pledge::Event const& event);
-  void carry(std::size_t index, pledge::Effect const& effect);
+  void step(std::size_t index, replication::Event const& event);
+  void carry(std::size_t index, replication::Effect const& effect);
   void tick(std::size_t index, std::uint64_t life);
-  void witness(std::size_t index, cargo::State const& state, std::string const& what);
-  void checkAuthority();
+  void witness(std::size_t index, messages::State const& state, std::string const& what);
+  void checkLeadershipConfirmation();
 
   double loss_;
   std::size_t machineLosses_;
@@ -69,7 +69,7 @@
   std::string committed_;
   std::string refusal_;
   std::map<std::uint64_t, TimePoint> firstCommit_;
-  std::map<std::uint64_t, cargo::EpochRecord> records_;
+  std::map<std::uint64_t, messages::EpochRecord> records_;
 };
 
 }
--- a/testside/drydock/sea.h
+++ b/testside/simulator/simulated_network.h
@@ -8,19 +8,19 @@
 #include <string>
 #include <vector>
 
-namespace limeramp::drydock {
+namespace limeramp::simulator {
 
 using TimePoint = std::chrono::steady_clock::time_point;
 using Ms = std::chrono::milliseconds;
 
-class Sea {
+class SimulatedNetwork {
  public:
-  explicit Sea(std::uint64_t seed) : dice_(seed) {}
+  explicit SimulatedNetwork(std::uint64_t seed) : random_(seed) {}
 
   TimePoint now() const { return now_; }
-  std::uint64_t roll(std::uint64_t sides) { return dice_() % sides; }
-  bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(dice_) < share; }
-  std::mt19937_64& dice() { return dice_; }
+  std::uint64_t roll(std::uint64_t sides) { return random_() % sides; }
+  bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
+  std::mt19937_64& random() { return random_; }
 
   void after(std::chrono::microseconds wait, std::function<void()> work) {
     queue_.push(Due{now_ + wait, ++order_, std::move(work)});
@@ -46,7 +46,7 @@
 
   TimePoint now_{std::chrono::hours(1)};
   std::uint64_t order_ = 0;
-  std::mt19937_64 dice_;
+  std::mt19937_64 random_;
   std::priority_queue<Due> queue_;
 };
 
--- a/testside/lighthouse.cpp
+++ b/testside/stub_instance_list.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/manifest/json.h"
-#include "limeramp/rigging/http.h"
-#include "stand.h"
+#include "limeramp/config/json.h"
+#include "limeramp/net/http.h"
+#include "stub_program.h"
 
 #include <cxxopts.hpp>
 
@@ -18,7 +18,7 @@
   std::string raw;
   std::uint64_t reads = 0;
 
-  rigging::Answer serve(rigging::Request const& request) {
+  net::Answer serve(net::Request const& request) {
     std::unique_lock<std::mutex> const lock(mutex);
     if (request.method == "GET" && request.target.starts_with("/servers")) {
       ++reads;
@@ -34,9 +34,9 @@
     return {404, {}, "GET or PUT /servers, PATCH /server\n"};
   }
 
-  rigging::Answer edit(std::string const& body) {
-    absl::StatusOr<picojson::value> const patch = manifest::parseJson(body);
-    absl::StatusOr<picojson::value> list = manifest::parseJson(raw);
+  net::Answer edit(std::string const& body) {
+    absl::StatusOr<picojson::value> const patch = config::parseJson(body);
+    absl::StatusOr<picojson::value> list = config::parseJson(raw);
     if (!patch.ok() || !patch->is<picojson::object>() || !list.ok() || !patch->contains("address")) {
       return {400, {}, "a row with an address is needed\n"};
     }
@@ -51,7 +51,7 @@
       if (patch->contains("gone")) {
         row = rows.erase(row);
       } else {
-        *row = manifest::mergePatch(*row, *patch);
+        *row = config::mergePatch(*row, *patch);
         ++row;
       }
     }
@@ -67,7 +67,7 @@
 }
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("lighthouse", "a stand-in for the platform's list of servers");
+  cxxopts::Options options("stub_instance_list", "a stand-in for the platform's list of servers");
   options.add_options()("listen", "address", cxxopts::value<std::string>())(
       "list", "file with the first list", cxxopts::value<std::string>())("help", "this text");
   try {
@@ -81,12 +81,12 @@
     std::stringstream text;
     text << file.rdbuf();
     board.raw = text.str();
-    return testside::standUntilEnded("lighthouse", flags["listen"].as<std::string>(),
-                                     [&board](rigging::Request request, rigging::Responder respond) {
+    return testside::standUntilEnded("stub_instance_list", flags["listen"].as<std::string>(),
+                                     [&board](net::Request request, net::Responder respond) {
                                        respond(board.serve(request));
                                      });
   } catch (cxxopts::exceptions::exception const& wrong) {
-    std::cerr << "lighthouse: " << wrong.what() << '\n';
+    std::cerr << "stub_instance_list: " << wrong.what() << '\n';
     return 2;
   }
 }
--- a/testside/stand.h
+++ b/testside/stub_program.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "limeramp/rigging/http.h"
+#include "limeramp/net/http.h"
 
 #include <csignal>
 #include <iostream>
@@ -8,8 +8,8 @@
 
 namespace limeramp::testside {
 
-inline int standUntilEnded(std::string const& program, std::string const& listen, rigging::HttpServer::Handler handler) {
-  std::optional<rigging::Address> const address = rigging::Address::parse(listen);
+inline int standUntilEnded(std::string const& program, std::string const& listen, net::HttpServer::Handler handler) {
+  std::optional<net::Address> const address = net::Address::parse(listen);
   if (!address) {
     std::cerr << program << ": --listen must be IP:PORT\n";
     return 2;
@@ -19,10 +19,10 @@
   sigaddset(&ends, SIGTERM);
   sigaddset(&ends, SIGINT);
   pthread_sigmask(SIG_BLOCK, &ends, nullptr);
-  rigging::Network network;
+  net::Network network;
   std::string error;
-  std::unique_ptr<rigging::HttpServer> const server =
-      rigging::HttpServer::listen(network, *address, {}, std::move(handler), error);
+  std::unique_ptr<net::HttpServer> const server =
+      net::HttpServer::listen(network, *address, {}, std::move(handler), error);
   if (server == nullptr) {
     std::cerr << program << ": " << error << '\n';
     return 1;
--- a/testside/stevedore.cpp
+++ b/testside/stub_server.cpp
@@ -1,7 +1,7 @@
-#include "cargo_marks.h"
-#include "limeramp/manifest/json.h"
-#include "limeramp/rigging/http.h"
-#include "stand.h"
+#include "message_sizes.h"
+#include "limeramp/config/json.h"
+#include "limeramp/net/http.h"
+#include "stub_program.h"
 
 
 #include <cxxopts.hpp>
@@ -99,7 +99,7 @@
   std::size_t records = 20;
   std::mutex mutex;
   Manner manner;
-  std::mt19937_64 dice;
+  std::mt19937_64 random;
   std::ofstream log;
   Clock::time_point startedAt = Clock::now();
   double level = 0;
@@ -107,13 +107,13 @@
   std::uint64_t arrivals = 0;
   Delays delays;
 
-  void serve(rigging::Request request, rigging::Responder respond);
-  rigging::Answer control(rigging::Request const& request);
-  rigging::Answer part(rigging::Request const& request, std::string const& id, std::string const& shard);
+  void serve(net::Request request, net::Responder respond);
+  net::Answer control(net::Request const& request);
+  net::Answer part(net::Request const& request, std::string const& id, std::string const& shard);
 };
 
-rigging::Answer Stall::control(rigging::Request const& request) {
-  absl::StatusOr<picojson::value> const parsed = manifest::parseJson(request.body);
+net::Answer Stall::control(net::Request const& request) {
+  absl::StatusOr<picojson::value> const parsed = config::parseJson(request.body);
   if (!parsed.ok() || !parsed->is<picojson::object>()) {
     return {400, {}, "not an object\n"};
   }
@@ -146,8 +146,8 @@
   return {200, {}, "{\"arrivals\":" + std::to_string(arrivals) + "}\n"};
 }
 
-rigging::Answer Stall::part(rigging::Request const& request, std::string const& id, std::string const& shard) {
-  rigging::Answer answer;
+net::Answer Stall::part(net::Request const& request, std::string const& id, std::string const& shard) {
+  net::Answer answer;
   answer.headers.emplace_back("content-type", "application/json");
   std::string body = "{\"stamp\":{\"shard\":" + json(shard) + ",\"cut\":" + json(cut) + ",\"request\":" + json(id) +
                      "},\"records\":[";
@@ -158,15 +158,15 @@
   return answer;
 }
 
-void Stall::serve(rigging::Request request, rigging::Responder respond) {
-  if (request.target == "/stevedore/control") {
+void Stall::serve(net::Request request, net::Responder respond) {
+  if (request.target == "/stub_server/control") {
     respond(control(request));
     return;
   }
-  std::string const id = rigging::findHeader(request.headers, "limeramp-request").value_or("-");
-  std::string const shard = rigging::findHeader(request.headers, "limeramp-shard").value_or("-");
-  std::string const version = rigging::findHeader(request.headers, "limeramp-version").value_or("-");
-  std::string const caller = rigging::findHeader(request.headers, "skipper-id").value_or("-");
+  std::string const id = net::findHeader(request.headers, "limeramp-request").value_or("-");
+  std::string const shard = net::findHeader(request.headers, "limeramp-shard").value_or("-");
+  std::string const version = net::findHeader(request.headers, "limeramp-version").value_or("-");
+  std::string const caller = net::findHeader(request.headers, "load_generator-id").value_or("-");
   std::unique_lock<std::mutex> const lock(mutex);
   ++arrivals;
   Clock::time_point const now = Clock::now();
@@ -180,14 +180,14 @@
         << request.method << '\t' << request.target << '\t' << request.body.size() << std::endl;
   }
   std::uniform_real_distribution<double> unit(0, 1);
-  if (unit(dice) < manner.silentShare) {
+  if (unit(random) < manner.silentShare) {
     delays.at(now + std::chrono::hours(1), [respond] { respond({503, {}, ""}); });
     return;
   }
-  rigging::Answer answer;
-  if (unit(dice) < manner.failShare) {
+  net::Answer answer;
+  if (unit(random) < manner.failShare) {
     answer = {500, {}, "the server failed on purpose\n"};
-  } else if (unit(dice) < manner.garbageShare) {
+  } else if (unit(random) < manner.garbageShare) {
     answer = {200, {{"content-type", "application/json"}}, "{\"stamp\":{\"shard\":\"elsewhere\"},\"records\":[1,"};
   } else if (mode == "search") {
     answer = part(request, id, shard);
@@ -200,7 +200,7 @@
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", load);
   answer.headers.emplace_back("limeramp-load", text);
-  double waitMs = manner.latencyMs + manner.jitterMs * unit(dice);
+  double waitMs = manner.latencyMs + manner.jitterMs * unit(random);
   Clock::time_point from = std::max(now, manner.pausedUntil);
   if (manner.serial > 0 && capacity > 0) {
     from = std::max(from, manner.busyUntil);
@@ -215,7 +215,7 @@
 }
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("stevedore", "a stand-in back end for tests");
+  cxxopts::Options options("stub_server", "a stand-in back end for tests");
   options.add_options()("listen", "address", cxxopts::value<std::string>())(
       "service", "service it plays", cxxopts::value<std::string>())(
       "mode", "search or forward", cxxopts::value<std::string>()->default_value("search"))(
@@ -241,16 +241,16 @@
     stall.records = flags["records"].as<std::size_t>();
     stall.manner.latencyMs = flags["latency-ms"].as<double>();
     stall.manner.jitterMs = flags["jitter-ms"].as<double>();
-    stall.dice.seed(flags["seed"].as<std::uint64_t>());
+    stall.random.seed(flags["seed"].as<std::uint64_t>());
     if (!flags["log"].as<std::string>().empty()) {
       stall.log.open(flags["log"].as<std::string>(), std::ios::app);
     }
-    return testside::standUntilEnded("stevedore", stall.address,
-                                     [&stall](rigging::Request request, rigging::Responder respond) {
+    return testside::standUntilEnded("stub_server", stall.address,
+                                     [&stall](net::Request request, net::Responder respond) {
                                        stall.serve(std::move(request), std::move(respond));
                                      });
   } catch (cxxopts::exceptions::exception const& wrong) {
-    std::cerr << "stevedore: " << wrong.what() << '\n';
+    std::cerr << "stub_server: " << wrong.what() << '\n';
     return 2;
   }
 }
