--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -59,7 +59,7 @@
   }
 };
 
-}
+}  // namespace
 
 int main() {
   Group group;
@@ -68,7 +68,8 @@
     group.groups.emplace(id, replication::ReplicationGroup(replication::Policy{}));
   }
   for (replication::Member const& member : group.members) {
-    group.step(member.id, replication::Start{member, {}, std::hash<std::string>{}(member.id), false, {"ada", "bea", "cleo"}});
+    group.step(member.id,
+               replication::Start{member, {}, std::hash<std::string>{}(member.id), false, {"ada", "bea", "cleo"}});
   }
   group.run(milliseconds(5000));
   std::string const first = group.primary();
--- a/libs/config/include/limeramp/config/configuration.h
+++ b/libs/config/include/limeramp/config/configuration.h
@@ -125,4 +125,4 @@
 
 using SnapshotPtr = std::shared_ptr<Snapshot const>;
 
-}
+}  // namespace limeramp::config
--- a/libs/config/include/limeramp/config/flags.h
+++ b/libs/config/include/limeramp/config/flags.h
@@ -19,4 +19,4 @@
 FlagOutcome settingsFromFlags(std::string const& program, std::string const& purpose, SettingsNeeds const& needs,
                               int argc, char const* const* argv);
 
-}
+}  // namespace limeramp::config
--- a/libs/config/include/limeramp/config/json.h
+++ b/libs/config/include/limeramp/config/json.h
@@ -19,4 +19,4 @@
 
 picojson::value mergePatch(picojson::value const& target, picojson::value const& patch);
 
-}
+}  // namespace limeramp::config
--- a/libs/config/include/limeramp/config/reader.h
+++ b/libs/config/include/limeramp/config/reader.h
@@ -41,4 +41,4 @@
   bool lenient_ = false;
 };
 
-}
+}  // namespace limeramp::config
--- a/libs/config/include/limeramp/config/settings.h
+++ b/libs/config/include/limeramp/config/settings.h
@@ -47,4 +47,4 @@
 
 CheckedSettings checkSettings(picojson::value const& document, SettingsNeeds const& needs);
 
-}
+}  // namespace limeramp::config
--- a/libs/config/src/configuration.cpp
+++ b/libs/config/src/configuration.cpp
@@ -73,7 +73,7 @@
   }
 }
 
-}
+}  // namespace
 
 std::string Version::text() const { return std::to_string(epoch) + "." + std::to_string(sequence); }
 
@@ -146,8 +146,8 @@
   root.eachField("services", 1000, [&](std::string const& name, Reader& reader) {
     Service service;
     service.capacity = reader.number("capacity", service.capacity, 0.1, 1e6);
-    service.slowStartMs = reader.durationMs("slow_start_ms", service.slowStartMs, std::chrono::milliseconds(0),
-                                            std::chrono::minutes(60));
+    service.slowStartMs =
+        reader.durationMs("slow_start_ms", service.slowStartMs, std::chrono::milliseconds(0), std::chrono::minutes(60));
     service.maxConnections = reader.whole("max_connections", service.maxConnections, 0, 1'000'000);
     service.coldPerSecond = reader.number("cold_per_second", service.coldPerSecond, 0, 1e6);
     configuration.services.emplace(name, service);
@@ -214,7 +214,8 @@
   Language out;
   out.check = [](std::string const& document) {
     absl::StatusOr<picojson::value> const parsed = parseJson(document);
-    return parsed.ok() ? checkConfiguration(*parsed) : Checked{std::nullopt, {{"/", std::string(parsed.status().message())}}};
+    return parsed.ok() ? checkConfiguration(*parsed)
+                       : Checked{std::nullopt, {{"/", std::string(parsed.status().message())}}};
   };
   out.merge = [](std::string const& document, std::string const& patch) -> absl::StatusOr<std::string> {
     absl::StatusOr<picojson::value> const before = parseJson(document.empty() ? "{}" : document);
@@ -227,4 +228,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::config
--- a/libs/config/src/flags.cpp
+++ b/libs/config/src/flags.cpp
@@ -20,8 +20,8 @@
       "seeds", "IP:PORT of up to three processes, comma between", cxxopts::value<std::vector<std::string>>())(
       "platform", "IP:PORT of the platform's list", cxxopts::value<std::string>())(
       "data", "folder on the machine's disk", cxxopts::value<std::string>())(
-      "log-level", "debug, info, warning or error", cxxopts::value<std::string>())(
-      "version", "print the version")("help", "print this text");
+      "log-level", "debug, info, warning or error", cxxopts::value<std::string>())("version", "print the version")(
+      "help", "print this text");
   try {
     cxxopts::ParseResult const flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
@@ -80,4 +80,4 @@
   }
 }
 
-}
+}  // namespace limeramp::config
--- a/libs/config/src/json.cpp
+++ b/libs/config/src/json.cpp
@@ -85,7 +85,7 @@
   std::string path_;
 };
 
-}
+}  // namespace
 
 absl::StatusOr<picojson::value> parseJson(std::string_view text, JsonBounds const& bounds) {
   if (text.size() > bounds.maxBytes) {
@@ -131,4 +131,4 @@
   return picojson::value(merged);
 }
 
-}
+}  // namespace limeramp::config
--- a/libs/config/src/reader.cpp
+++ b/libs/config/src/reader.cpp
@@ -88,8 +88,8 @@
                                              std::chrono::milliseconds least, std::chrono::milliseconds most) {
   std::optional<std::size_t> const fallbackCount =
       fallback ? std::optional<std::size_t>(static_cast<std::size_t>(fallback->count())) : std::nullopt;
-  return std::chrono::milliseconds(whole(key, fallbackCount, static_cast<std::size_t>(least.count()),
-                                         static_cast<std::size_t>(most.count())));
+  return std::chrono::milliseconds(
+      whole(key, fallbackCount, static_cast<std::size_t>(least.count()), static_cast<std::size_t>(most.count())));
 }
 
 bool Reader::flag(std::string const& key, bool fallback) {
@@ -231,4 +231,4 @@
   }
 }
 
-}
+}  // namespace limeramp::config
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -32,7 +32,7 @@
   return read.ec == std::errc() && read.ptr == text.data() + text.size() && port >= 0 && port <= 65535;
 }
 
-}
+}  // namespace
 
 CheckedSettings checkSettings(picojson::value const& document, SettingsNeeds const& needs) {
   CheckedSettings out;
@@ -78,4 +78,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::config
--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "limeramp/messages/messages.h"
-#include "limeramp/distribution/peer_views.h"
 #include "limeramp/config/configuration.h"
+#include "limeramp/distribution/peer_views.h"
+#include "limeramp/messages/messages.h"
 #include "limeramp/replication/replication_group.h"
 
 #include <chrono>
@@ -70,8 +70,8 @@
   TimePoint deadline;
 };
 
-using Event = std::variant<replication::Active, replication::Inactive, replication::Committed, replication::Doubtful, Change, Read, Polled,
-                           Probed, Forget, Tick>;
+using Event = std::variant<replication::Active, replication::Inactive, replication::Committed, replication::Doubtful,
+                           Change, Read, Polled, Probed, Forget, Tick>;
 
 enum class Verdict { taken, refused, conflict, notRun, unknown };
 
@@ -128,4 +128,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::control
--- a/libs/control/include/limeramp/control/control_server.h
+++ b/libs/control/include/limeramp/control/control_server.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "limeramp/control/dialect.h"
 #include "limeramp/config/configuration.h"
 #include "limeramp/config/settings.h"
+#include "limeramp/control/dialect.h"
 
 #include <memory>
 #include <string>
@@ -12,8 +12,8 @@
 class ControlServer {
  public:
   static std::unique_ptr<ControlServer> start(config::Settings const& settings, std::string& error,
-                                       OperatorDialect const& dialect = {},
-                                       config::Language const& language = config::ownLanguage());
+                                              OperatorDialect const& dialect = {},
+                                              config::Language const& language = config::ownLanguage());
   ~ControlServer();
   ControlServer(ControlServer const&) = delete;
   ControlServer& operator=(ControlServer const&) = delete;
@@ -26,4 +26,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::control
--- a/libs/control/include/limeramp/control/dialect.h
+++ b/libs/control/include/limeramp/control/dialect.h
@@ -16,4 +16,4 @@
 
 void serveOperator(OperatorDialect const& dialect, net::Request asked, net::Responder respond, Serve const& own);
 
-}
+}  // namespace limeramp::control
--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -18,8 +18,7 @@
 
 OperatorCall operatorCallOf(net::Request const& request);
 std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint now);
-std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now,
-                                                 std::string const& freshId);
+std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now, std::string const& freshId);
 std::variant<std::vector<std::string>, net::Answer> readForget(std::string const& body);
 std::variant<std::string, net::Answer> readForceNewGroup(std::string const& body);
 bool provesGone(net::Exchange const& exchange, std::string const& node);
@@ -28,4 +27,4 @@
 net::Answer relayAnswer(net::Exchange const& exchange, std::string const& change);
 net::Answer plain(int status, std::string body);
 
-}
+}  // namespace limeramp::control
--- a/libs/control/include/limeramp/control/relay.h
+++ b/libs/control/include/limeramp/control/relay.h
@@ -60,4 +60,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::control
--- a/libs/control/include/limeramp/control/runner.h
+++ b/libs/control/include/limeramp/control/runner.h
@@ -32,4 +32,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::control
--- a/libs/control/include/limeramp/control/zones.h
+++ b/libs/control/include/limeramp/control/zones.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/messages/messages.h"
 #include "limeramp/config/configuration.h"
+#include "limeramp/messages/messages.h"
 
 #include <set>
 #include <string>
--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -62,7 +62,7 @@
 
 Problem tooLong(std::size_t most) { return {"/", "longer than " + std::to_string(most) + " bytes"}; }
 
-}
+}  // namespace
 
 struct Plane::Impl {
   Policy policy;
@@ -162,13 +162,14 @@
     return false;
   }
   Proof const& proof = found->second;
-  return proof.forgotten || (proof.goneAt > heardAt(node) && proof.goneAt - proof.firstGoneAt >= policy.gonePersistsMs &&
-                             now - heardAt(node) > policy.nodeCurrentMs);
+  return proof.forgotten ||
+         (proof.goneAt > heardAt(node) && proof.goneAt - proof.firstGoneAt >= policy.gonePersistsMs &&
+          now - heardAt(node) > policy.nodeCurrentMs);
 }
 
 bool Plane::Impl::majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
-  std::size_t const count = static_cast<std::size_t>(
-      std::count_if(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
+  std::size_t const count =
+      static_cast<std::size_t>(std::count_if(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
         return confirmed(entry.node, wanted) || gone(entry.node, wanted);
       }));
   return roster.empty() || count > roster.size() / 2;
@@ -255,9 +256,8 @@
 
 void Plane::Impl::settleForgetting() {
   std::erase_if(forgetting, [&](Forgetting const& entry) {
-    bool const listed = std::any_of(published.roster.begin(), published.roster.end(), [&](messages::RosterEntry const& row) {
-      return entry.nodes.contains(row.node);
-    });
+    bool const listed = std::any_of(published.roster.begin(), published.roster.end(),
+                                    [&](messages::RosterEntry const& row) { return entry.nodes.contains(row.node); });
     if (stable && !listed) {
       decide(entry.ticket, Verdict::taken, "", {published.configurationEpoch, published.configurationSequence});
       return true;
@@ -281,7 +281,8 @@
   }
   if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
       now - entry.heardAt <= policy.nodeCurrentMs) {
-    effects.emplace_back(replication::Note{logging::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
+    effects.emplace_back(replication::Note{logging::Event::peerStrange,
+                                           follower.node + " is at two addresses, one of them " + follower.address});
     return;
   }
   if (entry.follower.address != follower.address || entry.boot != peerStatus.boot) {
@@ -300,7 +301,8 @@
   entry.direct = direct;
 }
 
-messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const {
+messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has,
+                                 replication::ReplicationGroup const& group) const {
   messages::News out;
   out.token = token;
   out.node = id;
@@ -324,7 +326,8 @@
 }
 
 void Plane::Impl::publish(messages::State const& state) {
-  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) == StateVersion(published.rosterEpoch, published.rosterSequence);
+  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) ==
+                          StateVersion(published.rosterEpoch, published.rosterSequence);
   stable = stable && sameRoster;
   bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
                           StateVersion(state.configurationEpoch, state.configurationSequence) ==
@@ -388,7 +391,8 @@
     if (!workingAnswered) {
       waiting.push_back({working->ticket, mark(), version, now, working->deadline});
     }
-    effects.emplace_back(replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
+    effects.emplace_back(
+        replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
   }
   if (event.ticket == workingTicket) {
     working.reset();
@@ -438,8 +442,10 @@
   std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
   std::erase_if(reading, [&](Reading const& entry) {
     if (leadershipConfirmedAt && *leadershipConfirmedAt >= entry.askedAt) {
-      effects.emplace_back(ReadBack{entry.ticket, {published.configurationEpoch, published.configurationSequence},
-                                    published.revision, published.document});
+      effects.emplace_back(ReadBack{entry.ticket,
+                                    {published.configurationEpoch, published.configurationSequence},
+                                    published.revision,
+                                    published.document});
       return true;
     }
     if (now >= entry.deadline) {
@@ -470,7 +476,8 @@
     peerStatuses.emplace(peerStatus.node, &peerStatus);
   }
   messages::PeerStatus const none;
-  std::function<messages::PeerStatus const&(std::string const&)> const statusOf = [&](std::string const& node) -> messages::PeerStatus const& {
+  std::function<messages::PeerStatus const&(std::string const&)> const statusOf =
+      [&](std::string const& node) -> messages::PeerStatus const& {
     return peerStatuses.contains(node) ? *peerStatuses.at(node) : none;
   };
   note(event.poll.self, statusOf(event.poll.self.node), true);
@@ -711,8 +718,7 @@
   }
 }
 
-Plane::Plane(Policy const& policy, std::string const& id, config::Language language)
-    : impl_(std::make_unique<Impl>()) {
+Plane::Plane(Policy const& policy, std::string const& id, config::Language language) : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->id = id;
   impl_->language = std::move(language);
@@ -736,7 +742,8 @@
 std::vector<NodeView> Plane::nodes(TimePoint now) const {
   std::vector<NodeView> out;
   for (messages::RosterEntry const& entry : impl_->published.roster) {
-    NodeView view{entry.node, entry.address, entry.zone, entry.slot, {}, Ms(0), false, impl_->persistentlyGone(entry.node)};
+    NodeView view{entry.node, entry.address, entry.zone, entry.slot,
+                  {},         Ms(0),         false,      impl_->persistentlyGone(entry.node)};
     std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
     if (found != impl_->known.end()) {
       view.confirmed = {found->second.confirmed.first, found->second.confirmed.second};
@@ -748,4 +755,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,13 +1,13 @@
 #include "limeramp/control/control_server.h"
 
-#include "limeramp/distribution/peer_views.h"
 #include "limeramp/control/operator_api.h"
 #include "limeramp/control/runner.h"
-#include "limeramp/storage/record_store.h"
-#include "limeramp/net/random.h"
+#include "limeramp/distribution/peer_views.h"
+#include "limeramp/logging/logging.h"
 #include "limeramp/net/peer_sender.h"
+#include "limeramp/net/random.h"
 #include "limeramp/net/ring.h"
-#include "limeramp/logging/logging.h"
+#include "limeramp/storage/record_store.h"
 
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
@@ -90,7 +90,8 @@
   return absl::OkStatus();
 }
 
-absl::Status readIdentity(storage::RecordStore& store, std::string& id, bool& mayFound, std::vector<std::string>& founders) {
+absl::Status readIdentity(storage::RecordStore& store, std::string& id, bool& mayFound,
+                          std::vector<std::string>& founders) {
   std::map<std::string, std::string>::const_iterator const known = store.values().find("id");
   if (known == store.values().end() || known->second.empty()) {
     return store.put({{"id", id}, {"mayFound", mayFound ? "yes" : "no"}, {"founders", absl::StrJoin(founders, ",")}});
@@ -103,11 +104,12 @@
   return absl::OkStatus();
 }
 
-}
+}  // namespace
 
 struct ControlServer::Impl {
   Impl(config::Settings const& settingsIn, OperatorDialect const& dialectIn, config::Language const& languageIn,
-       std::unique_ptr<storage::RecordStore> storeIn, std::string const& idIn, bool mayFoundIn, std::vector<std::string> const& foundersIn)
+       std::unique_ptr<storage::RecordStore> storeIn, std::string const& idIn, bool mayFoundIn,
+       std::vector<std::string> const& foundersIn)
       : settings(settingsIn),
         dialect(dialectIn),
         id(idIn),
@@ -120,7 +122,9 @@
         work(1024),
         group(replication::policyFor(settingsIn.machineLosses)),
         plane(Policy{}, idIn, languageIn),
-        views({}, messages::Peer{idIn, settingsIn.advertise, settingsIn.zone, messages::controllerRole, net::randomWord() >> 1, 0},
+        views({},
+              messages::Peer{idIn, settingsIn.advertise, settingsIn.zone, messages::controllerRole,
+                             net::randomWord() >> 1, 0},
               settingsIn.seeds, net::randomWord()),
         runner(client, settingsIn.advertise, 0, [this](RunBack back) { inbox.push(std::move(back)); }) {}
 
@@ -223,7 +227,8 @@
       drivePlane(*active);
     } else if (std::holds_alternative<replication::Inactive>(effect)) {
       drivePlane(replication::Inactive{});
-    } else if (replication::NewGroupForced const* const newGroupForced = std::get_if<replication::NewGroupForced>(&effect)) {
+    } else if (replication::NewGroupForced const* const newGroupForced =
+                   std::get_if<replication::NewGroupForced>(&effect)) {
       endForceNewGroup(newGroupForced->refusal);
     }
   }
@@ -283,9 +288,12 @@
 
 net::Answer ControlServer::Impl::ready() const {
   bool const serving = !draining && !group.ailing() && group.decided().epoch > 0;
-  std::string const reason = draining ? "draining" : group.ailing() ? "disk" : group.decided().epoch == 0 ? "not founded" : "";
-  return plain(serving ? 200 : 503, "{\"ready\":" + std::string(serving ? "true" : "false") + ",\"reason\":" + json(reason) +
-                                          ",\"node\":" + json(settings.node) + "}");
+  std::string const reason = draining                     ? "draining"
+                             : group.ailing()             ? "disk"
+                             : group.decided().epoch == 0 ? "not founded"
+                                                          : "";
+  return plain(serving ? 200 : 503, "{\"ready\":" + std::string(serving ? "true" : "false") +
+                                        ",\"reason\":" + json(reason) + ",\"node\":" + json(settings.node) + "}");
 }
 
 void ControlServer::Impl::read(Incoming& inbound) {
@@ -307,16 +315,18 @@
   Clock::time_point const now = Clock::now();
   messages::EpochRecord const& decided = group.decided();
   messages::State const& state = group.state();
-  std::string body = "{\"node\":" + json(settings.node) + ",\"role\":\"controller\",\"id\":" + json(id) +
-                     ",\"zone\":" + json(settings.zone) + ",\"fleet\":" + json(decided.fleet) +
-                     ",\"epoch\":" + std::to_string(decided.epoch) + ",\"primary\":" + json(decided.primary) +
-                     ",\"primary_address\":" + json(group.primaryAddress()) + ",\"backups\":" + list(decided.backups) +
-                     ",\"replica\":" + (decided.primary == id || std::count(decided.backups.begin(), decided.backups.end(), id) > 0 ? "true" : "false") + ",\"active\":" + (group.active() ? "true" : "false") +
-                     ",\"sealed\":" + std::to_string(group.fenced()) +
-                     ",\"ailing\":" + (group.ailing() ? "true" : "false") + ",\"state\":" +
-                     json(config::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
-                     json(config::Version{state.configurationEpoch, state.configurationSequence}.text()) +
-                     ",\"pending\":" + std::to_string(plane.pending()) + ",\"witnesses\":[";
+  std::string body =
+      "{\"node\":" + json(settings.node) + ",\"role\":\"controller\",\"id\":" + json(id) +
+      ",\"zone\":" + json(settings.zone) + ",\"fleet\":" + json(decided.fleet) +
+      ",\"epoch\":" + std::to_string(decided.epoch) + ",\"primary\":" + json(decided.primary) +
+      ",\"primary_address\":" + json(group.primaryAddress()) + ",\"backups\":" + list(decided.backups) +
+      ",\"replica\":" +
+      (decided.primary == id || std::count(decided.backups.begin(), decided.backups.end(), id) > 0 ? "true" : "false") +
+      ",\"active\":" + (group.active() ? "true" : "false") + ",\"sealed\":" + std::to_string(group.fenced()) +
+      ",\"ailing\":" + (group.ailing() ? "true" : "false") +
+      ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
+      ",\"version\":" + json(config::Version{state.configurationEpoch, state.configurationSequence}.text()) +
+      ",\"pending\":" + std::to_string(plane.pending()) + ",\"witnesses\":[";
   bool first = true;
   for (std::string const& witness : decided.witnesses) {
     std::optional<Ms> const heard = witness == id ? Ms(0) : group.heardMs(now, witness);
@@ -555,7 +565,8 @@
     error = "'" + address + "' is no IP number and port";
     return false;
   }
-  std::unique_ptr<net::HttpServer> server = net::HttpServer::listen(network, *parsed, bounds, std::move(handler), error);
+  std::unique_ptr<net::HttpServer> server =
+      net::HttpServer::listen(network, *parsed, bounds, std::move(handler), error);
   if (server == nullptr) {
     return false;
   }
@@ -571,7 +582,7 @@
 }
 
 std::unique_ptr<ControlServer> ControlServer::start(config::Settings const& settings, std::string& error,
-                                      OperatorDialect const& dialect, config::Language const& language) {
+                                                    OperatorDialect const& dialect, config::Language const& language) {
   std::unique_ptr<storage::RecordStore> store;
   absl::Status opened = settings.data.empty() ? absl::OkStatus() : openRecordStore(settings, store);
   char mark[20];
@@ -594,9 +605,12 @@
   };
   bool listens = impl.listen(settings.listen, own, error);
   for (std::string const& address : settings.operatorListens) {
-    listens = listens && impl.listen(address, [&impl, own](net::Request asked, net::Responder respond) {
-      serveOperator(impl.dialect, std::move(asked), std::move(respond), own);
-    }, error);
+    listens = listens && impl.listen(
+                             address,
+                             [&impl, own](net::Request asked, net::Responder respond) {
+                               serveOperator(impl.dialect, std::move(asked), std::move(respond), own);
+                             },
+                             error);
   }
   if (!listens) {
     return nullptr;
@@ -629,4 +643,4 @@
   }
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/control/src/dialect.cpp
+++ b/libs/control/src/dialect.cpp
@@ -21,4 +21,4 @@
   own(*std::move(request), std::move(respond));
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -13,7 +13,8 @@
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
 
 net::Answer refused(std::string const& path, std::string const& reason) {
-  return plain(400, "{\"outcome\":\"refused\",\"problems\":[{\"path\":" + json(path) + ",\"reason\":" + json(reason) + "}]}");
+  return plain(
+      400, "{\"outcome\":\"refused\",\"problems\":[{\"path\":" + json(path) + ",\"reason\":" + json(reason) + "}]}");
 }
 
 std::variant<picojson::value, net::Answer> readOneField(std::string const& body, std::string const& name) {
@@ -36,7 +37,8 @@
 constexpr std::string_view evacuatedEnd = "/emptied";
 
 std::optional<std::string> zoneOf(std::string_view target) {
-  if (!target.starts_with(zonesPath) || !target.ends_with(evacuatedEnd) || target.size() <= zonesPath.size() + evacuatedEnd.size()) {
+  if (!target.starts_with(zonesPath) || !target.ends_with(evacuatedEnd) ||
+      target.size() <= zonesPath.size() + evacuatedEnd.size()) {
     return std::nullopt;
   }
   return std::string(target.substr(zonesPath.size(), target.size() - zonesPath.size() - evacuatedEnd.size()));
@@ -44,9 +46,9 @@
 
 bool isZoneName(std::string const& name) {
   return name.size() <= 64 && std::all_of(name.begin(), name.end(), [](char const inbound) {
-    return (inbound >= 'a' && inbound <= 'z') || (inbound >= 'A' && inbound <= 'Z') || (inbound >= '0' && inbound <= '9') ||
-           inbound == '-' || inbound == '_' || inbound == '.';
-  });
+           return (inbound >= 'a' && inbound <= 'z') || (inbound >= 'A' && inbound <= 'Z') ||
+                  (inbound >= '0' && inbound <= '9') || inbound == '-' || inbound == '_' || inbound == '.';
+         });
 }
 
 template <typename Number>
@@ -68,7 +70,7 @@
   return text.data();
 }
 
-}
+}  // namespace
 
 net::Answer plain(int status, std::string body) {
   net::Answer answer;
@@ -84,7 +86,9 @@
 OperatorCall operatorCallOf(net::Request const& request) {
   std::string const& method = request.method;
   if (request.target == configurationPath) {
-    return method == "PUT" || method == "PATCH" ? OperatorCall::change : method == "GET" ? OperatorCall::read : OperatorCall::none;
+    return method == "PUT" || method == "PATCH" ? OperatorCall::change
+           : method == "GET"                    ? OperatorCall::read
+                                                : OperatorCall::none;
   }
   if (request.target == forgetPath) {
     return method == "POST" ? OperatorCall::forget : OperatorCall::none;
@@ -102,8 +106,7 @@
   return now + std::chrono::milliseconds(waitMs);
 }
 
-std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now,
-                                                 std::string const& freshId) {
+std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now, std::string const& freshId) {
   Change change;
   change.patch = request.method == "PATCH";
   std::optional<std::string> const base = net::findHeader(request.headers, "limeramp-base");
@@ -120,7 +123,8 @@
   if (change.patch && !base && !baseRevision) {
     return refused("limeramp-base", "a patch must name the version or the revision it changes");
   }
-  std::string const ownId = base || baseRevision ? derivedId(request, base.value_or("") + "/" + baseRevision.value_or("")) : freshId;
+  std::string const ownId =
+      base || baseRevision ? derivedId(request, base.value_or("") + "/" + baseRevision.value_or("")) : freshId;
   change.id = net::findHeader(request.headers, "limeramp-change").value_or(ownId);
   if (change.id.empty() || change.id.size() > 128) {
     return refused("limeramp-change", "must have 1 to 128 bytes");
@@ -146,7 +150,8 @@
     return std::move(*wrong);
   }
   picojson::value const& nodes = std::get<picojson::value>(read);
-  if (!nodes.is<picojson::array>() || nodes.get<picojson::array>().empty() || nodes.get<picojson::array>().size() > 1000) {
+  if (!nodes.is<picojson::array>() || nodes.get<picojson::array>().empty() ||
+      nodes.get<picojson::array>().size() > 1000) {
     return refused("/nodes", "must be an array of 1 to 1000 names of nodes");
   }
   std::vector<std::string> out;
@@ -181,9 +186,8 @@
 }
 
 net::Answer answerOf(Decided const& decided, std::string const& change) {
-  std::string const tail =
-      ",\"version\":" + json(decided.version.text()) + ",\"change\":" + json(change) +
-      (decided.reason.empty() ? "" : ",\"reason\":" + json(decided.reason)) + "}";
+  std::string const tail = ",\"version\":" + json(decided.version.text()) + ",\"change\":" + json(change) +
+                           (decided.reason.empty() ? "" : ",\"reason\":" + json(decided.reason)) + "}";
   switch (decided.verdict) {
     case Verdict::taken:
       return plain(200, "{\"outcome\":\"taken\"" + tail);
@@ -221,8 +225,9 @@
   }
   Decided decided;
   decided.verdict = exchange.verdict == retry::Verdict::notRun ? Verdict::notRun : Verdict::unknown;
-  decided.reason = exchange.verdict == retry::Verdict::notRun ? "the primary cannot be reached" : "the primary did not answer";
+  decided.reason =
+      exchange.verdict == retry::Verdict::notRun ? "the primary cannot be reached" : "the primary did not answer";
   return answerOf(decided, change);
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/control/src/relay.cpp
+++ b/libs/control/src/relay.cpp
@@ -13,7 +13,7 @@
   bool mayHaveRun = false;
 };
 
-}
+}  // namespace
 
 struct Relay::Impl {
   RelayPolicy policy;
@@ -66,8 +66,12 @@
         entry.mayHaveRun = true;
       }
       if (ended) {
-        effects.emplace_back(Decided{row->first, entry.mayHaveRun ? Verdict::unknown : Verdict::notRun, {}, {},
-                                     primary.empty() ? "no primary is known here" : "the primary gave no answer in time"});
+        effects.emplace_back(
+            Decided{row->first,
+                    entry.mayHaveRun ? Verdict::unknown : Verdict::notRun,
+                    {},
+                    {},
+                    primary.empty() ? "no primary is known here" : "the primary gave no answer in time"});
         row = entries.erase(row);
         continue;
       }
@@ -97,4 +101,4 @@
   return std::move(impl_->effects);
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/control/src/runner.cpp
+++ b/libs/control/src/runner.cpp
@@ -19,7 +19,7 @@
   bool reads = false;
 };
 
-}
+}  // namespace
 
 struct Runner::Impl {
   Impl(net::HttpClient& clientIn, std::string const& advertiseIn, std::uint64_t firstAttempt, Post postIn)
@@ -62,7 +62,9 @@
     std::uint64_t const ticket = send.ticket;
     std::uint64_t const attempt = send.attempt;
     client.begin(attempt, net::Address::parse(send.address).value_or(net::Address{}), std::move(request), send.deadline,
-                 [to = post, ticket, attempt](net::Exchange exchange) { to({ticket, attempt, std::move(exchange)}); });
+                 [to = post, ticket, attempt](net::Exchange exchange) {
+                   to({ticket, attempt, std::move(exchange)});
+                 });
   }
 };
 
@@ -119,4 +121,4 @@
   impl_->drive(now, Tick{});
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/control/src/zones.cpp
+++ b/libs/control/src/zones.cpp
@@ -8,4 +8,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::control
--- a/libs/discovery/include/limeramp/discovery/list.h
+++ b/libs/discovery/include/limeramp/discovery/list.h
@@ -20,4 +20,4 @@
 
 absl::StatusOr<List> readList(std::string_view body);
 
-}
+}  // namespace limeramp::discovery
--- a/libs/discovery/include/limeramp/discovery/server_directory.h
+++ b/libs/discovery/include/limeramp/discovery/server_directory.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "limeramp/discovery/list.h"
-#include "limeramp/messages/messages.h"
 #include "limeramp/distribution/peer_views.h"
+#include "limeramp/messages/messages.h"
 
 #include <chrono>
 #include <map>
@@ -67,4 +67,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::discovery
--- a/libs/discovery/src/list.cpp
+++ b/libs/discovery/src/list.cpp
@@ -42,8 +42,8 @@
     row.slowStartMs = reader.durationMs("slow_start_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0),
                                         std::chrono::minutes(60));
     row.life = reader.text("life", "");
-    row.coldMs =
-        reader.durationMs("cold_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0), std::chrono::minutes(60));
+    row.coldMs = reader.durationMs("cold_ms", std::chrono::milliseconds(0), std::chrono::milliseconds(0),
+                                   std::chrono::minutes(60));
     if (problems.empty() && !net::Address::parse(row.address)) {
       reader.complain("address", "must be an IP number and a port");
     }
@@ -60,4 +60,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::discovery
--- a/libs/discovery/src/server_directory.cpp
+++ b/libs/discovery/src/server_directory.cpp
@@ -48,7 +48,7 @@
   return digest;
 }
 
-}
+}  // namespace
 
 struct Desk::Impl {
   DeskPolicy policy;
@@ -175,8 +175,9 @@
       return now <= entry.second.servedUntil;
     });
     bool const blank = lastRows == 0 && startedAt && now - *startedAt >= firstReadMs() &&
-                       std::none_of(sheets.begin(), sheets.end(),
-                                    [](std::pair<std::string const, Sheet> const& entry) { return entry.second.asOf.has_value(); });
+                       std::none_of(sheets.begin(), sheets.end(), [](std::pair<std::string const, Sheet> const& entry) {
+                         return entry.second.asOf.has_value();
+                       });
     if ((own || blank || !page.empty()) && !listPending && now >= nextListAt) {
       listPending = true;
       if (page.empty()) {
@@ -239,7 +240,8 @@
   }
   impl.services = around.services;
   impl.nextPollAt = now + impl.policy.pollMs;
-  std::erase_if(impl.suspects, [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
+  std::erase_if(impl.suspects,
+                [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
   std::erase_if(impl.askedAt, [&](std::pair<std::string const, TimePoint> const& entry) {
     bool const late = now - entry.second > impl.policy.replyMs;
     if (late) {
@@ -336,9 +338,10 @@
     }
   }
   bool const settled = impl.startedAt && now - *impl.startedAt > impl.policy.youngMs;
-  bool const stale = std::any_of(impl.sheets.begin(), impl.sheets.end(), [&](std::pair<std::string const, Sheet> const& entry) {
-    return entry.second.asOf && now - *entry.second.asOf > impl.oldNewsMs();
-  });
+  bool const stale =
+      std::any_of(impl.sheets.begin(), impl.sheets.end(), [&](std::pair<std::string const, Sheet> const& entry) {
+        return entry.second.asOf && now - *entry.second.asOf > impl.oldNewsMs();
+      });
   if (settled && stale && message.tables.empty()) {
     impl.suspects[address] = now + impl.policy.suspectMs;
   }
@@ -358,7 +361,8 @@
     std::vector<dispatch::ServerRow>& rows = impl.collected.services[entry.first];
     for (dispatch::ServerRow const& row : entry.second) {
       std::vector<dispatch::ServerRow>::iterator const same = std::find_if(
-          rows.begin(), rows.end(), [&](dispatch::ServerRow const& known) { return known.address == row.address && known.life == row.life; });
+          rows.begin(), rows.end(),
+          [&](dispatch::ServerRow const& known) { return known.address == row.address && known.life == row.life; });
       if (same == rows.end()) {
         rows.push_back(row);
         ++impl.collected.rows;
@@ -448,4 +452,4 @@
   return asOf ? std::optional<Ms>(std::chrono::duration_cast<Ms>(now - *asOf)) : std::nullopt;
 }
 
-}
+}  // namespace limeramp::discovery
--- a/libs/dispatch/include/limeramp/dispatch/machine.h
+++ b/libs/dispatch/include/limeramp/dispatch/machine.h
@@ -195,4 +195,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/include/limeramp/dispatch/part.h
+++ b/libs/dispatch/include/limeramp/dispatch/part.h
@@ -29,7 +29,8 @@
 absl::StatusOr<Part> readPart(std::string_view body, Stamp const& expected, std::size_t result_size);
 std::vector<std::string> mergeParts(std::vector<PartPtr> const& parts, std::size_t result_size);
 
-using PartReader = std::function<absl::StatusOr<Part>(std::string_view body, Stamp const& expected, std::size_t result_size)>;
+using PartReader =
+    std::function<absl::StatusOr<Part>(std::string_view body, Stamp const& expected, std::size_t result_size)>;
 
 class Mill {
  public:
@@ -38,14 +39,12 @@
   Mill(Mill const&) = delete;
   Mill& operator=(Mill const&) = delete;
 
-  void read(std::string body, Stamp expected, std::size_t result_size,
-            std::function<void(absl::StatusOr<Part>)> done);
-  void merge(std::vector<PartPtr> parts, std::size_t result_size,
-             std::function<void(std::vector<std::string>)> done);
+  void read(std::string body, Stamp expected, std::size_t result_size, std::function<void(absl::StatusOr<Part>)> done);
+  void merge(std::vector<PartPtr> parts, std::size_t result_size, std::function<void(std::vector<std::string>)> done);
 
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/src/alarms.cpp
+++ b/libs/dispatch/src/alarms.cpp
@@ -70,4 +70,4 @@
   return heap_.empty() || heap_.front().at > now ? nullptr : heap_.front().request;
 }
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/src/impl.h
+++ b/libs/dispatch/src/impl.h
@@ -249,4 +249,4 @@
   Ms retryAfter(ServiceState const& service) const;
 };
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/src/machine.cpp
+++ b/libs/dispatch/src/machine.cpp
@@ -135,8 +135,8 @@
   state.arrivedAt = now;
   state.deadline = event.deadline;
   double const wholeMs = millis(event.deadline - now);
-  double const marginMs = std::min(wholeMs / 2, std::clamp(wholeMs * policy.marginShareOfDeadline, millis(policy.marginLeastMs),
-                                                           millis(policy.marginMostMs)));
+  double const marginMs = std::min(wholeMs / 2, std::clamp(wholeMs * policy.marginShareOfDeadline,
+                                                           millis(policy.marginLeastMs), millis(policy.marginMostMs)));
   state.answerBy = event.deadline - fine(marginMs);
   state.offerBy = TimePoint::max();
   if (event.aim > now && event.aim < event.deadline) {
@@ -226,8 +226,8 @@
   Leg& leg = request.legs[key.leg];
   ServiceState& service = services[leg.service];
   std::vector<retry::Attempt> const& entries = leg.ledger.attempts();
-  retry::Attempt const attempt = *std::find_if(
-      entries.begin(), entries.end(), [&](retry::Attempt const& entry) { return entry.id == event.attempt; });
+  retry::Attempt const attempt = *std::find_if(entries.begin(), entries.end(),
+                                               [&](retry::Attempt const& entry) { return entry.id == event.attempt; });
   leg.tenant->inFlight -= leg.tenant->inFlight > 0 ? 1 : 0;
   double const latencyMs = millis(now - attempt.began);
   if (event.healthy) {
@@ -441,4 +441,4 @@
 Counters Machine::counters() const { return impl_->counters; }
 std::size_t Machine::requests() const { return impl_->requests.size(); }
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/src/part.cpp
+++ b/libs/dispatch/src/part.cpp
@@ -31,7 +31,7 @@
   std::function<void(std::vector<std::string>)> done;
 };
 
-}
+}  // namespace
 
 absl::StatusOr<Part> readPart(std::string_view body, Stamp const& expected, std::size_t result_size) {
   absl::StatusOr<picojson::value> parsed = config::parseJson(body, {4u << 20, 4, 100'000});
@@ -148,4 +148,4 @@
   impl_->merger.try_put({std::move(parts), result_size, std::move(done)});
 }
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/src/queue.cpp
+++ b/libs/dispatch/src/queue.cpp
@@ -97,8 +97,8 @@
   std::size_t const rivals = service.rota.size() + (waitingMine == 0 ? 1 : 0);
   std::size_t const before = std::min(ahead, waitingMine * rivals);
   double const wholeMs = waitMs(service, before) + service.latencies.typicalMs();
-  if (before > 0 && (wholeMs > millis(request.answerBy - now) ||
-                     (request.aimBy && wholeMs > 2 * millis(*request.aimBy - now)))) {
+  if (before > 0 &&
+      (wholeMs > millis(request.answerBy - now) || (request.aimBy && wholeMs > 2 * millis(*request.aimBy - now)))) {
     return true;
   }
   if (waitingMine >= policy.maxWaitingPerTenant) {
@@ -138,8 +138,8 @@
         LegKey const key = at->key;
         RequestState& request = requests.at(key.request);
         Leg& leg = request.legs[key.leg];
-        bool const late = request.arrivedAt < now &&
-                          millis(request.answerBy - now) < latenciesOf(service, request.kind).tailMs();
+        bool const late =
+            request.arrivedAt < now && millis(request.answerBy - now) < latenciesOf(service, request.kind).tailMs();
         ServerState* const server =
             mayGo && !late ? chooseIdle(service, leg.ledger, request.repeatable, held == 0 ? 1 : 0) : nullptr;
         if (!late && server == nullptr) {
@@ -208,8 +208,7 @@
   std::vector<Candidate> candidates;
   for (LegKey const& key : service.overdue) {
     RequestState const& request = requests.at(key.request);
-    bool const late =
-        request.aimBy && now + fine(latenciesOf(service, request.kind).typicalMs()) > *request.aimBy;
+    bool const late = request.aimBy && now + fine(latenciesOf(service, request.kind).typicalMs()) > *request.aimBy;
     candidates.push_back({late, request.legs[key.leg].ledger.lastBegan(), key});
   }
   std::sort(candidates.begin(), candidates.end(), [](Candidate const& left, Candidate const& right) {
@@ -255,8 +254,7 @@
     server.trialAt = now;
   }
   ++counters.attempts;
-  effects.emplace_back(
-      Send{attempt, request.id, index, server.row.address, server.row.life, request.deadline, extra});
+  effects.emplace_back(Send{attempt, request.id, index, server.row.address, server.row.life, request.deadline, extra});
   review.push_back(request.id);
 }
 
@@ -278,10 +276,10 @@
 }
 
 void Machine::Impl::narrow(ServiceState& service, TenantState& tenant, double latencyMs) {
-  bool const alone =
-      std::none_of(service.tenants.begin(), service.tenants.end(), [&](std::pair<std::string const, TenantState> const& entry) {
-        return &entry.second != &tenant && now - entry.second.seenAt < policy.rivalMs;
-      });
+  bool const alone = std::none_of(service.tenants.begin(), service.tenants.end(),
+                                  [&](std::pair<std::string const, TenantState> const& entry) {
+                                    return &entry.second != &tenant && now - entry.second.seenAt < policy.rivalMs;
+                                  });
   double const least = alone ? static_cast<double>(std::max<std::size_t>(1, service.servers.size())) : 1;
   if (!tenant.waiting.empty() && millis(now - tenant.shrunkAt) >= latencyMs) {
     tenant.shrunkAt = now;
@@ -290,4 +288,4 @@
   }
 }
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/dispatch/src/servers.cpp
+++ b/libs/dispatch/src/servers.cpp
@@ -20,7 +20,7 @@
   return std::exp2(-std::chrono::duration<double>(passed).count() / halfSeconds);
 }
 
-}
+}  // namespace
 
 void Latencies::add(double latencyMs, double quantile) {
   float const fresh = static_cast<float>(latencyMs);
@@ -148,16 +148,17 @@
   TimePoint soonest = TimePoint::max();
   std::optional<TimePoint> const trialAt =
       isOnTrial(server) ? std::optional<TimePoint>(server.trialAt + policy.trialMs) : std::nullopt;
-  std::optional<TimePoint> const cold =
-      isCold(server) && coldShare(server) > 0 ? std::optional<TimePoint>(server.coldSentAt + coldGap(server)) : std::nullopt;
+  std::optional<TimePoint> const cold = isCold(server) && coldShare(server) > 0
+                                            ? std::optional<TimePoint>(server.coldSentAt + coldGap(server))
+                                            : std::nullopt;
   std::optional<TimePoint> const ghost =
       server.ghosts.empty() ? std::nullopt : std::optional<TimePoint>(server.ghosts.front());
   std::optional<TimePoint> fresh;
   if (freshness(server) < 1 && server.tokens < 1) {
     fresh = server.tokensAt + fine(1000 * (1 - server.tokens) / std::max(1e-3, tokensPerSecond(server))) + Ms(1);
   }
-  for (std::optional<TimePoint> const& at : {server.downUntil, server.quietUntil, trialAt, cold, ghost, fresh,
-                                             std::optional<TimePoint>(server.fullUntil)}) {
+  for (std::optional<TimePoint> const& at :
+       {server.downUntil, server.quietUntil, trialAt, cold, ghost, fresh, std::optional<TimePoint>(server.fullUntil)}) {
     if (at && *at > now) {
       soonest = std::min(soonest, *at);
     }
@@ -167,9 +168,8 @@
 
 bool Machine::Impl::hasCandidate(ServiceState const& service, retry::Ledger const& ledger) const {
   ShardView const view = viewOf(service);
-  return std::any_of(service.servers.begin(), service.servers.end(), [&](ServerState const& server) {
-    return mayTake(server, view) && !ledger.hasTried(server.id);
-  });
+  return std::any_of(service.servers.begin(), service.servers.end(),
+                     [&](ServerState const& server) { return mayTake(server, view) && !ledger.hasTried(server.id); });
 }
 
 bool Machine::Impl::hasReady(ServiceState const& service) const {
@@ -234,7 +234,8 @@
   if (!server.downUntil) {
     effects.emplace_back(Note{logging::Event::serverDown, service.name, server.row.address});
   }
-  server.downMs = server.downMs.count() == 0 ? std::max(policy.downFirstMs, server.quietMs * 2) : std::min(policy.downMostMs, server.downMs * 2);
+  server.downMs = server.downMs.count() == 0 ? std::max(policy.downFirstMs, server.quietMs * 2)
+                                             : std::min(policy.downMostMs, server.downMs * 2);
   server.downUntil = now + server.downMs;
   server.trialAt = now;
 }
@@ -349,10 +350,11 @@
   if (server.downUntil || (server.unanswered >= 3 && now - server.firstUnansweredAt >= policy.stallMs)) {
     markDown(service, server);
   } else if (server.answeredAt <= began && seenMs > silentMs(service)) {
-    server.quietMs = server.quietMs.count() == 0 ? policy.quietFirstMs : std::min(policy.quietMostMs, server.quietMs * 2);
+    server.quietMs =
+        server.quietMs.count() == 0 ? policy.quietFirstMs : std::min(policy.quietMostMs, server.quietMs * 2);
     server.quietUntil = now + server.quietMs;
     server.trialAt = now;
   }
 }
 
-}
+}  // namespace limeramp::dispatch
--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/messages/messages.h"
 #include "limeramp/distribution/peer_views.h"
+#include "limeramp/messages/messages.h"
 
 #include <chrono>
 #include <map>
@@ -42,7 +42,8 @@
 
 class ConfigDelivery {
  public:
-  ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot, std::uint64_t seed);
+  ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot,
+                 std::uint64_t seed);
   ~ConfigDelivery();
   ConfigDelivery(ConfigDelivery&&) noexcept;
   ConfigDelivery& operator=(ConfigDelivery&&) noexcept;
@@ -61,4 +62,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::distribution
--- a/libs/distribution/include/limeramp/distribution/peer_views.h
+++ b/libs/distribution/include/limeramp/distribution/peer_views.h
@@ -33,7 +33,8 @@
 
 class PeerViews {
  public:
-  PeerViews(ViewPolicy const& policy, messages::Peer const& self, std::vector<std::string> const& seeds, std::uint64_t seed);
+  PeerViews(ViewPolicy const& policy, messages::Peer const& self, std::vector<std::string> const& seeds,
+            std::uint64_t seed);
   ~PeerViews();
   PeerViews(PeerViews&&) noexcept;
   PeerViews& operator=(PeerViews&&) noexcept;
@@ -51,4 +52,4 @@
 
 std::vector<std::string> rankHomes(std::string const& topic, std::vector<std::string> nodes);
 
-}
+}  // namespace limeramp::distribution
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -25,7 +25,7 @@
   TimePoint at{};
 };
 
-}
+}  // namespace
 
 void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard) {
   for (messages::IncarnationRecord const& incarnation : heard) {
@@ -230,7 +230,8 @@
   }
 };
 
-ConfigDelivery::ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot, std::uint64_t seed)
+ConfigDelivery::ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot,
+                               std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->self = self;
@@ -247,7 +248,8 @@
   Impl& impl = *impl_;
   ConfigDeliveryStep out;
   impl.startedAt = impl.startedAt.value_or(now);
-  std::erase_if(impl.suspects, [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
+  std::erase_if(impl.suspects,
+                [&](std::pair<std::string const, TimePoint> const& entry) { return now >= entry.second; });
   std::erase_if(impl.asked, [&](std::pair<std::uint64_t const, Asked> const& entry) {
     bool const late = now - entry.second.at > impl.policy.replyMs;
     if (late) {
@@ -377,9 +379,10 @@
     TimePoint const at = askedAt - Ms(static_cast<long>(message.ageMs));
     impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
   }
-  bool const incarnations = std::any_of(message.incarnations.begin(), message.incarnations.end(), [&](messages::IncarnationRecord const& incarnation) {
-    return incarnation.node == impl.self.node && incarnation.boot == impl.peerStatus.boot;
-  });
+  bool const incarnations = std::any_of(
+      message.incarnations.begin(), message.incarnations.end(), [&](messages::IncarnationRecord const& incarnation) {
+        return incarnation.node == impl.self.node && incarnation.boot == impl.peerStatus.boot;
+      });
   if (recover && message.settled && incarnations && !impl.settled) {
     impl.recovering[message.node] = message.boot;
   }
@@ -422,4 +425,4 @@
 std::optional<messages::State> const& ConfigDelivery::state() const { return impl_->state; }
 std::string const& ConfigDelivery::primaryAddress() const { return impl_->primaryAddress; }
 
-}
+}  // namespace limeramp::distribution
--- a/libs/distribution/src/peer_views.cpp
+++ b/libs/distribution/src/peer_views.cpp
@@ -16,7 +16,7 @@
   TimePoint aliveAt{};
 };
 
-}
+}  // namespace
 
 struct PeerViews::Impl {
   ViewPolicy policy;
@@ -71,7 +71,7 @@
 };
 
 PeerViews::PeerViews(ViewPolicy const& policy, messages::Peer const& self, std::vector<std::string> const& seeds,
-             std::uint64_t seed)
+                     std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
   impl_->self = self;
@@ -118,7 +118,7 @@
 }
 
 std::vector<Outgoing> PeerViews::hear(TimePoint now, std::string const&, std::string const& address,
-                                  messages::Shuffle const& message) {
+                                      messages::Shuffle const& message) {
   impl_->heardAt[address] = now;
   if (impl_->heardAt.size() > 4 * impl_->policy.mostPeers) {
     impl_->heardAt.erase(impl_->heardAt.begin());
@@ -152,10 +152,11 @@
 }
 
 bool PeerViews::mayFound(TimePoint now) const {
-  std::size_t const heard = static_cast<std::size_t>(
-      std::count_if(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
+  std::size_t const heard =
+      static_cast<std::size_t>(std::count_if(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
         std::map<std::string, TimePoint>::const_iterator const found = impl_->heardAt.find(seed);
-        return seed == impl_->self.address || (found != impl_->heardAt.end() && now - found->second <= impl_->policy.seedHeardMs);
+        return seed == impl_->self.address ||
+               (found != impl_->heardAt.end() && now - found->second <= impl_->policy.seedHeardMs);
       }));
   bool const waited = impl_->startedAt && now - *impl_->startedAt >= impl_->policy.loneFoundingMs;
   return heard == impl_->seeds.size() || (waited && 2 * heard > impl_->seeds.size());
@@ -171,4 +172,4 @@
   return nodes;
 }
 
-}
+}  // namespace limeramp::distribution
--- a/libs/gateway/include/limeramp/gateway/dialect.h
+++ b/libs/gateway/include/limeramp/gateway/dialect.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "limeramp/discovery/list.h"
 #include "limeramp/config/configuration.h"
-#include "limeramp/net/http.h"
+#include "limeramp/discovery/list.h"
 #include "limeramp/dispatch/machine.h"
 #include "limeramp/dispatch/part.h"
+#include "limeramp/net/http.h"
 
 #include <absl/status/statusor.h>
 
@@ -75,4 +75,4 @@
 
 Dialect ownDialect();
 
-}
+}  // namespace limeramp::gateway
--- a/libs/gateway/include/limeramp/gateway/gateway_server.h
+++ b/libs/gateway/include/limeramp/gateway/gateway_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/control/dialect.h"
 #include "limeramp/config/settings.h"
+#include "limeramp/control/dialect.h"
 #include "limeramp/gateway/dialect.h"
 
 #include <memory>
@@ -11,8 +11,8 @@
 
 class GatewayServer {
  public:
-  static std::unique_ptr<GatewayServer> start(config::Settings const& settings, std::string& error, Dialect dialect = ownDialect(),
-                                      control::OperatorDialect operators = {});
+  static std::unique_ptr<GatewayServer> start(config::Settings const& settings, std::string& error,
+                                              Dialect dialect = ownDialect(), control::OperatorDialect operators = {});
   ~GatewayServer();
   GatewayServer(GatewayServer const&) = delete;
   GatewayServer& operator=(GatewayServer const&) = delete;
@@ -25,4 +25,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::gateway
--- a/libs/gateway/include/limeramp/gateway/request_plane.h
+++ b/libs/gateway/include/limeramp/gateway/request_plane.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "limeramp/config/configuration.h"
-#include "limeramp/gateway/dialect.h"
-#include "limeramp/net/http.h"
 #include "limeramp/dispatch/machine.h"
 #include "limeramp/dispatch/part.h"
+#include "limeramp/gateway/dialect.h"
+#include "limeramp/net/http.h"
 
 #include <absl/status/statusor.h>
 
@@ -110,4 +110,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::gateway
--- a/libs/gateway/src/dialect.cpp
+++ b/libs/gateway/src/dialect.cpp
@@ -46,7 +46,12 @@
     char const* const last = text->data() + text->size();
     std::from_chars_result const read = std::from_chars(text->data(), last, asked);
     if (read.ec != std::errc() || read.ptr != last || asked <= 0 || asked > mostDeadlineMs) {
-      return Refusal{Unserved::malformed, "limeramp-deadline-ms must be a whole number from 1 to 60000", Verdict::notRun, {}, "", ""};
+      return Refusal{Unserved::malformed,
+                     "limeramp-deadline-ms must be a whole number from 1 to 60000",
+                     Verdict::notRun,
+                     {},
+                     "",
+                     ""};
     }
     caller.remainingMs = Ms(asked);
   }
@@ -143,7 +148,8 @@
   body += "],\"stamps\":[";
   bool first = true;
   for (dispatch::PartPtr const& part : gathered.parts) {
-    body += std::string(first ? "" : ",") + "{\"shard\":" + json(part->stamp.shard) + ",\"cut\":" + json(part->stamp.cut) + "}";
+    body += std::string(first ? "" : ",") + "{\"shard\":" + json(part->stamp.shard) +
+            ",\"cut\":" + json(part->stamp.cut) + "}";
     first = false;
   }
   body += "],\"records\":[";
@@ -160,7 +166,7 @@
   return answer;
 }
 
-}
+}  // namespace
 
 Dialect ownDialect() {
   Dialect out;
@@ -178,4 +184,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::gateway
--- a/libs/gateway/src/gateway_server.cpp
+++ b/libs/gateway/src/gateway_server.cpp
@@ -1,15 +1,15 @@
 #include "limeramp/gateway/gateway_server.h"
 
-#include "limeramp/discovery/server_directory.h"
-#include "limeramp/distribution/config_delivery.h"
 #include "limeramp/control/operator_api.h"
 #include "limeramp/control/runner.h"
 #include "limeramp/control/zones.h"
-#include "limeramp/query/query_engine.h"
+#include "limeramp/discovery/server_directory.h"
+#include "limeramp/distribution/config_delivery.h"
 #include "limeramp/gateway/request_plane.h"
-#include "limeramp/net/random.h"
-#include "limeramp/net/peer_sender.h"
 #include "limeramp/logging/logging.h"
+#include "limeramp/net/peer_sender.h"
+#include "limeramp/net/random.h"
+#include "limeramp/query/query_engine.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -96,7 +96,7 @@
   return out;
 }
 
-}
+}  // namespace
 
 struct GatewayServer::Impl {
   Impl(config::Settings const& settingsIn, Dialect dialectIn, control::OperatorDialect operatorsIn)
@@ -108,11 +108,14 @@
         mill(settingsIn.hands),
         boot(net::randomWord() >> 1),
         plane(Self{settingsIn.node, settingsIn.advertise, settingsIn.zone, boot}, policyOf(settingsIn), dialect),
-        views({}, messages::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, messages::gatewayRole, boot, 0}, settingsIn.seeds,
-              net::randomWord()),
-        delivery({}, messages::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, boot, net::randomWord()),
+        views({},
+              messages::Peer{settingsIn.node, settingsIn.advertise, settingsIn.zone, messages::gatewayRole, boot, 0},
+              settingsIn.seeds, net::randomWord()),
+        delivery({}, messages::Follower{settingsIn.node, settingsIn.advertise, settingsIn.zone, 0, 0}, boot,
+                 net::randomWord()),
         desk(deskPolicyOf(settingsIn), settingsIn.node, settingsIn.advertise, settingsIn.zone),
-        runner(client, settingsIn.advertise, relayAttempts, [this](control::RunBack back) { deliver(std::move(back)); }) {}
+        runner(client, settingsIn.advertise, relayAttempts,
+               [this](control::RunBack back) { deliver(std::move(back)); }) {}
 
   static dispatch::Policy policyOf(config::Settings const& settings) {
     dispatch::Policy policy;
@@ -264,30 +267,36 @@
     received.target = content.target;
     received.headers = toLines(content.headers);
     received.body = std::move(content.body);
-    content = {"POST", "/limeramp/carry", {{"content-type", "avro/binary"}, {"limeramp-from", settings.advertise}}, messages::enclose(messages::pack(received)), ""};
-  }
-  client.begin(attempt, address.value_or(net::Address{}), std::move(content), effect.deadline,
-               [this, attempt, carried](net::Exchange exchange) {
-                 if (carried && exchange.answer) {
-                   absl::StatusOr<messages::ForwardReply> const back =
-                       messages::unpack<messages::ForwardReply>(messages::disclose(exchange.answer->body).value_or(""));
-                   if (exchange.answer->status == 200 && back.ok() && back->status >= 200 && back->status <= 599) {
-                     exchange.answer = net::Answer{static_cast<int>(back->status), fromLines(back->headers), back->body};
-                   } else {
-                     exchange.answer.reset();
-                     exchange.verdict = retry::Verdict::mayHaveRun;
-                   }
-                 }
-                 deliver(gateway::Event(Exchanged{attempt, std::move(exchange)}));
-               });
+    content = {"POST",
+               "/limeramp/carry",
+               {{"content-type", "avro/binary"}, {"limeramp-from", settings.advertise}},
+               messages::enclose(messages::pack(received)),
+               ""};
+  }
+  client.begin(
+      attempt, address.value_or(net::Address{}), std::move(content), effect.deadline,
+      [this, attempt, carried](net::Exchange exchange) {
+        if (carried && exchange.answer) {
+          absl::StatusOr<messages::ForwardReply> const back =
+              messages::unpack<messages::ForwardReply>(messages::disclose(exchange.answer->body).value_or(""));
+          if (exchange.answer->status == 200 && back.ok() && back->status >= 200 && back->status <= 599) {
+            exchange.answer = net::Answer{static_cast<int>(back->status), fromLines(back->headers), back->body};
+          } else {
+            exchange.answer.reset();
+            exchange.verdict = retry::Verdict::mayHaveRun;
+          }
+        }
+        deliver(gateway::Event(Exchanged{attempt, std::move(exchange)}));
+      });
 }
 
 void GatewayServer::Impl::carry(Grind const& effect) {
   std::uint64_t const attempt = effect.attempt;
   std::optional<double> const load = effect.load;
-  mill.read(effect.body, effect.expected, effect.result_size, [this, attempt, load](absl::StatusOr<dispatch::Part> part) {
-    deliver(gateway::Event(Ground{attempt, std::move(part), load}));
-  });
+  mill.read(effect.body, effect.expected, effect.result_size,
+            [this, attempt, load](absl::StatusOr<dispatch::Part> part) {
+              deliver(gateway::Event(Ground{attempt, std::move(part), load}));
+            });
 }
 
 void GatewayServer::Impl::carry(Merge const& effect) {
@@ -355,7 +364,7 @@
   unreadable = !checked.configuration;
   if (unreadable) {
     logging::raise(logging::Event::configurationUnreadable,
-                  {{"version", version.text()}, {"path", checked.problems.front().path}});
+                   {{"version", version.text()}, {"path", checked.problems.front().path}});
     return;
   }
   std::shared_ptr<config::Snapshot> const snapshot = std::make_shared<config::Snapshot>();
@@ -423,7 +432,7 @@
   double const share = static_cast<double>(allowed) * connectionShare /
                        static_cast<double>(std::max<std::size_t>(1, delivery.state()->roster.size()));
   net::Allowance const allowance{std::max<std::size_t>(leastConnections, static_cast<std::size_t>(share)),
-                                     share < leastConnections ? scarceIdleMs : net::Allowance{}.idleMs};
+                                 share < leastConnections ? scarceIdleMs : net::Allowance{}.idleMs};
   net::Allowance& known = allowances[address];
   if (known.most != allowance.most || known.idleMs != allowance.idleMs) {
     if (allowances.size() > mostAllowances) {
@@ -531,9 +540,9 @@
 
 net::Answer GatewayServer::Impl::ready() const {
   std::string const why = whyNotReady(Clock::now());
-  return control::plain(why.empty() ? 200 : 503,
-                        std::string("{\"ready\":") + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) +
-                            ",\"node\":" + json(settings.node) + "}");
+  return control::plain(why.empty() ? 200 : 503, std::string("{\"ready\":") + (why.empty() ? "true" : "false") +
+                                                     ",\"reason\":" + json(why) + ",\"node\":" + json(settings.node) +
+                                                     "}");
 }
 
 net::Answer GatewayServer::Impl::current() const {
@@ -553,17 +562,19 @@
   std::string const why = whyNotReady(now);
   messages::State const state = delivery.state().value_or(messages::State{});
   std::string body =
-      "{\"node\":" + json(settings.node) + ",\"role\":\"gateway\",\"zone\":" + json(settings.zone) + ",\"fleet\":" + json(fleet) +
-      ",\"ready\":" + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) + ",\"standing\":" +
-      json(nameOf(status.standing)) + ",\"age_ms\":" + (status.ageMs == Ms::max() ? "null" : std::to_string(status.ageMs.count())) +
-      ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
-      json((plane.snapshot() == nullptr ? config::Version{} : plane.snapshot()->version).text()) +
+      "{\"node\":" + json(settings.node) + ",\"role\":\"gateway\",\"zone\":" + json(settings.zone) +
+      ",\"fleet\":" + json(fleet) + ",\"ready\":" + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) +
+      ",\"standing\":" + json(nameOf(status.standing)) +
+      ",\"age_ms\":" + (status.ageMs == Ms::max() ? "null" : std::to_string(status.ageMs.count())) +
+      ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
+      ",\"version\":" + json((plane.snapshot() == nullptr ? config::Version{} : plane.snapshot()->version).text()) +
       ",\"primary_address\":" + json(delivery.primaryAddress()) + ",\"roster\":" + std::to_string(state.roster.size()) +
       ",\"requests\":" + std::to_string(plane.requests()) + ",\"peers\":[";
   bool first = true;
   for (messages::Peer const& peer : views.peers(now)) {
     body += std::string(first ? "" : ",") + "{\"node\":" + json(peer.node) + ",\"address\":" + json(peer.address) +
-            ",\"zone\":" + json(peer.zone) + ",\"role\":" + json(peer.role) + ",\"age_ms\":" + std::to_string(peer.ageMs) + "}";
+            ",\"zone\":" + json(peer.zone) + ",\"role\":" + json(peer.role) +
+            ",\"age_ms\":" + std::to_string(peer.ageMs) + "}";
     first = false;
   }
   body += "],\"servers\":[";
@@ -572,9 +583,10 @@
     char numbers[96];
     std::snprintf(numbers, sizeof numbers, ",\"latency_ms\":%.2f,\"load\":%.3f,\"in_flight\":%zu", entry.latencyMs,
                   entry.load, entry.inFlight);
-    body += std::string(first ? "" : ",") + "{\"service\":" + json(entry.service) + ",\"address\":" + json(entry.address) +
-            ",\"zone\":" + json(entry.zone) + ",\"down\":" + (entry.down ? "true" : "false") + ",\"leaving\":" +
-            (entry.leaving ? "true" : "false") + ",\"fresh\":" + (entry.fresh ? "true" : "false") + numbers + "}";
+    body += std::string(first ? "" : ",") + "{\"service\":" + json(entry.service) +
+            ",\"address\":" + json(entry.address) + ",\"zone\":" + json(entry.zone) +
+            ",\"down\":" + (entry.down ? "true" : "false") + ",\"leaving\":" + (entry.leaving ? "true" : "false") +
+            ",\"fresh\":" + (entry.fresh ? "true" : "false") + numbers + "}";
     first = false;
   }
   return control::plain(200, body + "]}");
@@ -596,7 +608,8 @@
             std::to_string(entry.second) + "\n";
   }
   body += "# TYPE limeramp_requests gauge\nlimeramp_requests " + std::to_string(plane.requests()) + "\n";
-  body += std::string("# TYPE limeramp_ready gauge\nlimeramp_ready ") + (whyNotReady(Clock::now()).empty() ? "1" : "0") + "\n";
+  body += std::string("# TYPE limeramp_ready gauge\nlimeramp_ready ") +
+          (whyNotReady(Clock::now()).empty() ? "1" : "0") + "\n";
   return {200, {{"content-type", "text/plain; version=0.0.4"}}, body};
 }
 
@@ -618,18 +631,19 @@
       control.rows.push_back({peer.node, peer.address, peer.zone, static_cast<std::int64_t>(peer.ageMs)});
     }
   }
-  query::Sheet servers{"servers", {"service", "address", "zone", "in_flight", "latency_ms", "down", "leaving", "fresh", "load"}, {}};
+  query::Sheet servers{
+      "servers", {"service", "address", "zone", "in_flight", "latency_ms", "down", "leaving", "fresh", "load"}, {}};
   for (dispatch::ServerView const& view : plane.servers(now)) {
-    servers.rows.push_back({view.service, view.address, view.zone, static_cast<std::int64_t>(view.inFlight), view.latencyMs,
-                            static_cast<std::int64_t>(view.down), static_cast<std::int64_t>(view.leaving),
-                            static_cast<std::int64_t>(view.fresh), view.load});
+    servers.rows.push_back({view.service, view.address, view.zone, static_cast<std::int64_t>(view.inFlight),
+                            view.latencyMs, static_cast<std::int64_t>(view.down),
+                            static_cast<std::int64_t>(view.leaving), static_cast<std::int64_t>(view.fresh), view.load});
   }
   query::Sheet entries{"entries", {"name", "kind", "tenant", "prefix", "deadline_ms", "max_attempts"}, {}};
   query::Sheet shards{"shards", {"search", "service", "cut"}, {}};
   if (config::SnapshotPtr const snapshot = plane.snapshot()) {
     for (config::Search const& search : snapshot->configuration.searches) {
-      entries.rows.push_back({search.name, std::string("search"), search.tenant, search.prefix, search.deadlineMs.count(),
-                              static_cast<std::int64_t>(search.max_attempts)});
+      entries.rows.push_back({search.name, std::string("search"), search.tenant, search.prefix,
+                              search.deadlineMs.count(), static_cast<std::int64_t>(search.max_attempts)});
       for (config::Shard const& shard : search.shards) {
         shards.rows.push_back({search.name, shard.service, shard.cut});
       }
@@ -687,27 +701,37 @@
 }
 
 void GatewayServer::Impl::takeForwarded(Incoming& inbound) {
-  absl::StatusOr<messages::ForwardRequest> const received = messages::unpack<messages::ForwardRequest>(messages::disclose(inbound.content.body).value_or(""));
+  absl::StatusOr<messages::ForwardRequest> const received =
+      messages::unpack<messages::ForwardRequest>(messages::disclose(inbound.content.body).value_or(""));
   if (!received.ok()) {
     inbound.respond(control::plain(400, "{\"reason\":\"not a carried request\"}"));
     return;
   }
-  net::Request content{received->method, received->target, fromLines(received->headers), received->body, inbound.content.peer};
-  admit(std::move(content), [respond = std::move(inbound.respond)](net::Answer const& answer) {
-    messages::ForwardReply const back{static_cast<std::uint64_t>(answer.status), toLines(answer.headers), answer.body};
-    respond({200, {{"content-type", "avro/binary"}}, messages::enclose(messages::pack(back))});
-  }, true, Ms(static_cast<long>(std::min<std::uint64_t>(received->remainingMs, 60'000))));
+  net::Request content{received->method, received->target, fromLines(received->headers), received->body,
+                       inbound.content.peer};
+  admit(
+      std::move(content),
+      [respond = std::move(inbound.respond)](net::Answer const& answer) {
+        messages::ForwardReply const back{static_cast<std::uint64_t>(answer.status), toLines(answer.headers),
+                                          answer.body};
+        respond({200, {{"content-type", "avro/binary"}}, messages::enclose(messages::pack(back))});
+      },
+      true, Ms(static_cast<long>(std::min<std::uint64_t>(received->remainingMs, 60'000))));
 }
 
-void GatewayServer::Impl::admit(net::Request content, net::Responder respond, bool passed, std::optional<Ms> remainingMs) {
+void GatewayServer::Impl::admit(net::Request content, net::Responder respond, bool passed,
+                                std::optional<Ms> remainingMs) {
   distribution::Standing const standing = delivery.status(Clock::now()).standing;
   if (standing != distribution::Standing::current && standing != distribution::Standing::upheld) {
     ++refusedStale;
-    respond(dialect.writeRefusal({Unserved::stale, "this node's configuration is " + nameOf(standing), retry::Verdict::notRun, Ms(1000), "", ""}));
+    respond(dialect.writeRefusal({Unserved::stale, "this node's configuration is " + nameOf(standing),
+                                  retry::Verdict::notRun, Ms(1000), "", ""}));
     return;
   }
-  if (content.body.size() > (plane.snapshot() == nullptr ? mostCallerBytes : plane.snapshot()->configuration.limits.maxBodyBytes)) {
-    respond(dialect.writeRefusal({Unserved::tooLong, "the body is longer than the limit", retry::Verdict::notRun, {}, "", ""}));
+  if (content.body.size() >
+      (plane.snapshot() == nullptr ? mostCallerBytes : plane.snapshot()->configuration.limits.maxBodyBytes)) {
+    respond(dialect.writeRefusal(
+        {Unserved::tooLong, "the body is longer than the limit", retry::Verdict::notRun, {}, "", ""}));
     return;
   }
   std::uint64_t const request = ++lastRequest;
@@ -817,7 +841,7 @@
 }
 
 bool GatewayServer::Impl::listen(std::vector<std::string> const& addresses, std::size_t maxBodyBytes, bool later,
-                         net::HttpServer::Handler handler, std::string& error) {
+                                 net::HttpServer::Handler handler, std::string& error) {
   for (std::string const& address : addresses) {
     net::ServerOptions options;
     options.bounds.maxConnections = settings.maxConnections;
@@ -826,8 +850,8 @@
     options.refuse = [this](int status, std::string const& reason) {
       return dialect.writeRefusal({unservedOf(status), reason, retry::Verdict::notRun, {}, "", ""});
     };
-    std::unique_ptr<net::HttpServer> server =
-        net::HttpServer::listen(network, net::Address::parse(address).value_or(net::Address{}), options, handler, error);
+    std::unique_ptr<net::HttpServer> server = net::HttpServer::listen(
+        network, net::Address::parse(address).value_or(net::Address{}), options, handler, error);
     if (server == nullptr) {
       return false;
     }
@@ -852,14 +876,15 @@
 
 GatewayServer::GatewayServer() = default;
 
-std::unique_ptr<GatewayServer> GatewayServer::start(config::Settings const& settings, std::string& error, Dialect dialect,
-                                    control::OperatorDialect operators) {
+std::unique_ptr<GatewayServer> GatewayServer::start(config::Settings const& settings, std::string& error,
+                                                    Dialect dialect, control::OperatorDialect operators) {
   std::unique_ptr<GatewayServer> front(new GatewayServer());
   front->impl_ = std::make_unique<Impl>(settings, std::move(dialect), std::move(operators));
   Impl& impl = *front->impl_;
   net::HttpServer::Handler const take = [&impl](net::Request request, net::Responder respond) {
     if (impl.inboundMessages.size() >= mostInboundMessages) {
-      respond(impl.dialect.writeRefusal({Unserved::overloaded, "overloaded", retry::Verdict::notRun, Ms(1000), "", ""}));
+      respond(
+          impl.dialect.writeRefusal({Unserved::overloaded, "overloaded", retry::Verdict::notRun, Ms(1000), "", ""}));
       return;
     }
     impl.deliver(Incoming{std::move(request), std::move(respond), false});
@@ -905,4 +930,4 @@
   impl_->heldChanged.wait_for(lock, lastWordMs, [] { return false; });
 }
 
-}
+}  // namespace limeramp::gateway
--- a/libs/gateway/src/request_plane.cpp
+++ b/libs/gateway/src/request_plane.cpp
@@ -29,7 +29,7 @@
   std::vector<std::size_t> missing;
 };
 
-}
+}  // namespace
 
 struct Plane::Impl {
   Impl(Self const& selfIn, dispatch::Policy const& policy, Dialect dialectIn)
@@ -95,9 +95,7 @@
   drive(servers);
 }
 
-void Plane::Impl::refuse(std::uint64_t request, Refusal refusal) {
-  reply(request, dialect.writeRefusal(refusal));
-}
+void Plane::Impl::refuse(std::uint64_t request, Refusal refusal) { reply(request, dialect.writeRefusal(refusal)); }
 
 Asked Plane::Impl::askedOf(Open const& entry, std::size_t leg) const {
   Asked asked;
@@ -127,7 +125,8 @@
   config::Configuration const& configuration = snapshot->configuration;
   config::Target const found = config::findTarget(configuration, caller.host, caller.tenant, path);
   if (std::holds_alternative<std::monostate>(found)) {
-    refuse(event.request, {Unserved::unknownEntry, "no entry or route of this tenant has this path", Verdict::notRun, {}, "", ""});
+    refuse(event.request,
+           {Unserved::unknownEntry, "no entry or route of this tenant has this path", Verdict::notRun, {}, "", ""});
     return;
   }
   Open entry;
@@ -260,7 +259,8 @@
     Unserved const why = finish.verdict == retry::Verdict::notRun ? Unserved::overloaded
                          : finish.reason == "deadline"            ? Unserved::deadline
                                                                   : Unserved::failed;
-    refuse(finish.request, {why, finish.reason, finish.verdict, finish.retryAfter, entry.id, entry.snapshot->version.text()});
+    refuse(finish.request,
+           {why, finish.reason, finish.verdict, finish.retryAfter, entry.id, entry.snapshot->version.text()});
   }
   open.erase(found);
 }
@@ -295,7 +295,8 @@
   Heard heard = dialect.readAnswer(*exchange.answer, asked);
   heard.returned.attempt = event.attempt;
   if (!asked.part) {
-    if (heard.returned.good && !heard.returned.healthy && entry.repeatable && heard.returned.verdict != retry::Verdict::notRun) {
+    if (heard.returned.good && !heard.returned.healthy && entry.repeatable &&
+        heard.returned.verdict != retry::Verdict::notRun) {
       heard.returned.good = false;
     }
     keepAnswer(event, heard.returned);
@@ -308,8 +309,9 @@
     outgoing.erase(found);
     drive(heard.returned);
   } else {
-    effects.emplace_back(Grind{event.attempt, exchange.answer->body, dispatch::Stamp{asked.service, asked.cut, asked.request},
-                               asked.result_size, heard.returned.load});
+    effects.emplace_back(Grind{event.attempt, exchange.answer->body,
+                               dispatch::Stamp{asked.service, asked.cut, asked.request}, asked.result_size,
+                               heard.returned.load});
   }
 }
 
@@ -344,7 +346,7 @@
   } else {
     Outgoing const place = found->second;
     effects.emplace_back(dispatch::Note{logging::Event::partRefused, open.at(place.request).services[place.leg],
-                                     std::string(event.part.status().message())});
+                                        std::string(event.part.status().message())});
     outgoing.erase(found);
     drive(returned);
   }
@@ -391,4 +393,4 @@
 dispatch::Counters Plane::counters() const { return impl_->machine.counters(); }
 std::size_t Plane::requests() const { return impl_->open.size(); }
 
-}
+}  // namespace limeramp::gateway
--- a/libs/logging/include/limeramp/logging/logging.h
+++ b/libs/logging/include/limeramp/logging/logging.h
@@ -64,4 +64,4 @@
 void open(std::string const& program, std::string const& node, Level least);
 void raise(Event event, std::initializer_list<Field> fields = {});
 
-}
+}  // namespace limeramp::logging
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -15,23 +15,34 @@
     {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
     {Event::settingsRefused, Level::error, "settings_refused", "the settings file or a flag is not usable"},
     {Event::listening, Level::info, "listening", "the address on which the process takes connections"},
-    {Event::configurationInForce, Level::info, "configuration_in_force", "this node now answers under the named version"},
+    {Event::configurationInForce, Level::info, "configuration_in_force",
+     "this node now answers under the named version"},
     {Event::configurationTaken, Level::info, "configuration_taken", "a change was made safe and acknowledged"},
     {Event::configurationRefused, Level::info, "configuration_refused", "a change was refused and left no trace"},
-    {Event::configurationUnknown, Level::warning, "configuration_unknown", "what became of a change could not be learnt in time"},
-    {Event::configurationUnreadable, Level::error, "configuration_unreadable", "a delivered configuration did not pass this node's check"},
-    {Event::readinessChanged, Level::info, "readiness_changed", "the node became ready or stopped being ready, with the reason"},
+    {Event::configurationUnknown, Level::warning, "configuration_unknown",
+     "what became of a change could not be learnt in time"},
+    {Event::configurationUnreadable, Level::error, "configuration_unreadable",
+     "a delivered configuration did not pass this node's check"},
+    {Event::readinessChanged, Level::info, "readiness_changed",
+     "the node became ready or stopped being ready, with the reason"},
     {Event::drainBegan, Level::info, "drain_began", "the node takes no new connections and finishes what it holds"},
     {Event::listRead, Level::info, "list_read", "a platform list that differs from the last one was read"},
-    {Event::listUnreachable, Level::warning, "list_unreachable", "the platform list could not be read; the last good one stays"},
-    {Event::listRowDropped, Level::warning, "list_row_dropped", "a row of the platform list was malformed and left out"},
-    {Event::listEmptyHeld, Level::warning, "list_empty_held", "the list became empty at once; the last one is held for a while"},
+    {Event::listUnreachable, Level::warning, "list_unreachable",
+     "the platform list could not be read; the last good one stays"},
+    {Event::listRowDropped, Level::warning, "list_row_dropped",
+     "a row of the platform list was malformed and left out"},
+    {Event::listEmptyHeld, Level::warning, "list_empty_held",
+     "the list became empty at once; the last one is held for a while"},
     {Event::homeChanged, Level::debug, "home_changed", "another node became the home of a service for this node"},
-    {Event::serverDown, Level::warning, "server_down", "a server's answers failed or stopped arriving; it gets no work for a while"},
+    {Event::serverDown, Level::warning, "server_down",
+     "a server's answers failed or stopped arriving; it gets no work for a while"},
     {Event::serverBack, Level::info, "server_back", "a server that was marked down answered again"},
-    {Event::partRefused, Level::warning, "part_refused", "a part was malformed or not the one asked for, and counts as a failure"},
-    {Event::budgetSpent, Level::debug, "budget_spent", "an extra attempt was not sent because the service's budget is spent"},
-    {Event::overloadRefused, Level::debug, "overload_refused", "a request was refused before any byte went to a server"},
+    {Event::partRefused, Level::warning, "part_refused",
+     "a part was malformed or not the one asked for, and counts as a failure"},
+    {Event::budgetSpent, Level::debug, "budget_spent",
+     "an extra attempt was not sent because the service's budget is spent"},
+    {Event::overloadRefused, Level::debug, "overload_refused",
+     "a request was refused before any byte went to a server"},
     {Event::founded, Level::info, "founded", "the control group was founded; this happens once in a fleet's life"},
     {Event::epochGranted, Level::info, "epoch_granted", "the witnesses granted an epoch"},
     {Event::primaryBegan, Level::info, "primary_began", "this replica is primary and takes changes"},
@@ -39,12 +50,15 @@
     {Event::backupLost, Level::warning, "backup_lost", "the primary does not hear its backup and looks for another"},
     {Event::replicaRebuilt, Level::info, "replica_rebuilt", "this replica took a snapshot from its peer"},
     {Event::ballotLost, Level::debug, "ballot_lost", "a ballot did not gather its votes and will be repeated"},
-    {Event::newGroupForced, Level::warning, "newGroupForced", "an operator began a new control group from what a node still held"},
+    {Event::newGroupForced, Level::warning, "newGroupForced",
+     "an operator began a new control group from what a node still held"},
     {Event::diskFailed, Level::error, "disk_failed", "a write or sync failed or took too long; the replica steps down"},
     {Event::diskDamaged, Level::error, "disk_damaged", "stored records are damaged and will not be served"},
     {Event::diskTailCut, Level::warning, "disk_tail_cut", "an unfinished last record was cut at start"},
-    {Event::messageDropped, Level::debug, "message_dropped", "a message to a peer was dropped because its queue was full or the peer is gone"},
-    {Event::peerStrange, Level::warning, "peer_strange", "a message of another fleet, of an unknown kind or version was left out"},
+    {Event::messageDropped, Level::debug, "message_dropped",
+     "a message to a peer was dropped because its queue was full or the peer is gone"},
+    {Event::peerStrange, Level::warning, "peer_strange",
+     "a message of another fleet, of an unknown kind or version was left out"},
     {Event::rosterChanged, Level::info, "roster_changed", "the set of nodes that share the fleet's duties changed"},
 }};
 
@@ -66,7 +80,7 @@
   return spdlog::level::err;
 }
 
-}
+}  // namespace
 
 std::span<EventInfo const> catalogue() { return events; }
 
@@ -96,4 +110,4 @@
   spdlog::log(level, "{}", line);
 }
 
-}
+}  // namespace limeramp::logging
--- a/libs/messages/include/limeramp/messages/codec.h
+++ b/libs/messages/include/limeramp/messages/codec.h
@@ -232,4 +232,4 @@
   return value;
 }
 
-}
+}  // namespace limeramp::messages
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -12,7 +12,8 @@
 
 constexpr std::int64_t protocol = 1;
 
-/// Values of Peer::role. Nodes of earlier versions send and expect exactly these words, so they outlive renames in the code.
+/// Values of Peer::role. Nodes of earlier versions send and expect exactly these words, so they outlive renames in the
+/// code.
 constexpr char const* gatewayRole = "quay";
 constexpr char const* controllerRole = "harbourmaster";
 
@@ -440,8 +441,8 @@
   }
 };
 
-using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Heartbeat, Sync, Synced, Poll, News, TablePoll,
-                             TableNews>;
+using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Heartbeat, Sync, Synced, Poll, News,
+                             TablePoll, TableNews>;
 
 struct Envelope {
   static constexpr char const* name = "Envelope";
@@ -474,4 +475,4 @@
 std::string seal(PeerMessage const& received);
 absl::StatusOr<PeerMessage> unseal(std::string_view bytes);
 
-}
+}  // namespace limeramp::messages
--- a/libs/messages/src/codec.cpp
+++ b/libs/messages/src/codec.cpp
@@ -114,7 +114,8 @@
       }
       return false;
     case AVRO_UNION:
-      return skimNumber(left, number) && (number == 0 || (number == 1 && fits(avro_schema_union_branch(schema, 1), left, items)));
+      return skimNumber(left, number) &&
+             (number == 0 || (number == 1 && fits(avro_schema_union_branch(schema, 1), left, items)));
     case AVRO_RECORD:
       for (std::size_t index = 0; index < avro_schema_record_size(schema); ++index) {
         if (!fits(avro_schema_record_field_get_by_index(schema, static_cast<int>(index)), left, items)) {
@@ -149,7 +150,7 @@
   return kind;
 }
 
-}
+}  // namespace
 
 std::string enclose(std::string const& bytes) {
   std::uint64_t const mark = XXH64(bytes.data(), bytes.size(), 0);
@@ -341,4 +342,4 @@
   value.assign(static_cast<char const*>(bytes), size);
 }
 
-}
+}  // namespace limeramp::messages
--- a/libs/messages/src/messages.cpp
+++ b/libs/messages/src/messages.cpp
@@ -17,7 +17,8 @@
 
 std::string digestOf(std::string const& schema) {
   std::array<char, 20> text{};
-  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(XXH64(schema.data(), schema.size(), 0)));
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(XXH64(schema.data(), schema.size(), 0)));
   return text.data();
 }
 
@@ -84,7 +85,7 @@
   }
 }
 
-}
+}  // namespace
 
 std::string seal(PeerMessage const& received) {
   Envelope envelope;
@@ -125,4 +126,4 @@
   return PeerMessage{envelope->fleet, envelope->from, envelope->address, *std::move(message)};
 }
 
-}
+}  // namespace limeramp::messages
--- a/libs/net/include/limeramp/net/http.h
+++ b/libs/net/include/limeramp/net/http.h
@@ -172,4 +172,4 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::net
--- a/libs/net/include/limeramp/net/peer_sender.h
+++ b/libs/net/include/limeramp/net/peer_sender.h
@@ -21,4 +21,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::net
--- a/libs/net/include/limeramp/net/random.h
+++ b/libs/net/include/limeramp/net/random.h
@@ -8,4 +8,4 @@
 std::uint64_t randomWord();
 std::string randomName();
 
-}
+}  // namespace limeramp::net
--- a/libs/net/include/limeramp/net/ring.h
+++ b/libs/net/include/limeramp/net/ring.h
@@ -86,4 +86,4 @@
   bool closed_ = false;
 };
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -59,7 +59,7 @@
   return std::nullopt;
 }
 
-}
+}  // namespace
 
 struct HttpClient::Impl {
   struct Connection;
@@ -181,7 +181,8 @@
   std::unique_ptr<Pool> pool = std::make_unique<Pool>();
   pool->name = name;
   pool->server = server;
-  pool->allowance = known == allowances.end() ? Allowance{bounds.maxConnectionsPerServer, bounds.idleMs} : known->second;
+  pool->allowance =
+      known == allowances.end() ? Allowance{bounds.maxConnectionsPerServer, bounds.idleMs} : known->second;
   std::unique_lock<std::mutex> const lock(countersMutex);
   return *pools.emplace(std::move(name), std::move(pool)).first->second;
 }
@@ -422,8 +423,8 @@
     return false;
   }
   if (whole) {
-    bool const clean = bytes.empty() && connection->parser->keep_alive() && !connection->sending &&
-                       !connection->sendBroken;
+    bool const clean =
+        bytes.empty() && connection->parser->keep_alive() && !connection->sending && !connection->sendBroken;
     relax(connection->input, keptBytes);
     answered(connection, clean);
     return false;
@@ -561,7 +562,8 @@
   if (beginning == 0) {
     attempt->done(std::move(exchange));
   } else {
-    asio::post(network.context, [attempt, exchange = std::move(exchange)]() mutable { attempt->done(std::move(exchange)); });
+    asio::post(network.context,
+               [attempt, exchange = std::move(exchange)]() mutable { attempt->done(std::move(exchange)); });
   }
 }
 
@@ -614,10 +616,11 @@
   }
   nextSweep = deadline;
   sweepTimer = network.schedule(deadline, {[again = self] {
-    if (std::shared_ptr<Impl> const client = again.lock()) {
-      client->sweep();
-    }
-  }, {}});
+                                             if (std::shared_ptr<Impl> const client = again.lock()) {
+                                               client->sweep();
+                                             }
+                                           },
+                                           {}});
 }
 
 void HttpClient::Impl::sweep() {
@@ -736,4 +739,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/network.cpp
+++ b/libs/net/src/network.cpp
@@ -111,8 +111,7 @@
   if (onThread()) {
     add(id, when, std::move(work));
   } else {
-    boost::asio::post(context,
-                      [this, id, when, work = std::move(work)]() mutable { add(id, when, std::move(work)); });
+    boost::asio::post(context, [this, id, when, work = std::move(work)]() mutable { add(id, when, std::move(work)); });
   }
   return id;
 }
@@ -149,7 +148,8 @@
   std::string out;
   for (char const inbound : text) {
     char code[4] = {inbound, 0, 0, 0};
-    if (std::isalnum(static_cast<unsigned char>(inbound)) == 0 && std::string_view("-._~").find(inbound) == std::string_view::npos) {
+    if (std::isalnum(static_cast<unsigned char>(inbound)) == 0 &&
+        std::string_view("-._~").find(inbound) == std::string_view::npos) {
       std::snprintf(code, sizeof code, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(inbound)));
     }
     out += code;
@@ -159,7 +159,8 @@
 
 std::string plainHost(std::string_view host) {
   std::string out(host.substr(0, host.find(':')));
-  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char inbound) { return static_cast<char>(std::tolower(inbound)); });
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char inbound) { return static_cast<char>(std::tolower(inbound)); });
   return out;
 }
 
@@ -201,4 +202,4 @@
   return out;
 }
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/network.h
+++ b/libs/net/src/network.h
@@ -42,4 +42,4 @@
   std::unordered_set<std::shared_ptr<void>> held;
 };
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/peer_sender.cpp
+++ b/libs/net/src/peer_sender.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t mostOutstanding = 32;
 constexpr std::chrono::milliseconds patienceMs{800};
 
-}
+}  // namespace
 
 struct Mail::Impl {
   Impl(Network& network, std::string const& fromIn) : client(network, bounds()), from(fromIn) {}
@@ -68,4 +68,4 @@
                       [count](Exchange const&) { --*count; });
 }
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/random.cpp
+++ b/libs/net/src/random.cpp
@@ -16,4 +16,4 @@
   return name;
 }
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -46,7 +46,7 @@
   return out;
 }
 
-}
+}  // namespace
 
 struct HttpServer::Impl {
   struct Connection;
@@ -104,7 +104,8 @@
 };
 
 struct HttpServer::Impl::Connection {
-  Connection(std::shared_ptr<Impl> serverIn, Socket socketIn) : server(std::move(serverIn)), socket(std::move(socketIn)) {}
+  Connection(std::shared_ptr<Impl> serverIn, Socket socketIn)
+      : server(std::move(serverIn)), socket(std::move(socketIn)) {}
   Connection(Connection const&) = delete;
   Connection& operator=(Connection const&) = delete;
   ~Connection() { server->forget(*this); }
@@ -190,10 +191,11 @@
     if (error) {
       std::weak_ptr<Impl> const again = me;
       me->network.schedule(Clock::now() + acceptAgainMs, {[again] {
-        if (std::shared_ptr<Impl> const server = again.lock()) {
-          server->accept();
-        }
-      }, {}});
+                                                            if (std::shared_ptr<Impl> const server = again.lock()) {
+                                                              server->accept();
+                                                            }
+                                                          },
+                                                          {}});
       return;
     }
     me->accepted(std::move(socket));
@@ -277,10 +279,11 @@
   }
   nextSweep = deadline;
   sweepTimer = network.schedule(deadline, {[again = self] {
-    if (std::shared_ptr<Impl> const server = again.lock()) {
-      server->sweep();
-    }
-  }, {}});
+                                             if (std::shared_ptr<Impl> const server = again.lock()) {
+                                               server->sweep();
+                                             }
+                                           },
+                                           {}});
 }
 
 void HttpServer::Impl::sweep() {
@@ -307,10 +310,11 @@
   }
   nextSweep = std::max(next, soonest);
   sweepTimer = network.schedule(nextSweep, {[again = self] {
-    if (std::shared_ptr<Impl> const server = again.lock()) {
-      server->sweep();
-    }
-  }, {}});
+                                              if (std::shared_ptr<Impl> const server = again.lock()) {
+                                                server->sweep();
+                                              }
+                                            },
+                                            {}});
 }
 
 void HttpServer::Impl::expire(ConnectionPtr const& connection) {
@@ -445,7 +449,8 @@
   bool const whole = (connection->parser || readHead(connection, bytes, used)) && readBody(connection, bytes, used);
   if (whole) {
     handle(connection);
-  } else if (connection->phase == Phase::reading && connection->deadline != connection->since + options.bounds.headerMs) {
+  } else if (connection->phase == Phase::reading &&
+             connection->deadline != connection->since + options.bounds.headerMs) {
     setDeadline(*connection, connection->since + options.bounds.headerMs);
   }
   return whole;
@@ -731,4 +736,4 @@
 
 std::size_t HttpServer::connections() const { return impl_->open; }
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/wire.cpp
+++ b/libs/net/src/wire.cpp
@@ -31,9 +31,8 @@
 bool isFraming(std::string_view name) {
   static constexpr std::array<std::string_view, 5> framing{"connection", "content-length", "transfer-encoding",
                                                            "keep-alive", "proxy-connection"};
-  return std::any_of(framing.begin(), framing.end(), [&](std::string_view one) {
-    return one.size() == name.size() && beast::iequals(one, name);
-  });
+  return std::any_of(framing.begin(), framing.end(),
+                     [&](std::string_view one) { return one.size() == name.size() && beast::iequals(one, name); });
 }
 
 bool breaks(std::string_view text) {
@@ -61,7 +60,7 @@
   }
 }
 
-}
+}  // namespace
 
 Head scanHead(HeadScan& scan, std::string_view bytes) {
   for (;;) {
@@ -93,7 +92,8 @@
   bool const never = answer.status / 100 == 1 || answer.status == 204 || answer.status == 304;
   out.reserve(out.size() + bytesOf(answer.headers) + answer.body.size() + 128);
   out.append(framing.version == 10 ? "HTTP/1.0 " : "HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
-  out.append(beast::http::obsolete_reason(beast::http::int_to_status(static_cast<unsigned>(std::max(answer.status, 0)))));
+  out.append(
+      beast::http::obsolete_reason(beast::http::int_to_status(static_cast<unsigned>(std::max(answer.status, 0)))));
   out.append("\r\n");
   writeHeaders(out, answer.headers);
   if (!framing.keep) {
@@ -133,4 +133,4 @@
   }
 }
 
-}
+}  // namespace limeramp::net
--- a/libs/net/src/wire.h
+++ b/libs/net/src/wire.h
@@ -25,4 +25,4 @@
 void writeRequest(std::string& out, Request const& request, std::string const& server);
 void relax(std::string& buffer, std::size_t mostBytes);
 
-}
+}  // namespace limeramp::net
--- a/libs/query/include/limeramp/query/query_engine.h
+++ b/libs/query/include/limeramp/query/query_engine.h
@@ -45,4 +45,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::query
--- a/libs/query/src/query_engine.cpp
+++ b/libs/query/src/query_engine.cpp
@@ -98,14 +98,15 @@
   }
 }
 
-}
+}  // namespace
 
 absl::StatusOr<std::string> ask(std::vector<Sheet> const& sheets, std::string const& query, Bounds const& bounds) {
   if (query.size() > bounds.maxQueryBytes) {
     return absl::InvalidArgumentError("longer than " + std::to_string(bounds.maxQueryBytes) + " bytes");
   }
   sqlite3* raw = nullptr;
-  int const opened = sqlite3_open_v2(":memory:", &raw, SQLITE_OPEN_READWRITE | SQLITE_OPEN_MEMORY | SQLITE_OPEN_NOMUTEX, nullptr);
+  int const opened =
+      sqlite3_open_v2(":memory:", &raw, SQLITE_OPEN_READWRITE | SQLITE_OPEN_MEMORY | SQLITE_OPEN_NOMUTEX, nullptr);
   Base const base(raw);
   if (opened != SQLITE_OK) {
     return absl::ResourceExhaustedError("no memory");
@@ -114,7 +115,8 @@
   sqlite3_limit(base.get(), SQLITE_LIMIT_LENGTH, static_cast<int>(bounds.maxAnswerBytes));
   sqlite3_limit(base.get(), SQLITE_LIMIT_EXPR_DEPTH, 50);
   sqlite3_limit(base.get(), SQLITE_LIMIT_COMPOUND_SELECT, 20);
-  std::string const pages = "PRAGMA max_page_count=" + std::to_string(bounds.maxMemoryBytes / 4096) + ";PRAGMA temp_store=MEMORY";
+  std::string const pages =
+      "PRAGMA max_page_count=" + std::to_string(bounds.maxMemoryBytes / 4096) + ";PRAGMA temp_store=MEMORY";
   sqlite3_exec(base.get(), pages.c_str(), nullptr, nullptr, nullptr);
   for (Sheet const& sheet : sheets) {
     absl::Status const filled = fill(base.get(), sheet);
@@ -132,7 +134,8 @@
   int const columns = sqlite3_column_count(statement->get());
   std::string out = "{\"columns\":[";
   for (int column = 0; column < columns; ++column) {
-    out += (column == 0 ? "" : ",") + picojson::value(std::string(sqlite3_column_name(statement->get(), column))).serialize();
+    out += (column == 0 ? "" : ",") +
+           picojson::value(std::string(sqlite3_column_name(statement->get(), column))).serialize();
   }
   out += "],\"rows\":[";
   std::size_t rows = 0;
@@ -189,4 +192,4 @@
   return impl_->ring.tryPush({std::move(sheets), std::move(query), std::move(done)});
 }
 
-}
+}  // namespace limeramp::query
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "limeramp/messages/messages.h"
 #include "limeramp/logging/logging.h"
+#include "limeramp/messages/messages.h"
 
 #include <chrono>
 #include <cstdint>
@@ -135,4 +135,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::replication
--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -38,7 +38,9 @@
   TimePoint nextHeartbeatAt{};
 };
 
-std::uint64_t epochOf(messages::Heartbeat const& heartbeat) { return std::max(heartbeat.epoch, heartbeat.decided.epoch); }
+std::uint64_t epochOf(messages::Heartbeat const& heartbeat) {
+  return std::max(heartbeat.epoch, heartbeat.decided.epoch);
+}
 
 enum class Step { none, choosing, syncing, preparing, accepting };
 
@@ -74,7 +76,7 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-}
+}  // namespace
 
 struct ReplicationGroup::Impl {
   explicit Impl(Policy const& policyIn) : policy(policyIn) {}
@@ -191,7 +193,8 @@
     return true;
   }
   std::map<std::string, Heard>::const_iterator const found = heard.find(id);
-  return found != heard.end() && found->second.ever && !found->second.heartbeat.ailing && now - found->second.at <= within;
+  return found != heard.end() && found->second.ever && !found->second.heartbeat.ailing &&
+         now - found->second.at <= within;
 }
 
 std::size_t ReplicationGroup::Impl::quorum() const {
@@ -225,7 +228,8 @@
 }
 
 template <typename T>
-void ReplicationGroup::Impl::restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value) {
+void ReplicationGroup::Impl::restore(std::string const& key, std::map<std::string, std::string> const& stored,
+                                     T& value) {
   std::map<std::string, std::string>::const_iterator const found = stored.find(key);
   if (found == stored.end()) {
     return;
@@ -368,7 +372,8 @@
     state = event.state;
   }
   std::uint64_t const generation = std::max(vote.decided.epoch, state.epoch) / forcedEpochStride + 1;
-  messages::EpochRecord record{generation * forcedEpochStride + random() % (forcedEpochStride / 2), event.fleet, self.id, backups, chooseWitnesses(self.id, backups)};
+  messages::EpochRecord record{generation * forcedEpochStride + random() % (forcedEpochStride / 2), event.fleet,
+                               self.id, backups, chooseWitnesses(self.id, backups)};
   learn(record, true);
   effects.emplace_back(NewGroupForced{});
   heartbeatAll();
@@ -382,8 +387,9 @@
     effects.emplace_back(Note{logging::Event::peerStrange, "a record of fleet " + record.fleet});
     return;
   }
-  effects.emplace_back(Note{record.epoch == 1 ? logging::Event::founded : logging::Event::epochGranted,
-                            std::to_string(record.epoch) + " primary " + record.primary + " backups " + joined(record.backups)});
+  effects.emplace_back(
+      Note{record.epoch == 1 ? logging::Event::founded : logging::Event::epochGranted,
+           std::to_string(record.epoch) + " primary " + record.primary + " backups " + joined(record.backups)});
   bool const keepsTicket = record.primary == self.id;
   std::optional<std::uint64_t> const held = ticket;
   if (keepsTicket) {
@@ -484,7 +490,8 @@
     }
     yieldUntil = now + policy.lostMs;
   } else {
-    std::strong_ordering const order = std::pair(message.state.epoch, message.state.sequence) <=> std::pair(state.epoch, state.sequence);
+    std::strong_ordering const order =
+        std::pair(message.state.epoch, message.state.sequence) <=> std::pair(state.epoch, state.sequence);
     if (isPrimary() && leadership == Leadership::joining && isOf(vote.decided.backups, from) && order > 0 &&
         message.state.epoch == vote.decided.epoch) {
       state = message.state;
@@ -504,8 +511,8 @@
   bool const changed = !(state == message.state);
   std::vector<Effect> then{Send{from, "", messages::Synced{vote.decided.epoch, message.token}}};
   if (changed && state.epoch < message.state.epoch) {
-    effects.emplace_back(Note{logging::Event::replicaRebuilt, std::to_string(message.state.epoch) + "." +
-                                                                 std::to_string(message.state.sequence)});
+    effects.emplace_back(Note{logging::Event::replicaRebuilt,
+                              std::to_string(message.state.epoch) + "." + std::to_string(message.state.sequence)});
   }
   if (changed && ticket) {
     effects.emplace_back(Doubtful{*ticket});
@@ -596,14 +603,15 @@
   return zones.size() - zones.count("");
 }
 
-std::vector<std::string> ReplicationGroup::Impl::listing(std::string const& primary, std::vector<std::string> const& backups) const {
+std::vector<std::string> ReplicationGroup::Impl::listing(std::string const& primary,
+                                                         std::vector<std::string> const& backups) const {
   std::vector<std::string> out{primary};
   out.insert(out.end(), backups.begin(), backups.end());
   return out;
 }
 
 std::vector<std::string> ReplicationGroup::Impl::chooseWitnesses(std::string const& primary,
-                                                        std::vector<std::string> const& backups) const {
+                                                                 std::vector<std::string> const& backups) const {
   std::vector<std::string> out = listing(primary, backups);
   std::vector<std::string> const& listed = vote.decided.witnesses;
   out.resize(std::min(out.size(), policy.mostWitnesses));
@@ -616,7 +624,8 @@
           std::count(out.begin(), out.end(), entry.first) > 0) {
         continue;
       }
-      bool const newZone = std::all_of(out.begin(), out.end(), [&](std::string const& id) { return apart(id, entry.first); });
+      bool const newZone =
+          std::all_of(out.begin(), out.end(), [&](std::string const& id) { return apart(id, entry.first); });
       int const score = (newZone ? 2 : 0) + (witness ? 1 : 0);
       if (score > bestScore) {
         best = entry.first;
@@ -642,7 +651,8 @@
 
 bool ReplicationGroup::Impl::superseded(std::string const& id) const {
   std::map<std::string, Heard>::const_iterator const old = heard.find(id);
-  return old != heard.end() && std::any_of(heard.begin(), heard.end(), [&](std::pair<std::string const, Heard> const& entry) {
+  return old != heard.end() &&
+         std::any_of(heard.begin(), heard.end(), [&](std::pair<std::string const, Heard> const& entry) {
            return entry.first != id && entry.second.member.address == old->second.member.address &&
                   entry.second.at > old->second.at && fresh(entry.first, policy.lostMs);
          });
@@ -704,8 +714,9 @@
       }
       proposal.primary = self.id;
       if (handsOver && !backups.empty()) {
-        std::vector<std::string>::const_iterator const successor = std::find_if(
-            vote.decided.backups.begin(), vote.decided.backups.end(), [&](std::string const& id) { return fresh(id, policy.lostMs); });
+        std::vector<std::string>::const_iterator const successor =
+            std::find_if(vote.decided.backups.begin(), vote.decided.backups.end(),
+                         [&](std::string const& id) { return fresh(id, policy.lostMs); });
         proposal.primary = successor == vote.decided.backups.end() ? backups.front() : *successor;
         backups = chooseBackups(proposal.primary);
         if (1 + backups.size() < policy.leastReplicas) {
@@ -756,7 +767,8 @@
   proposal.best.reset();
   proposal.bestBallot = {};
   proposal.yes.clear();
-  proposal.retryAt = now + policy.ballotMs + Ms(static_cast<long>(random() % static_cast<std::uint64_t>(policy.ballotMs.count())));
+  proposal.retryAt =
+      now + policy.ballotMs + Ms(static_cast<long>(random() % static_cast<std::uint64_t>(policy.ballotMs.count())));
   if (vote.decided.epoch > 0) {
     proposal.voters = vote.decided.witnesses;
     proposal.record = {vote.decided.epoch + 1, vote.decided.fleet, proposal.primary, proposal.backups,
@@ -768,9 +780,9 @@
 void ReplicationGroup::Impl::sendBallot() {
   std::uint64_t const epoch = vote.decided.epoch;
   Step const step = proposal.step;
-  messages::Message const message = step == Step::preparing
-                                     ? messages::Message(messages::Prepare{vote.decided, proposal.ballot})
-                                     : messages::Message(messages::Accept{vote.decided, proposal.ballot, proposal.record});
+  messages::Message const message =
+      step == Step::preparing ? messages::Message(messages::Prepare{vote.decided, proposal.ballot})
+                              : messages::Message(messages::Accept{vote.decided, proposal.ballot, proposal.record});
   std::vector<std::string> const voters = proposal.voters;
   proposal.sentAt = now;
   for (std::string const& voter : voters) {
@@ -798,8 +810,8 @@
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
-  messages::Promise answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised, vote.acceptedBallot,
-                        vote.accepted};
+  messages::Promise answer{slot(),        message.ballot,      message.ballot >= vote.promised,
+                           vote.promised, vote.acceptedBallot, vote.accepted};
   if (!answer.granted) {
     send(from, answer);
     return;
@@ -887,7 +899,8 @@
     }
     confirmLeadership();
   }
-  if (isBackup() && from == vote.decided.primary && message.token != 0 && now + policy.heartbeatMs > entry.nextHeartbeatAt) {
+  if (isBackup() && from == vote.decided.primary && message.token != 0 &&
+      now + policy.heartbeatMs > entry.nextHeartbeatAt) {
     entry.nextHeartbeatAt = now;
     heartbeat();
   }
@@ -929,7 +942,8 @@
 }
 
 void ReplicationGroup::Impl::tryFounding() {
-  std::vector<std::string>::const_iterator const turn = std::lower_bound(founders.begin(), founders.end(), self.address);
+  std::vector<std::string>::const_iterator const turn =
+      std::lower_bound(founders.begin(), founders.end(), self.address);
   if (!mayVote() || retiring || now - quietSince < policy.lostMs + policy.founderTurnMs * (turn - founders.begin())) {
     return;
   }
@@ -995,7 +1009,9 @@
     }
   } else if (isBackup()) {
     std::vector<std::string> const& successors = vote.decided.backups;
-    Ms const patience = policy.takeoverMs + policy.successorTurnMs * (std::find(successors.begin(), successors.end(), self.id) - successors.begin());
+    Ms const patience =
+        policy.takeoverMs +
+        policy.successorTurnMs * (std::find(successors.begin(), successors.end(), self.id) - successors.begin());
     bool const gone = now - quietSince >= patience && !fresh(vote.decided.primary, patience);
     if (!isFenced() && !ailing() && gone && couldGoOn()) {
       fenceSelf();
@@ -1036,7 +1052,8 @@
 bool ReplicationGroup::ailing() const { return impl_->ailing() && !impl_->diskless; }
 bool ReplicationGroup::retired() const {
   std::map<std::string, Heard>::const_iterator const successor = impl_->heard.find(impl_->vote.decided.primary);
-  bool const known = successor != impl_->heard.end() && epochOf(successor->second.heartbeat) == impl_->vote.decided.epoch;
+  bool const known =
+      successor != impl_->heard.end() && epochOf(successor->second.heartbeat) == impl_->vote.decided.epoch;
   return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isFenced()));
 }
 std::string const& ReplicationGroup::id() const { return impl_->self.id; }
@@ -1062,4 +1079,4 @@
   return std::chrono::duration_cast<Ms>(now - found->second.at);
 }
 
-}
+}  // namespace limeramp::replication
--- a/libs/retry/include/limeramp/retry/ledger.h
+++ b/libs/retry/include/limeramp/retry/ledger.h
@@ -59,4 +59,4 @@
   double left_ = 0;
 };
 
-}
+}  // namespace limeramp::retry
--- a/libs/retry/include/limeramp/retry/verdict.h
+++ b/libs/retry/include/limeramp/retry/verdict.h
@@ -18,4 +18,4 @@
   return "may_have_run";
 }
 
-}
+}  // namespace limeramp::retry
--- a/libs/retry/src/ledger.cpp
+++ b/libs/retry/src/ledger.cpp
@@ -35,8 +35,7 @@
 }
 
 bool Ledger::hasTried(std::uint64_t server) const {
-  return std::any_of(attempts_.begin(), attempts_.end(),
-                     [&](Attempt const& entry) { return entry.server == server; });
+  return std::any_of(attempts_.begin(), attempts_.end(), [&](Attempt const& entry) { return entry.server == server; });
 }
 
 bool Ledger::mayHaveRun() const {
@@ -73,4 +72,4 @@
   return true;
 }
 
-}
+}  // namespace limeramp::retry
--- a/libs/storage/include/limeramp/storage/record_store.h
+++ b/libs/storage/include/limeramp/storage/record_store.h
@@ -44,4 +44,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::storage
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -55,9 +55,7 @@
 
 std::size_t aligned(std::size_t size) { return (size + 7) & ~static_cast<std::size_t>(7); }
 
-absl::Status problem(std::string const& what) {
-  return absl::UnavailableError(what + ": " + std::strerror(errno));
-}
+absl::Status problem(std::string const& what) { return absl::UnavailableError(what + ": " + std::strerror(errno)); }
 
 std::optional<Head> headAt(std::string const& bytes, std::size_t at) {
   Head head;
@@ -130,7 +128,7 @@
   return out;
 }
 
-}
+}  // namespace
 
 struct RecordStore::Impl {
   std::string folder;
@@ -228,7 +226,8 @@
     }
     if (rottenGeneration >= best->generation) {
       findings.damaged = true;
-      findings.detail = "a record before the last one of generation " + std::to_string(rottenGeneration) + " is unreadable";
+      findings.detail =
+          "a record before the last one of generation " + std::to_string(rottenGeneration) + " is unreadable";
       return absl::OkStatus();
     }
     generation = best->generation;
@@ -361,4 +360,4 @@
   return impl_->openFiles();
 }
 
-}
+}  // namespace limeramp::storage
--- a/programs/limerampctl.cpp
+++ b/programs/limerampctl.cpp
@@ -35,11 +35,14 @@
 )";
 
 char const* const forgetWarning =
-    "limerampctl: these nodes are then counted as dead. If one of them lives on, cut off from here together with others,\n"
-    "limerampctl: it may serve callers under an old configuration for as long as the cut lasts. Say --yes if they are gone.\n";
+    "limerampctl: these nodes are then counted as dead. If one of them lives on, cut off from here together with "
+    "others,\n"
+    "limerampctl: it may serve callers under an old configuration for as long as the cut lasts. Say --yes if they are "
+    "gone.\n";
 
 char const* const forceNewGroupWarning =
-    "limerampctl: only when most of the control group's disks are gone for good. Changes that none of --nodes has are lost,\n"
+    "limerampctl: only when most of the control group's disks are gone for good. Changes that none of --nodes has are "
+    "lost,\n"
     "limerampctl: what is left of the old group is overruled when it returns. Do it at one controller only, once, and\n"
     "limerampctl: name all nodes you can reach. Say --yes if that is wanted.\n";
 
@@ -61,7 +64,8 @@
         outcome.exchange.answer ? config::parseJson(outcome.exchange.answer->body, {4u << 20, 24, 400'000})
                                 : absl::UnavailableError("no answer");
     bool const reads = body.ok() && body->is<picojson::object>() && body->get("role").to_str() == "gateway";
-    std::optional<config::Version> const state = reads ? config::Version::parse(body->get("state").to_str()) : std::nullopt;
+    std::optional<config::Version> const state =
+        reads ? config::Version::parse(body->get("state").to_str()) : std::nullopt;
     std::cerr << "limerampctl: " << node.text() << (state ? " holds " + state->text() : " gives no state") << '\n';
     if (state && *state > newest) {
       newest = *state;
@@ -110,8 +114,8 @@
     bool const certain = outcome.exchange.verdict == retry::Verdict::notRun;
     std::cerr << "limerampctl: " << outcome.node << ": " << outcome.exchange.reason << '\n';
     if (verb == "put" || verb == "patch" || verb == "forget") {
-      std::cerr << "limerampctl: change " << change << (certain ? " was not carried out" : " may have been taken; ask again with --change")
-                << '\n';
+      std::cerr << "limerampctl: change " << change
+                << (certain ? " was not carried out" : " may have been taken; ask again with --change") << '\n';
       return certain ? Exit::notRun : Exit::unknown;
     }
     return Exit::problem;
@@ -138,17 +142,18 @@
   }
 }
 
-}
+}  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("limerampctl", purpose);
-  options.add_options()("nodes", "IP:PORT of one or more nodes, tried in turn", cxxopts::value<std::vector<std::string>>())(
+  options.add_options()("nodes", "IP:PORT of one or more nodes, tried in turn",
+                        cxxopts::value<std::vector<std::string>>())(
       "base", "version that a patch, or a whole configuration, replaces", cxxopts::value<std::string>())(
       "change", "id of the change; the same id never takes effect twice", cxxopts::value<std::string>())(
       "wait-ms", "how long to wait", cxxopts::value<long>()->default_value("10000"))(
       "yes", "the consequence was read and is wanted")("verb", "", cxxopts::value<std::string>())(
-      "rest", "", cxxopts::value<std::vector<std::string>>())("version", "print the version")(
-      "help", "print this text");
+      "rest", "", cxxopts::value<std::vector<std::string>>())("version", "print the version")("help",
+                                                                                              "print this text");
   options.parse_positional({"verb", "rest"});
   options.positional_help("VERB [FILE | NODE...]");
   try {
@@ -179,10 +184,13 @@
     bool const writes = verb == "put" || verb == "patch";
     bool const sends = writes || verb == "forget";
     bool const forcedGroups = verb == "force-new-group";
-    bool const counted = forcedGroups ? rest.size() == 1 && net::Address::parse(rest.front()) : verb == "forget" ? !rest.empty() : rest.size() == (writes ? 1u : 0u);
-    if (nodes.empty() || !flags.unmatched().empty() || waitMs <= 0 || waitMs > 60'000 ||
-        !counted || (verb == "patch" && flags.count("base") == 0)) {
-      std::cerr << "limerampctl: " << (nodes.empty() ? "--nodes is needed" : "wrong usage") << "; see limerampctl --help\n";
+    bool const counted = forcedGroups       ? rest.size() == 1 && net::Address::parse(rest.front())
+                         : verb == "forget" ? !rest.empty()
+                                            : rest.size() == (writes ? 1u : 0u);
+    if (nodes.empty() || !flags.unmatched().empty() || waitMs <= 0 || waitMs > 60'000 || !counted ||
+        (verb == "patch" && flags.count("base") == 0)) {
+      std::cerr << "limerampctl: " << (nodes.empty() ? "--nodes is needed" : "wrong usage")
+                << "; see limerampctl --help\n";
       return Exit::usage;
     }
     net::Request request;
@@ -197,7 +205,11 @@
         std::cerr << "limerampctl: none of the nodes holds a configuration\n";
         return Exit::notRun;
       }
-      request = {"POST", "/limeramp/force-new-group", {{"content-type", "application/json"}}, "{\"from\":" + json(*from) + "}", ""};
+      request = {"POST",
+                 "/limeramp/force-new-group",
+                 {{"content-type", "application/json"}},
+                 "{\"from\":" + json(*from) + "}",
+                 ""};
       return report(ask({*net::Address::parse(rest.front())}, request, Ms(8000)), verb, "");
     }
     if (writes && !readFile(rest.front(), request.body)) {
@@ -215,7 +227,8 @@
       change = flags.count("change") > 0 ? flags["change"].as<std::string>() : fresh;
       request.method = verb == "put" ? "PUT" : verb == "patch" ? "PATCH" : "POST";
       request.target = verb == "forget" ? "/limeramp/forget" : "/limeramp/configuration";
-      request.headers = {{"content-type", "application/json"}, {"limeramp-change", change},
+      request.headers = {{"content-type", "application/json"},
+                         {"limeramp-change", change},
                          {"limeramp-deadline-ms", std::to_string(waitMs)}};
       if (flags.count("base") > 0) {
         request.headers.emplace_back("limeramp-base", flags["base"].as<std::string>());
--- a/programs/program.h
+++ b/programs/program.h
@@ -19,9 +19,9 @@
 int serve(std::string const& program, config::Settings const& settings, Start<Service> const& start,
           std::function<void(Service&)> const& reload = {}) {
   std::map<std::string, logging::Level> const levels{{"debug", logging::Level::debug},
-                                                    {"info", logging::Level::info},
-                                                    {"warning", logging::Level::warning},
-                                                    {"error", logging::Level::error}};
+                                                     {"info", logging::Level::info},
+                                                     {"warning", logging::Level::warning},
+                                                     {"error", logging::Level::error}};
   logging::open(program, settings.node, levels.at(settings.logLevel));
   sigset_t awaited;
   sigemptyset(&awaited);
@@ -64,8 +64,10 @@
     std::cerr << program << ": " << problem->text << '\n';
     return 2;
   }
-  Start<Service> const start = [](config::Settings const& settings, std::string& error) { return Service::start(settings, error); };
+  Start<Service> const start = [](config::Settings const& settings, std::string& error) {
+    return Service::start(settings, error);
+  };
   return serve<Service>(program, std::get<config::Settings>(outcome), start);
 }
 
-}
+}  // namespace limeramp::programs
--- a/programs/trace.cpp
+++ b/programs/trace.cpp
@@ -1,5 +1,5 @@
-#include "limeramp/config/json.h"
 #include "limeramp/config/configuration.h"
+#include "limeramp/config/json.h"
 #include "limeramp/net/http.h"
 
 #include <cxxopts.hpp>
@@ -99,15 +99,16 @@
   }
 }
 
-}
+}  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("limeramp-trace", purpose);
   options.add_options()("nodes", "IP:PORT of one or more nodes", cxxopts::value<std::vector<std::string>>())(
-      "want", "version to follow", cxxopts::value<std::string>())("next", "follow the first version newer than those known at the start")(
+      "want", "version to follow", cxxopts::value<std::string>())(
+      "next", "follow the first version newer than those known at the start")(
       "wait-ms", "how long to watch", cxxopts::value<long>()->default_value("10000"))(
-      "every-ms", "how often each node is asked", cxxopts::value<long>()->default_value("20"))("version", "print the version")(
-      "help", "print this text");
+      "every-ms", "how often each node is asked", cxxopts::value<long>()->default_value("20"))(
+      "version", "print the version")("help", "print this text");
   try {
     cxxopts::ParseResult const flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
@@ -160,7 +161,8 @@
                        std::unique_lock<std::mutex> const inner(watch.mutex);
                        watch.nodes[address].pending = false;
                        if (exchange.answer && exchange.answer->status == 200) {
-                         absl::StatusOr<picojson::value> const body = config::parseJson(exchange.answer->body, {4u << 20, 24, 400'000});
+                         absl::StatusOr<picojson::value> const body =
+                             config::parseJson(exchange.answer->body, {4u << 20, 24, 400'000});
                          if (body.ok() && body->is<picojson::object>()) {
                            readStatus(watch, address, *body);
                          }
@@ -174,9 +176,10 @@
           watch.want = watch.newest;
         }
       }
-      bool const all = std::all_of(watch.nodes.begin(), watch.nodes.end(), [](std::pair<std::string const, Sight> const& entry) {
-        return entry.second.inForce.has_value() || (entry.second.heard && !entry.second.replica);
-      });
+      bool const all =
+          std::all_of(watch.nodes.begin(), watch.nodes.end(), [](std::pair<std::string const, Sight> const& entry) {
+            return entry.second.inForce.has_value() || (entry.second.heard && !entry.second.replica);
+          });
       done = watch.want && all && Clock::now() - start > Ms(1000);
     }
     lock.unlock();
@@ -191,18 +194,24 @@
         first = entry.second.stored;
       }
     }
-    std::cout << "version " << watch.want->text() << ", times in ms after it was first seen, looked at every " << everyMs << " ms\n";
-    std::printf("%-22s %-14s %-14s %-6s %8s %9s  %s\n", "address", "node", "role", "zone", "stored", "in force", "state");
+    std::cout << "version " << watch.want->text() << ", times in ms after it was first seen, looked at every "
+              << everyMs << " ms\n";
+    std::printf("%-22s %-14s %-14s %-6s %8s %9s  %s\n", "address", "node", "role", "zone", "stored", "in force",
+                "state");
     long worst = 0;
     std::size_t lagging = 0;
     std::size_t silent = 0;
     for (std::pair<std::string const, Sight> const& entry : watch.nodes) {
       Sight const& sight = entry.second;
-      std::function<std::string(std::optional<Clock::time_point> const&)> const since = [&](std::optional<Clock::time_point> const& at) {
-        return at ? std::to_string(std::chrono::duration_cast<Ms>(*at - *first).count()) : std::string("-");
-      };
+      std::function<std::string(std::optional<Clock::time_point> const&)> const since =
+          [&](std::optional<Clock::time_point> const& at) {
+            return at ? std::to_string(std::chrono::duration_cast<Ms>(*at - *first).count()) : std::string("-");
+          };
       bool const lags = sight.heard && sight.replica && !sight.inForce;
-      std::string const state = !sight.heard ? "not heard" : !sight.replica ? "keeps no copy" : sight.inForce ? "in force" : "at " + sight.version.text() + " " + sight.standing;
+      std::string const state = !sight.heard     ? "not heard"
+                                : !sight.replica ? "keeps no copy"
+                                : sight.inForce  ? "in force"
+                                                 : "at " + sight.version.text() + " " + sight.standing;
       silent += sight.heard ? 0 : 1;
       lagging += lags ? 1 : 0;
       if (sight.inForce) {
@@ -211,7 +220,8 @@
       std::printf("%-22s %-14s %-14s %-6s %8s %9s  %s\n", entry.first.c_str(), sight.node.c_str(), sight.role.c_str(),
                   sight.zone.c_str(), since(sight.stored).c_str(), since(sight.inForce).c_str(), state.c_str());
     }
-    std::printf("nodes %zu, lagging %zu, not heard %zu, last in force after %ld ms\n", watch.nodes.size(), lagging, silent, worst);
+    std::printf("nodes %zu, lagging %zu, not heard %zu, last in force after %ld ms\n", watch.nodes.size(), lagging,
+                silent, worst);
     return lagging + silent == 0 ? 0 : 1;
   } catch (cxxopts::exceptions::exception const& wrong) {
     std::cerr << "limeramp-trace: " << wrong.what() << '\n';
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -57,8 +57,8 @@
       middle.push_back(sent[sent.size() / 2]);
       shuffleBytes.push_back(bytesOf(steady, "Shuffle"));
       EXPECT_EQ(steady.leastServing, nodes);
-      std::printf("seed %llu, %zu nodes: a front sends %.1f / %.1f / %.1f messages a second\n", static_cast<unsigned long long>(seed),
-                  nodes, sent.front(), middle.back(), sent.back());
+      std::printf("seed %llu, %zu nodes: a front sends %.1f / %.1f / %.1f messages a second\n",
+                  static_cast<unsigned long long>(seed), nodes, sent.front(), middle.back(), sent.back());
     }
     EXPECT_LT(middle[1], middle[0] * 1.5);
     EXPECT_LT(shuffleBytes[1], shuffleBytes[0] * 1.2);
@@ -74,7 +74,8 @@
     begin(fleet, nodes);
     Stretch const churn = fleet.churn(Ms(12'000), {0.5, 0.1, 0.5});
     std::printf("seed %llu: %zu restarts, %zu failures, %zu of %zu changes taken, %zu changes of the roster\n",
-                static_cast<unsigned long long>(seed), churn.restarts, churn.failures, churn.taken, churn.changes, churn.rosterChanges);
+                static_cast<unsigned long long>(seed), churn.restarts, churn.failures, churn.taken, churn.changes,
+                churn.rosterChanges);
     EXPECT_GT(churn.restarts, 0u);
     EXPECT_GT(churn.changes, 0u);
     EXPECT_LE(churn.changes - churn.taken, 2u);
@@ -106,4 +107,4 @@
   EXPECT_EQ(fleet.serving(), 20u);
 }
 
-}
+}  // namespace
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -34,11 +34,11 @@
 
 TEST(MergePatch, FollowsTheExamplesOfTheStandard) {
   std::vector<std::array<std::string, 3>> const cases{{R"({"a":"b"})", R"({"a":"c"})", R"({"a":"c"})"},
-                                                     {R"({"a":"b","b":"c"})", R"({"a":null})", R"({"b":"c"})"},
-                                                     {R"({"a":[1]})", R"({"a":{"b":null,"c":1}})", R"({"a":{"c":1}})"},
-                                                     {R"([1,2])", R"({"a":"b","c":null})", R"({"a":"b"})"},
-                                                     {R"({"e":null})", R"({"a":1})", R"({"a":1,"e":null})"},
-                                                     {R"({})", R"({"a":{"bb":{"ccc":null}}})", R"({"a":{"bb":{}}})"}};
+                                                      {R"({"a":"b","b":"c"})", R"({"a":null})", R"({"b":"c"})"},
+                                                      {R"({"a":[1]})", R"({"a":{"b":null,"c":1}})", R"({"a":{"c":1}})"},
+                                                      {R"([1,2])", R"({"a":"b","c":null})", R"({"a":"b"})"},
+                                                      {R"({"e":null})", R"({"a":1})", R"({"a":1,"e":null})"},
+                                                      {R"({})", R"({"a":{"bb":{"ccc":null}}})", R"({"a":{"bb":{}}})"}};
   for (std::array<std::string, 3> const& one : cases) {
     EXPECT_EQ(mergePatch(*parseJson(one[0]), *parseJson(one[1])).serialize(), one[2]);
   }
@@ -56,7 +56,8 @@
 }
 
 TEST(Configuration, NamesThePathOfEachError) {
-  EXPECT_EQ(problemsOf(R"({"searches":{"packages":{"minimum_shards":3}}})").at(0).path, "/searches/packages/minimum_shards");
+  EXPECT_EQ(problemsOf(R"({"searches":{"packages":{"minimum_shards":3}}})").at(0).path,
+            "/searches/packages/minimum_shards");
   EXPECT_EQ(problemsOf(R"({"routes":{"logs":{"service":"gone"}}})").at(0).path, "/routes/logs/service");
   EXPECT_EQ(problemsOf(R"({"routes":{"logs":{"max_attempts":1.5}}})").at(0).path, "/routes/logs/max_attempts");
   EXPECT_EQ(problemsOf(R"({"routes":{"logs":{"deadline_ms":0}}})").at(0).path, "/routes/logs/deadline_ms");
@@ -64,9 +65,13 @@
   EXPECT_EQ(problemsOf(R"({"routes":{"logs":{"prefix":"/packages"}}})").at(0).path, "/routes/logs/prefix");
   EXPECT_EQ(problemsOf(R"({"routes":{"logs":{"repeatable":"yes"}}})").at(0).path, "/routes/logs/repeatable");
   EXPECT_EQ(problemsOf(R"({"services":{"p0":{"capacity":-1}}})").at(0).path, "/services/p0/capacity");
-  EXPECT_EQ(problemsOf(R"({"searches":{"packages":{"shards":[{"service":"p0","cut":"a"},{"service":"p0","cut":"b"}]}}})")
-                .at(0).path, "/searches/packages/shards/1/service");
-  EXPECT_EQ(problemsOf(R"({"cells":{"south":{"tenants":["kelaniya"],"nodes":["m02"]}}})").at(0).path, "/cells/south/tenants");
+  EXPECT_EQ(
+      problemsOf(R"({"searches":{"packages":{"shards":[{"service":"p0","cut":"a"},{"service":"p0","cut":"b"}]}}})")
+          .at(0)
+          .path,
+      "/searches/packages/shards/1/service");
+  EXPECT_EQ(problemsOf(R"({"cells":{"south":{"tenants":["kelaniya"],"nodes":["m02"]}}})").at(0).path,
+            "/cells/south/tenants");
   EXPECT_EQ(problemsOf(R"({"routes":{"logs":{"deadline_ms":0,"colour":1}},"extra":1})").size(), 3u);
   EXPECT_TRUE(problemsOf("{}").empty());
 }
@@ -86,10 +91,11 @@
   ASSERT_EQ(needy.problems.size(), 2u);
   EXPECT_EQ(needy.problems[0].path, "/platform");
   EXPECT_EQ(needy.problems[1].path, "/data");
-  for (char const* const patch : {R"({"listen":"localhost:70"})", R"({"listen":"1.2.3.4:70000"})", R"({"seeds":[]})",
-                                  R"({"seeds":["1.2.3:4"]})", R"({"log_level":"loud"})", R"({"hands":0})", R"({"nod":1})"}) {
+  for (char const* const patch :
+       {R"({"listen":"localhost:70"})", R"({"listen":"1.2.3.4:70000"})", R"({"seeds":[]})", R"({"seeds":["1.2.3:4"]})",
+        R"({"log_level":"loud"})", R"({"hands":0})", R"({"nod":1})"}) {
     EXPECT_EQ(checkSettings(mergePatch(*parseJson(text), *parseJson(patch)), {}).problems.size(), 1u) << patch;
   }
 }
 
-}
+}  // namespace
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -1,5 +1,5 @@
-#include "simulator/fleet_simulation.h"
 #include "limeramp/control/zones.h"
+#include "simulator/fleet_simulation.h"
 
 #include <gtest/gtest.h>
 
@@ -65,9 +65,11 @@
       roads.startAll();
       ASSERT_EQ(insist(roads, "first", 1), control::Verdict::taken);
       config::Version const base = roads.newestAcknowledged();
-      std::optional<std::uint64_t> const one = roads.change(swapped ? "b" : "a", R"({"services":{"x":{}}})", base, true);
+      std::optional<std::uint64_t> const one =
+          roads.change(swapped ? "b" : "a", R"({"services":{"x":{}}})", base, true);
       roads.run(Ms(gapMs));
-      std::optional<std::uint64_t> const two = roads.change(swapped ? "a" : "b", R"({"services":{"never":{}}})", base, true);
+      std::optional<std::uint64_t> const two =
+          roads.change(swapped ? "a" : "b", R"({"services":{"never":{}}})", base, true);
       EXPECT_EQ(verdictOf(roads, one), control::Verdict::taken);
       EXPECT_EQ(verdictOf(roads, two), control::Verdict::conflict);
       roads.run(Ms(2000));
@@ -341,7 +343,8 @@
   EXPECT_EQ(roads.complaints, std::vector<std::string>{});
 }
 
-std::vector<std::size_t> herdOf(FleetSimulation& roads, std::size_t controllers, std::size_t gateways, std::size_t count) {
+std::vector<std::size_t> herdOf(FleetSimulation& roads, std::size_t controllers, std::size_t gateways,
+                                std::size_t count) {
   std::vector<std::size_t> out;
   for (std::size_t index = controllers; index < controllers + gateways; ++index) {
     out.push_back(index);
@@ -475,8 +478,9 @@
     total += entry.second / 30;
     most = std::max(most, entry.second / 30);
   }
-  std::printf("13 nodes, 3 zones: %zu messages a second, %zu bytes a second across zones in all, %zu at most from one node\n",
-              (roads.messages - before) / 30, total, most);
+  std::printf(
+      "13 nodes, 3 zones: %zu messages a second, %zu bytes a second across zones in all, %zu at most from one node\n",
+      (roads.messages - before) / 30, total, most);
   EXPECT_LT(total / 13, 1500u);
 }
 
@@ -582,7 +586,8 @@
 
 std::string spreadOf(std::vector<long> values) {
   std::sort(values.begin(), values.end());
-  return std::to_string(values.front()) + " / " + std::to_string(values[values.size() / 2]) + " / " + std::to_string(values.back());
+  return std::to_string(values.front()) + " / " + std::to_string(values[values.size() / 2]) + " / " +
+         std::to_string(values.back());
 }
 
 TEST(Detection, LostNodesHomesAndPrimariesAreReplacedInTimeAtAnySize) {
@@ -607,8 +612,10 @@
       TimePoint began = roads.network.now();
       roads.kill(plain);
       std::function<bool()> const listed = [&] {
-        std::vector<messages::RosterEntry> const& roster = roads.machines[*roads.primary()].controller->plane->published().roster;
-        return std::any_of(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) { return entry.node == name; });
+        std::vector<messages::RosterEntry> const& roster =
+            roads.machines[*roads.primary()].controller->plane->published().roster;
+        return std::any_of(roster.begin(), roster.end(),
+                           [&](messages::RosterEntry const& entry) { return entry.node == name; });
       };
       while (listed() && roads.network.now() - began < Ms(20'000)) {
         roads.run(Ms(20));
@@ -643,9 +650,12 @@
       changeAgain.push_back(std::chrono::duration_cast<Ms>(roads.network.now() - began).count() - 200);
       EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
     }
-    std::printf("%zu nodes: %s messages a second from each; killed node off the roster after %s ms; oldest news anywhere after a "
-                "lost home %s ms; a change taken %s ms after a lost primary (least / median / most)\n",
-                count, spreadOf(rate).c_str(), spreadOf(offRoster).c_str(), spreadOf(oldestAge).c_str(), spreadOf(changeAgain).c_str());
+    std::printf(
+        "%zu nodes: %s messages a second from each; killed node off the roster after %s ms; oldest news anywhere after "
+        "a "
+        "lost home %s ms; a change taken %s ms after a lost primary (least / median / most)\n",
+        count, spreadOf(rate).c_str(), spreadOf(offRoster).c_str(), spreadOf(oldestAge).c_str(),
+        spreadOf(changeAgain).c_str());
     EXPECT_LE(*std::max_element(offRoster.begin(), offRoster.end()), 6000);
     EXPECT_LE(*std::max_element(oldestAge.begin(), oldestAge.end()), 2000);
     EXPECT_LE(*std::max_element(changeAgain.begin(), changeAgain.end()), 6000);
@@ -667,7 +677,8 @@
     for (int round = 0; round < 20; ++round) {
       roads.run(Ms(250));
       for (Machine const& machine : roads.machines) {
-        EXPECT_TRUE(!machine.gateway || machine.gateway->delivery->primaryAddress() == roads.machines[*roads.primary()].address())
+        EXPECT_TRUE(!machine.gateway ||
+                    machine.gateway->delivery->primaryAddress() == roads.machines[*roads.primary()].address())
             << seed << " round " << round;
       }
     }
@@ -730,11 +741,13 @@
     roads.cut(late, other);
     roads.cut(forgetful, other);
     roads.run(Ms(7000));
-    bool const taken = roads.answers.contains(*ticket) && roads.answers.at(*ticket).decided.verdict == control::Verdict::taken;
+    bool const taken =
+        roads.answers.contains(*ticket) && roads.answers.at(*ticket).decided.verdict == control::Verdict::taken;
     acknowledged += taken ? 1 : 0;
     EXPECT_EQ(roads.complaints, std::vector<std::string>{}) << seed;
   }
-  std::printf("seeds 1 to 100: %zu times the forgetful node served again, %zu changes acknowledged\n", served, acknowledged);
+  std::printf("seeds 1 to 100: %zu times the forgetful node served again, %zu changes acknowledged\n", served,
+              acknowledged);
   EXPECT_GT(served, 50u);
   EXPECT_LT(acknowledged, 100u);
 }
@@ -871,10 +884,10 @@
     }
     upheld += roads.upheld;
   }
-  std::printf("seeds 1 to 60: %zu changes taken, %zu unknown, %zu nodes replaced, %zu looks at upheld nodes\n", taken, unknown,
-              replacements, upheld);
+  std::printf("seeds 1 to 60: %zu changes taken, %zu unknown, %zu nodes replaced, %zu looks at upheld nodes\n", taken,
+              unknown, replacements, upheld);
   EXPECT_GT(taken, 500u);
   EXPECT_GT(unknown, 50u);
 }
 
-}
+}  // namespace
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,5 +1,5 @@
-#include "simulator/simulated_network.h"
 #include "limeramp/discovery/server_directory.h"
+#include "simulator/simulated_network.h"
 
 #include <gtest/gtest.h>
 
@@ -96,7 +96,8 @@
           if (messages::TablePoll const* const poll = std::get_if<messages::TablePoll>(&message)) {
             follow(to, nodes[to].desk->hear(network.now(), nodes[index].address, *poll));
           } else {
-            follow(to, nodes[to].desk->hear(network.now(), nodes[index].address, std::get<messages::TableNews>(message)));
+            follow(to,
+                   nodes[to].desk->hear(network.now(), nodes[index].address, std::get<messages::TableNews>(message)));
           }
         });
       }
@@ -234,7 +235,8 @@
       zone.run(Ms(20));
       std::vector<dispatch::ServerRow> const rows = zone.nodes[0].desk->rows(zone.network.now(), "a");
       lost = lost || rows.size() < 4;
-      gone = rows.size() == 4 && std::none_of(rows.begin(), rows.end(), [](dispatch::ServerRow const& row) { return row.leaving; });
+      gone = rows.size() == 4 &&
+             std::none_of(rows.begin(), rows.end(), [](dispatch::ServerRow const& row) { return row.leaving; });
     }
     EXPECT_FALSE(lost) << pageRows;
     EXPECT_TRUE(gone) << pageRows;
@@ -360,4 +362,4 @@
   EXPECT_TRUE(zone.nodes[0].desk->rows(zone.network.now(), "a").empty());
 }
 
-}
+}  // namespace
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -711,8 +711,9 @@
   std::map<std::string, double> load;
 };
 
-std::map<std::string, std::size_t> serve(Rules& rules, Answers const& answers, Ms lengthMs, std::vector<std::string> const& services,
-                                         std::size_t minimum, std::uint64_t firstRequest) {
+std::map<std::string, std::size_t> serve(Rules& rules, Answers const& answers, Ms lengthMs,
+                                         std::vector<std::string> const& services, std::size_t minimum,
+                                         std::uint64_t firstRequest) {
   Bench& bench = rules.bench;
   std::map<std::string, std::size_t> counts;
   std::multimap<TimePoint, Send>& due = rules.due;
@@ -724,8 +725,14 @@
       due.erase(due.begin());
       bool const good = !answers.bad.contains(send.server);
       std::map<std::string, double>::const_iterator const load = answers.load.find(send.server);
-      bench.step(Returned{send.attempt, good, good, good ? retry::Verdict::ran : retry::Verdict::mayHaveRun,
-                          load == answers.load.end() ? std::nullopt : std::optional<double>(load->second), false, false, {}});
+      bench.step(Returned{send.attempt,
+                          good,
+                          good,
+                          good ? retry::Verdict::ran : retry::Verdict::mayHaveRun,
+                          load == answers.load.end() ? std::nullopt : std::optional<double>(load->second),
+                          false,
+                          false,
+                          {}});
     }
     if (rules.roll(10) == 0) {
       rules.ask(++request, services, minimum, true, Ms(80), Ms(400));
@@ -736,7 +743,9 @@
       ++counts[send.server];
       std::map<std::string, Ms>::const_iterator const latency = answers.latencyMs.find(send.server);
       if (!answers.dark.contains(send.server)) {
-        due.emplace(bench.now + (latency == answers.latencyMs.end() ? Ms(6 + static_cast<long>(rules.roll(4))) : latency->second), send);
+        due.emplace(bench.now + (latency == answers.latencyMs.end() ? Ms(6 + static_cast<long>(rules.roll(4)))
+                                                                    : latency->second),
+                    send);
       }
     }
   }
@@ -778,9 +787,11 @@
       std::size_t const before = bench.finished.size();
       rules.ask(request, services, 3, true, Ms(80), Ms(400));
       serve(rules, answers, Ms(30), services, 3, request * 100);
-      given += std::any_of(bench.finished.begin() + static_cast<long>(before), bench.finished.end(), [&](Finish const& finish) {
-        return finish.request == request && finish.ending == Ending::partial;
-      }) ? 1 : 0;
+      given += std::any_of(
+                   bench.finished.begin() + static_cast<long>(before), bench.finished.end(),
+                   [&](Finish const& finish) { return finish.request == request && finish.ending == Ending::partial; })
+                   ? 1
+                   : 0;
     }
     EXPECT_GE(given, 8u) << "seed " << seed;
     serve(rules, answers, Ms(1500), services, 3, 10'000);
@@ -874,10 +885,11 @@
   for (char const* const wrong :
        {R"({"stamp":{"shard":"b","cut":"c1","request":"r1"},"records":[]})",
         R"({"stamp":{"shard":"a","cut":"c2","request":"r1"},"records":[]})",
-        R"({"stamp":{"shard":"a","cut":"c1","request":"r2"},"records":[]})", R"({"stamp":{"shard":"a","cut":"c1"},"records":[]})",
-        R"({"records":[]})", R"({"stamp":{"shard":"a","cut":"c1","request":"r1"}})",
-        R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":[1]})", R"({"stamp":{"shard":"a","cut")", "", "[]",
-        R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":["b"]}x)"}) {
+        R"({"stamp":{"shard":"a","cut":"c1","request":"r2"},"records":[]})",
+        R"({"stamp":{"shard":"a","cut":"c1"},"records":[]})", R"({"records":[]})",
+        R"({"stamp":{"shard":"a","cut":"c1","request":"r1"}})",
+        R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":[1]})", R"({"stamp":{"shard":"a","cut")", "",
+        "[]", R"({"stamp":{"shard":"a","cut":"c1","request":"r1"},"records":["b"]}x)"}) {
     EXPECT_FALSE(readPart(wrong, stamp, 2).ok()) << wrong;
   }
 }
@@ -890,4 +902,4 @@
   EXPECT_TRUE(mergeParts({}, 3).empty());
 }
 
-}
+}  // namespace
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,5 @@
-#include "simulator/simulated_network.h"
 #include "limeramp/dispatch/machine.h"
+#include "simulator/simulated_network.h"
 
 #include <gtest/gtest.h>
 
@@ -136,17 +136,19 @@
           server.busyUntil = std::max(server.busyUntil, network.now()) +
                              std::chrono::microseconds(static_cast<long>(1e6 / server.capacity));
           network.after(std::chrono::duration_cast<std::chrono::microseconds>(server.busyUntil - network.now()) + Ms(5),
-                    [this, front, life, attempt] {
-            answer(front, life, Returned{attempt, true, true, retry::Verdict::ran, {}});
-          });
+                        [this, front, life, attempt] {
+                          answer(front, life, Returned{attempt, true, true, retry::Verdict::ran, {}});
+                        });
           continue;
         }
-        double const waitMs = (server.ragged && network.chance(0.1) ? 3 : 1) * server.latencyMs * (0.7 + 0.6 * static_cast<double>(network.roll(1000)) / 1000);
-        std::chrono::microseconds const pause =
-            std::chrono::duration_cast<std::chrono::microseconds>(std::max(server.pausedUntil, network.now()) - network.now());
-        network.after(pause + std::chrono::microseconds(static_cast<long>(waitMs * 1000)), [this, front, life, attempt] {
-          answer(front, life, Returned{attempt, true, true, retry::Verdict::ran, {}});
-        });
+        double const waitMs = (server.ragged && network.chance(0.1) ? 3 : 1) * server.latencyMs *
+                              (0.7 + 0.6 * static_cast<double>(network.roll(1000)) / 1000);
+        std::chrono::microseconds const pause = std::chrono::duration_cast<std::chrono::microseconds>(
+            std::max(server.pausedUntil, network.now()) - network.now());
+        network.after(pause + std::chrono::microseconds(static_cast<long>(waitMs * 1000)),
+                      [this, front, life, attempt] {
+                        answer(front, life, Returned{attempt, true, true, retry::Verdict::ran, {}});
+                      });
       } else if (Finish const* const finish = std::get_if<Finish>(&effect)) {
         complete += finish->ending == Ending::complete ? 1 : 0;
         partial += finish->ending == Ending::partial ? 1 : 0;
@@ -155,7 +157,9 @@
         answered[tenants.at({front, finish->request})] += good ? 1 : 0;
         tenants.erase({front, finish->request});
         if (good) {
-          tookMs.push_back(std::chrono::duration<double, std::milli>(network.now() - arrivedAt.at({front, finish->request})).count());
+          tookMs.push_back(
+              std::chrono::duration<double, std::milli>(network.now() - arrivedAt.at({front, finish->request}))
+                  .count());
         }
         arrivedAt.erase({front, finish->request});
         asked.erase({front, finish->request});
@@ -334,8 +338,10 @@
         most = std::max(most, mostInASecond(fleet.services["p0"]["p0-0"].arrivals));
       }
     }
-    std::printf("%.0f a second, seeds 1 to 6 with 1, 10, 30 and 90 fronts: at most %zu in any second, at least %zu in the first 6 s\n",
-                perSecond, most, least);
+    std::printf(
+        "%.0f a second, seeds 1 to 6 with 1, 10, 30 and 90 fronts: at most %zu in any second, at least %zu in the "
+        "first 6 s\n",
+        perSecond, most, least);
     EXPECT_LE(static_cast<double>(most), perSecond * 1.5 + 5);
     EXPECT_GE(static_cast<double>(least), 2 * (perSecond + 1));
   }
@@ -396,7 +402,8 @@
     worst = std::min(worst, static_cast<double>(fleet.answered["calm"]) / static_cast<double>(fleet.launched["calm"]));
     floodLeast = std::min(floodLeast, fleet.answered["flood"]);
   }
-  std::printf("seeds 1 to 6: at least %.3f of the calm tenant's searches answered, of the flood's at least %zu\n", worst, floodLeast);
+  std::printf("seeds 1 to 6: at least %.3f of the calm tenant's searches answered, of the flood's at least %zu\n",
+              worst, floodLeast);
   EXPECT_GT(worst, 0.99);
   EXPECT_GT(floodLeast, 1000u);
 }
@@ -448,7 +455,8 @@
     for (int round = 0; round < 12; ++round) {
       for (int pauses = 0; trouble == "pauses" && pauses < 2; ++pauses) {
         std::string const& name = names[fleet.network.roll(4)];
-        fleet.services[name][name + "-" + std::to_string(fleet.network.roll(4))].pausedUntil = fleet.network.now() + Ms(200);
+        fleet.services[name][name + "-" + std::to_string(fleet.network.roll(4))].pausedUntil =
+            fleet.network.now() + Ms(200);
       }
       fleet.load(320, Ms(500), names, 3, Ms(400));
     }
@@ -482,9 +490,10 @@
       policy.rerun = way != "off";
       policy.stragglerFactor = way[0] == '0' ? 1e6 : policy.rerun ? std::stod(way) : 1;
       StragglerRow const row = straggle(trouble, policy, seeds);
-      std::printf("%-10s %-19s p50 %s ms, p99 %s ms, extra %s %% of arrivals, losers %s %% of extra, shards missing %zu\n", trouble.c_str(),
-                  way.c_str(), spreadOf(row.p50).c_str(), spreadOf(row.p99).c_str(), spreadOf(row.extraShare).c_str(),
-                  spreadOf(row.lostShare).c_str(), row.missing);
+      std::printf(
+          "%-10s %-19s p50 %s ms, p99 %s ms, extra %s %% of arrivals, losers %s %% of extra, shards missing %zu\n",
+          trouble.c_str(), way.c_str(), spreadOf(row.p50).c_str(), spreadOf(row.p99).c_str(),
+          spreadOf(row.extraShare).c_str(), spreadOf(row.lostShare).c_str(), row.missing);
       table[trouble][way] = row;
     }
   }
@@ -538,4 +547,4 @@
   }
 }
 
-}
+}  // namespace
--- a/tests/foreign_test.cpp
+++ b/tests/foreign_test.cpp
@@ -50,7 +50,8 @@
   for (dispatch::PartPtr const& part : gathered.parts) {
     seals += (seals.empty() ? "" : " ") + part->seal;
   }
-  out.headers = {{"x-seals", seals}, {"x-missing", std::to_string(gathered.missing.size())}, {"x-version", gathered.version}};
+  out.headers = {
+      {"x-seals", seals}, {"x-missing", std::to_string(gathered.missing.size())}, {"x-version", gathered.version}};
   for (std::string const& record : gathered.records) {
     out.body += record + " ";
   }
@@ -58,7 +59,9 @@
 }
 
 net::Answer writeRefusal(Refusal const& refusal) {
-  return {500 + static_cast<int>(refusal.why), {{"x-verdict", std::string(retry::nameOf(refusal.verdict))}}, refusal.reason};
+  return {500 + static_cast<int>(refusal.why),
+          {{"x-verdict", std::string(retry::nameOf(refusal.verdict))}},
+          refusal.reason};
 }
 
 Dialect foreign() {
@@ -121,7 +124,8 @@
 }
 
 struct Node {
-  explicit Node(std::string const& name = "m01", config::Configuration const& first = configurationOver({"s0", "s1"}, 1))
+  explicit Node(std::string const& name = "m01",
+                config::Configuration const& first = configurationOver({"s0", "s1"}, 1))
       : plane(Self{name, "127.0.0.1:7000", "z1", 5}, dispatch::Policy{}, foreign()) {
     enforce(2, first);
     step(Placed{dispatch::Place{1, 0, 30, 0.2, "z1"}});
@@ -167,14 +171,17 @@
     }
   }
 
-  std::uint64_t arrive(std::string const& host, std::string const& target, std::string const& id, net::Headers headers = {}) {
+  std::uint64_t arrive(std::string const& host, std::string const& target, std::string const& id,
+                       net::Headers headers = {}) {
     headers.emplace_back("host", host);
     headers.emplace_back("x-id", id);
     step(Arrived{++last, {"GET", target, std::move(headers), "", ""}, false, std::nullopt});
     return last;
   }
 
-  static std::string headerOf(SendOut const& send, std::string const& name) { return findHeader(send.content.headers, name).value_or(""); }
+  static std::string headerOf(SendOut const& send, std::string const& name) {
+    return findHeader(send.content.headers, name).value_or("");
+  }
 
   void answer(SendOut const& to, int status, std::string const& body, std::string const& id = "", bool unrun = false) {
     net::Headers headers{{"x-id", id.empty() ? headerOf(to, "x-id") : id}};
@@ -208,7 +215,9 @@
   }
 };
 
-std::string headerOf(Reply const& reply, std::string const& name) { return findHeader(reply.answer.headers, name).value_or(""); }
+std::string headerOf(Reply const& reply, std::string const& name) {
+  return findHeader(reply.answer.headers, name).value_or("");
+}
 
 TEST(Foreign, AllPartsComeFromTheShardsOfOneVersion) {
   Node node;
@@ -253,7 +262,8 @@
   node.pass(Ms(790));
   node.pass(Ms(10));
   std::vector<Reply>::const_iterator const ofA =
-      std::find_if(node.replies.begin(), node.replies.end(), [](Reply const& reply) { return reply.answer.body.find("own") != std::string::npos; });
+      std::find_if(node.replies.begin(), node.replies.end(),
+                   [](Reply const& reply) { return reply.answer.body.find("own") != std::string::npos; });
   ASSERT_NE(ofA, node.replies.end());
   EXPECT_EQ(headerOf(*ofA, "x-missing"), "1");
   for (Reply const& reply : node.replies) {
@@ -363,7 +373,8 @@
 }
 
 TEST(Foreign, TheDeadlineIsTheSmallerOfTheCallersAndTheRoutesAndWhatIsLeftIsHandedOn) {
-  for (std::pair<long, long> const& one : std::vector<std::pair<long, long>>{{200, 200}, {800, 800}, {5000, 800}, {0, 800}}) {
+  for (std::pair<long, long> const& one :
+       std::vector<std::pair<long, long>>{{200, 200}, {800, 800}, {5000, 800}, {0, 800}}) {
     Node node;
     node.fillBudget();
     net::Headers headers;
@@ -394,7 +405,8 @@
   Node node;
   node.arrive("file.example", "/write/1", "a");
   ASSERT_EQ(node.sent.size(), 1u);
-  EXPECT_EQ(Node::headerOf(node.sent[0], "x-life"), "life-" + node.sent[0].server.substr(node.sent[0].server.find(':') + 1));
+  EXPECT_EQ(Node::headerOf(node.sent[0], "x-life"),
+            "life-" + node.sent[0].server.substr(node.sent[0].server.find(':') + 1));
 }
 
 TEST(Foreign, WhatMayNotBeRepeatedIsSentAgainOnlyOnProofThatItDidNotRun) {
@@ -495,4 +507,4 @@
   EXPECT_EQ(node.sent.size(), 1u);
 }
 
-}
+}  // namespace
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -1,10 +1,10 @@
-#include "limeramp/discovery/list.h"
-#include "limeramp/storage/record_store.h"
 #include "limeramp/config/configuration.h"
 #include "limeramp/config/settings.h"
-#include "limeramp/replication/replication_group.h"
-#include "limeramp/net/http.h"
+#include "limeramp/discovery/list.h"
 #include "limeramp/dispatch/part.h"
+#include "limeramp/net/http.h"
+#include "limeramp/replication/replication_group.h"
+#include "limeramp/storage/record_store.h"
 
 #include <gtest/gtest.h>
 
@@ -209,7 +209,8 @@
   for (int round = 0; round < 20'000; ++round) {
     picojson::value value = *config::parseJson(right);
     spoil(random, value);
-    absl::StatusOr<discovery::List> const list = discovery::readList(round % 2 == 0 ? value.serialize() : bytesSpoilt(random, right));
+    absl::StatusOr<discovery::List> const list =
+        discovery::readList(round % 2 == 0 ? value.serialize() : bytesSpoilt(random, right));
     if (!list.ok()) {
       continue;
     }
@@ -232,7 +233,8 @@
 
 TEST(Fuzz, SettingsAreUsableOrRefusedByPath) {
   Random random(6);
-  std::string const right = R"({"node":"m01","listen":"127.0.0.1:7000","zone":"z1","seeds":["127.0.0.1:7000","127.0.0.2:7000"],
+  std::string const right =
+      R"({"node":"m01","listen":"127.0.0.1:7000","zone":"z1","seeds":["127.0.0.1:7000","127.0.0.2:7000"],
     "platform":"127.0.0.9:7900","hands":2,"max_connections":100,"max_requests":50,"rerun":true,"log_level":"info"})";
   ASSERT_TRUE(config::checkSettings(*config::parseJson(right), {true, false}).settings.has_value());
   std::size_t taken = 0;
@@ -262,8 +264,9 @@
   messages::State state;
   state.epoch = 3;
   state.document = document;
-  for (replication::Effect const& effect : first.step(now, replication::Received{"h1", "127.0.0.2:1",
-         messages::Sync{{3, "f", "h1", {"h0"}, {"h0", "h1", "h2"}}, 5, false, state}})) {
+  for (replication::Effect const& effect : first.step(
+           now, replication::Received{"h1", "127.0.0.2:1",
+                                      messages::Sync{{3, "f", "h1", {"h0"}, {"h0", "h1", "h2"}}, 5, false, state}})) {
     if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
       for (std::pair<std::string, std::string> const& put : persist->puts) {
         disk[put.first] = put.second;
@@ -274,10 +277,13 @@
   std::size_t broken = 0;
   for (int round = 0; round < 10'000; ++round) {
     std::map<std::string, std::string> spoilt = disk;
-    std::map<std::string, std::string>::iterator const victim = std::next(spoilt.begin(), static_cast<long>(random() % spoilt.size()));
-    victim->second = random() % 2 == 0 ? bytesSpoilt(random, victim->second) : victim->second.substr(0, random() % (victim->second.size() + 1));
+    std::map<std::string, std::string>::iterator const victim =
+        std::next(spoilt.begin(), static_cast<long>(random() % spoilt.size()));
+    victim->second = random() % 2 == 0 ? bytesSpoilt(random, victim->second)
+                                       : victim->second.substr(0, random() % (victim->second.size() + 1));
     replication::ReplicationGroup group{replication::Policy{}};
-    std::vector<replication::Effect> const effects = group.step(now, replication::Start{{"h0", "127.0.0.1:1", "z1"}, spoilt, 2});
+    std::vector<replication::Effect> const effects =
+        group.step(now, replication::Start{{"h0", "127.0.0.1:1", "z1"}, spoilt, 2});
     if (!group.ailing()) {
       continue;
     }
@@ -287,7 +293,8 @@
       return note != nullptr && note->event == logging::Event::diskDamaged;
     }));
     for (replication::Effect const& effect : group.step(
-             now, replication::Received{"h1", "127.0.0.2:1", messages::Prepare{{3, "f", "h1", {"h0"}, {"h0", "h1", "h2"}}, {9, "h1"}}})) {
+             now, replication::Received{"h1", "127.0.0.2:1",
+                                        messages::Prepare{{3, "f", "h1", {"h0"}, {"h0", "h1", "h2"}}, {9, "h1"}}})) {
       EXPECT_FALSE(std::holds_alternative<replication::Send>(effect));
       EXPECT_FALSE(std::holds_alternative<replication::Persist>(effect));
     }
@@ -315,7 +322,8 @@
       }
     }
     for (std::uint64_t left = 1 + random() % 2; left > 0; --left) {
-      std::fstream file(folder + "/ring-" + std::to_string(random() % 4), std::ios::in | std::ios::out | std::ios::binary);
+      std::fstream file(folder + "/ring-" + std::to_string(random() % 4),
+                        std::ios::in | std::ios::out | std::ios::binary);
       file.seekp(static_cast<long>(random() % 4096));
       file.put(static_cast<char>(random() % 256));
     }
@@ -332,4 +340,4 @@
   EXPECT_GT(whole, 20u);
 }
 
-}
+}  // namespace
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -46,7 +46,8 @@
   RawListener listener;
   std::future<Exchange> first = start(client, 1, listener.address());
   RawSocket server = listener.accept();
-  EXPECT_TRUE(server.message().starts_with(std::string("GET / HTTP/1.1\r\nHost: ").append(listener.address().text()).append("\r\n")));
+  EXPECT_TRUE(server.message().starts_with(
+      std::string("GET / HTTP/1.1\r\nHost: ").append(listener.address().text()).append("\r\n")));
   server.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + okAnswer);
   EXPECT_EQ(first.get().answer->body, "ok");
   std::future<Exchange> second = start(client, 2, listener.address());
@@ -72,14 +73,15 @@
     interim += "HTTP/1.1 100 Continue\r\n\r\n";
   }
   for (std::string const& answer :
-       {std::string(""), std::string("HTTP/1.1 200 OK\r\ncontent-le"), std::string("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcd"),
+       {std::string(""), std::string("HTTP/1.1 200 OK\r\ncontent-le"),
+        std::string("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcd"),
         std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"),
         std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n"),
         std::string("HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd"),
         std::string("HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
-        std::string("HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n" + std::string(101, 'x'),
-        std::string("HTTP/1.1 101 Switching\r\n\r\n"), std::string("HTTP/1.1 100 Continue\r\n\r\n"), interim,
-        "HTTP/1.1 200 OK\r\nx: " + std::string(100'000, 'h')}) {
+        std::string("HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\n\r\n" + std::string(101, 'x'), std::string("HTTP/1.1 101 Switching\r\n\r\n"),
+        std::string("HTTP/1.1 100 Continue\r\n\r\n"), interim, "HTTP/1.1 200 OK\r\nx: " + std::string(100'000, 'h')}) {
     RawListener listener;
     std::future<Exchange> future = start(client, ++number, listener.address());
     RawSocket server = listener.accept();
@@ -346,7 +348,9 @@
   network.post([&] {
     std::shared_ptr<bool> const inside = std::make_shared<bool>(true);
     client.begin(1, listener.address(), {"GET", "/", {}, "", ""}, Clock::now() + Ms(30'000),
-                 [&promise, inside](Exchange exchange) { promise.set_value({*inside, std::move(exchange)}); });
+                 [&promise, inside](Exchange exchange) {
+                   promise.set_value({*inside, std::move(exchange)});
+                 });
     client.cancel(1);
     *inside = false;
   });
@@ -375,9 +379,12 @@
   std::string error;
   ServerBounds bounds;
   bounds.maxBodyBytes = 50 << 20;
-  std::unique_ptr<HttpServer> const server =
-      HttpServer::listen(network, {"127.0.0.1", 0}, bounds,
-                         [](Request request, Responder respond) { respond({200, {}, std::move(request.body)}); }, error);
+  std::unique_ptr<HttpServer> const server = HttpServer::listen(
+      network, {"127.0.0.1", 0}, bounds,
+      [](Request request, Responder respond) {
+        respond({200, {}, std::move(request.body)});
+      },
+      error);
   ClientBounds clientBounds;
   clientBounds.maxAnswerBytes = 50 << 20;
   HttpClient client(network, clientBounds);
@@ -395,9 +402,12 @@
   Network serverSide;
   Network clientSide;
   std::string error;
-  std::unique_ptr<HttpServer> const server =
-      HttpServer::listen(serverSide, {"127.0.0.1", 0}, {},
-                         [](Request request, Responder respond) { respond({200, {}, request.target}); }, error);
+  std::unique_ptr<HttpServer> const server = HttpServer::listen(
+      serverSide, {"127.0.0.1", 0}, {},
+      [](Request request, Responder respond) {
+        respond({200, {}, request.target});
+      },
+      error);
   HttpClient client(clientSide, {});
   std::atomic<std::uint64_t> issued{0};
   std::atomic<int> right{0};
@@ -429,17 +439,20 @@
 class Mailbox {
  public:
   explicit Mailbox(bool answers = true)
-      : server(HttpServer::listen(network, {"127.0.0.1", 0}, {}, [this, answers](Request request, Responder respond) {
-          std::unique_lock<std::mutex> const lock(mutex);
-          bodies.push_back(std::move(request.body));
-          peers.push_back(std::move(request.peer));
-          if (answers) {
-            respond({204, {}, ""});
-          } else {
-            held.push_back(std::move(respond));
-          }
-          changed.notify_all();
-        }, error)) {}
+      : server(HttpServer::listen(
+            network, {"127.0.0.1", 0}, {},
+            [this, answers](Request request, Responder respond) {
+              std::unique_lock<std::mutex> const lock(mutex);
+              bodies.push_back(std::move(request.body));
+              peers.push_back(std::move(request.peer));
+              if (answers) {
+                respond({204, {}, ""});
+              } else {
+                held.push_back(std::move(respond));
+              }
+              changed.notify_all();
+            },
+            error)) {}
   ~Mailbox() { network.stop(); }
 
   void waitFor(std::size_t count) {
@@ -497,4 +510,4 @@
   EXPECT_LE(silent.bodies.size(), 32U);
 }
 
-}
+}  // namespace
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -190,7 +190,8 @@
     respond({200, {}, ""});
   });
   RawSocket caller = served.call();
-  caller.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nx-a: 1\r\n\r\n1\r\na\r\n0\r\nx-a: 2\r\nx-admin: yes\r\n\r\n");
+  caller.send(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nx-a: 1\r\n\r\n1\r\na\r\n0\r\nx-a: 2\r\nx-admin: yes\r\n\r\n");
   Headers const headers = seen.get_future().get();
   EXPECT_EQ(findHeader(headers, "x-a"), "1");
   EXPECT_EQ(findHeader(headers, "x-admin"), std::nullopt);
@@ -230,7 +231,8 @@
   RawSocket caller = served.call();
   std::string many;
   for (int number = 0; number < 200; ++number) {
-    many += numbered("POST /", static_cast<long>(number)) + " HTTP/1.1\r\ncontent-length: 300\r\n\r\n" + std::string(300, 'p');
+    many += numbered("POST /", static_cast<long>(number)) + " HTTP/1.1\r\ncontent-length: 300\r\n\r\n" +
+            std::string(300, 'p');
   }
   std::future<bool> sent = std::async(std::launch::async, [&] { return caller.send(many); });
   first.get_future().wait();
@@ -238,7 +240,8 @@
   inHand.front().second({200, {}, inHand.front().first + std::string(300, 'p')});
   EXPECT_TRUE(sent.get());
   for (int number = 0; number < 200; ++number) {
-    EXPECT_TRUE(caller.message().ends_with(numbered("\r\n\r\n/", static_cast<long>(number)) + std::string(300, 'p'))) << number;
+    EXPECT_TRUE(caller.message().ends_with(numbered("\r\n\r\n/", static_cast<long>(number)) + std::string(300, 'p')))
+        << number;
   }
 }
 
@@ -275,7 +278,8 @@
 
 TEST(HttpServer, AnswersWithoutABodyCarryNone) {
   Served served({}, [](Request request, Responder respond) {
-    respond({request.target == "/204" ? 204 : 200, {{"x-bad", "a\r\nb: c"}, {"content-length", "77"}, {"connection", "close"}},
+    respond({request.target == "/204" ? 204 : 200,
+             {{"x-bad", "a\r\nb: c"}, {"content-length", "77"}, {"connection", "close"}},
              request.target == "/204" ? "" : "body"});
   });
   RawSocket caller = served.call();
@@ -384,7 +388,12 @@
   std::string error;
   std::vector<std::unique_ptr<HttpServer>> servers;
   for (std::string const name : {"one", "two"}) {
-    servers.push_back(HttpServer::listen(network, anyPort, {}, [name](Request, Responder respond) { respond({200, {}, name}); }, error));
+    servers.push_back(HttpServer::listen(
+        network, anyPort, {},
+        [name](Request, Responder respond) {
+          respond({200, {}, name});
+        },
+        error));
     ASSERT_NE(servers.back(), nullptr) << error;
   }
   EXPECT_EQ(HttpServer::listen(network, servers[0]->address(), {}, Served::echo(), error), nullptr);
@@ -452,4 +461,4 @@
   }
 }
 
-}
+}  // namespace
--- a/tests/logging_test.cpp
+++ b/tests/logging_test.cpp
@@ -24,4 +24,4 @@
   }
 }
 
-}
+}  // namespace
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -129,13 +129,17 @@
   for (int depth = 0; depth < 40; ++depth) {
     nested = "{\"type\":\"array\",\"items\":" + nested + "}";
   }
-  for (std::string const& schema :
-       {std::string(R"({"type":"record","name":"Poll","fields":[{"name":"self","type":"Poll"}]})"),
-        std::string(R"({"type":"record","name":"Poll","fields":[{"name":"followers","type":{"type":"array","items":"null"}}]})"),
-        std::string(R"({"type":"record","name":"Poll","fields":[{"name":"followers","type":{"type":"array","items":"long"}}]})"),
-        std::string(R"({"type":"record","name":"Poll","fields":[{"name":"token","type":"bytes"}]})"),
-        std::string(R"({"type":"record","name":"Poll","fields":[]})"), std::string("[\"long\"]"), std::string("nonsense"),
-        "{\"type\":\"record\",\"name\":\"Poll\",\"fields\":[{\"name\":\"followers\",\"type\":" + nested + "}]}"}) {
+  for (
+      std::string const& schema :
+      {std::string(R"({"type":"record","name":"Poll","fields":[{"name":"self","type":"Poll"}]})"),
+       std::string(
+           R"({"type":"record","name":"Poll","fields":[{"name":"followers","type":{"type":"array","items":"null"}}]})"),
+       std::string(
+           R"({"type":"record","name":"Poll","fields":[{"name":"followers","type":{"type":"array","items":"long"}}]})"),
+       std::string(R"({"type":"record","name":"Poll","fields":[{"name":"token","type":"bytes"}]})"),
+       std::string(R"({"type":"record","name":"Poll","fields":[]})"), std::string("[\"long\"]"),
+       std::string("nonsense"),
+       "{\"type\":\"record\",\"name\":\"Poll\",\"fields\":[{\"name\":\"followers\",\"type\":" + nested + "}]}"}) {
     EXPECT_FALSE(unseal(enclose(pack(envelopeOf("Poll", std::string(40, '\x02'), schema)))).ok()) << schema;
   }
 }
@@ -180,10 +184,18 @@
       R"({"type":"record","name":"EpochRecord","fields":[{"name":"epoch","type":"long"},{"name":"fleet","type":"bytes"},)"
       R"({"name":"primary","type":"bytes"},{"name":"backup","type":"bytes"},)"
       R"({"name":"witnesses","type":{"type":"array","items":"bytes"}}]})";
-  std::string const bytes = std::string("\x0e\x02" "f\x02" "a\x02" "b\x04\x02" "a\x02" "b", 13) + std::string(1, '\0');
+  std::string const bytes = std::string(
+                                "\x0e\x02"
+                                "f\x02"
+                                "a\x02"
+                                "b\x04\x02"
+                                "a\x02"
+                                "b",
+                                13) +
+                            std::string(1, '\0');
   absl::StatusOr<EpochRecord> const read = unpack<EpochRecord>(bytes, schema);
   ASSERT_TRUE(read.ok());
   EXPECT_EQ(*read, (EpochRecord{7, "f", "a", {"b"}, {"a", "b"}}));
 }
 
-}
+}  // namespace
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,13 +1,13 @@
+#include "limeramp/dispatch/part.h"
 #include "limeramp/net/http.h"
 #include "limeramp/net/ring.h"
-#include "limeramp/dispatch/part.h"
 
+#include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
-#include <gtest/gtest.h>
 
 #include <atomic>
 #include <future>
@@ -77,10 +77,12 @@
   Network serverSide;
   Network clientSide;
   std::string error;
-  std::unique_ptr<HttpServer> const server =
-      HttpServer::listen(serverSide, anyPort, {}, [](Request request, Responder respond) {
+  std::unique_ptr<HttpServer> const server = HttpServer::listen(
+      serverSide, anyPort, {},
+      [](Request request, Responder respond) {
         respond({200, {{"x-method", request.method}}, request.target + "|" + request.body});
-      }, error);
+      },
+      error);
   ASSERT_NE(server, nullptr) << error;
   HttpClient client(clientSide, {});
   std::latch left(300);
@@ -113,8 +115,9 @@
     closedPort = acceptor.local_endpoint().port();
   }
   EXPECT_EQ(ask(client, 1, {"127.0.0.1", closedPort}, {"GET", "/", {}, "", ""}).verdict, retry::Verdict::notRun);
-  for (std::string const answer : {"", "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nshort", "nonsense\r\n\r\n",
-                                   "HTTP/1.1 200 OK\r\ncontent-length: 500000\r\n\r\n", "HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n"}) {
+  for (std::string const answer :
+       {"", "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nshort", "nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 500000\r\n\r\n", "HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n"}) {
     RawServer server({answer}, false);
     Exchange const exchange = ask(client, 2, server.address(), {"GET", "/", {}, "", ""});
     EXPECT_FALSE(exchange.answer.has_value()) << answer;
@@ -146,10 +149,13 @@
   std::atomic<int> handled{0};
   ServerBounds bounds;
   bounds.maxBodyBytes = 10;
-  std::unique_ptr<HttpServer> const server = HttpServer::listen(network, anyPort, bounds, [&](Request, Responder respond) {
-    ++handled;
-    respond({200, {}, ""});
-  }, error);
+  std::unique_ptr<HttpServer> const server = HttpServer::listen(
+      network, anyPort, bounds,
+      [&](Request, Responder respond) {
+        ++handled;
+        respond({200, {}, ""});
+      },
+      error);
   for (std::pair<std::string, std::string> const& one :
        {std::pair<std::string, std::string>("POST / HTTP/1.1\r\ncontent-length: 11\r\n\r\n12345678901", "413"),
         std::pair<std::string, std::string>("GARBAGE\r\n\r\n", "400"),
@@ -208,4 +214,4 @@
   EXPECT_EQ(good, 100);
 }
 
-}
+}  // namespace
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -53,21 +53,24 @@
   std::thread::id const here = std::this_thread::get_id();
   std::vector<bool> there;
   EXPECT_FALSE(network.onThread());
-  std::unique_ptr<HttpServer> const server =
-      HttpServer::listen(network, {"127.0.0.1", 0}, {}, [&](Request, Responder respond) {
+  std::unique_ptr<HttpServer> const server = HttpServer::listen(
+      network, {"127.0.0.1", 0}, {},
+      [&](Request, Responder respond) {
         there.push_back(std::this_thread::get_id() == here && network.onThread());
         respond({200, {}, "here"});
-      }, error);
+      },
+      error);
   HttpClient client(network, {});
   std::string got;
-  client.begin(1, server->address(), {"GET", "/", {}, "", ""}, Clock::now() + std::chrono::seconds(30), [&](Exchange const& exchange) {
-    there.push_back(std::this_thread::get_id() == here && network.onThread());
-    got = exchange.answer ? exchange.answer->body : exchange.reason;
-    network.after(Ms(1), [&] {
-      there.push_back(network.onThread());
-      network.stop();
-    });
-  });
+  client.begin(1, server->address(), {"GET", "/", {}, "", ""}, Clock::now() + std::chrono::seconds(30),
+               [&](Exchange const& exchange) {
+                 there.push_back(std::this_thread::get_id() == here && network.onThread());
+                 got = exchange.answer ? exchange.answer->body : exchange.reason;
+                 network.after(Ms(1), [&] {
+                   there.push_back(network.onThread());
+                   network.stop();
+                 });
+               });
   network.run();
   EXPECT_EQ(got, "here");
   EXPECT_EQ(there, (std::vector<bool>{true, true, true}));
@@ -81,4 +84,4 @@
   EXPECT_FALSE(network.onThread());
 }
 
-}
+}  // namespace
--- a/tests/own_dialect_test.cpp
+++ b/tests/own_dialect_test.cpp
@@ -29,4 +29,4 @@
   EXPECT_EQ(std::get<gateway::Caller>(read).host, "logs.example");
 }
 
-}
+}  // namespace
--- a/tests/peer_views_test.cpp
+++ b/tests/peer_views_test.cpp
@@ -1,5 +1,5 @@
-#include "simulator/simulated_network.h"
 #include "limeramp/distribution/peer_views.h"
+#include "simulator/simulated_network.h"
 
 #include <gtest/gtest.h>
 
@@ -35,8 +35,10 @@
 
   void start(std::size_t index) {
     std::vector<std::string> const seeds(addresses.begin(), addresses.begin() + 3);
-    views[index].emplace(ViewPolicy{}, messages::Peer{nameOf(index), addresses[index], "z", messages::gatewayRole, network.random()(), 0}, seeds,
-                         network.random()());
+    views[index].emplace(
+        ViewPolicy{},
+        messages::Peer{nameOf(index), addresses[index], "z", messages::gatewayRole, network.random()(), 0}, seeds,
+        network.random()());
     up[index] = true;
     tick(index);
   }
@@ -52,7 +54,8 @@
   void send(std::size_t from, std::vector<Outgoing> const& sends) {
     for (Outgoing const& outgoing : sends) {
       ++sent[from];
-      std::size_t const to = static_cast<std::size_t>(std::find(addresses.begin(), addresses.end(), outgoing.address) - addresses.begin());
+      std::size_t const to =
+          static_cast<std::size_t>(std::find(addresses.begin(), addresses.end(), outgoing.address) - addresses.begin());
       messages::Shuffle const shuffle = std::get<messages::Shuffle>(outgoing.message);
       network.after(std::chrono::microseconds(200 + network.roll(3000)), [this, from, to, shuffle] {
         if (to < up.size() && up[to]) {
@@ -67,7 +70,9 @@
     for (std::size_t index = 0; index < views.size(); ++index) {
       if (up[index]) {
         std::vector<messages::Peer> const peers = views[index]->peers(network.now());
-        count += std::any_of(peers.begin(), peers.end(), [&](messages::Peer const& peer) { return peer.node == node; }) ? 1 : 0;
+        count += std::any_of(peers.begin(), peers.end(), [&](messages::Peer const& peer) { return peer.node == node; })
+                     ? 1
+                     : 0;
       }
     }
     return count;
@@ -142,10 +147,12 @@
     }
     std::sort(forgotten.begin(), forgotten.end());
     std::sort(joined.begin(), joined.end());
-    std::printf("%zu nodes, seeds 1 to %llu: %.1f messages a second from each; forgotten by all after %ld / %ld / %ld ms, "
-                "known to three others after %ld / %ld / %ld ms (median, 95th, most)\n",
-                count, static_cast<unsigned long long>(seeds), messages, forgotten[forgotten.size() / 2], forgotten[forgotten.size() * 95 / 100], forgotten.back(),
-                joined[joined.size() / 2], joined[joined.size() * 95 / 100], joined.back());
+    std::printf(
+        "%zu nodes, seeds 1 to %llu: %.1f messages a second from each; forgotten by all after %ld / %ld / %ld ms, "
+        "known to three others after %ld / %ld / %ld ms (median, 95th, most)\n",
+        count, static_cast<unsigned long long>(seeds), messages, forgotten[forgotten.size() / 2],
+        forgotten[forgotten.size() * 95 / 100], forgotten.back(), joined[joined.size() / 2],
+        joined[joined.size() * 95 / 100], joined.back());
     EXPECT_LE(forgotten.back(), 7000);
     EXPECT_LE(joined.back(), 3000);
     EXPECT_LT(messages, 20.0);
@@ -168,4 +175,4 @@
   }
 }
 
-}
+}  // namespace
--- a/tests/query_test.cpp
+++ b/tests/query_test.cpp
@@ -6,20 +6,24 @@
 
 using namespace limeramp::query;
 
-std::vector<Sheet> const sheets{{"servers", {"address", "load", "down"}, {{std::string("a"), 0.5, std::int64_t(0)},
-                                                                          {std::string("b'\"x"), 1.5, std::int64_t(1)}}}};
+std::vector<Sheet> const sheets{
+    {"servers",
+     {"address", "load", "down"},
+     {{std::string("a"), 0.5, std::int64_t(0)}, {std::string("b'\"x"), 1.5, std::int64_t(1)}}}};
 
 TEST(Query, AnswersFromTheCopies) {
   EXPECT_EQ(*ask(sheets, "SELECT address, load FROM servers WHERE down = 1"),
             R"({"columns":["address","load"],"rows":[["b'\"x",1.5]],"more":false})");
-  EXPECT_EQ(*ask(sheets, "select count(*) as n, max(load) from servers;"), R"x({"columns":["n","max(load)"],"rows":[[2,1.5]],"more":false})x");
+  EXPECT_EQ(*ask(sheets, "select count(*) as n, max(load) from servers;"),
+            R"x({"columns":["n","max(load)"],"rows":[[2,1.5]],"more":false})x");
 }
 
 TEST(Query, WritesAttachesAndExtensionsAreRefused) {
   for (char const* const query :
        {"DELETE FROM servers", "INSERT INTO servers VALUES(1,2,3)", "UPDATE servers SET load=0", "DROP TABLE servers",
-        "CREATE TABLE x(y)", "ATTACH '/tmp/x' AS y", "PRAGMA journal_mode=WAL", "SELECT load_extension('x')", "VACUUM INTO '/tmp/x'",
-        "BEGIN", "SELECT 1; DELETE FROM servers", "SELECT * FROM nowhere", "SELEC 1", "", ";"}) {
+        "CREATE TABLE x(y)", "ATTACH '/tmp/x' AS y", "PRAGMA journal_mode=WAL", "SELECT load_extension('x')",
+        "VACUUM INTO '/tmp/x'", "BEGIN", "SELECT 1; DELETE FROM servers", "SELECT * FROM nowhere", "SELEC 1", "",
+        ";"}) {
     EXPECT_FALSE(ask(sheets, query).ok()) << query;
   }
 }
@@ -36,4 +40,4 @@
   EXPECT_FALSE(ask(sheets, "SELECT '" + std::string(5000, 'x') + "'").ok());
 }
 
-}
+}  // namespace
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -78,7 +78,8 @@
   std::string message() {
     std::string out = head();
     std::string folded = out;
-    std::transform(folded.begin(), folded.end(), folded.begin(), [](unsigned char inbound) { return std::tolower(inbound); });
+    std::transform(folded.begin(), folded.end(), folded.begin(),
+                   [](unsigned char inbound) { return std::tolower(inbound); });
     std::size_t const at = folded.find("content-length: ");
     std::size_t const length = at == std::string::npos ? 0 : std::strtoul(folded.c_str() + at + 16, nullptr, 10);
     while (unread_.size() < length && fill()) {
@@ -163,4 +164,4 @@
   net::Address address_;
 };
 
-}
+}  // namespace limeramp
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,6 +1,6 @@
-#include "limeramp/control/operator_api.h"
-#include "limeramp/control/dialect.h"
 #include "limeramp/control/relay.h"
+#include "limeramp/control/dialect.h"
+#include "limeramp/control/operator_api.h"
 
 #include <gtest/gtest.h>
 
@@ -124,13 +124,14 @@
 
 TEST(Forgetting, MalformedWordsAreRefusedByPath) {
   for (char const* const body : {"", "[]", "{}", R"({"nodes":[]})", R"({"nodes":["a",3]})", R"({"nodes":[""]})",
-                                  R"({"nodes":["a"],"now":true})", R"({"nodes":"a"})"}) {
+                                 R"({"nodes":["a"],"now":true})", R"({"nodes":"a"})"}) {
     std::variant<std::vector<std::string>, net::Answer> const read = readForget(body);
     ASSERT_TRUE(std::holds_alternative<net::Answer>(read)) << body;
     EXPECT_EQ(std::get<net::Answer>(read).status, 400);
     EXPECT_NE(std::get<net::Answer>(read).body.find("\"path\""), std::string::npos);
   }
-  for (char const* const body : {"", "{}", R"({"from":3})", R"({"from":"somewhere"})", R"({"from":"127.0.0.1:1","sure":true})"}) {
+  for (char const* const body :
+       {"", "{}", R"({"from":3})", R"({"from":"somewhere"})", R"({"from":"127.0.0.1:1","sure":true})"}) {
     EXPECT_TRUE(std::holds_alternative<net::Answer>(readForceNewGroup(body))) << body;
   }
   EXPECT_EQ(std::get<std::string>(readForceNewGroup(R"({"from":"127.0.0.1:1"})")), "127.0.0.1:1");
@@ -152,7 +153,7 @@
 }
 
 net::Request requestOf(std::string const& method, std::string const& target, net::Headers const& headers = {},
-                           std::string const& body = "") {
+                       std::string const& body = "") {
   return {method, target, headers, body, ""};
 }
 
@@ -165,8 +166,9 @@
   net::Headers const onFive{{"limeramp-base-revision", "5"}};
   std::set<std::string> ids;
   for (net::Request const& request :
-       {requestOf("PUT", path, onFive, "{}"), requestOf("PATCH", path, onFive, "{}"), requestOf("PUT", path, onFive, "{ }"),
-        requestOf("PUT", path, {{"limeramp-base-revision", "6"}}, "{}"), requestOf("PUT", path, {{"limeramp-base", "5.1"}}, "{}")}) {
+       {requestOf("PUT", path, onFive, "{}"), requestOf("PATCH", path, onFive, "{}"),
+        requestOf("PUT", path, onFive, "{ }"), requestOf("PUT", path, {{"limeramp-base-revision", "6"}}, "{}"),
+        requestOf("PUT", path, {{"limeramp-base", "5.1"}}, "{}")}) {
     EXPECT_EQ(changeOf(request).id, changeOf(request).id);
     EXPECT_TRUE(ids.insert(changeOf(request).id).second) << changeOf(request).id;
   }
@@ -187,7 +189,8 @@
   EXPECT_FALSE(changeOf(requestOf("PUT", configurationPath)).zone);
   EXPECT_EQ(operatorCallOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")), OperatorCall::change);
   EXPECT_EQ(operatorCallOf(requestOf("GET", configurationPath)), OperatorCall::read);
-  for (char const* const odd : {"/limeramp/zones//emptied", "/limeramp/zones/emptied", "/limeramp/zones/a", "/limeramp/zones/"}) {
+  for (char const* const odd :
+       {"/limeramp/zones//emptied", "/limeramp/zones/emptied", "/limeramp/zones/a", "/limeramp/zones/"}) {
     EXPECT_EQ(operatorCallOf(requestOf("PUT", odd)), OperatorCall::none) << odd;
   }
 }
@@ -208,16 +211,19 @@
     ran.push_back(std::move(request));
     respond({200, {}, "own"});
   };
-  serveOperator(dialect, requestOf("GET", "/other"), [&](net::Answer got) { answer = std::move(got); }, own);
+  serveOperator(
+      dialect, requestOf("GET", "/other"), [&](net::Answer got) { answer = std::move(got); }, own);
   EXPECT_TRUE(ran.empty());
   EXPECT_EQ(answer->status, 404);
-  serveOperator(dialect, requestOf("POST", "/zones"), [&](net::Answer got) { answer = std::move(got); }, own);
+  serveOperator(
+      dialect, requestOf("POST", "/zones"), [&](net::Answer got) { answer = std::move(got); }, own);
   ASSERT_EQ(ran.size(), 1u);
   EXPECT_EQ(net::findHeader(ran[0].headers, deadlineHeader), std::optional<std::string>("900"));
   EXPECT_EQ(answer->status, 201);
   EXPECT_EQ(net::findHeader(answer->headers, "to"), std::optional<std::string>("/zones"));
-  serveOperator({}, requestOf("GET", "/as/is"), [&](net::Answer got) { answer = std::move(got); }, own);
+  serveOperator(
+      {}, requestOf("GET", "/as/is"), [&](net::Answer got) { answer = std::move(got); }, own);
   EXPECT_EQ(ran.back().target, "/as/is");
 }
 
-}
+}  // namespace
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -20,8 +20,8 @@
     messages::EpochRecord const& decided = node.group.decided();
     picture += "\n" + node.id + (node.up ? " up" : " down") + (node.frozen ? " frozen" : "") +
                (node.group.ailing() ? " ailing" : "") + " epoch " + std::to_string(decided.epoch) + " sealed " +
-               std::to_string(node.group.fenced()) + " primary " + decided.primary + " backup " + (decided.backups.empty() ? "" : decided.backups.front()) +
-               " witnesses";
+               std::to_string(node.group.fenced()) + " primary " + decided.primary + " backup " +
+               (decided.backups.empty() ? "" : decided.backups.front()) + " witnesses";
     for (std::string const& witness : decided.witnesses) {
       picture += " " + witness;
     }
@@ -298,7 +298,8 @@
         zones.insert(group.nodes[indexOf(group, id)].zone);
       }
       EXPECT_EQ(zones.size(), 3u) << seed << " " << lost;
-      EXPECT_NE(group.nodes[primary].zone, group.nodes[indexOf(group, record.backups.front())].zone) << seed << " " << lost;
+      EXPECT_NE(group.nodes[primary].zone, group.nodes[indexOf(group, record.backups.front())].zone)
+          << seed << " " << lost;
       std::uint64_t const epoch = record.epoch;
       group.run(Ms(20'000));
       EXPECT_EQ(group.nodes[primaryOf(group)].group.decided().epoch, epoch) << "without a reason";
@@ -315,7 +316,8 @@
     std::size_t const primary = primaryOf(group);
     messages::EpochRecord const record = group.nodes[primary].group.decided();
     messages::State const newest = group.nodes[primary].group.state();
-    EXPECT_EQ(group.forceNewGroup(indexOf(group, record.backups.front()), newest, record.fleet), "primary and backup are alive");
+    EXPECT_EQ(group.forceNewGroup(indexOf(group, record.backups.front()), newest, record.fleet),
+              "primary and backup are alive");
     std::vector<std::size_t> lost;
     for (std::string const& id : record.witnesses) {
       lost.push_back(indexOf(group, id));
@@ -527,7 +529,8 @@
       EXPECT_EQ(group.fleets.size(), 1u);
     }
   }
-  std::printf("seeds 1 to 6: first change %ld ms at most after two machines were lost\n", static_cast<long>(slowest.count()));
+  std::printf("seeds 1 to 6: first change %ld ms at most after two machines were lost\n",
+              static_cast<long>(slowest.count()));
 }
 
 TEST(TwoLosses, TotalPowerLossRightAfterAnAcknowledgementWithTwoWiped) {
@@ -758,7 +761,8 @@
             return other.up && !other.frozen && !other.diskStuck;
           });
           std::optional<std::size_t> const active = group.active();
-          if (quiet && active && wipes < 3 && group.nodes[*active].group.fenced() < group.nodes[*active].group.decided().epoch &&
+          if (quiet && active && wipes < 3 &&
+              group.nodes[*active].group.fenced() < group.nodes[*active].group.decided().epoch &&
               std::all_of(group.nodes.begin(), group.nodes.end(), [&](SimulatedMember const& other) {
                 return other.group.decided().epoch == group.nodes[*active].group.decided().epoch;
               })) {
@@ -807,4 +811,4 @@
   EXPECT_GT(takeovers, 500u);
 }
 
-}
+}  // namespace
--- a/tests/request_plane_test.cpp
+++ b/tests/request_plane_test.cpp
@@ -67,12 +67,15 @@
     step(Arrived{++last, {body.empty() ? "GET" : "POST", target, std::move(headers), body, ""}, passed, std::nullopt});
   }
   void answer(SendOut const& to, int status, std::string const& body) {
-    step(Exchanged{to.attempt, {net::Answer{status, {{"x-own", "1"}, {"limeramp-verdict", "not_run"}}, body}, retry::Verdict::ran, ""}});
+    step(Exchanged{
+        to.attempt,
+        {net::Answer{status, {{"x-own", "1"}, {"limeramp-verdict", "not_run"}}, body}, retry::Verdict::ran, ""}});
   }
   void part(SendOut const& to, std::string const& cut, std::string const& record, int status = 200) {
-    answer(to, status, "{\"stamp\":{\"shard\":\"" + *net::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
-                        "\",\"request\":\"" + *net::findHeader(to.content.headers, "limeramp-request") + "\"},\"records\":[\"" +
-                        record + "\"]}");
+    answer(to, status,
+           "{\"stamp\":{\"shard\":\"" + *net::findHeader(to.content.headers, "limeramp-shard") + "\",\"cut\":\"" + cut +
+               "\",\"request\":\"" + *net::findHeader(to.content.headers, "limeramp-request") + "\"},\"records\":[\"" +
+               record + "\"]}");
   }
 };
 
@@ -97,8 +100,14 @@
 
 TEST(Forwarding, KeepsTheRequestAndTheServersAnswerAndDropsHopByHopHeaders) {
   GatewayServer front;
-  front.arrive("/logs/1?a=%20b&c", {{"Limeramp-Tenant", "t"}, {"connection", "close, x-hop"}, {"x-hop", "1"}, {"x-keep", "2"},
-                                     {"limeramp-request", "forged"}, {"limeramp-deadline-ms", "700"}}, false, "body");
+  front.arrive("/logs/1?a=%20b&c",
+               {{"Limeramp-Tenant", "t"},
+                {"connection", "close, x-hop"},
+                {"x-hop", "1"},
+                {"x-keep", "2"},
+                {"limeramp-request", "forged"},
+                {"limeramp-deadline-ms", "700"}},
+               false, "body");
   ASSERT_EQ(front.sent.size(), 1u);
   net::Request const& content = front.sent[0].content;
   EXPECT_EQ(content.method, "POST");
@@ -108,8 +117,10 @@
   EXPECT_EQ(net::findHeader(content.headers, "x-keep"), "2");
   EXPECT_EQ(net::findHeader(content.headers, "limeramp-deadline-ms"), "700");
   EXPECT_EQ(net::findHeader(content.headers, "limeramp-version"), "1.2");
-  EXPECT_EQ(std::count_if(content.headers.begin(), content.headers.end(),
-                          [](std::pair<std::string, std::string> const& header) { return header.first == "limeramp-request"; }), 1);
+  EXPECT_EQ(std::count_if(
+                content.headers.begin(), content.headers.end(),
+                [](std::pair<std::string, std::string> const& header) { return header.first == "limeramp-request"; }),
+            1);
   EXPECT_NE(net::findHeader(content.headers, "limeramp-request"), "forged");
   front.answer(front.sent[0], 503, "busy");
   ASSERT_EQ(front.replies.size(), 1u);
@@ -215,4 +226,4 @@
   EXPECT_EQ(front.plane.requests(), 0u);
 }
 
-}
+}  // namespace
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -134,4 +134,4 @@
   EXPECT_FALSE(store->put({{"a", "2"}}).ok());
 }
 
-}
+}  // namespace
