--- a/tests/worth_test.cpp
+++ b/tests/worth_test.cpp
@@ -1,5 +1,5 @@
-#include "simulator/simulated_network.h"
 #include "limeramp/dispatch/machine.h"
+#include "simulator/simulated_network.h"
 
 #include <gtest/gtest.h>
 
@@ -70,7 +70,8 @@
 };
 
 struct Town {
-  Town(std::uint64_t seed, std::size_t zonesIn, std::size_t fronts, Policy const& policyIn) : network(seed), zones(zonesIn) {
+  Town(std::uint64_t seed, std::size_t zonesIn, std::size_t fronts, Policy const& policyIn)
+      : network(seed), zones(zonesIn) {
     for (std::size_t front = 0; front < fronts; ++front) {
       machines.emplace_back(policyIn);
       wakes.push_back(TimePoint::max());
@@ -250,14 +251,16 @@
       return;
     }
     if (network.now() < server.pausedUntil) {
-      network.after(std::chrono::duration_cast<Us>(server.pausedUntil - network.now()), [this, address, id, job] { done(address, id, job); });
+      network.after(std::chrono::duration_cast<Us>(server.pausedUntil - network.now()),
+                    [this, address, id, job] { done(address, id, job); });
       return;
     }
     server.running.erase(id);
     bool const bad = network.chance(server.badShare);
     if (placed.contains({job.front, job.attempt})) {
       reply(address, job.front,
-            Returned{job.attempt, !bad, !bad, bad ? retry::Verdict::mayHaveRun : retry::Verdict::ran, {}, false, false, {}});
+            Returned{
+                job.attempt, !bad, !bad, bad ? retry::Verdict::mayHaveRun : retry::Verdict::ran, {}, false, false, {}});
     }
     work(address);
   }
@@ -271,7 +274,8 @@
     placed.erase(at);
     ++brokenOff;
     network.after(wireUs(front, servers[address]), [this, address, front, attempt] {
-      std::erase_if(servers[address].queue, [&](Job const& job) { return job.front == front && job.attempt == attempt; });
+      std::erase_if(servers[address].queue,
+                    [&](Job const& job) { return job.front == front && job.attempt == attempt; });
     });
   }
 
@@ -303,7 +307,8 @@
       perSecond += kind.perSecond;
     }
     while (network.now() < end) {
-      double const gapMs = -std::log(1 - static_cast<double>(network.roll(1'000'000)) / 1e6) * 1000 / (perSecond * times);
+      double const gapMs =
+          -std::log(1 - static_cast<double>(network.roll(1'000'000)) / 1e6) * 1000 / (perSecond * times);
       network.runUntil(network.now() + Us(1 + static_cast<long>(gapMs * 1000)));
       double pick = perSecond * static_cast<double>(network.roll(1'000'000)) / 1e6;
       std::size_t kind = 0;
@@ -316,13 +321,16 @@
       open[{front, request}] = {kind, network.now()};
       std::size_t const minimum =
           static_cast<std::size_t>(std::ceil(asked.minimumShare * static_cast<double>(asked.services.size()) - 1e-9));
-      step(front, Arrive{request, "t", asked.services, std::max<std::size_t>(1, minimum), asked.mostAttempts, asked.repeatable,
-                         network.now() + asked.deadlineMs, network.now() + asked.aimMs, asked.priority, kind});
+      step(front,
+           Arrive{request, "t", asked.services, std::max<std::size_t>(1, minimum), asked.mostAttempts, asked.repeatable,
+                  network.now() + asked.deadlineMs, network.now() + asked.aimMs, asked.priority, kind});
     }
   }
 
   double worth() const { return all.earned / all.owed; }
-  double remoteShare() const { return static_cast<double>(remote) / static_cast<double>(std::max<std::size_t>(1, attempts)); }
+  double remoteShare() const {
+    return static_cast<double>(remote) / static_cast<double>(std::max<std::size_t>(1, attempts));
+  }
 
   double worstExtra() const {
     double worst = 0;
@@ -345,11 +353,34 @@
   }
   town.shard("ledger", dear ? 19 : 4, dear ? 3 : 6, Ms(0));
   double const scale = dear ? 2 : 1;
-  town.kinds = {
-      {"sweep", shards, 0.75, true, 255, 7.5 * scale, dear ? Ms(120) : Ms(80), dear ? Ms(1200) : Ms(400), 2, dear ? 1.0 : 0.6, 1, 2},
-      {"peek", shards, 0.5, true, 102, 2.5 * scale, dear ? Ms(60) : Ms(40), dear ? Ms(600) : Ms(250), 1, dear ? 0.5 : 0.3, 2, 2},
-      {"order", {"ledger"}, 1, false, dear ? 153.0 : 130.0, 60 * scale, dear ? Ms(500) : Ms(250), dear ? Ms(5000) : Ms(1500), 3, dear ? 0.5 : 0.3, 0, 1},
-      {"history", {"ledger"}, 1, true, 25.5, 60 * scale, dear ? Ms(500) : Ms(250), dear ? Ms(5000) : Ms(1500), 1, dear ? 0.5 : 0.3, 2, 2}};
+  town.kinds = {{"sweep", shards, 0.75, true, 255, 7.5 * scale, dear ? Ms(120) : Ms(80), dear ? Ms(1200) : Ms(400), 2,
+                 dear ? 1.0 : 0.6, 1, 2},
+                {"peek", shards, 0.5, true, 102, 2.5 * scale, dear ? Ms(60) : Ms(40), dear ? Ms(600) : Ms(250), 1,
+                 dear ? 0.5 : 0.3, 2, 2},
+                {"order",
+                 {"ledger"},
+                 1,
+                 false,
+                 dear ? 153.0 : 130.0,
+                 60 * scale,
+                 dear ? Ms(500) : Ms(250),
+                 dear ? Ms(5000) : Ms(1500),
+                 3,
+                 dear ? 0.5 : 0.3,
+                 0,
+                 1},
+                {"history",
+                 {"ledger"},
+                 1,
+                 true,
+                 25.5,
+                 60 * scale,
+                 dear ? Ms(500) : Ms(250),
+                 dear ? Ms(5000) : Ms(1500),
+                 1,
+                 dear ? 0.5 : 0.3,
+                 2,
+                 2}};
 }
 
 struct Outcome {
@@ -374,7 +405,8 @@
     for (std::string const& shard : shards) {
       if (trouble.starts_with("dark shard") ? shard == victim : true) {
         for (std::size_t number = 0; number < (trouble.starts_with("dark shard") ? 4u : 1u); ++number) {
-          hurt.push_back(shard + "-" + std::to_string(trouble.starts_with("dark shard") ? number : town.network.roll(4)));
+          hurt.push_back(shard + "-" +
+                         std::to_string(trouble.starts_with("dark shard") ? number : town.network.roll(4)));
         }
       }
     }
@@ -417,7 +449,8 @@
       for (std::pair<std::uint64_t const, Tally> const& second : town.seconds) {
         std::printf("  %s seed %llu second %llu: worth %.3f, late %zu, refused %zu of %zu\n", trouble.c_str(),
                     static_cast<unsigned long long>(seed), static_cast<unsigned long long>(second.first),
-                    second.second.earned / second.second.owed, second.second.late, second.second.refused, second.second.requests);
+                    second.second.earned / second.second.owed, second.second.late, second.second.refused,
+                    second.second.requests);
       }
     }
   }
@@ -426,14 +459,17 @@
 
 TEST(Worth, HoldsThroughPausesDarkSlowAndBadServersAndOverload) {
   std::uint64_t const seeds = std::getenv("LIMERAMP_LONG") != nullptr ? 20 : 4;
-  std::map<std::string, double> const least{{"calm", 0.99}, {"dark", 0.98}, {"slow", 0.98}, {"bad", 0.98}, {"dark shard", 0.8},
-                                            {"dark shard, slow", 0.8}, {"overload", 0.9}};
+  std::map<std::string, double> const least{{"calm", 0.99},   {"dark", 0.98},      {"slow", 0.98},
+                                            {"bad", 0.98},    {"dark shard", 0.8}, {"dark shard, slow", 0.8},
+                                            {"overload", 0.9}};
   for (bool const dear : {false, true}) {
     for (std::pair<std::string const, double> const& row : least) {
       Outcome const outcome = play(row.first, dear, Policy{}, seeds);
-      std::printf("%s %-16s seeds 1 to %llu: worth %.4f, least %.4f, worst second %.3f, late %zu, remote %.3f, extras above a fifth %.1f\n",
-                  dear ? "three zones" : "four zones ", row.first.c_str(), static_cast<unsigned long long>(seeds), outcome.worth,
-                  outcome.least, outcome.worstSecond, outcome.late, outcome.remote, outcome.extra);
+      std::printf(
+          "%s %-16s seeds 1 to %llu: worth %.4f, least %.4f, worst second %.3f, late %zu, remote %.3f, extras above a "
+          "fifth %.1f\n",
+          dear ? "three zones" : "four zones ", row.first.c_str(), static_cast<unsigned long long>(seeds),
+          outcome.worth, outcome.least, outcome.worstSecond, outcome.late, outcome.remote, outcome.extra);
       EXPECT_GT(outcome.least, row.second) << row.first;
       EXPECT_EQ(outcome.ranTwice, 0u) << row.first;
       EXPECT_LT(row.first == "calm" ? outcome.remote : 0, 0.2);
@@ -442,4 +478,4 @@
   }
 }
 
-}
+}  // namespace
--- a/testside/capacity/cost_benchmark.cpp
+++ b/testside/capacity/cost_benchmark.cpp
@@ -1,14 +1,14 @@
-#include "simulator/simulated_network.h"
+#include "limeramp/config/configuration.h"
 #include "limeramp/discovery/list.h"
-#include "limeramp/messages/messages.h"
 #include "limeramp/distribution/config_delivery.h"
 #include "limeramp/distribution/peer_views.h"
-#include "limeramp/config/configuration.h"
 #include "limeramp/gateway/request_plane.h"
+#include "limeramp/messages/messages.h"
 #include "limeramp/net/http.h"
+#include "simulator/simulated_network.h"
 
-#include <cxxopts.hpp>
 #include <xxhash.h>
+#include <cxxopts.hpp>
 
 #include <malloc.h>
 #include <sys/resource.h>
@@ -52,7 +52,8 @@
 double processUs() {
   rusage used{};
   getrusage(RUSAGE_SELF, &used);
-  return static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) * 1e6 + static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec);
+  return static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) * 1e6 +
+         static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec);
 }
 
 double heapBytes() {
@@ -97,9 +98,11 @@
 }
 
 std::string partBody(std::string const& shard, std::string const& request, std::size_t records) {
-  std::string body = "{\"stamp\":{\"shard\":\"" + shard + "\",\"cut\":\"c1\",\"request\":\"" + request + "\"},\"records\":[";
+  std::string body =
+      "{\"stamp\":{\"shard\":\"" + shard + "\",\"cut\":\"c1\",\"request\":\"" + request + "\"},\"records\":[";
   for (std::size_t index = 0; index < records; ++index) {
-    body += (index == 0 ? "\"" : ",\"") + std::to_string(100'000 + (index * 7919 + shard.size() * 104'729) % 900'000) + std::string(90, 'r') + "\"";
+    body += (index == 0 ? "\"" : ",\"") + std::to_string(100'000 + (index * 7919 + shard.size() * 104'729) % 900'000) +
+            std::string(90, 'r') + "\"";
   }
   return body + "]}";
 }
@@ -112,7 +115,8 @@
   std::vector<dispatch::PartPtr> read;
   double const from = threadUs();
   for (std::size_t index = 0; index < parts; ++index) {
-    absl::StatusOr<dispatch::Part> part = dispatch::readPart(bodies[index], {"p" + std::to_string(index), "c1", "r"}, 10);
+    absl::StatusOr<dispatch::Part> part =
+        dispatch::readPart(bodies[index], {"p" + std::to_string(index), "c1", "r"}, 10);
     read.push_back(std::make_shared<dispatch::Part const>(*std::move(part)));
   }
   double const between = threadUs();
@@ -174,7 +178,8 @@
     dispatch::Servers servers{"p" + std::to_string(index), {}};
     for (std::size_t number = 0; number < 5; ++number) {
       dispatch::ServerRow row;
-      row.address = "10." + std::to_string(index / 200) + "." + std::to_string(index % 200) + "." + std::to_string(number) + ":9000";
+      row.address = "10." + std::to_string(index / 200) + "." + std::to_string(index % 200) + "." +
+                    std::to_string(number) + ":9000";
       row.zone = "z1";
       servers.rows.push_back(row);
     }
@@ -193,7 +198,10 @@
     std::uint64_t const before = last;
     spentUs = 0;
     while (last < before + inFlight) {
-      step(Arrived{++last, {"GET", "/all?q=x", {{"limeramp-tenant", "t"}, {"accept", "application/json"}}, "", ""}, false, std::nullopt});
+      step(Arrived{++last,
+                   {"GET", "/all?q=x", {{"limeramp-tenant", "t"}, {"accept", "application/json"}}, "", ""},
+                   false,
+                   std::nullopt});
     }
     arriveUs += spentUs;
     now += Ms(8);
@@ -201,9 +209,11 @@
     while (!sent.empty()) {
       SendOut const out = std::move(sent.front());
       sent.pop_front();
-      std::string const body = partBody(*net::findHeader(out.content.headers, "limeramp-shard"), *net::findHeader(out.content.headers, "limeramp-request"), 10);
+      std::string const body = partBody(*net::findHeader(out.content.headers, "limeramp-shard"),
+                                        *net::findHeader(out.content.headers, "limeramp-request"), 10);
       spentUs = 0;
-      step(Exchanged{out.attempt, {net::Answer{200, {{"content-type", "application/json"}}, body}, retry::Verdict::ran, ""}});
+      step(Exchanged{out.attempt,
+                     {net::Answer{200, {{"content-type", "application/json"}}, body}, retry::Verdict::ran, ""}});
       while (!grinds.empty()) {
         Grind const grind = std::move(grinds.front());
         grinds.pop_front();
@@ -250,7 +260,9 @@
       if (dispatch::Send const* const send = std::get_if<dispatch::Send>(&effect)) {
         std::chrono::microseconds const wait(5'600 + network.roll(4'800) + (network.roll(1000) == 0 ? 100'000 : 0));
         std::uint64_t const attempt = send->attempt;
-        network.after(wait, [&step, attempt] { step(dispatch::Returned{attempt, true, true, retry::Verdict::ran, {}}); });
+        network.after(wait, [&step, attempt] {
+          step(dispatch::Returned{attempt, true, true, retry::Verdict::ran, {}});
+        });
       } else if (dispatch::Finish const* const finish = std::get_if<dispatch::Finish>(&effect)) {
         std::map<std::uint64_t, retry::TimePoint>::iterator const found = arrivedAt.find(finish->request);
         if (found == arrivedAt.end()) {
@@ -298,7 +310,8 @@
   add("shards missing in a query", at, "", static_cast<double>(missing) / count);
   add("half of the queries answered within", at, "ms", tookMs[tookMs.size() / 2]);
   add("99 in 100 answered within", at, "ms", tookMs[tookMs.size() * 99 / 100]);
-  add("extra attempts for a first one", at, "%", 100 * static_cast<double>(machine.counters().extras) / static_cast<double>(machine.counters().attempts));
+  add("extra attempts for a first one", at, "%",
+      100 * static_cast<double>(machine.counters().extras) / static_cast<double>(machine.counters().attempts));
 }
 
 struct Post {
@@ -315,9 +328,11 @@
   std::string error;
   std::string const body = partBody("p0", "r", 10);
   std::unique_ptr<net::HttpServer> const server = net::HttpServer::listen(
-      far, *net::Address::parse("127.0.0.1:0"), {}, [&body](net::Request const&, net::Responder respond) {
+      far, *net::Address::parse("127.0.0.1:0"), {},
+      [&body](net::Request const&, net::Responder respond) {
         respond({200, {{"content-type", "application/json"}, {"limeramp-load", "0.3"}}, body});
-      }, error);
+      },
+      error);
   net::HttpClient client(network, {});
   net::Address const address = server->address();
   Post post;
@@ -330,8 +345,17 @@
         ++begun;
         lock.unlock();
         client.begin(begun, address,
-                     {"GET", "/all?q=x", {{"limeramp-tenant", "t"}, {"limeramp-request", "m1-5-1"}, {"limeramp-shard", "p0"}, {"limeramp-deadline-ms", "500"}, {"limeramp-version", "1.1"}}, "", ""},
-                     std::chrono::steady_clock::now() + std::chrono::seconds(5), [&post](net::Exchange const& exchange) {
+                     {"GET",
+                      "/all?q=x",
+                      {{"limeramp-tenant", "t"},
+                       {"limeramp-request", "m1-5-1"},
+                       {"limeramp-shard", "p0"},
+                       {"limeramp-deadline-ms", "500"},
+                       {"limeramp-version", "1.1"}},
+                      "",
+                      ""},
+                     std::chrono::steady_clock::now() + std::chrono::seconds(5),
+                     [&post](net::Exchange const& exchange) {
                        std::unique_lock<std::mutex> const hold(post.mutex);
                        ++post.back;
                        post.good += exchange.answer ? 1 : 0;
@@ -346,7 +370,8 @@
   go(200);
   double const from = processUs();
   go(wanted);
-  add("one exchange over loopback, both ends", {{"exchanges", static_cast<double>(wanted)}}, "us", (processUs() - from) / static_cast<double>(wanted));
+  add("one exchange over loopback, both ends", {{"exchanges", static_cast<double>(wanted)}}, "us",
+      (processUs() - from) / static_cast<double>(wanted));
   if (post.good != wanted + 200) {
     std::fprintf(stderr, "%zu of %zu exchanges answered\n", post.good, wanted + 200);
   }
@@ -360,17 +385,19 @@
   std::string error;
   Post post;
   std::unique_ptr<net::HttpServer> const server = net::HttpServer::listen(
-      far, *net::Address::parse("127.0.0.1:0"), {}, [&post](net::Request const&, net::Responder respond) {
+      far, *net::Address::parse("127.0.0.1:0"), {},
+      [&post](net::Request const&, net::Responder respond) {
         std::unique_lock<std::mutex> const hold(post.mutex);
         post.held.push_back(std::move(respond));
         post.changed.notify_one();
-      }, error);
+      },
+      error);
   net::HttpClient client(network, {64 << 10, wanted, Ms(60'000)});
   double const residentBefore = residentBytes();
   double const descriptorsBefore = descriptors();
   for (std::size_t index = 1; index <= wanted; ++index) {
-    client.begin(index, server->address(), {"GET", "/", {}, "", ""}, std::chrono::steady_clock::now() + std::chrono::seconds(30),
-                 [&post](net::Exchange const& exchange) {
+    client.begin(index, server->address(), {"GET", "/", {}, "", ""},
+                 std::chrono::steady_clock::now() + std::chrono::seconds(30), [&post](net::Exchange const& exchange) {
                    std::unique_lock<std::mutex> const hold(post.mutex);
                    ++post.back;
                    post.good += exchange.answer ? 1 : 0;
@@ -380,8 +407,10 @@
   std::unique_lock<std::mutex> lock(post.mutex);
   post.changed.wait(lock, [&] { return post.held.size() == wanted; });
   double const count = static_cast<double>(wanted);
-  add("memory for a connection, both ends, an exchange under way", {{"connections", count}}, "bytes", (residentBytes() - residentBefore) / count);
-  add("descriptors for a connection, both ends", {{"connections", count}}, "", (descriptors() - descriptorsBefore) / count);
+  add("memory for a connection, both ends, an exchange under way", {{"connections", count}}, "bytes",
+      (residentBytes() - residentBefore) / count);
+  add("descriptors for a connection, both ends", {{"connections", count}}, "",
+      (descriptors() - descriptorsBefore) / count);
   std::vector<net::Responder> const held = std::move(post.held);
   lock.unlock();
   for (net::Responder const& respond : held) {
@@ -390,7 +419,8 @@
   lock.lock();
   post.changed.wait(lock, [&] { return post.back == wanted; });
   lock.unlock();
-  add("memory for a connection, both ends, idle", {{"connections", count}}, "bytes", (residentBytes() - residentBefore) / count);
+  add("memory for a connection, both ends, idle", {{"connections", count}}, "bytes",
+      (residentBytes() - residentBefore) / count);
   network.stop();
   far.stop();
 }
@@ -401,11 +431,14 @@
   state.sequence = 400;
   state.document = std::string(documentBytes, 'd');
   for (std::size_t index = 0; index < nodes; ++index) {
-    state.roster.push_back({"m" + std::to_string(1000 + index), "10.1." + std::to_string(index / 100) + "." + std::to_string(index % 100) + ":7000", "z" + std::to_string(index % 18), index});
+    state.roster.push_back({"m" + std::to_string(1000 + index),
+                            "10.1." + std::to_string(index / 100) + "." + std::to_string(index % 100) + ":7000",
+                            "z" + std::to_string(index % 18), index});
   }
   state.priorRoster = state.roster;
   for (std::size_t index = 0; index < 256; ++index) {
-    state.receipts.push_back({"change-" + std::to_string(100'000 + index), 3, 100 + index, "1234567890123456789/81000/whole"});
+    state.receipts.push_back(
+        {"change-" + std::to_string(100'000 + index), 3, 100 + index, "1234567890123456789/81000/whole"});
   }
   return state;
 }
@@ -471,17 +504,22 @@
     std::string const name = "\"p" + std::to_string(index) + "\"";
     services += (index == 0 ? "" : ",") + name + ":{\"capacity\":50}";
     std::size_t const inSearch = index % 60;
-    searches += inSearch == 0 ? std::string(index == 0 ? "" : "]},") + "\"s" + std::to_string(index) + "\":{\"tenant\":\"t\",\"prefix\":\"/s" + std::to_string(index) + "\",\"result_size\":10,\"minimum_shards\":1,\"shards\":[" : ",";
+    searches += inSearch == 0 ? std::string(index == 0 ? "" : "]},") + "\"s" + std::to_string(index) +
+                                    "\":{\"tenant\":\"t\",\"prefix\":\"/s" + std::to_string(index) +
+                                    "\",\"result_size\":10,\"minimum_shards\":1,\"shards\":["
+                              : ",";
     searches += "{\"service\":" + name + ",\"cut\":\"c1\"}";
   }
   for (std::size_t index = 0; index < routes; ++index) {
-    ways += std::string(index == 0 ? "" : ",") + "\"r" + std::to_string(index) + "\":{\"tenant\":\"t\",\"prefix\":\"/r" + std::to_string(index) + "\",\"service\":\"p0\"}";
+    ways += std::string(index == 0 ? "" : ",") + "\"r" + std::to_string(index) +
+            "\":{\"tenant\":\"t\",\"prefix\":\"/r" + std::to_string(index) + "\",\"service\":\"p0\"}";
   }
   return "{\"services\":{" + services + "},\"searches\":{" + searches + "]}},\"routes\":{" + ways + "}}";
 }
 
 void measureConfiguration(std::size_t shards, std::size_t routes) {
-  std::map<std::string, double> const at{{"shards", static_cast<double>(shards)}, {"routes", static_cast<double>(routes)}};
+  std::map<std::string, double> const at{{"shards", static_cast<double>(shards)},
+                                         {"routes", static_cast<double>(routes)}};
   std::string const text = documentOf(shards, routes);
   double const heapBefore = heapBytes();
   double const from = threadUs();
@@ -489,7 +527,8 @@
   {
     config::Checked checked = config::checkConfiguration(*config::parseJson(text));
     if (!checked.configuration) {
-      std::fprintf(stderr, "refused: %s %s\n", checked.problems.front().path.c_str(), checked.problems.front().reason.c_str());
+      std::fprintf(stderr, "refused: %s %s\n", checked.problems.front().path.c_str(),
+                   checked.problems.front().reason.c_str());
       return;
     }
     kept = std::move(checked.configuration);
@@ -503,8 +542,9 @@
   std::map<std::string, double> const at{{"servers", static_cast<double>(servers)}};
   std::string text = "{\"servers\":[";
   for (std::size_t index = 0; index < servers; ++index) {
-    text += std::string(index == 0 ? "" : ",") + "{\"address\":\"10.200." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1) + ":9000\",\"service\":\"p" +
-            std::to_string(index % 1200) + "\",\"zone\":\"z" + std::to_string(index % 18) + "\",\"capacity\":50,\"leaving\":false}";
+    text += std::string(index == 0 ? "" : ",") + "{\"address\":\"10.200." + std::to_string(index / 200) + "." +
+            std::to_string(index % 200 + 1) + ":9000\",\"service\":\"p" + std::to_string(index % 1200) +
+            "\",\"zone\":\"z" + std::to_string(index % 18) + "\",\"capacity\":50,\"leaving\":false}";
   }
   text += "]}";
   double const from = threadUs();
@@ -521,7 +561,8 @@
   distribution::PeerViews views({}, {"m0", "10.0.0.1:7000", "z1", messages::gatewayRole, 1, 0}, {"10.0.0.2:7000"}, 7);
   messages::Shuffle shuffle{true, {}};
   for (std::size_t index = 1; index <= 32; ++index) {
-    shuffle.peers.push_back({"m" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7000", "z1", messages::gatewayRole, 1'234'567'890'123, 100});
+    shuffle.peers.push_back({"m" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7000", "z1",
+                             messages::gatewayRole, 1'234'567'890'123, 100});
   }
   views.hear(distribution::TimePoint(std::chrono::hours(1)), "m1", "10.1.0.1:7000", shuffle);
   double const after = heapBytes() - heapBefore;
@@ -540,19 +581,21 @@
       out << (first ? "" : ",") << "\"" << entry.first << "\":" << entry.second;
       first = false;
     }
-    out << "},\"unit\":\"" << row.unit << "\",\"least\":" << row.values.front() << ",\"median\":" << row.values[row.values.size() / 2]
-        << ",\"most\":" << row.values.back() << "}";
+    out << "},\"unit\":\"" << row.unit << "\",\"least\":" << row.values.front()
+        << ",\"median\":" << row.values[row.values.size() / 2] << ",\"most\":" << row.values.back() << "}";
   }
   out << "]}";
   return out.str();
 }
 
-}
+}  // namespace
 
 int main(int count, char** words) {
-  cxxopts::Options options("cost_benchmark", "processor time, memory and bytes of one exchange, part, message, snapshot");
+  cxxopts::Options options("cost_benchmark",
+                           "processor time, memory and bytes of one exchange, part, message, snapshot");
   options.add_options()("rounds", "", cxxopts::value<std::uint64_t>()->default_value("5"))(
-      "only", "parts, queries, tail, exchanges, connections, control; empty for all", cxxopts::value<std::string>()->default_value(""))(
+      "only", "parts, queries, tail, exchanges, connections, control; empty for all",
+      cxxopts::value<std::string>()->default_value(""))(
       "exchanges", "", cxxopts::value<std::size_t>()->default_value("20000"))("help", "");
   cxxopts::ParseResult const given = options.parse(count, words);
   if (given.count("help") > 0) {
--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -1,11 +1,11 @@
 #include "capacity/fleet.h"
 
-#include "simulator/simulated_network.h"
+#include "limeramp/control/config_service.h"
 #include "limeramp/discovery/server_directory.h"
 #include "limeramp/distribution/config_delivery.h"
 #include "limeramp/distribution/peer_views.h"
-#include "limeramp/control/config_service.h"
 #include "limeramp/replication/replication_group.h"
+#include "simulator/simulated_network.h"
 
 #include <algorithm>
 #include <cmath>
@@ -101,7 +101,7 @@
   return "m" + std::string(digits.size() < 4 ? 4 - digits.size() : 0, '0') + digits;
 }
 
-}
+}  // namespace
 
 struct Fleet::Impl {
   explicit Impl(Shape const& shapeIn) : shape(shapeIn), network(shapeIn.seed) {}
@@ -186,7 +186,9 @@
   ++member.life;
   std::uint64_t const boot = network.random()() >> 1 | 1;
   std::string const role = member.controller ? messages::controllerRole : messages::gatewayRole;
-  member.views.emplace(distribution::ViewPolicy{}, messages::Peer{member.id, member.address, member.zone, role, boot, 0}, seeds, network.random()());
+  member.views.emplace(distribution::ViewPolicy{},
+                       messages::Peer{member.id, member.address, member.zone, role, boot, 0}, seeds,
+                       network.random()());
   if (member.gateway) {
     messages::Follower const self{member.id, member.address, member.zone, 0, 0};
     member.gateway->delivery.emplace(distribution::ConfigDeliveryPolicy{}, self, boot, network.random()());
@@ -196,7 +198,9 @@
     policy.mostNodes = shape.mostNodes == 0 ? policy.mostNodes : shape.mostNodes;
     member.controller->group.emplace(replication::Policy{});
     member.controller->plane.emplace(policy, member.id);
-    step(index, replication::Start{{member.id, member.address, member.zone}, member.controller->disk, network.random()(), false, seeds});
+    step(index,
+         replication::Start{
+             {member.id, member.address, member.zone}, member.controller->disk, network.random()(), false, seeds});
   }
   std::uint64_t const life = member.life;
   network.after(Us(network.roll(20'000)), [this, index, life] { tick(index, life); });
@@ -242,7 +246,8 @@
       }
       follow(index, member.gateway->desk->tick(now, around));
     } else {
-      std::vector<distribution::Outgoing> shuffles = member.views->tick(now, member.controller->group->decided().epoch == 0);
+      std::vector<distribution::Outgoing> shuffles =
+          member.views->tick(now, member.controller->group->decided().epoch == 0);
       sendAll(index, shuffles);
       replication::Known known;
       for (messages::Peer const& peer : member.views->peers(now)) {
@@ -270,9 +275,11 @@
   Member& member = members[from];
   messages::News const* const news = std::get_if<messages::News>(&message);
   bool const push = news != nullptr && news->token == 0 && news->state && !member.controller;
-  std::pair<std::uint64_t, std::uint64_t> const mark = push ? std::pair(news->epoch, news->sequence) : std::pair<std::uint64_t, std::uint64_t>(0, 0);
+  std::pair<std::uint64_t, std::uint64_t> const mark =
+      push ? std::pair(news->epoch, news->sequence) : std::pair<std::uint64_t, std::uint64_t>(0, 0);
   std::string const primaryAddress = push ? news->primaryAddress : "";
-  if (push && member.pushed.bytes != nullptr && member.pushed.mark == mark && member.pushed.primaryAddress == primaryAddress) {
+  if (push && member.pushed.bytes != nullptr && member.pushed.mark == mark &&
+      member.pushed.primaryAddress == primaryAddress) {
     cost += member.pushed.cost;
     member.load.busy += member.pushed.cost;
     return member.pushed.bytes;
@@ -335,7 +342,8 @@
   network.after(delay(from, to), [this, to, from, life, bytes, kind] { deliver(to, from, life, bytes, kind); });
 }
 
-void Fleet::Impl::deliver(std::size_t to, std::size_t from, std::uint64_t life, Bytes const& bytes, std::string const& kind) {
+void Fleet::Impl::deliver(std::size_t to, std::size_t from, std::uint64_t life, Bytes const& bytes,
+                          std::string const& kind) {
   Member& member = members[to];
   if (!member.up || member.life != life) {
     return;
@@ -432,7 +440,10 @@
   SimulatedController& controller = *members[index].controller;
   for (control::Effect const& effect : controller.plane->step(network.now(), *controller.group, event)) {
     if (replication::Offer const* const offer = std::get_if<replication::Offer>(&effect)) {
-      rosterChanges += offer->ticket >= 1ULL << 60 && offer->state.rosterSequence != controller.plane->published().rosterSequence ? 1 : 0;
+      rosterChanges +=
+          offer->ticket >= 1ULL << 60 && offer->state.rosterSequence != controller.plane->published().rosterSequence
+              ? 1
+              : 0;
       step(index, *offer);
     } else if (control::Decided const* const decided = std::get_if<control::Decided>(&effect)) {
       answers[decided->ticket] = *decided;
@@ -504,7 +515,8 @@
   }
   std::uint64_t const ticket = ++lastTicket;
   Meter const meter(members[*index].load.busy);
-  drivePlane(*index, control::Change{ticket, "c" + std::to_string(ticket), std::nullopt, false, documentOf(ticket), network.now() + Ms(10'000)});
+  drivePlane(*index, control::Change{ticket, "c" + std::to_string(ticket), std::nullopt, false, documentOf(ticket),
+                                     network.now() + Ms(10'000)});
   return ticket;
 }
 
@@ -602,7 +614,8 @@
     bool const controller = index < shape.controllers;
     member.id = controller ? "h" + std::to_string(index) : nameOf(index);
     member.address = addressOf(index);
-    member.zoneNumber = (controller ? index * std::max<std::size_t>(1, shape.zones / shape.controllers) : index) % shape.zones;
+    member.zoneNumber =
+        (controller ? index * std::max<std::size_t>(1, shape.zones / shape.controllers) : index) % shape.zones;
     member.zone = "z" + std::to_string(member.zoneNumber);
     member.region = member.zoneNumber % shape.regions;
     if (controller) {
@@ -626,7 +639,8 @@
     if (index < impl_->shape.controllers) {
       impl_->start(index);
     } else {
-      impl_->network.after(wait + Us(impl_->network.roll(static_cast<std::uint64_t>(over.count()) * 1000 + 1)), [this, index] { impl_->start(index); });
+      impl_->network.after(wait + Us(impl_->network.roll(static_cast<std::uint64_t>(over.count()) * 1000 + 1)),
+                           [this, index] { impl_->start(index); });
     }
   }
 }
@@ -739,8 +753,9 @@
     std::optional<std::size_t> const index = impl.primary();
     if (!published && index) {
       messages::State const& state = impl.members[*index].controller->plane->published();
-      if (std::any_of(state.receipts.begin(), state.receipts.end(),
-                      [&](messages::Receipt const& receipt) { return receipt.change == "c" + std::to_string(*ticket); })) {
+      if (std::any_of(state.receipts.begin(), state.receipts.end(), [&](messages::Receipt const& receipt) {
+            return receipt.change == "c" + std::to_string(*ticket);
+          })) {
         published = state;
       }
     }
@@ -777,8 +792,9 @@
   std::optional<std::size_t> const first = impl_->primary();
   std::string zone;
   for (Member const& member : impl_->members) {
-    bool const controllers = std::any_of(impl_->members.begin(), impl_->members.end(),
-                                     [&](Member const& other) { return other.controller && other.zone == member.zone; });
+    bool const controllers = std::any_of(impl_->members.begin(), impl_->members.end(), [&](Member const& other) {
+      return other.controller && other.zone == member.zone;
+    });
     zone = member.gateway && (!controllers || impl_->shape.zones <= impl_->shape.controllers) && first &&
                    member.zone != impl_->members[*first].zone
                ? member.zone
@@ -816,4 +832,4 @@
 
 bool Fleet::hasPrimary() const { return impl_->primary().has_value(); }
 
-}
+}  // namespace limeramp::capacity
--- a/testside/capacity/fleet.h
+++ b/testside/capacity/fleet.h
@@ -98,4 +98,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}
+}  // namespace limeramp::capacity
--- a/testside/capacity/scale_simulation.cpp
+++ b/testside/capacity/scale_simulation.cpp
@@ -36,7 +36,8 @@
 }
 
 std::string json(Spread const& spread) {
-  return "{\"least\":" + number(spread.least) + ",\"median\":" + number(spread.median) + ",\"most\":" + number(spread.most) + "}";
+  return "{\"least\":" + number(spread.least) + ",\"median\":" + number(spread.median) +
+         ",\"most\":" + number(spread.most) + "}";
 }
 
 std::string json(Stretch const& stretch) {
@@ -49,26 +50,29 @@
     listReads += static_cast<double>(load.listReads);
   }
   std::ostringstream out;
-  out << "{\"seconds\":" << number(stretch.seconds) << ",\"restarts\":" << stretch.restarts << ",\"failures\":" << stretch.failures
-      << ",\"changes\":" << stretch.changes << ",\"taken\":" << stretch.taken << ",\"roster_changes\":" << stretch.rosterChanges
-      << ",\"least_serving\":" << stretch.leastServing << ",\"list_readers\":" << readers
-      << ",\"list_reads_per_s\":" << number(listReads / stretch.seconds) << ",\"roles\":{";
+  out << "{\"seconds\":" << number(stretch.seconds) << ",\"restarts\":" << stretch.restarts
+      << ",\"failures\":" << stretch.failures << ",\"changes\":" << stretch.changes << ",\"taken\":" << stretch.taken
+      << ",\"roster_changes\":" << stretch.rosterChanges << ",\"least_serving\":" << stretch.leastServing
+      << ",\"list_readers\":" << readers << ",\"list_reads_per_s\":" << number(listReads / stretch.seconds)
+      << ",\"roles\":{";
   bool first = true;
   for (std::pair<std::string const, std::vector<Load>> const& role : roles) {
-    std::function<Spread(std::function<double(Load const&)> const&)> const of = [&](std::function<double(Load const&)> const& pick) {
-      std::vector<double> values;
-      for (Load const& load : role.second) {
-        values.push_back(pick(load) / stretch.seconds);
-      }
-      return spreadOf(std::move(values));
-    };
+    std::function<Spread(std::function<double(Load const&)> const&)> const of =
+        [&](std::function<double(Load const&)> const& pick) {
+          std::vector<double> values;
+          for (Load const& load : role.second) {
+            values.push_back(pick(load) / stretch.seconds);
+          }
+          return spreadOf(std::move(values));
+        };
     out << (first ? "" : ",") << "\"" << role.first << "\":{\"count\":" << role.second.size()
         << ",\"sent_per_s\":" << json(of([](Load const& load) { return static_cast<double>(load.sent); }))
         << ",\"received_per_s\":" << json(of([](Load const& load) { return static_cast<double>(load.received); }))
         << ",\"sent_bytes_per_s\":" << json(of([](Load const& load) { return static_cast<double>(load.sentBytes); }))
-        << ",\"received_bytes_per_s\":" << json(of([](Load const& load) { return static_cast<double>(load.receivedBytes); }))
-        << ",\"processor_share\":" << json(of([](Load const& load) { return std::chrono::duration<double>(load.busy).count(); }))
-        << ",\"peers\":" << json(of([&](Load const& load) { return static_cast<double>(load.peers) * stretch.seconds; })) << "}";
+        << ",\"received_bytes_per_s\":"
+        << json(of([](Load const& load) { return static_cast<double>(load.receivedBytes); })) << ",\"processor_share\":"
+        << json(of([](Load const& load) { return std::chrono::duration<double>(load.busy).count(); })) << ",\"peers\":"
+        << json(of([&](Load const& load) { return static_cast<double>(load.peers) * stretch.seconds; })) << "}";
     first = false;
   }
   out << "},\"kinds\":{";
@@ -77,7 +81,8 @@
     KindLoad const& load = kind.second;
     double const sent = static_cast<double>(std::max<std::uint64_t>(1, load.sent));
     double const heard = static_cast<double>(std::max<std::uint64_t>(1, load.heard));
-    out << (first ? "" : ",") << "\"" << kind.first << "\":{\"sent_per_s\":" << number(static_cast<double>(load.sent) / stretch.seconds)
+    out << (first ? "" : ",") << "\"" << kind.first
+        << "\":{\"sent_per_s\":" << number(static_cast<double>(load.sent) / stretch.seconds)
         << ",\"bytes_per_s\":" << number(static_cast<double>(load.bytes) / stretch.seconds)
         << ",\"bytes_each\":" << number(static_cast<double>(load.bytes) / sent)
         << ",\"seal_us_each\":" << number(static_cast<double>(load.sealing.count()) / 1e3 / sent)
@@ -102,13 +107,15 @@
   return out;
 }
 
-}
+}  // namespace
 
 int main(int count, char** words) {
   cxxopts::Options options("scale_simulation", "hollow nodes in virtual time: what control costs at a size");
   options.add_options()("nodes", "", cxxopts::value<std::size_t>()->default_value("100"))(
-      "servers", "", cxxopts::value<std::size_t>()->default_value("500"))("shards", "", cxxopts::value<std::size_t>()->default_value("4"))(
-      "zones", "", cxxopts::value<std::size_t>()->default_value("18"))("regions", "", cxxopts::value<std::size_t>()->default_value("6"))(
+      "servers", "", cxxopts::value<std::size_t>()->default_value("500"))(
+      "shards", "", cxxopts::value<std::size_t>()->default_value("4"))(
+      "zones", "", cxxopts::value<std::size_t>()->default_value("18"))(
+      "regions", "", cxxopts::value<std::size_t>()->default_value("6"))(
       "seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "most-nodes", "bound of the primary; 0: as built", cxxopts::value<std::size_t>()->default_value("0"))(
       "document", "bytes of the configuration", cxxopts::value<std::size_t>()->default_value("0"))(
@@ -116,8 +123,9 @@
       cxxopts::value<std::string>()->default_value("steady,changes,churn,loss"))(
       "seconds", "of the steady and the zone stretch", cxxopts::value<double>()->default_value("10"))(
       "churn-seconds", "", cxxopts::value<double>()->default_value("30"))(
-      "start", "cold: all within 2 s; calm: within 0.1 s, after the founding", cxxopts::value<std::string>()->default_value("calm"))(
-      "speed", "how much faster than a day churn runs", cxxopts::value<double>()->default_value("20"))("help", "");
+      "start", "cold: all within 2 s; calm: within 0.1 s, after the founding",
+      cxxopts::value<std::string>()->default_value("calm"))("speed", "how much faster than a day churn runs",
+                                                            cxxopts::value<double>()->default_value("20"))("help", "");
   cxxopts::ParseResult const given = options.parse(count, words);
   if (given.count("help") > 0) {
     std::cout << options.help();
@@ -151,23 +159,29 @@
       startBytes += static_cast<double>(kind.second.bytes);
     }
     warm = fleet.serving() >= shape.nodes;
-    std::fprintf(stderr, "%d s: %zu serve, %zu listed, %.0f bytes sent so far\n", warmSeconds + 1, fleet.serving(), fleet.listed(), startBytes);
+    std::fprintf(stderr, "%d s: %zu serve, %zu listed, %.0f bytes sent so far\n", warmSeconds + 1, fleet.serving(),
+                 fleet.listed(), startBytes);
   }
   Landing const founding = fleet.change(Ms(10'000));
   fleet.run(Ms(3000));
   warm = warm && founding.verdict == "taken";
-  std::fprintf(stderr, "seed %llu: %zu of %zu nodes serve after the warm-up\n", static_cast<unsigned long long>(shape.seed), fleet.serving(), shape.nodes);
+  std::fprintf(stderr, "seed %llu: %zu of %zu nodes serve after the warm-up\n",
+               static_cast<unsigned long long>(shape.seed), fleet.serving(), shape.nodes);
   std::ostream& out = std::cout;
-  out << "{\"nodes\":" << shape.nodes << ",\"servers\":" << shape.servers << ",\"shards\":" << shape.shards << ",\"zones\":" << shape.zones
-      << ",\"regions\":" << shape.regions << ",\"seed\":" << shape.seed << ",\"most_nodes\":" << shape.mostNodes
-      << ",\"document\":" << shape.documentBytes << ",\"speed\":" << number(speed) << ",\"warm\":" << (warm ? "true" : "false")
-      << ",\"serving\":" << fleet.serving() << ",\"listed\":" << fleet.listed() << ",\"state_bytes\":" << fleet.stateBytes()
+  out << "{\"nodes\":" << shape.nodes << ",\"servers\":" << shape.servers << ",\"shards\":" << shape.shards
+      << ",\"zones\":" << shape.zones << ",\"regions\":" << shape.regions << ",\"seed\":" << shape.seed
+      << ",\"most_nodes\":" << shape.mostNodes << ",\"document\":" << shape.documentBytes
+      << ",\"speed\":" << number(speed) << ",\"warm\":" << (warm ? "true" : "false")
+      << ",\"serving\":" << fleet.serving() << ",\"listed\":" << fleet.listed()
+      << ",\"state_bytes\":" << fleet.stateBytes()
       << ",\"heap_per_node\":" << number((heapBytes() - heapBefore) / static_cast<double>(shape.nodes))
-      << ",\"start\":{\"cold\":" << (cold ? 1 : 0) << ",\"seconds\":" << warmSeconds << ",\"bytes\":" << number(startBytes);
+      << ",\"start\":{\"cold\":" << (cold ? 1 : 0) << ",\"seconds\":" << warmSeconds
+      << ",\"bytes\":" << number(startBytes);
   for (std::pair<std::string const, double> const& kind : startSent) {
     out << ",\"" << kind.first << "\":" << number(kind.second);
   }
-  out << "},\"first_change\":{\"acknowledged_ms\":" << founding.acknowledgedMs.count() << ",\"everywhere_ms\":" << founding.everywhereMs.count() << "}";
+  out << "},\"first_change\":{\"acknowledged_ms\":" << founding.acknowledgedMs.count()
+      << ",\"everywhere_ms\":" << founding.everywhereMs.count() << "}";
   if (phases.contains("steady")) {
     out << ",\"steady\":" << json(fleet.measure(stretchMs));
   }
@@ -207,7 +221,11 @@
     Stretch const stretch = fleet.measure(stretchMs);
     Landing const landing = fleet.change(Ms(15'000));
     Ms const more = fleet.untilZoneForgotten(Ms(70'000));
-    double const knownMs = more < Ms(0) ? -1 : static_cast<double>(stretchMs.count() + std::max(landing.acknowledgedMs, landing.everywhereMs).count() + more.count());
+    double const knownMs =
+        more < Ms(0)
+            ? -1
+            : static_cast<double>(stretchMs.count() + std::max(landing.acknowledgedMs, landing.everywhereMs).count() +
+                                  more.count());
     out << ",\"zone\":{\"stretch\":" << json(stretch) << ",\"acknowledged_ms\":" << landing.acknowledgedMs.count()
         << ",\"everywhere_ms\":" << landing.everywhereMs.count() << ",\"known_ms\":" << number(knownMs)
         << ",\"serving\":" << fleet.serving() << ",\"alive\":" << fleet.alive() << "}";
@@ -225,8 +243,8 @@
     fleet.cutRegion(false);
     bool const healed = fleet.awaitServing(before, Ms(10'000));
     out << ",\"region\":{\"before\":" << before << ",\"in_region\":" << there << ",\"in_region_after_3s\":" << still
-        << ",\"serving\":" << serving << ",\"verdict\":\"" << landing.verdict << "\",\"healed\":" << (healed ? "true" : "false")
-        << ",\"stretch\":" << json(stretch) << "}";
+        << ",\"serving\":" << serving << ",\"verdict\":\"" << landing.verdict
+        << "\",\"healed\":" << (healed ? "true" : "false") << ",\"stretch\":" << json(stretch) << "}";
   }
   out.flush();
   if (phases.contains("primary")) {
@@ -237,7 +255,8 @@
       landing = fleet.change(Ms(10'000));
       fleet.run(Ms(100));
     }
-    out << ",\"primary\":{\"stretch\":" << json(stretch) << ",\"verdict\":\"" << landing.verdict << "\",\"serving\":" << fleet.serving() << "}";
+    out << ",\"primary\":{\"stretch\":" << json(stretch) << ",\"verdict\":\"" << landing.verdict
+        << "\",\"serving\":" << fleet.serving() << "}";
   }
   out << "}\n";
   return 0;
--- a/testside/fault_injection_preload.cpp
+++ b/testside/fault_injection_preload.cpp
@@ -37,8 +37,11 @@
   char key[32];
   long value = 0;
   while (fscanf(file, "%31s %ld", key, &value) == 2) {
-    for (auto const& known : {std::pair<char const*, long*>{"sync_ms", &orders.syncMs}, {"stuck", &orders.stuck},
-                              {"failing", &orders.failing}, {"full", &orders.full}, {"clock_ms", &orders.clockMs}}) {
+    for (auto const& known : {std::pair<char const*, long*>{"sync_ms", &orders.syncMs},
+                              {"stuck", &orders.stuck},
+                              {"failing", &orders.failing},
+                              {"full", &orders.full},
+                              {"clock_ms", &orders.clockMs}}) {
       if (strcmp(known.first, key) == 0) {
         *known.second = value;
       }
@@ -91,7 +94,7 @@
   return clockOffsetMs;
 }
 
-}
+}  // namespace
 
 extern "C" {
 
@@ -141,5 +144,4 @@
   }
   return now.tv_sec;
 }
-
 }
--- a/testside/fault_proxy.cpp
+++ b/testside/fault_proxy.cpp
@@ -70,12 +70,14 @@
   }
 };
 
-}
+}  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("fault_proxy", "a stand-in for the network between nodes: passes their messages on, or cuts them");
+  cxxopts::Options options("fault_proxy",
+                           "a stand-in for the network between nodes: passes their messages on, or cuts them");
   options.add_options()("listen", "address for control", cxxopts::value<std::string>())(
-      "map", "JSON file: an object of the address to listen on and the address behind it", cxxopts::value<std::string>())("help", "this text");
+      "map", "JSON file: an object of the address to listen on and the address behind it",
+      cxxopts::value<std::string>())("help", "this text");
   try {
     cxxopts::ParseResult const flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
@@ -115,10 +117,9 @@
         return 1;
       }
     }
-    return testside::standUntilEnded("fault_proxy", flags["listen"].as<std::string>(),
-                                     [&wall](net::Request request, net::Responder respond) {
-                                       respond(wall.control(request.body));
-                                     });
+    return testside::standUntilEnded(
+        "fault_proxy", flags["listen"].as<std::string>(),
+        [&wall](net::Request request, net::Responder respond) { respond(wall.control(request.body)); });
   } catch (cxxopts::exceptions::exception const& wrong) {
     std::cerr << "fault_proxy: " << wrong.what() << '\n';
     return 2;
--- a/testside/load_generator.cpp
+++ b/testside/load_generator.cpp
@@ -1,6 +1,6 @@
-#include "message_sizes.h"
 #include "limeramp/config/reader.h"
 #include "limeramp/net/http.h"
+#include "message_sizes.h"
 
 #include <cxxopts.hpp>
 
@@ -141,7 +141,9 @@
   net::Request request;
   request.method = call.method;
   request.target = call.path + "/" + std::to_string(run.random() % 100'000) + "?q=" + std::to_string(number);
-  request.headers = {{"limeramp-tenant", call.tenant}, {"limeramp-deadline-ms", std::to_string(deadlineMs)}, {"load_generator-id", id}};
+  request.headers = {{"limeramp-tenant", call.tenant},
+                     {"limeramp-deadline-ms", std::to_string(deadlineMs)},
+                     {"load_generator-id", id}};
   request.body = std::string(call.bodyBytes, 'b');
   std::string const target = request.target;
   ++run.open;
@@ -149,46 +151,49 @@
   Clock::time_point const begun = Clock::now();
   client.begin(number, gate, std::move(request), begun + Ms(deadlineMs + 1000),
                [&run, &client, call, id, target, begun, deadlineMs, gate, again](net::Exchange const& exchange) {
-    double const tookMs = std::chrono::duration<double, std::milli>(Clock::now() - begun).count();
-    std::string verdict = exchange.answer ? net::findHeader(exchange.answer->headers, "limeramp-verdict").value_or("-")
-                                          : std::string("unheard/") + std::string(retry::nameOf(exchange.verdict));
-    std::string const version =
-        exchange.answer ? net::findHeader(exchange.answer->headers, "limeramp-version").value_or("-") : "-";
-    int const status = exchange.answer ? exchange.answer->status : 0;
-    std::string wrong;
-    std::string stamps;
-    std::uint64_t missing = 0;
-    if (status == 200) {
-      wrong = call.search ? judgeSearch(call, target, *exchange.answer, stamps, missing)
-                            : judgeForward(id, target, call, *exchange.answer);
-    }
-    std::unique_lock<std::mutex> inner(run.mutex);
-    std::string const kind = call.search ? "search " : "forward ";
-    ++run.tally.counts[kind + (status == 0 ? verdict : std::to_string(status) + " " + verdict)];
-    if (tookMs > static_cast<double>(deadlineMs) + 50) {
-      ++run.tally.counts[kind + "later than its deadline by over 50 ms"];
-    }
-    if (status == 200) {
-      (call.search ? run.tally.searchMs : run.tally.forwardMs).push_back(tookMs);
-      run.tally.missing += missing;
-      run.tally.counts["searches with missing shards"] += missing > 0 ? 1 : 0;
-    }
-    if (!wrong.empty()) {
-      run.wrongs.push_back(id + ": " + wrong);
-    }
-    run.log << std::chrono::duration_cast<std::chrono::microseconds>(begun.time_since_epoch()).count() << '\t' << id
-               << '\t' << call.name << '\t' << (call.search ? "search" : "forward") << '\t' << status << '\t' << verdict
-               << '\t' << version << '\t' << stamps << '\t' << missing << '\t' << tookMs << '\t' << deadlineMs << '\t'
-               << gate.text() << '\t' << wrong << '\n';
-    bool const retry = again > 0 && status == 503 && std::uniform_real_distribution<double>(0, 1)(run.random) < run.impatience;
-    inner.unlock();
-    if (retry) {
-      launch(run, client, call, again - 1);
-    }
-    inner.lock();
-    --run.open;
-    run.changed.notify_all();
-  });
+                 double const tookMs = std::chrono::duration<double, std::milli>(Clock::now() - begun).count();
+                 std::string verdict = exchange.answer
+                                           ? net::findHeader(exchange.answer->headers, "limeramp-verdict").value_or("-")
+                                           : std::string("unheard/") + std::string(retry::nameOf(exchange.verdict));
+                 std::string const version =
+                     exchange.answer ? net::findHeader(exchange.answer->headers, "limeramp-version").value_or("-")
+                                     : "-";
+                 int const status = exchange.answer ? exchange.answer->status : 0;
+                 std::string wrong;
+                 std::string stamps;
+                 std::uint64_t missing = 0;
+                 if (status == 200) {
+                   wrong = call.search ? judgeSearch(call, target, *exchange.answer, stamps, missing)
+                                       : judgeForward(id, target, call, *exchange.answer);
+                 }
+                 std::unique_lock<std::mutex> inner(run.mutex);
+                 std::string const kind = call.search ? "search " : "forward ";
+                 ++run.tally.counts[kind + (status == 0 ? verdict : std::to_string(status) + " " + verdict)];
+                 if (tookMs > static_cast<double>(deadlineMs) + 50) {
+                   ++run.tally.counts[kind + "later than its deadline by over 50 ms"];
+                 }
+                 if (status == 200) {
+                   (call.search ? run.tally.searchMs : run.tally.forwardMs).push_back(tookMs);
+                   run.tally.missing += missing;
+                   run.tally.counts["searches with missing shards"] += missing > 0 ? 1 : 0;
+                 }
+                 if (!wrong.empty()) {
+                   run.wrongs.push_back(id + ": " + wrong);
+                 }
+                 run.log << std::chrono::duration_cast<std::chrono::microseconds>(begun.time_since_epoch()).count()
+                         << '\t' << id << '\t' << call.name << '\t' << (call.search ? "search" : "forward") << '\t'
+                         << status << '\t' << verdict << '\t' << version << '\t' << stamps << '\t' << missing << '\t'
+                         << tookMs << '\t' << deadlineMs << '\t' << gate.text() << '\t' << wrong << '\n';
+                 bool const retry = again > 0 && status == 503 &&
+                                    std::uniform_real_distribution<double>(0, 1)(run.random) < run.impatience;
+                 inner.unlock();
+                 if (retry) {
+                   launch(run, client, call, again - 1);
+                 }
+                 inner.lock();
+                 --run.open;
+                 run.changed.notify_all();
+               });
 }
 
 double quantile(std::vector<double> values, double share) {
@@ -199,7 +204,7 @@
   return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
 }
 
-}
+}  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("load_generator", "stand-in callers: a bounded load on loopback, each answer checked");
@@ -305,8 +310,8 @@
     platform.join();
     network.stop();
     run.log.flush();
-    std::printf("launched %llu in %.0f s, rate %.0f, seed %llu\n", static_cast<unsigned long long>(launched), seconds, rate,
-                static_cast<unsigned long long>(run.seed));
+    std::printf("launched %llu in %.0f s, rate %.0f, seed %llu\n", static_cast<unsigned long long>(launched), seconds,
+                rate, static_cast<unsigned long long>(run.seed));
     for (std::pair<std::string const, std::uint64_t> const& entry : run.tally.counts) {
       std::printf("%8llu  %s\n", static_cast<unsigned long long>(entry.second), entry.first.c_str());
     }
@@ -314,7 +319,8 @@
          {std::pair<char const*, std::vector<double> const*>("search", &run.tally.searchMs),
           std::pair<char const*, std::vector<double> const*>("forward", &run.tally.forwardMs)}) {
       std::printf("%s ms: p50 %.1f p95 %.1f p99 %.1f max %.1f of %zu\n", entry.first, quantile(*entry.second, 0.5),
-                  quantile(*entry.second, 0.95), quantile(*entry.second, 0.99), quantile(*entry.second, 1), entry.second->size());
+                  quantile(*entry.second, 0.95), quantile(*entry.second, 0.99), quantile(*entry.second, 1),
+                  entry.second->size());
     }
     std::printf("missing shards %llu\nwrong answers %zu\n", static_cast<unsigned long long>(run.tally.missing),
                 run.wrongs.size());
--- a/testside/message_sizes.h
+++ b/testside/message_sizes.h
@@ -17,4 +17,4 @@
   return record + std::string("/") + shard;
 }
 
-}
+}  // namespace limeramp::testside
--- a/testside/simulator/fleet_simulation.cpp
+++ b/testside/simulator/fleet_simulation.cpp
@@ -8,9 +8,10 @@
 constexpr Ms inForceMs{2100};
 constexpr std::size_t exchangeBytes = 220;
 
-}
+}  // namespace
 
-FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t controllers, std::size_t gateways, std::size_t zones) : network(seed) {
+FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t controllers, std::size_t gateways, std::size_t zones)
+    : network(seed) {
   for (std::size_t index = 0; index < controllers + gateways; ++index) {
     Machine machine;
     std::string const zone = "z" + std::to_string(index % zones);
@@ -37,9 +38,11 @@
   std::vector<messages::Peer> out;
   for (Machine const& machine : machines) {
     if (machine.up && machine.gateway) {
-      out.push_back({machine.gateway->node, machine.gateway->address, machine.gateway->zone, messages::gatewayRole, machine.life, 0});
+      out.push_back({machine.gateway->node, machine.gateway->address, machine.gateway->zone, messages::gatewayRole,
+                     machine.life, 0});
     } else if (machine.up) {
-      out.push_back({machine.controller->id, machine.controller->address, machine.controller->zone, messages::controllerRole, machine.life, 0});
+      out.push_back({machine.controller->id, machine.controller->address, machine.controller->zone,
+                     messages::controllerRole, machine.life, 0});
     }
   }
   return out;
@@ -54,7 +57,9 @@
   ++machine.life;
   if (machine.gateway) {
     SimulatedGateway& gateway = *machine.gateway;
-    gateway.delivery.emplace(distribution::ConfigDeliveryPolicy{}, messages::Follower{gateway.node, gateway.address, gateway.zone, 0, 0}, network.random()() | 1, network.random()());
+    gateway.delivery.emplace(distribution::ConfigDeliveryPolicy{},
+                             messages::Follower{gateway.node, gateway.address, gateway.zone, 0, 0},
+                             network.random()() | 1, network.random()());
     gateway.version = {};
   } else {
     SimulatedController& controller = *machine.controller;
@@ -62,7 +67,11 @@
     controller.diskFails = false;
     controller.group.emplace(replication::Policy{});
     controller.plane.emplace(control::Policy{}, controller.id, language);
-    step(index, replication::Start{{controller.id, controller.address, controller.zone}, controller.disk, network.random()(), false, founders_});
+    step(index, replication::Start{{controller.id, controller.address, controller.zone},
+                                   controller.disk,
+                                   network.random()(),
+                                   false,
+                                   founders_});
   }
   tick(index, machine.life);
 }
@@ -103,7 +112,9 @@
   std::function<void(bool)> const tell = [this, from, life, token = wanted.token](bool gone) {
     network.after(std::chrono::microseconds(200 + network.roll(3'000)), [this, from, life, token, gone] {
       if (machines[from].up && machines[from].life == life) {
-        std::function<void()> const hear = [this, from, token, gone] { drivePlane(from, control::Probed{token, gone}); };
+        std::function<void()> const hear = [this, from, token, gone] {
+          drivePlane(from, control::Probed{token, gone});
+        };
         machines[from].frozen ? machines[from].thawWork.push_back(hear) : hear();
       }
     });
@@ -172,8 +183,8 @@
       continue;
     }
     messages::EpochRecord const& decided = machine.controller->group->decided();
-    out += "\n" + machine.controller->id + end + " epoch " + std::to_string(decided.epoch) + " primary " + decided.primary +
-           " backup " + (decided.backups.empty() ? "" : decided.backups.front());
+    out += "\n" + machine.controller->id + end + " epoch " + std::to_string(decided.epoch) + " primary " +
+           decided.primary + " backup " + (decided.backups.empty() ? "" : decided.backups.front());
     if (machine.isActive()) {
       messages::State const& state = machine.controller->plane->published();
       out += " active, prior";
@@ -233,8 +244,8 @@
   upheld += gateway.delivery->status(network.now()).standing == distribution::Standing::upheld ? 1 : 0;
   for (std::pair<config::Version const, TimePoint> const& entry : acknowledged_) {
     if (entry.first > gateway.version && network.now() > entry.second + inForceMs) {
-      complain(gateway.node + " serves under " + gateway.version.text() + " later than 2.1 s after " + entry.first.text() +
-               " was acknowledged");
+      complain(gateway.node + " serves under " + gateway.version.text() + " later than 2.1 s after " +
+               entry.first.text() + " was acknowledged");
     }
   }
   for (std::pair<std::string const, std::pair<control::ZoneOrder, TimePoint>> const& entry : orderedZones_) {
@@ -286,7 +297,9 @@
       continue;
     }
     if (weighs && machines[to].zone() != machines[from].zone()) {
-      bytesAcrossZones[from] += messages::seal({"0123456789abcdef", "machine-in-a-zone-1/01234567", "10.101.102.103:7081", message}).size() + exchangeBytes;
+      bytesAcrossZones[from] +=
+          messages::seal({"0123456789abcdef", "machine-in-a-zone-1/01234567", "10.101.102.103:7081", message}).size() +
+          exchangeBytes;
     }
     std::uint64_t const life = machines[to].life;
     std::chrono::microseconds const wait(200 + network.roll(network.chance(0.01) ? 300'000 : 3'000));
@@ -344,7 +357,9 @@
           for (std::pair<std::string, std::string> const& put : done.second) {
             owner.disk[put.first] = put.second;
           }
-          std::function<void()> const tell = [this, index, done] { step(index, replication::Persisted{done.first, true}); };
+          std::function<void()> const tell = [this, index, done] {
+            step(index, replication::Persisted{done.first, true});
+          };
           if (machines[index].frozen) {
             machines[index].thawWork.push_back(tell);
           } else {
@@ -406,7 +421,8 @@
   for (std::size_t index = 0; index < machines.size(); ++index) {
     Machine const& machine = machines[index];
     bool const active = machine.up && !machine.frozen && machine.controller && machine.isActive();
-    if (active && (!best || machine.controller->group->decided().epoch > machines[*best].controller->group->decided().epoch)) {
+    if (active &&
+        (!best || machine.controller->group->decided().epoch > machines[*best].controller->group->decided().epoch)) {
       best = index;
     }
   }
@@ -414,7 +430,7 @@
 }
 
 std::optional<std::uint64_t> FleetSimulation::change(std::string const& id, std::string const& body,
-                                           std::optional<config::Version> base, bool patch) {
+                                                     std::optional<config::Version> base, bool patch) {
   return change({0, id, base, patch, body, network.now() + Ms(8000), {}, {}});
 }
 
@@ -442,4 +458,4 @@
   return change.ticket;
 }
 
-}
+}  // namespace limeramp::simulator
--- a/testside/simulator/fleet_simulation.h
+++ b/testside/simulator/fleet_simulation.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "simulator/simulated_network.h"
-#include "limeramp/distribution/config_delivery.h"
 #include "limeramp/control/config_service.h"
+#include "limeramp/distribution/config_delivery.h"
 #include "limeramp/replication/replication_group.h"
+#include "simulator/simulated_network.h"
 
 #include <map>
 #include <optional>
@@ -82,8 +82,8 @@
   void split(std::set<std::size_t> const& side);
   void mendAll() { cuts_.clear(); }
   void run(Ms time) { network.runUntil(network.now() + time); }
-  std::optional<std::uint64_t> change(std::string const& id, std::string const& body, std::optional<config::Version> base = {},
-                                      bool patch = false);
+  std::optional<std::uint64_t> change(std::string const& id, std::string const& body,
+                                      std::optional<config::Version> base = {}, bool patch = false);
   std::optional<std::uint64_t> change(control::Change change);
   std::optional<std::uint64_t> order(std::string const& zone, bool evacuated);
   std::uint64_t read(std::size_t index, Ms wait);
@@ -93,7 +93,9 @@
   std::size_t serving() const;
   std::string picture() const;
   bool awaitServing(std::size_t wanted, Ms within);
-  config::Version newestAcknowledged() const { return acknowledged_.empty() ? config::Version{} : acknowledged_.rbegin()->first; }
+  config::Version newestAcknowledged() const {
+    return acknowledged_.empty() ? config::Version{} : acknowledged_.rbegin()->first;
+  }
 
  private:
   void step(std::size_t index, replication::Event const& event);
@@ -116,4 +118,4 @@
   std::size_t replaced_ = 0;
 };
 
-}
+}  // namespace limeramp::simulator
--- a/testside/simulator/replication_simulation.cpp
+++ b/testside/simulator/replication_simulation.cpp
@@ -4,7 +4,8 @@
 
 namespace limeramp::simulator {
 
-ReplicationSimulation::ReplicationSimulation(std::uint64_t seed, std::size_t count, double loss, std::size_t machineLosses)
+ReplicationSimulation::ReplicationSimulation(std::uint64_t seed, std::size_t count, double loss,
+                                             std::size_t machineLosses)
     : network(seed), loss_(loss), machineLosses_(machineLosses) {
   for (std::size_t index = 0; index < count; ++index) {
     SimulatedMember node;
@@ -183,14 +184,16 @@
     witness(index, active->state, "begins with");
     fleets.insert(nodes[index].group.decided().fleet);
     ++takeovers;
-  } else if (replication::NewGroupForced const* const newGroupForced = std::get_if<replication::NewGroupForced>(&effect)) {
+  } else if (replication::NewGroupForced const* const newGroupForced =
+                 std::get_if<replication::NewGroupForced>(&effect)) {
     refusal_ = newGroupForced->refusal;
   } else if (std::holds_alternative<replication::Doubtful>(effect)) {
     ++doubts;
   }
 }
 
-std::string ReplicationSimulation::forceNewGroup(std::size_t index, messages::State const& state, std::string const& fleet) {
+std::string ReplicationSimulation::forceNewGroup(std::size_t index, messages::State const& state,
+                                                 std::string const& fleet) {
   refusal_ = "no answer";
   step(index, replication::ForceNewGroup{fleet, state});
   return refusal_;
@@ -219,4 +222,4 @@
   return best;
 }
 
-}
+}  // namespace limeramp::simulator
--- a/testside/simulator/replication_simulation.h
+++ b/testside/simulator/replication_simulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "simulator/simulated_network.h"
 #include "limeramp/replication/replication_group.h"
+#include "simulator/simulated_network.h"
 
 #include <map>
 #include <set>
@@ -72,4 +72,4 @@
   std::map<std::uint64_t, messages::EpochRecord> records_;
 };
 
-}
+}  // namespace limeramp::simulator
--- a/testside/simulator/simulated_network.h
+++ b/testside/simulator/simulated_network.h
@@ -50,4 +50,4 @@
   std::priority_queue<Due> queue_;
 };
 
-}
+}  // namespace limeramp::simulator
--- a/testside/stub_instance_list.cpp
+++ b/testside/stub_instance_list.cpp
@@ -64,7 +64,7 @@
   }
 };
 
-}
+}  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("stub_instance_list", "a stand-in for the platform's list of servers");
@@ -81,10 +81,9 @@
     std::stringstream text;
     text << file.rdbuf();
     board.raw = text.str();
-    return testside::standUntilEnded("stub_instance_list", flags["listen"].as<std::string>(),
-                                     [&board](net::Request request, net::Responder respond) {
-                                       respond(board.serve(request));
-                                     });
+    return testside::standUntilEnded(
+        "stub_instance_list", flags["listen"].as<std::string>(),
+        [&board](net::Request request, net::Responder respond) { respond(board.serve(request)); });
   } catch (cxxopts::exceptions::exception const& wrong) {
     std::cerr << "stub_instance_list: " << wrong.what() << '\n';
     return 2;
--- a/testside/stub_program.h
+++ b/testside/stub_program.h
@@ -33,4 +33,4 @@
   return 0;
 }
 
-}
+}  // namespace limeramp::testside
--- a/testside/stub_server.cpp
+++ b/testside/stub_server.cpp
@@ -1,9 +1,8 @@
-#include "message_sizes.h"
 #include "limeramp/config/json.h"
 #include "limeramp/net/http.h"
+#include "message_sizes.h"
 #include "stub_program.h"
 
-
 #include <cxxopts.hpp>
 
 #include <cmath>
@@ -149,8 +148,8 @@
 net::Answer Stall::part(net::Request const& request, std::string const& id, std::string const& shard) {
   net::Answer answer;
   answer.headers.emplace_back("content-type", "application/json");
-  std::string body = "{\"stamp\":{\"shard\":" + json(shard) + ",\"cut\":" + json(cut) + ",\"request\":" + json(id) +
-                     "},\"records\":[";
+  std::string body =
+      "{\"stamp\":{\"shard\":" + json(shard) + ",\"cut\":" + json(cut) + ",\"request\":" + json(id) + "},\"records\":[";
   for (std::size_t index = 0; index < records; ++index) {
     body += (index == 0 ? "" : ",") + json(testside::recordOf(request.target, shard, index));
   }
@@ -176,8 +175,8 @@
   double const load = capacity > 0 ? level / capacity : 0;
   if (log.is_open()) {
     log << std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count() << '\t' << address
-        << '\t' << service << '\t' << id << '\t' << shard << '\t' << version << '\t' << caller << '\t'
-        << request.method << '\t' << request.target << '\t' << request.body.size() << std::endl;
+        << '\t' << service << '\t' << id << '\t' << shard << '\t' << version << '\t' << caller << '\t' << request.method
+        << '\t' << request.target << '\t' << request.body.size() << std::endl;
   }
   std::uniform_real_distribution<double> unit(0, 1);
   if (unit(random) < manner.silentShare) {
@@ -192,7 +191,8 @@
   } else if (mode == "search") {
     answer = part(request, id, shard);
   } else {
-    answer = {200, {{"content-type", "application/json"}},
+    answer = {200,
+              {{"content-type", "application/json"}},
               "{\"service\":" + json(service) + ",\"server\":" + json(address) + ",\"caller\":" + json(caller) +
                   ",\"method\":" + json(request.method) + ",\"target\":" + json(request.target) +
                   ",\"bytes\":" + std::to_string(request.body.size()) + "}"};
@@ -212,12 +212,12 @@
   delays.at(at, [respond, answer] { respond(answer); });
 }
 
-}
+}  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("stub_server", "a stand-in back end for tests");
-  options.add_options()("listen", "address", cxxopts::value<std::string>())(
-      "service", "service it plays", cxxopts::value<std::string>())(
+  options.add_options()("listen", "address", cxxopts::value<std::string>())("service", "service it plays",
+                                                                            cxxopts::value<std::string>())(
       "mode", "search or forward", cxxopts::value<std::string>()->default_value("search"))(
       "cut", "index cut", cxxopts::value<std::string>()->default_value("c1"))(
       "capacity", "requests a second it bears, 0 for any", cxxopts::value<double>()->default_value("0"))(
@@ -225,7 +225,8 @@
       "latency-ms", "least answer time", cxxopts::value<double>()->default_value("8"))(
       "jitter-ms", "spread of the answer time", cxxopts::value<double>()->default_value("6"))(
       "seed", "seed of its dice", cxxopts::value<std::uint64_t>()->default_value("1"))(
-      "log", "file that gets a line for each arrival", cxxopts::value<std::string>()->default_value(""))("help", "this text");
+      "log", "file that gets a line for each arrival", cxxopts::value<std::string>()->default_value(""))("help",
+                                                                                                         "this text");
   try {
     cxxopts::ParseResult const flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
