Node status tracking in a module of its own

NodeTracker holds what the primary knows of its nodes: versions confirmed, when heard, proofs of death, incarnations, and counts the majority. config_service.cpp loses 130 lines.

--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -1,6 +1,6 @@
 #include "limeramp/control/config_service.h"
 
-#include "limeramp/distribution/config_delivery.h"
+#include "node_tracker.h"
 
 #include <xxhash.h>
 
@@ -14,27 +14,8 @@
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
 using config::Problem;
 
-struct Known {
-  messages::Follower follower;
-  std::uint64_t boot = 0;
-  std::uint64_t leftBoot = 0;
-  bool leaving = false;
-  StateVersion confirmed{0, 0};
-  TimePoint heardAt{};
-  bool direct = false;
-};
-
-struct Proof {
-  std::uint64_t token = 0;
-  TimePoint probedAt{};
-  TimePoint firstGoneAt{};
-  TimePoint goneAt{};
-  bool forgotten = false;
-};
-
 struct Forgetting {
   std::uint64_t ticket = 0;
   std::set<std::string> nodes;
@@ -73,12 +54,8 @@
   bool active = false;
   messages::State published;
   TimePoint publishedAt{};
-  std::map<std::string, Known> known;
-  std::map<std::string, Proof> proofs;
-  distribution::IncarnationRecords incarnations;
+  NodeTracker tracker{policy};
   std::vector<Forgetting> forgetting;
-  std::uint64_t lastProbe = 0;
-  std::map<StateVersion, TimePoint> publishings;
   std::deque<Change> queue;
   std::optional<Change> working;
   bool workingAnswered = false;
@@ -88,7 +65,6 @@
   std::vector<Reading> reading;
   bool stable = false;
   TimePoint nextRosterAt{};
-  TimePoint activeAt{};
 
   void on(replication::ReplicationGroup const& group, replication::Active const& event);
   void on(replication::ReplicationGroup const& group, replication::Inactive const& event);
@@ -110,12 +86,12 @@
     std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
     return leadershipConfirmedAt && now - *leadershipConfirmedAt > policy.leadershipConfirmationMs;
   }
-  bool confirmed(std::string const& node, StateVersion const& wanted) const;
-  bool gone(std::string const& node, StateVersion const& wanted) const;
-  bool persistentlyGone(std::string const& node) const;
-  TimePoint heardAt(std::string const& node) const;
-  bool majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const;
-  bool everyone(StateVersion const& wanted) const;
+  bool majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
+    return tracker.majority(roster, wanted, published.epoch);
+  }
+  bool everyone(StateVersion const& wanted) const {
+    return tracker.everyone(published.roster, wanted, published.epoch);
+  }
   void note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct);
   void probe();
   void settleForgetting();
@@ -133,54 +109,6 @@
   messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
 };
 
-bool Plane::Impl::confirmed(std::string const& node, StateVersion const& wanted) const {
-  std::map<std::string, Known>::const_iterator const found = known.find(node);
-  if (found == known.end() || found->second.confirmed < wanted || found->second.confirmed.first > published.epoch) {
-    return false;
-  }
-  distribution::IncarnationRecords::const_iterator const incarnation = incarnations.find(node);
-  return incarnation == incarnations.end() || incarnation->second.boot == found->second.boot;
-}
-
-bool Plane::Impl::gone(std::string const& node, StateVersion const& wanted) const {
-  std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
-  if (found == proofs.end()) {
-    return false;
-  }
-  std::map<StateVersion, TimePoint>::const_iterator const since = publishings.lower_bound(wanted);
-  return found->second.forgotten || (since != publishings.end() && found->second.goneAt > since->second);
-}
-
-TimePoint Plane::Impl::heardAt(std::string const& node) const {
-  std::map<std::string, Known>::const_iterator const found = known.find(node);
-  return found == known.end() ? activeAt : std::max(activeAt, found->second.heardAt);
-}
-
-bool Plane::Impl::persistentlyGone(std::string const& node) const {
-  std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
-  if (found == proofs.end()) {
-    return false;
-  }
-  Proof const& proof = found->second;
-  return proof.forgotten ||
-         (proof.goneAt > heardAt(node) && proof.goneAt - proof.firstGoneAt >= policy.gonePersistsMs &&
-          now - heardAt(node) > policy.nodeCurrentMs);
-}
-
-bool Plane::Impl::majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
-  std::size_t const count =
-      static_cast<std::size_t>(std::count_if(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
-        return confirmed(entry.node, wanted) || gone(entry.node, wanted);
-      }));
-  return roster.empty() || count > roster.size() / 2;
-}
-
-bool Plane::Impl::everyone(StateVersion const& wanted) const {
-  return std::all_of(published.roster.begin(), published.roster.end(), [&](messages::RosterEntry const& entry) {
-    return confirmed(entry.node, wanted) || gone(entry.node, wanted);
-  });
-}
-
 void Plane::Impl::probe() {
   if (!active) {
     return;
@@ -189,32 +117,13 @@
   if (!stable) {
     wanted.insert(wanted.end(), published.priorRoster.begin(), published.priorRoster.end());
   }
-  for (messages::RosterEntry const& entry : wanted) {
-    if (now - heardAt(entry.node) < policy.probeAfterMs) {
-      continue;
-    }
-    Proof& proof = proofs[entry.node];
-    if (now - proof.probedAt >= policy.probeEveryMs) {
-      proof.probedAt = now;
-      proof.token = ++lastProbe;
-      effects.emplace_back(Probe{proof.token, entry.node, entry.address});
-    }
+  for (Probe& due : tracker.probesDue(now, wanted)) {
+    effects.emplace_back(std::move(due));
   }
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Probed const& event) {
-  for (std::pair<std::string const, Proof>& entry : proofs) {
-    Proof& proof = entry.second;
-    if (proof.token != event.token || event.token == 0) {
-      continue;
-    }
-    if (event.gone) {
-      proof.firstGoneAt = proof.firstGoneAt <= heardAt(entry.first) ? proof.probedAt : proof.firstGoneAt;
-      proof.goneAt = std::max(proof.goneAt, proof.probedAt);
-    } else {
-      proof.firstGoneAt = {};
-    }
-  }
+  tracker.probed(event);
   settle();
   pump(group);
 }
@@ -234,10 +143,9 @@
                                     [&](messages::RosterEntry const& entry) { return entry.node == node; });
     bool const prior = std::any_of(published.priorRoster.begin(), published.priorRoster.end(),
                                    [&](messages::RosterEntry const& entry) { return entry.node == node; });
-    std::map<std::string, Known>::const_iterator const found = known.find(node);
     if (!listed && !prior) {
       problems.push_back({"/nodes/" + node, "is not on the roster"});
-    } else if (found != known.end() && now - found->second.heardAt <= policy.nodeCurrentMs) {
+    } else if (tracker.isAlive(now, node)) {
       problems.push_back({"/nodes/" + node, "is alive"});
     }
   }
@@ -246,7 +154,7 @@
     return;
   }
   for (std::string const& node : event.nodes) {
-    proofs[node].forgotten = true;
+    tracker.forget(node);
   }
   forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, event.deadline});
   nextRosterAt = now;
@@ -271,34 +179,10 @@
 }
 
 void Plane::Impl::note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct) {
-  if (known.size() >= policy.mostNodes && !known.contains(follower.node)) {
-    return;
-  }
-  distribution::mergeIncarnations(incarnations, peerStatus.incarnations);
-  Known& entry = known[follower.node];
-  if (peerStatus.boot != 0 && peerStatus.boot == entry.leftBoot && !direct && !peerStatus.leaving) {
-    return;
-  }
-  if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
-      now - entry.heardAt <= policy.nodeCurrentMs) {
+  if (!tracker.report(now, follower, peerStatus, direct)) {
     effects.emplace_back(replication::Note{logging::Event::peerStrange,
                                            follower.node + " is at two addresses, one of them " + follower.address});
-    return;
-  }
-  if (entry.follower.address != follower.address || entry.boot != peerStatus.boot) {
-    entry.confirmed = {0, 0};
-  }
-  std::map<std::string, Proof>::iterator const proof = proofs.find(follower.node);
-  if (proof != proofs.end() && (peerStatus.boot != entry.boot || direct)) {
-    proof->second.forgotten = false;
   }
-  entry.boot = peerStatus.boot;
-  entry.leaving = peerStatus.leaving;
-  entry.leftBoot = peerStatus.leaving ? peerStatus.boot : entry.leftBoot;
-  entry.follower = follower;
-  entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
-  entry.heardAt = now;
-  entry.direct = direct;
 }
 
 messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has,
@@ -307,9 +191,7 @@
   out.token = token;
   out.node = id;
   out.primaryAddress = group.primaryAddress();
-  for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations) {
-    out.incarnations.push_back(entry.second);
-  }
+  out.incarnations = tracker.incarnations();
   if (!active) {
     return out;
   }
@@ -334,14 +216,11 @@
                               StateVersion(published.configurationEpoch, published.configurationSequence);
   published = state;
   publishedAt = now;
-  publishings[mark()] = now;
-  if (publishings.size() > 4 * policy.mostChanges) {
-    publishings.erase(publishings.begin());
-  }
+  tracker.published(now, mark());
   if (onlyRoster) {
     return;
   }
-  for (std::pair<std::string const, Known> const& entry : known) {
+  for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
     if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
       messages::News out;
       out.node = id;
@@ -356,8 +235,7 @@
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Active const& event) {
   active = true;
   stable = false;
-  activeAt = now;
-  publishings.clear();
+  tracker.begin(now);
   publish(event.state);
 }
 
@@ -379,9 +257,7 @@
     decide(entry.ticket, Verdict::unknown, "the primary changed before the roster was known to be without these nodes");
   }
   forgetting.clear();
-  for (std::pair<std::string const, Proof>& entry : proofs) {
-    entry.second.forgotten = false;
-  }
+  tracker.end();
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Committed const& event) {
@@ -491,12 +367,7 @@
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Tick const&) {
-  std::erase_if(known, [&](std::pair<std::string const, Known> const& entry) {
-    return now - entry.second.heardAt > policy.rosterForgetMs * 2;
-  });
-  std::erase_if(proofs, [&](std::pair<std::string const, Proof> const& entry) {
-    return !entry.second.forgotten && now - entry.second.probedAt > policy.rosterForgetMs * 2;
-  });
+  tracker.expire(now);
   probe();
   settle();
   settleReading(group);
@@ -537,9 +408,10 @@
   std::vector<messages::RosterEntry> roster = published.roster;
   std::string about;
   std::erase_if(roster, [&](messages::RosterEntry const& entry) {
-    std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
-    bool const left = found != known.end() && found->second.leaving;
-    bool const out = left || now - heardAt(entry.node) > policy.rosterForgetMs || persistentlyGone(entry.node);
+    TrackedNode const* const found = tracker.find(entry.node);
+    bool const left = found != nullptr && found->leaving;
+    bool const out =
+        left || now - tracker.heardAt(entry.node) > policy.rosterForgetMs || tracker.persistentlyGone(now, entry.node);
     about += out ? " -" + entry.node : "";
     return out;
   });
@@ -547,9 +419,9 @@
   for (messages::RosterEntry const& entry : roster) {
     taken.insert(entry.slot);
   }
-  for (std::pair<std::string const, Known> const& entry : known) {
+  for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
     messages::Follower const& follower = entry.second.follower;
-    if (now - entry.second.heardAt > policy.nodeCurrentMs || entry.second.leaving || persistentlyGone(entry.first)) {
+    if (!tracker.isAlive(now, entry.first) || entry.second.leaving || tracker.persistentlyGone(now, entry.first)) {
       continue;
     }
     std::vector<messages::RosterEntry>::iterator const found =
@@ -720,6 +592,7 @@
 
 Plane::Plane(Policy const& policy, std::string const& id, config::Language language) : impl_(std::make_unique<Impl>()) {
   impl_->policy = policy;
+  impl_->tracker = NodeTracker(policy);
   impl_->id = id;
   impl_->language = std::move(language);
 }
@@ -743,11 +616,10 @@
   std::vector<NodeView> out;
   for (messages::RosterEntry const& entry : impl_->published.roster) {
     NodeView view{entry.node, entry.address, entry.zone, entry.slot,
-                  {},         Ms(0),         false,      impl_->persistentlyGone(entry.node)};
-    std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
-    if (found != impl_->known.end()) {
-      view.confirmed = {found->second.confirmed.first, found->second.confirmed.second};
-      view.heardMs = std::chrono::duration_cast<Ms>(now - found->second.heardAt);
+                  {},         Ms(0),         false,      impl_->tracker.persistentlyGone(now, entry.node)};
+    if (TrackedNode const* const found = impl_->tracker.find(entry.node)) {
+      view.confirmed = {found->confirmed.first, found->confirmed.second};
+      view.heardMs = std::chrono::duration_cast<Ms>(now - found->heardAt);
       view.everHeard = true;
     }
     out.push_back(std::move(view));
--- /dev/null
+++ b/libs/control/src/node_tracker.cpp
@@ -0,0 +1,159 @@
+#include "node_tracker.h"
+
+#include <algorithm>
+
+namespace limeramp::control {
+
+void NodeTracker::begin(TimePoint now) {
+  activeAt_ = now;
+  publishings_.clear();
+}
+
+void NodeTracker::end() {
+  for (std::pair<std::string const, DeathProof>& entry : proofs_) {
+    entry.second.forgotten = false;
+  }
+}
+
+void NodeTracker::published(TimePoint now, StateVersion const& version) {
+  publishings_[version] = now;
+  if (publishings_.size() > 4 * policy_.mostChanges) {
+    publishings_.erase(publishings_.begin());
+  }
+}
+
+bool NodeTracker::report(TimePoint now, messages::Follower const& follower, messages::PeerStatus const& status,
+                         bool direct) {
+  if (nodes_.size() >= policy_.mostNodes && !nodes_.contains(follower.node)) {
+    return true;
+  }
+  distribution::mergeIncarnations(incarnations_, status.incarnations);
+  TrackedNode& entry = nodes_[follower.node];
+  if (status.boot != 0 && status.boot == entry.leftBoot && !direct && !status.leaving) {
+    return true;
+  }
+  bool const sameAddress = entry.follower.address.empty() || entry.follower.address == follower.address ||
+                           now - entry.heardAt > policy_.nodeCurrentMs;
+  std::map<std::string, DeathProof>::iterator const proof = proofs_.find(follower.node);
+  if (proof != proofs_.end() && (status.boot != entry.boot || direct)) {
+    proof->second.forgotten = false;
+  }
+  entry.boot = status.boot;
+  entry.leaving = status.leaving;
+  entry.leftBoot = status.leaving ? status.boot : entry.leftBoot;
+  entry.follower = follower;
+  entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
+  entry.heardAt = now;
+  entry.direct = direct;
+  return sameAddress;
+}
+
+TrackedNode const* NodeTracker::find(std::string const& node) const {
+  std::map<std::string, TrackedNode>::const_iterator const found = nodes_.find(node);
+  return found == nodes_.end() ? nullptr : &found->second;
+}
+
+bool NodeTracker::confirmed(std::string const& node, StateVersion const& wanted, std::uint64_t epoch) const {
+  TrackedNode const* const found = find(node);
+  if (found == nullptr || found->confirmed < wanted || found->confirmed.first > epoch) {
+    return false;
+  }
+  distribution::IncarnationRecords::const_iterator const incarnation = incarnations_.find(node);
+  return incarnation == incarnations_.end() || incarnation->second.boot == found->boot;
+}
+
+bool NodeTracker::gone(std::string const& node, StateVersion const& wanted) const {
+  std::map<std::string, DeathProof>::const_iterator const found = proofs_.find(node);
+  if (found == proofs_.end()) {
+    return false;
+  }
+  std::map<StateVersion, TimePoint>::const_iterator const since = publishings_.lower_bound(wanted);
+  return found->second.forgotten || (since != publishings_.end() && found->second.goneAt > since->second);
+}
+
+bool NodeTracker::persistentlyGone(TimePoint now, std::string const& node) const {
+  std::map<std::string, DeathProof>::const_iterator const found = proofs_.find(node);
+  if (found == proofs_.end()) {
+    return false;
+  }
+  DeathProof const& proof = found->second;
+  return proof.forgotten ||
+         (proof.goneAt > heardAt(node) && proof.goneAt - proof.firstGoneAt >= policy_.gonePersistsMs &&
+          now - heardAt(node) > policy_.nodeCurrentMs);
+}
+
+bool NodeTracker::isAlive(TimePoint now, std::string const& node) const {
+  TrackedNode const* const found = find(node);
+  return found != nullptr && now - found->heardAt <= policy_.nodeCurrentMs;
+}
+
+TimePoint NodeTracker::heardAt(std::string const& node) const {
+  TrackedNode const* const found = find(node);
+  return found == nullptr ? activeAt_ : std::max(activeAt_, found->heardAt);
+}
+
+bool NodeTracker::majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted,
+                           std::uint64_t epoch) const {
+  std::size_t const count =
+      static_cast<std::size_t>(std::count_if(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
+        return confirmed(entry.node, wanted, epoch) || gone(entry.node, wanted);
+      }));
+  return roster.empty() || count > roster.size() / 2;
+}
+
+bool NodeTracker::everyone(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted,
+                           std::uint64_t epoch) const {
+  return std::all_of(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
+    return confirmed(entry.node, wanted, epoch) || gone(entry.node, wanted);
+  });
+}
+
+std::vector<Probe> NodeTracker::probesDue(TimePoint now, std::vector<messages::RosterEntry> const& roster) {
+  std::vector<Probe> due;
+  for (messages::RosterEntry const& entry : roster) {
+    if (now - heardAt(entry.node) < policy_.probeAfterMs) {
+      continue;
+    }
+    DeathProof& proof = proofs_[entry.node];
+    if (now - proof.probedAt >= policy_.probeEveryMs) {
+      proof.probedAt = now;
+      proof.token = ++lastProbe_;
+      due.push_back({proof.token, entry.node, entry.address});
+    }
+  }
+  return due;
+}
+
+void NodeTracker::probed(Probed const& answer) {
+  for (std::pair<std::string const, DeathProof>& entry : proofs_) {
+    DeathProof& proof = entry.second;
+    if (proof.token != answer.token || answer.token == 0) {
+      continue;
+    }
+    if (answer.gone) {
+      proof.firstGoneAt = proof.firstGoneAt <= heardAt(entry.first) ? proof.probedAt : proof.firstGoneAt;
+      proof.goneAt = std::max(proof.goneAt, proof.probedAt);
+    } else {
+      proof.firstGoneAt = {};
+    }
+  }
+}
+
+void NodeTracker::expire(TimePoint now) {
+  std::erase_if(nodes_, [&](std::pair<std::string const, TrackedNode> const& entry) {
+    return now - entry.second.heardAt > policy_.rosterForgetMs * 2;
+  });
+  std::erase_if(proofs_, [&](std::pair<std::string const, DeathProof> const& entry) {
+    return !entry.second.forgotten && now - entry.second.probedAt > policy_.rosterForgetMs * 2;
+  });
+}
+
+std::vector<messages::IncarnationRecord> NodeTracker::incarnations() const {
+  std::vector<messages::IncarnationRecord> out;
+  for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations_) {
+    out.push_back(entry.second);
+  }
+  return out;
+}
+
+}  // namespace limeramp::control
