--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -1,5 +1,6 @@
 #include "limeramp/control/config_service.h"
 
+#include "limeramp/distribution/state_feed.h"
 #include "node_tracker.h"
 
 #include <xxhash.h>
@@ -55,6 +56,7 @@
   messages::State published;
   TimePoint publishedAt{};
   NodeTracker tracker{policy};
+  distribution::StateFeed feed;
   std::vector<Forgetting> forgetting;
   std::deque<Change> queue;
   std::optional<Change> working;
@@ -77,7 +79,7 @@
   void on(replication::ReplicationGroup const& group, Forget const& event);
   void on(replication::ReplicationGroup const& group, Tick const& event);
 
-  StateVersion mark() const { return {published.epoch, published.sequence}; }
+  StateVersion mark() const { return published.version(); }
   void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", config::Version version = {},
               std::vector<config::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
@@ -106,7 +108,7 @@
   void settle();
   void settleReading(replication::ReplicationGroup const& group);
   void expire();
-  messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
+  messages::News news(std::uint64_t token, replication::ReplicationGroup const& group) const;
 };
 
 void Plane::Impl::probe() {
@@ -185,8 +187,7 @@
   }
 }
 
-messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has,
-                                 replication::ReplicationGroup const& group) const {
+messages::News Plane::Impl::news(std::uint64_t token, replication::ReplicationGroup const& group) const {
   messages::News out;
   out.token = token;
   out.node = id;
@@ -201,34 +202,29 @@
     out.hasAge = true;
     out.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *leadershipConfirmedAt).count()) + 1;
   }
-  if (has < mark()) {
-    out.state = published;
-  }
   return out;
 }
 
 void Plane::Impl::publish(messages::State const& state) {
-  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) ==
-                          StateVersion(published.rosterEpoch, published.rosterSequence);
+  bool const sameRoster = StateVersion{state.rosterEpoch, state.rosterSequence} ==
+                          StateVersion{published.rosterEpoch, published.rosterSequence};
   stable = stable && sameRoster;
   bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
-                          StateVersion(state.configurationEpoch, state.configurationSequence) ==
-                              StateVersion(published.configurationEpoch, published.configurationSequence);
+                          StateVersion{state.configurationEpoch, state.configurationSequence} ==
+                              StateVersion{published.configurationEpoch, published.configurationSequence};
+  feed.replaced(now, published);
   published = state;
   publishedAt = now;
   tracker.published(now, mark());
   if (onlyRoster) {
     return;
   }
-  for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
-    if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
-      messages::News out;
-      out.node = id;
-      out.epoch = published.epoch;
-      out.sequence = published.sequence;
-      out.state = published;
-      effects.emplace_back(distribution::Outgoing{entry.second.follower.address, std::move(out)});
-    }
+  messages::News out;
+  out.node = id;
+  out.epoch = published.epoch;
+  out.sequence = published.sequence;
+  for (distribution::Outgoing& outgoing : feed.push(now, published, out)) {
+    effects.emplace_back(std::move(outgoing));
   }
 }
 
@@ -360,8 +356,9 @@
   for (messages::Follower const& follower : event.poll.followers) {
     note(follower, statusOf(follower.node), false);
   }
-  messages::News out = news(event.poll.token, {event.poll.self.epoch, event.poll.self.sequence}, group);
-  effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(out)});
+  messages::News out = news(event.poll.token, group);
+  messages::Message answer = active ? feed.answer(now, published, event.poll, std::move(out)) : std::move(out);
+  effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(answer)});
   settle();
   pump(group);
 }
@@ -379,7 +376,7 @@
   if (!active) {
     return;
   }
-  StateVersion const rosterMark(published.rosterEpoch, published.rosterSequence);
+  StateVersion const rosterMark{published.rosterEpoch, published.rosterSequence};
   if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
     stable = true;
   }
@@ -618,7 +615,7 @@
     NodeView view{entry.node, entry.address, entry.zone, entry.slot,
                   {},         Ms(0),         false,      impl_->tracker.persistentlyGone(now, entry.node)};
     if (TrackedNode const* const found = impl_->tracker.find(entry.node)) {
-      view.confirmed = {found->confirmed.first, found->confirmed.second};
+      view.confirmed = {found->confirmed.epoch, found->confirmed.sequence};
       view.heardMs = std::chrono::duration_cast<Ms>(now - found->heardAt);
       view.everHeard = true;
     }
--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -42,7 +42,7 @@
   entry.leaving = status.leaving;
   entry.leftBoot = status.leaving ? status.boot : entry.leftBoot;
   entry.follower = follower;
-  entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
+  entry.confirmed = std::max(entry.confirmed, StateVersion{follower.epoch, follower.sequence});
   entry.heardAt = now;
   entry.direct = direct;
   return sameAddress;
@@ -55,7 +55,7 @@
 
 bool NodeTracker::confirmed(std::string const& node, StateVersion const& wanted, std::uint64_t epoch) const {
   TrackedNode const* const found = find(node);
-  if (found == nullptr || found->confirmed < wanted || found->confirmed.first > epoch) {
+  if (found == nullptr || found->confirmed < wanted || found->confirmed.epoch > epoch) {
     return false;
   }
   distribution::IncarnationRecords::const_iterator const incarnation = incarnations_.find(node);
--- a/libs/control/src/node_tracker.h
+++ b/libs/control/src/node_tracker.h
@@ -14,7 +14,7 @@
 /// hear nothing", is counted here. Pure bookkeeping: no clock, no socket.
 namespace limeramp::control {
 
-using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
+using messages::StateVersion;
 
 /// The last report of one node, in a poll of its own or in that of the home of its zone.
 struct TrackedNode {
@@ -22,7 +22,7 @@
   std::uint64_t boot = 0;
   std::uint64_t leftBoot = 0;
   bool leaving = false;
-  StateVersion confirmed{0, 0};
+  StateVersion confirmed;
   TimePoint heardAt{};
   bool direct = false;
 };
--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -22,6 +22,7 @@
   std::chrono::milliseconds followerMs{2000};
   std::chrono::milliseconds recoverAfterMs{1000};
   std::size_t wideSlices = 4;
+  std::chrono::milliseconds wideRoundMs{900};
 };
 
 using IncarnationRecords = std::map<std::string, messages::IncarnationRecord>;
@@ -33,6 +34,8 @@
 struct DeliveryStatus {
   Standing standing = Standing::unknown;
   std::chrono::milliseconds ageMs{0};
+  /// How many versions the newest one that was heard of is ahead of the one that is here.
+  std::uint64_t versionsBehind = 0;
 };
 
 struct ConfigDeliveryStep {
@@ -51,6 +54,7 @@
   ConfigDeliveryStep tick(TimePoint now, std::vector<messages::Peer> const& peers);
   ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::Poll const& message);
   ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::News const& message);
+  ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::StateUpdate const& message);
 
   void leave();
   DeliveryStatus status(TimePoint now) const;
--- /dev/null
+++ b/libs/distribution/include/limeramp/distribution/state_feed.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "limeramp/distribution/peer_views.h"
+#include "limeramp/distribution/state_update.h"
+#include "limeramp/messages/messages.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Hands the newest state to those that follow this machine: the primary to the homes of the zones, a home to the nodes
+/// of its zone. Each follower names what it has in its polls; it is sent what it lacks, in answer to a poll or, when a
+/// new state is published, as a push. A configuration that is on its way to a follower is not sent to it again until it
+/// could have arrived over a slow link, so that a link which is slower than the polls does not fill up.
+namespace limeramp::distribution {
+
+struct StateFeedPolicy {
+  /// A follower that has not polled for this long is sent no pushes.
+  std::chrono::milliseconds followerMs{2000};
+  /// A configuration is sent again at the earliest after this time, and after 1 ms more for each `bytesPerMs`.
+  std::chrono::milliseconds resendMs{150};
+  std::size_t bytesPerMs = 500;
+  std::size_t mostFollowers = 1000;
+};
+
+class StateFeed {
+ public:
+  explicit StateFeed(StateFeedPolicy const& policy = {}) : policy_(policy) {}
+
+  /// `previous` is no longer the newest state.
+  void replaced(TimePoint now, messages::State const& previous);
+  /// The answer to a poll: `news` alone if the poller has the newest state or wants none.
+  messages::Message answer(TimePoint now, messages::State const& newest, messages::Poll const& poll,
+                           messages::News news);
+  /// What the followers lack, each with `news`.
+  std::vector<Outgoing> push(TimePoint now, messages::State const& newest, messages::News const& news);
+
+ private:
+  struct Position {
+    std::string address;
+    messages::StateVersion has;
+    std::optional<messages::PartVersions> parts;
+    TimePoint heardAt{};
+    messages::StateVersion sentConfiguration;
+    TimePoint sentAt{};
+  };
+
+  std::optional<messages::Message> next(TimePoint now, messages::State const& newest, Position& follower,
+                                        messages::News const& news) const;
+  bool isUnderWay(TimePoint now, messages::State const& newest, Position const& follower) const;
+
+  StateFeedPolicy policy_;
+  RosterHistory rosters_;
+  std::map<std::string, Position> followers_;
+};
+
+}  // namespace limeramp::distribution
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -1,5 +1,7 @@
 #include "limeramp/distribution/config_delivery.h"
 
+#include "limeramp/distribution/state_feed.h"
+
 #include <algorithm>
 #include <map>
 #include <random>
@@ -9,14 +11,20 @@
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
+using messages::StateVersion;
 
 constexpr std::size_t mostIncarnations = 2000;
+constexpr std::size_t mostListeners = 1000;
+constexpr std::size_t mostContacts = 2000;
+
+/// Why a node polls another: to follow its state, to hear whether it knows a newer one, or, after a restart, to be
+/// recorded and hear the same.
+enum class Purpose { follow, verify, recover };
 
 struct Asked {
   std::string address;
   TimePoint at{};
-  bool recover = false;
+  Purpose purpose = Purpose::follow;
 };
 
 struct Listener {
@@ -55,6 +63,7 @@
   std::uint64_t lastToken = 0;
   TimePoint nextPollAt{};
   TimePoint nextWideAt{};
+  TimePoint nextFetchAt{};
   std::size_t turn = 0;
   std::size_t wideTurn = 0;
   bool hurry = false;
@@ -64,7 +73,10 @@
   IncarnationRecords incarnations;
   std::map<std::string, std::uint64_t> recovering;
 
-  StateVersion mark() const { return state ? StateVersion(state->epoch, state->sequence) : StateVersion(0, 0); }
+  StateFeed feed;
+  StateVersion newestHeard;
+
+  StateVersion mark() const { return state ? state->version() : StateVersion{}; }
 
   bool listed() const {
     return state && std::any_of(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
@@ -80,20 +92,31 @@
     return out;
   }
 
-  messages::Poll makePoll(TimePoint now, std::string const& address, bool recover = false) {
+  messages::Poll makePoll(TimePoint now, std::string const& address, Purpose purpose = Purpose::follow) {
     messages::Poll poll;
     poll.token = ++lastToken;
     poll.self = self;
-    poll.self.epoch = mark().first;
-    poll.self.sequence = mark().second;
-    poll.recover = recover;
-    peerStatus.incarnations = incarnationList();
+    poll.self.epoch = mark().epoch;
+    poll.self.sequence = mark().sequence;
+    poll.recover = purpose == Purpose::recover;
+    poll.follows = purpose == Purpose::follow;
+    poll.parts = partVersionsOf(state);
     poll.peerStatuses.push_back(peerStatus);
+    if (purpose != Purpose::verify) {
+      poll.peerStatuses.back().incarnations = incarnationList();
+    }
+    asked[poll.token] = {address, now, purpose};
+    return poll;
+  }
+
+  /// A poll of the primary also reports the followers. What they know of incarnations is in this node's own list.
+  messages::Poll makeReport(TimePoint now, std::string const& address) {
+    messages::Poll poll = makePoll(now, address);
     for (std::pair<std::string const, Listener> const& entry : listeners) {
+      messages::PeerStatus const& status = entry.second.peerStatus;
       poll.followers.push_back(entry.second.follower);
-      poll.peerStatuses.push_back(entry.second.peerStatus);
+      poll.peerStatuses.push_back({status.node, status.boot, status.leaving, {}});
     }
-    asked[poll.token] = {address, now, recover};
     return poll;
   }
 
@@ -160,53 +183,97 @@
     return known.empty() ? primaryAddress : known[++turn % known.size()];
   }
 
-  bool adopt(messages::State const& next) {
-    if (StateVersion(next.epoch, next.sequence) <= mark()) {
+  bool adopt(TimePoint now, messages::State next) {
+    if (next.version() <= mark()) {
       return false;
     }
     bool const served = state && state->evacuatedZones == next.evacuatedZones &&
-                        StateVersion(state->configurationEpoch, state->configurationSequence) ==
-                            StateVersion(next.configurationEpoch, next.configurationSequence);
-    state = next;
+                        StateVersion{state->configurationEpoch, state->configurationSequence} ==
+                            StateVersion{next.configurationEpoch, next.configurationSequence};
+    if (state) {
+      feed.replaced(now, *state);
+    }
+    state = std::move(next);
+    state->receipts.clear();
     hurry = hurry || !served;
     return true;
   }
 
-  void pushTo(std::vector<Outgoing>& sends, TimePoint now) {
-    for (std::pair<std::string const, Listener> const& entry : listeners) {
-      StateVersion const has(entry.second.follower.epoch, entry.second.follower.sequence);
-      if (now - entry.second.at <= policy.followerMs && has < mark()) {
-        messages::News news;
-        news.node = self.node;
-        news.epoch = mark().first;
-        news.sequence = mark().second;
-        news.state = state;
-        news.primaryAddress = primaryAddress;
-        sends.push_back({entry.second.follower.address, std::move(news)});
-      }
+  void listen(TimePoint now, messages::Follower const& follower, messages::PeerStatus const& status) {
+    Listener& listener = listeners[follower.node];
+    StateVersion const had{listener.follower.epoch, listener.follower.sequence};
+    StateVersion const has{follower.epoch, follower.sequence};
+    hurry = hurry || (had != has && has == mark());
+    listener = {follower, status, now};
+    if (listeners.size() > mostListeners) {
+      listeners.erase(listeners.begin());
     }
   }
 
-  messages::News answer(TimePoint now, std::uint64_t token, StateVersion const& has) const {
+  std::vector<Outgoing> pushes(TimePoint now) {
+    messages::News news;
+    news.node = self.node;
+    news.epoch = mark().epoch;
+    news.sequence = mark().sequence;
+    news.primaryAddress = primaryAddress;
+    return feed.push(now, *state, news);
+  }
+
+  messages::Message answer(TimePoint now, messages::Poll const& poll) {
     messages::News news;
-    news.token = token;
+    news.token = poll.token;
     news.node = self.node;
-    news.epoch = mark().first;
-    news.sequence = mark().second;
+    news.epoch = mark().epoch;
+    news.sequence = mark().sequence;
     news.primaryAddress = primaryAddress;
     news.settled = settled;
     news.boot = peerStatus.boot;
-    news.incarnations = incarnationList();
+    if (poll.follows || poll.recover) {
+      news.incarnations = incarnationList();
+    }
     if (anchor) {
       news.hasAge = true;
       news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *anchor).count()) + 1;
     }
-    if (state && has < mark()) {
-      news.state = state;
+    return state ? feed.answer(now, *state, poll, std::move(news)) : messages::Message(std::move(news));
+  }
+
+  /// A node whose state is old asks the nodes of the roster, a slice at a time, whether they know a newer one: once
+  /// round quickly, since it has been without an answer for long, and then at a pace that keeps a majority's answers
+  /// fresh.
+  void askRoster(TimePoint now, bool worried, std::vector<Outgoing>& sends) {
+    bool const alone = worried && state && (settled || now - *startedAt >= policy.recoverAfterMs);
+    if (!alone) {
+      wideTurn = 0;
+      return;
+    }
+    if (now < nextWideAt) {
+      return;
+    }
+    Ms const round = settled && wideTurn >= policy.wideSlices ? policy.wideRoundMs : policy.replyMs;
+    nextWideAt = now + round / policy.wideSlices;
+    std::size_t const count = state->roster.size();
+    for (std::size_t slot = wideTurn++ % policy.wideSlices; slot < count; slot += policy.wideSlices) {
+      messages::RosterEntry const& entry = state->roster[slot];
+      if (entry.node != self.node) {
+        Purpose const purpose = settled ? Purpose::verify : Purpose::recover;
+        sends.push_back({entry.address, makePoll(now, entry.address, purpose)});
+      }
     }
-    return news;
   }
 
+  /// A node that was asked what it knows has named a newer state: it is asked for it, at most once in `replyMs`.
+  void fetch(TimePoint now, std::string const& address, std::vector<Outgoing>& sends) {
+    if (now >= nextFetchAt) {
+      nextFetchAt = now + policy.replyMs;
+      sends.push_back({address, makePoll(now, address)});
+    }
+  }
+
+  ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::News const& message,
+                          std::optional<messages::State> next);
+  void take(Asked const& question, messages::News const& message);
+
   std::optional<TimePoint> upheldAt() const {
     if (!listed()) {
       return std::nullopt;
@@ -230,6 +297,60 @@
   }
 };
 
+ConfigDeliveryStep ConfigDelivery::Impl::hear(TimePoint now, std::string const& address, messages::News const& message,
+                                              std::optional<messages::State> next) {
+  ConfigDeliveryStep out;
+  mergeIncarnations(incarnations, message.incarnations);
+  newestHeard = std::max(newestHeard, StateVersion{message.epoch, message.sequence});
+  out.changed = next && adopt(now, *std::move(next));
+  if (!message.primaryAddress.empty()) {
+    hurry = hurry || (!state && primaryAddress != message.primaryAddress);
+    primaryAddress = message.primaryAddress;
+  }
+  if (out.changed) {
+    out.sends = pushes(now);
+  }
+  std::map<std::uint64_t, Asked>::iterator const found = asked.find(message.token);
+  if (message.token == 0 || found == asked.end()) {
+    return out;
+  }
+  Asked const question = found->second;
+  suspects.erase(address);
+  asked.erase(found);
+  if (StateVersion{message.epoch, message.sequence} > mark()) {
+    if (question.purpose != Purpose::follow) {
+      fetch(now, address, out.sends);
+    }
+    return out;
+  }
+  take(question, message);
+  return out;
+}
+
+/// The answer of a node that knows no newer state than this one.
+void ConfigDelivery::Impl::take(Asked const& question, messages::News const& message) {
+  if (message.hasAge) {
+    TimePoint const at = question.at - Ms(static_cast<long>(message.ageMs));
+    anchor = anchor ? std::max(*anchor, at) : at;
+  }
+  bool const recorded = std::any_of(message.incarnations.begin(), message.incarnations.end(),
+                                    [&](messages::IncarnationRecord const& incarnation) {
+                                      return incarnation.node == self.node && incarnation.boot == peerStatus.boot;
+                                    });
+  if (question.purpose == Purpose::recover && message.settled && recorded && !settled) {
+    recovering[message.node] = message.boot;
+  }
+  bool const caughtUp = anchor && startedAt && *anchor >= *startedAt;
+  if (caughtUp && !trusts(self.node, peerStatus.boot)) {
+    recordIncarnation(self.node, peerStatus.boot);
+  }
+  settled = settled || caughtUp || recovered();
+  if (message.settled && (contacts.size() < mostContacts || contacts.contains(message.node))) {
+    TimePoint& contact = contacts[message.node];
+    contact = std::max(contact, question.at);
+  }
+}
+
 ConfigDelivery::ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot,
                                std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
@@ -283,10 +404,10 @@
       impl.nextPollAt = impl.state && afar && !worried ? now + impl.policy.afarPollMs : impl.nextPollAt;
     }
     if (!target.empty()) {
-      out.sends.push_back({target, impl.makePoll(now, target)});
+      out.sends.push_back({target, target == control ? impl.makeReport(now, target) : impl.makePoll(now, target)});
     }
     if ((worried || impl.peerStatus.leaving) && !control.empty() && control != target) {
-      out.sends.push_back({control, impl.makePoll(now, control)});
+      out.sends.push_back({control, impl.makeReport(now, control)});
     }
   }
   if (!impl.state && now >= impl.nextWideAt) {
@@ -302,33 +423,17 @@
       out.sends.push_back({chosen, impl.makePoll(now, chosen)});
     }
   }
-  bool const alone = worried && impl.state && (impl.settled || now - *impl.startedAt >= impl.policy.recoverAfterMs);
-  if (alone && now >= impl.nextWideAt) {
-    impl.nextWideAt = now + impl.policy.replyMs / impl.policy.wideSlices;
-    std::size_t const count = impl.state->roster.size();
-    for (std::size_t slot = impl.wideTurn++ % impl.policy.wideSlices; slot < count; slot += impl.policy.wideSlices) {
-      messages::RosterEntry const& entry = impl.state->roster[slot];
-      if (entry.node != impl.self.node) {
-        out.sends.push_back({entry.address, impl.makePoll(now, entry.address, !impl.settled)});
-      }
-    }
-  }
+  impl.askRoster(now, worried, out.sends);
   return out;
 }
 
 ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const&, messages::Poll const& message) {
   Impl& impl = *impl_;
   ConfigDeliveryStep out;
-  StateVersion const has(message.self.epoch, message.self.sequence);
   if (message.self.node.empty()) {
-    out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
+    out.sends.push_back({message.self.address, impl.answer(now, message)});
     return out;
   }
-  Listener& listener = impl.listeners[message.self.node];
-  StateVersion const had(listener.follower.epoch, listener.follower.sequence);
-  if (had != has && has == impl.mark()) {
-    impl.hurry = true;
-  }
   messages::PeerStatus peerStatus{message.self.node, 0, false, {}};
   for (messages::PeerStatus const& entry : message.peerStatuses) {
     if (entry.node == message.self.node) {
@@ -342,60 +447,26 @@
                   [&](messages::RosterEntry const& entry) { return entry.node == peerStatus.node; })) {
     impl.recordIncarnation(peerStatus.node, peerStatus.boot);
   }
-  listener = {message.self, std::move(peerStatus), now};
-  if (impl.listeners.size() > 1000) {
-    impl.listeners.erase(impl.listeners.begin());
+  if (message.follows) {
+    impl.listen(now, message.self, peerStatus);
   }
-  out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
+  out.sends.push_back({message.self.address, impl.answer(now, message)});
   return out;
 }
 
 ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const& address, messages::News const& message) {
+  return impl_->hear(now, address, message, message.state);
+}
+
+ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const& address,
+                                        messages::StateUpdate const& message) {
   Impl& impl = *impl_;
-  ConfigDeliveryStep out;
-  mergeIncarnations(impl.incarnations, message.incarnations);
-  if (message.state) {
-    out.changed = impl.adopt(*message.state);
-  }
-  if (!message.primaryAddress.empty()) {
-    impl.hurry = impl.hurry || (!impl.state && impl.primaryAddress != message.primaryAddress);
-    impl.primaryAddress = message.primaryAddress;
-  }
-  if (out.changed) {
-    impl.pushTo(out.sends, now);
-  }
-  std::map<std::uint64_t, Asked>::iterator const found = impl.asked.find(message.token);
-  if (message.token == 0 || found == impl.asked.end()) {
-    return out;
+  std::optional<messages::State> next;
+  if (StateVersion{message.news.epoch, message.news.sequence} > impl.mark()) {
+    next = applyUpdate(impl.state, message);
+    impl.hurry = impl.hurry || !next;
   }
-  TimePoint const askedAt = found->second.at;
-  bool const recover = found->second.recover;
-  impl.suspects.erase(address);
-  impl.asked.erase(found);
-  if (StateVersion(message.epoch, message.sequence) > impl.mark()) {
-    return out;
-  }
-  if (message.hasAge) {
-    TimePoint const at = askedAt - Ms(static_cast<long>(message.ageMs));
-    impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
-  }
-  bool const incarnations = std::any_of(
-      message.incarnations.begin(), message.incarnations.end(), [&](messages::IncarnationRecord const& incarnation) {
-        return incarnation.node == impl.self.node && incarnation.boot == impl.peerStatus.boot;
-      });
-  if (recover && message.settled && incarnations && !impl.settled) {
-    impl.recovering[message.node] = message.boot;
-  }
-  bool const caughtUp = impl.anchor && impl.startedAt && *impl.anchor >= *impl.startedAt;
-  if (caughtUp && !impl.trusts(impl.self.node, impl.peerStatus.boot)) {
-    impl.recordIncarnation(impl.self.node, impl.peerStatus.boot);
-  }
-  impl.settled = impl.settled || caughtUp || impl.recovered();
-  if (message.settled && (impl.contacts.size() < 2000 || impl.contacts.contains(message.node))) {
-    TimePoint& contact = impl.contacts[message.node];
-    contact = std::max(contact, askedAt);
-  }
-  return out;
+  return impl.hear(now, address, message.news, std::move(next));
 }
 
 void ConfigDelivery::leave() {
@@ -409,6 +480,7 @@
   if (!impl.state) {
     return out;
   }
+  out.versionsBehind = impl.newestHeard > impl.mark() ? impl.newestHeard.sequence - impl.mark().sequence : 0;
   out.ageMs = impl.anchor ? std::chrono::duration_cast<Ms>(now - *impl.anchor) : Ms::max();
   if (!impl.listed() && !impl.peerStatus.leaving) {
     out.standing = Standing::unlisted;
--- /dev/null
+++ b/libs/distribution/src/state_feed.cpp
@@ -0,0 +1,89 @@
+#include "limeramp/distribution/state_feed.h"
+
+#include <algorithm>
+
+namespace limeramp::distribution {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+messages::StateVersion configurationVersionOf(messages::State const& state) {
+  return {state.configurationEpoch, state.configurationSequence};
+}
+
+}  // namespace
+
+void StateFeed::replaced(TimePoint now, messages::State const& previous) {
+  std::erase_if(followers_, [&](std::pair<std::string const, Position> const& entry) {
+    return now - entry.second.heardAt > policy_.followerMs;
+  });
+  if (!followers_.empty()) {
+    rosters_.remember(previous);
+  }
+}
+
+messages::Message StateFeed::answer(TimePoint now, messages::State const& newest, messages::Poll const& poll,
+                                    messages::News news) {
+  if (!poll.follows) {
+    return news;
+  }
+  Position asking;
+  asking.address = poll.self.address;
+  asking.has = {poll.self.epoch, poll.self.sequence};
+  asking.parts = poll.parts;
+  asking.heardAt = now;
+  std::map<std::string, Position>::iterator const known = followers_.find(poll.self.node);
+  if (poll.self.node.empty() || (known == followers_.end() && followers_.size() >= policy_.mostFollowers)) {
+    return next(now, newest, asking, news).value_or(news);
+  }
+  if (known != followers_.end() && known->second.has <= asking.has) {
+    asking.sentConfiguration = known->second.sentConfiguration;
+    asking.sentAt = known->second.sentAt;
+  }
+  Position& follower = followers_[poll.self.node];
+  follower = std::move(asking);
+  return next(now, newest, follower, news).value_or(news);
+}
+
+std::vector<Outgoing> StateFeed::push(TimePoint now, messages::State const& newest, messages::News const& news) {
+  std::vector<Outgoing> out;
+  for (std::pair<std::string const, Position>& entry : followers_) {
+    if (now - entry.second.heardAt > policy_.followerMs) {
+      continue;
+    }
+    if (std::optional<messages::Message> message = next(now, newest, entry.second, news)) {
+      out.push_back({entry.second.address, *std::move(message)});
+    }
+  }
+  return out;
+}
+
+bool StateFeed::isUnderWay(TimePoint now, messages::State const& newest, Position const& follower) const {
+  Ms const transfer(static_cast<long>(newest.document.size() / policy_.bytesPerMs));
+  return follower.sentConfiguration == configurationVersionOf(newest) &&
+         now - follower.sentAt < policy_.resendMs + transfer;
+}
+
+std::optional<messages::Message> StateFeed::next(TimePoint now, messages::State const& newest, Position& follower,
+                                                 messages::News const& news) const {
+  if (follower.has >= newest.version()) {
+    return std::nullopt;
+  }
+  if (!follower.parts) {
+    messages::News whole = news;
+    whole.state = newest;
+    whole.state->receipts.clear();
+    return whole;
+  }
+  messages::StateUpdate update = updateFor(newest, *follower.parts, rosters_, news);
+  if (update.document && isUnderWay(now, newest, follower)) {
+    return std::nullopt;
+  }
+  if (update.document) {
+    follower.sentConfiguration = configurationVersionOf(newest);
+    follower.sentAt = now;
+  }
+  return update;
+}
+
+}  // namespace limeramp::distribution
--- a/libs/gateway/src/gateway_server.cpp
+++ b/libs/gateway/src/gateway_server.cpp
@@ -336,6 +336,11 @@
       fleet = received->fleet;
     }
     follow(delivery.hear(now, received->address, *news));
+  } else if (messages::StateUpdate const* const update = std::get_if<messages::StateUpdate>(&received->message)) {
+    if (fleet.empty()) {
+      fleet = received->fleet;
+    }
+    follow(delivery.hear(now, received->address, *update));
   } else if (messages::TablePoll const* const tablePoll = std::get_if<messages::TablePoll>(&received->message)) {
     follow(desk.hear(now, received->address, *tablePoll));
   } else if (messages::TableNews const* const tableNews = std::get_if<messages::TableNews>(&received->message)) {
@@ -567,6 +572,7 @@
       ",\"standing\":" + json(nameOf(status.standing)) +
       ",\"age_ms\":" + (status.ageMs == Ms::max() ? "null" : std::to_string(status.ageMs.count())) +
       ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
+      ",\"versions_behind\":" + std::to_string(status.versionsBehind) +
       ",\"version\":" + json((plane.snapshot() == nullptr ? config::Version{} : plane.snapshot()->version).text()) +
       ",\"primary_address\":" + json(delivery.primaryAddress()) + ",\"roster\":" + std::to_string(state.roster.size()) +
       ",\"requests\":" + std::to_string(plane.requests()) + ",\"peers\":[";
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -2,6 +2,7 @@
 
 #include "limeramp/messages/codec.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -189,6 +190,14 @@
   }
 };
 
+/// Orders replicated states: first by the epoch whose primary wrote them, then by their sequence within it. Versions
+/// are unique: one primary leads an epoch, and it numbers its changes without gaps.
+struct StateVersion {
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  auto operator<=>(StateVersion const&) const = default;
+};
+
 struct State {
   static constexpr char const* name = "State";
   std::uint64_t epoch = 0;
@@ -203,6 +212,7 @@
   std::vector<Receipt> receipts;
   std::uint64_t revision = 0;
   std::vector<std::string> evacuatedZones;
+  StateVersion version() const { return {epoch, sequence}; }
   bool operator==(State const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
@@ -292,6 +302,24 @@
   }
 };
 
+/// The versions of the parts of a State that change apart from each other.
+struct PartVersions {
+  static constexpr char const* name = "PartVersions";
+  std::uint64_t configurationEpoch = 0;
+  std::uint64_t configurationSequence = 0;
+  std::uint64_t rosterEpoch = 0;
+  std::uint64_t rosterSequence = 0;
+  bool operator==(PartVersions const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("configurationEpoch", self.configurationEpoch);
+    visit("configurationSequence", self.configurationSequence);
+    visit("rosterEpoch", self.rosterEpoch);
+    visit("rosterSequence", self.rosterSequence);
+  }
+};
+
+/// A node asks for the newest state and says which it has.
 struct Poll {
   static constexpr char const* name = "Poll";
   std::uint64_t token = 0;
@@ -299,6 +327,10 @@
   std::vector<Follower> followers;
   std::vector<PeerStatus> peerStatuses;
   bool recover = false;
+  /// Absent from nodes that know no StateUpdate; they are sent the whole State in News.
+  std::optional<PartVersions> parts;
+  /// False: the node asks which version is known, and wants neither the state nor later pushes.
+  bool follows = true;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -306,6 +338,8 @@
     visit("followers", self.followers);
     visit("bearings", self.peerStatuses);
     visit("recover", self.recover);
+    visit("parts", self.parts);
+    visit("follows", self.follows);
   }
 };
 
@@ -338,6 +372,48 @@
   }
 };
 
+/// What turns one roster into another.
+struct RosterDifference {
+  static constexpr char const* name = "RosterDifference";
+  std::vector<std::string> removed;
+  std::vector<RosterEntry> put;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("removed", self.removed);
+    visit("put", self.put);
+  }
+};
+
+/// Brings a follower to the state that `news` names: the parts it lacks, and nothing that only replicas need.
+struct StateUpdate {
+  static constexpr char const* name = "StateUpdate";
+  News news;
+  std::uint64_t revision = 0;
+  std::vector<std::string> evacuatedZones;
+  /// The versions of the parts of the new state.
+  PartVersions parts;
+  /// Absent if the follower named the configuration of the new state.
+  std::optional<std::string> document;
+  /// The roster that `roster` builds on; 0, 0 is the empty one.
+  std::uint64_t rosterBaseEpoch = 0;
+  std::uint64_t rosterBaseSequence = 0;
+  RosterDifference roster;
+  /// From the new roster back to the one before it.
+  RosterDifference priorRoster;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("news", self.news);
+    visit("revision", self.revision);
+    visit("evacuatedZones", self.evacuatedZones);
+    visit("parts", self.parts);
+    visit("document", self.document);
+    visit("rosterBaseEpoch", self.rosterBaseEpoch);
+    visit("rosterBaseSequence", self.rosterBaseSequence);
+    visit("roster", self.roster);
+    visit("priorRoster", self.priorRoster);
+  }
+};
+
 struct TableRow {
   static constexpr char const* name = "TableRow";
   std::string address;
@@ -442,7 +518,7 @@
 };
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Heartbeat, Sync, Synced, Poll, News,
-                             TablePoll, TableNews>;
+                             TablePoll, TableNews, StateUpdate>;
 
 struct Envelope {
   static constexpr char const* name = "Envelope";
--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -383,6 +383,8 @@
     follow(to, member.gateway->delivery->hear(now, received.address, *poll));
   } else if (messages::News const* const news = std::get_if<messages::News>(&received.message)) {
     follow(to, member.gateway->delivery->hear(now, received.address, *news));
+  } else if (messages::StateUpdate const* const update = std::get_if<messages::StateUpdate>(&received.message)) {
+    follow(to, member.gateway->delivery->hear(now, received.address, *update));
   } else if (messages::TablePoll const* const tablePoll = std::get_if<messages::TablePoll>(&received.message)) {
     follow(to, member.gateway->desk->hear(now, received.address, *tablePoll));
   } else if (messages::TableNews const* const tableNews = std::get_if<messages::TableNews>(&received.message)) {
--- a/testside/simulator/fleet_simulation.cpp
+++ b/testside/simulator/fleet_simulation.cpp
@@ -8,6 +8,18 @@
 constexpr Ms inForceMs{2100};
 constexpr std::size_t exchangeBytes = 220;
 
+std::size_t sizeOf(messages::Message const& message) {
+  return messages::seal({"0123456789abcdef", "machine-in-a-zone-1/01234567", "10.101.102.103:7081", message}).size() +
+         exchangeBytes;
+}
+
+std::string kindOf(messages::Message const& message) {
+  messages::News const* const news = std::get_if<messages::News>(&message);
+  std::string const name =
+      std::visit([](auto const& concrete) -> std::string { return std::decay_t<decltype(concrete)>::name; }, message);
+  return news != nullptr && news->state ? name + " with state" : name;
+}
+
 }  // namespace
 
 FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t controllers, std::size_t gateways, std::size_t zones)
@@ -263,6 +275,13 @@
   if (!machine.up || machine.life != life) {
     return;
   }
+  if (machine.links.processorFreeAt() > network.now()) {
+    network.after(
+        std::chrono::duration_cast<std::chrono::microseconds>(machine.links.processorFreeAt() - network.now()) +
+            std::chrono::microseconds(1),
+        [this, index, life] { tick(index, life); });
+    return;
+  }
   if (!machine.frozen) {
     if (machine.gateway) {
       follow(index, machine.gateway->delivery->tick(network.now(), peers()));
@@ -290,30 +309,67 @@
   judge(index);
 }
 
+void FleetSimulation::limit(MachineCapacity const& capacity) {
+  for (Machine& machine : machines) {
+    machine.links = SimulatedLinks(capacity);
+  }
+}
+
+void FleetSimulation::weigh(std::size_t from, std::size_t to, std::size_t bytes, messages::Message const& message) {
+  if (!weighs) {
+    return;
+  }
+  if (machines[to].zone() != machines[from].zone()) {
+    bytesAcrossZones[from] += bytes;
+  }
+  Traffic& sent = traffic[kindOf(message)];
+  ++sent.messages;
+  sent.bytes += bytes;
+}
+
 void FleetSimulation::send(std::size_t from, std::string const& address, messages::Message const& message) {
   ++messages;
+  SimulatedLinks& links = machines[from].links;
   for (std::size_t to = 0; to < machines.size(); ++to) {
     if (machines[to].address() != address || cuts_.contains({from, to}) || !machines[to].up) {
       continue;
     }
-    if (weighs && machines[to].zone() != machines[from].zone()) {
-      bytesAcrossZones[from] +=
-          messages::seal({"0123456789abcdef", "machine-in-a-zone-1/01234567", "10.101.102.103:7081", message}).size() +
-          exchangeBytes;
+    std::size_t const bytes = weighs || links.limited() ? sizeOf(message) : 0;
+    weigh(from, to, bytes, message);
+    if (links.limited() && links.overflows(network.now())) {
+      ++lost;
+      continue;
     }
+    TimePoint const left = links.limited() ? links.send(network.now(), bytes) : network.now();
     std::uint64_t const life = machines[to].life;
     std::chrono::microseconds const wait(200 + network.roll(network.chance(0.01) ? 300'000 : 3'000));
-    network.after(wait, [this, to, life, from, message] {
-      Machine& machine = machines[to];
-      if (!machine.up || machine.life != life) {
-        return;
-      }
-      if (machine.frozen) {
-        machine.thawWork.push_back([this, to, from, message] { deliver(to, from, message); });
-      } else {
-        deliver(to, from, message);
-      }
-    });
+    std::chrono::microseconds const leaving =
+        std::chrono::duration_cast<std::chrono::microseconds>(left - network.now());
+    network.after(leaving + wait, [this, to, life, from, bytes, message] { arrive(to, life, from, bytes, message); });
+  }
+}
+
+void FleetSimulation::arrive(std::size_t to, std::uint64_t life, std::size_t from, std::size_t bytes,
+                             messages::Message const& message) {
+  SimulatedLinks& links = machines[to].links;
+  if (!links.limited()) {
+    receive(to, life, from, message);
+    return;
+  }
+  TimePoint const done = links.receive(network.now(), bytes);
+  network.after(std::chrono::duration_cast<std::chrono::microseconds>(done - network.now()),
+                [this, to, life, from, message] { receive(to, life, from, message); });
+}
+
+void FleetSimulation::receive(std::size_t to, std::uint64_t life, std::size_t from, messages::Message const& message) {
+  Machine& machine = machines[to];
+  if (!machine.up || machine.life != life) {
+    return;
+  }
+  if (machine.frozen) {
+    machine.thawWork.push_back([this, to, from, message] { deliver(to, from, message); });
+  } else {
+    deliver(to, from, message);
   }
 }
 
@@ -325,6 +381,8 @@
       follow(to, machine.gateway->delivery->hear(network.now(), address, *poll));
     } else if (messages::News const* const news = std::get_if<messages::News>(&message)) {
       follow(to, machine.gateway->delivery->hear(network.now(), address, *news));
+    } else if (messages::StateUpdate const* const update = std::get_if<messages::StateUpdate>(&message)) {
+      follow(to, machine.gateway->delivery->hear(network.now(), address, *update));
     }
   } else if (messages::Poll const* const poll = std::get_if<messages::Poll>(&message)) {
     drivePlane(to, control::Polled{address, *poll});
--- a/testside/simulator/fleet_simulation.h
+++ b/testside/simulator/fleet_simulation.h
@@ -3,6 +3,7 @@
 #include "limeramp/control/config_service.h"
 #include "limeramp/distribution/config_delivery.h"
 #include "limeramp/replication/replication_group.h"
+#include "simulator/simulated_links.h"
 #include "simulator/simulated_network.h"
 
 #include <map>
@@ -33,6 +34,11 @@
   bool mayFound = true;
 };
 
+struct Traffic {
+  std::size_t messages = 0;
+  std::size_t bytes = 0;
+};
+
 struct Machine {
   std::optional<SimulatedGateway> gateway;
   std::optional<SimulatedController> controller;
@@ -41,6 +47,7 @@
   bool frozen = false;
   bool hostLost = false;
   std::vector<std::function<void()>> thawWork;
+  SimulatedLinks links;
   std::string const& zone() const { return gateway ? gateway->zone : controller->zone; }
   std::string address() const { return gateway ? gateway->address : controller->address; }
   bool isActive() const { return controller->plane->active() && controller->group->active(); }
@@ -67,8 +74,13 @@
   std::size_t messages = 0;
   bool weighs = false;
   std::map<std::size_t, std::size_t> bytesAcrossZones;
+  /// While the simulation weighs: what was sent, by kind of message.
+  std::map<std::string, Traffic> traffic;
+  std::size_t lost = 0;
   std::chrono::milliseconds slowestMs{0};
 
+  /// Gives every machine, from now on, a link and a processor of this capacity.
+  void limit(MachineCapacity const& capacity);
   void startAll();
   void start(std::size_t index);
   void kill(std::size_t index);
@@ -102,7 +114,11 @@
   void drivePlane(std::size_t index, control::Event const& event);
   void send(std::size_t from, std::string const& address, messages::Message const& message);
   void probe(std::size_t from, control::Probe const& probe);
+  void arrive(std::size_t to, std::uint64_t life, std::size_t from, std::size_t bytes,
+              messages::Message const& message);
+  void receive(std::size_t to, std::uint64_t life, std::size_t from, messages::Message const& message);
   void deliver(std::size_t to, std::size_t from, messages::Message const& message);
+  void weigh(std::size_t from, std::size_t to, std::size_t bytes, messages::Message const& message);
   void follow(std::size_t index, distribution::ConfigDeliveryStep const& step);
   void tick(std::size_t index, std::uint64_t life);
   void complain(std::string const& text);
--- /dev/null
+++ b/testside/simulator/simulated_links.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "simulator/simulated_network.h"
+
+#include <algorithm>
+#include <cstddef>
+
+/// Machines of the simulation with a limited link and a small processor. A message waits for its turn on the sender's
+/// processor, on the sender's link, on the receiver's link and on the receiver's processor, in this order.
+namespace limeramp::simulator {
+
+struct MachineCapacity {
+  std::size_t bytesPerSecond = 0;
+  std::chrono::microseconds perMessage{0};
+  std::chrono::microseconds perKilobyte{0};
+  /// A message that would wait longer than this on a link is lost.
+  Ms mostQueued{3000};
+};
+
+class SimulatedLinks {
+ public:
+  explicit SimulatedLinks(MachineCapacity const& capacity = {}) : capacity_(capacity) {}
+
+  bool limited() const { return capacity_.bytesPerSecond > 0; }
+  TimePoint processorFreeAt() const { return processorFreeAt_; }
+  /// When a message that is sent now has left the machine.
+  TimePoint send(TimePoint now, std::size_t bytes) { return transmit(compute(now, bytes), bytes, outFreeAt_); }
+  /// When a message whose last byte arrives now has been read and processed.
+  TimePoint receive(TimePoint now, std::size_t bytes) { return compute(transmit(now, bytes, inFreeAt_), bytes); }
+  bool overflows(TimePoint now) const { return outFreeAt_ - now > capacity_.mostQueued; }
+
+ private:
+  TimePoint compute(TimePoint now, std::size_t bytes) {
+    std::chrono::microseconds const cost =
+        capacity_.perMessage + capacity_.perKilobyte * static_cast<long>(bytes) / 1024;
+    processorFreeAt_ = std::max(processorFreeAt_, now) + cost;
+    return processorFreeAt_;
+  }
+  TimePoint transmit(TimePoint from, std::size_t bytes, TimePoint& freeAt) const {
+    long const microseconds = static_cast<long>(bytes * 1'000'000 / capacity_.bytesPerSecond);
+    freeAt = std::max(freeAt, from) + std::chrono::microseconds(microseconds);
+    return freeAt;
+  }
+
+  MachineCapacity capacity_;
+  TimePoint processorFreeAt_{};
+  TimePoint outFreeAt_{};
+  TimePoint inFreeAt_{};
+};
+
+}  // namespace limeramp::simulator
