--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -357,7 +357,7 @@
     note(follower, statusOf(follower.node), false);
   }
   messages::News out = news(event.poll.token, group);
-  messages::Message answer = active ? feed.answer(now, published, event.poll, std::move(out)) : std::move(out);
+  messages::Message answer = feed.answer(now, active ? &published : nullptr, event.poll, std::move(out));
   effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(answer)});
   settle();
   pump(group);
--- a/libs/distribution/include/limeramp/distribution/state_feed.h
+++ b/libs/distribution/include/limeramp/distribution/state_feed.h
@@ -31,8 +31,8 @@
 
   /// `previous` is no longer the newest state.
   void replaced(TimePoint now, messages::State const& previous);
-  /// The answer to a poll: `news` alone if the poller has the newest state or wants none.
-  messages::Message answer(TimePoint now, messages::State const& newest, messages::Poll const& poll,
+  /// The answer to a poll: `news` alone if the poller has the newest state or wants none, or if none is known here.
+  messages::Message answer(TimePoint now, messages::State const* newest, messages::Poll const& poll,
                            messages::News news);
   /// What the followers lack, each with `news`.
   std::vector<Outgoing> push(TimePoint now, messages::State const& newest, messages::News const& news);
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -235,7 +235,7 @@
       news.hasAge = true;
       news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *anchor).count()) + 1;
     }
-    return state ? feed.answer(now, *state, poll, std::move(news)) : messages::Message(std::move(news));
+    return feed.answer(now, state ? &*state : nullptr, poll, std::move(news));
   }
 
   /// A node whose state is old asks the nodes of the roster, a slice at a time, whether they know a newer one: once
--- a/libs/distribution/src/state_feed.cpp
+++ b/libs/distribution/src/state_feed.cpp
@@ -22,7 +22,7 @@
   }
 }
 
-messages::Message StateFeed::answer(TimePoint now, messages::State const& newest, messages::Poll const& poll,
+messages::Message StateFeed::answer(TimePoint now, messages::State const* newest, messages::Poll const& poll,
                                     messages::News news) {
   if (!poll.follows) {
     return news;
@@ -34,7 +34,7 @@
   asking.heardAt = now;
   std::map<std::string, Position>::iterator const known = followers_.find(poll.self.node);
   if (poll.self.node.empty() || (known == followers_.end() && followers_.size() >= policy_.mostFollowers)) {
-    return next(now, newest, asking, news).value_or(news);
+    return newest == nullptr ? news : next(now, *newest, asking, news).value_or(news);
   }
   if (known != followers_.end() && known->second.has <= asking.has) {
     asking.sentConfiguration = known->second.sentConfiguration;
@@ -42,7 +42,7 @@
   }
   Position& follower = followers_[poll.self.node];
   follower = std::move(asking);
-  return next(now, newest, follower, news).value_or(news);
+  return newest == nullptr ? news : next(now, *newest, follower, news).value_or(news);
 }
 
 std::vector<Outgoing> StateFeed::push(TimePoint now, messages::State const& newest, messages::News const& news) {
