ReplicationGroup can be copied and hashed, for a model checker

An explicit-state model checker needs to branch from a state and to recognise one that it has seen. The group gains a copy constructor and digest(now): times count as differences from now, bounded by the longest span of the policy; the random source and the absolute numbers of disk writes are left out. messages::StateDigest folds described records.

--- /dev/null
+++ b/libs/messages/include/limeramp/messages/state_digest.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "limeramp/messages/codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace limeramp::messages {
+
+/// Folds the fields of a state machine into one 64-bit hash, so that a model checker can tell visited states apart.
+/// Lengths are folded in as well: no two sequences of fields give the same bytes. The hash is stable within one run of
+/// one program and is never stored or sent.
+class StateDigest {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  /// Times are folded in as differences from now. Differences beyond the horizon count as the horizon: the caller names
+  /// one beyond which its state machine makes no distinction.
+  StateDigest(TimePoint now, std::chrono::microseconds horizon) : now_(now), horizon_(horizon) {}
+
+  void add(std::string const& value) {
+    add(value.size());
+    bytes_ += value;
+  }
+
+  template <typename T>
+  void add(T const& value) {
+    if constexpr (std::is_enum_v<T> || std::is_same_v<T, bool>) {
+      add(static_cast<std::uint64_t>(value));
+    } else if constexpr (std::is_integral_v<T> || std::is_floating_point_v<T>) {
+      bytes_.append(reinterpret_cast<char const*>(&value), sizeof value);
+    } else {
+      T::describe(*this, value);
+    }
+  }
+
+  template <typename T>
+  void add(std::optional<T> const& value) {
+    add(value.has_value());
+    if (value) {
+      add(*value);
+    }
+  }
+
+  template <typename T>
+  void add(std::vector<T> const& values) {
+    addAll(values);
+  }
+
+  template <typename T>
+  void add(std::set<T> const& values) {
+    addAll(values);
+  }
+
+  template <typename K, typename T>
+  void add(std::map<K, T> const& values) {
+    addAll(values);
+  }
+
+  template <typename Left, typename Right>
+  void add(std::pair<Left, Right> const& value) {
+    add(value.first);
+    add(value.second);
+  }
+
+  template <typename... Types>
+  void add(std::variant<Types...> const& value) {
+    add(value.index());
+    std::visit([this](auto const& concrete) { add(concrete); }, value);
+  }
+
+  void add(TimePoint at) {
+    std::chrono::microseconds const age = std::chrono::duration_cast<std::chrono::microseconds>(now_ - at);
+    add(static_cast<std::int64_t>(std::clamp(age, -horizon_, horizon_).count()));
+  }
+
+  /// A time that matters only while it lies ahead.
+  void addDeadline(TimePoint at) { add(std::max(at, now_)); }
+
+  /// Visits a described record.
+  template <typename T>
+  void operator()(char const*, T const& value) {
+    add(value);
+  }
+
+  std::uint64_t finish() const;
+
+ private:
+  template <typename Sequence>
+  void addAll(Sequence const& values) {
+    add(values.size());
+    for (typename Sequence::value_type const& value : values) {
+      add(value);
+    }
+  }
+
+  TimePoint now_;
+  std::chrono::microseconds horizon_;
+  std::string bytes_;
+};
+
+}  // namespace limeramp::messages
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -113,7 +113,9 @@
  public:
   explicit ReplicationGroup(Policy const& policy);
   ~ReplicationGroup();
+  ReplicationGroup(ReplicationGroup const&);
   ReplicationGroup(ReplicationGroup&&) noexcept;
+  ReplicationGroup& operator=(ReplicationGroup const&);
   ReplicationGroup& operator=(ReplicationGroup&&) noexcept;
 
   std::vector<Effect> step(TimePoint now, Event const& event);
@@ -130,6 +132,10 @@
   std::string primaryAddress() const;
   std::optional<std::chrono::milliseconds> heardMs(TimePoint now, std::string const& member) const;
 
+  /// A hash of everything that decides what later steps do, for the model checker. Times count as differences from now;
+  /// the random source and the numbers of past disk writes are left out.
+  std::uint64_t digest(TimePoint now) const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -1,5 +1,7 @@
 #include "limeramp/replication/replication_group.h"
 
+#include "limeramp/messages/state_digest.h"
+
 #include <algorithm>
 #include <compare>
 #include <deque>
@@ -186,6 +188,11 @@
   void tryFounding();
   void heartbeat();
   void heartbeatAll();
+
+  void digestHeard(messages::StateDigest& digest) const;
+  void digestPersisting(messages::StateDigest& digest) const;
+  void digestLeadership(messages::StateDigest& digest) const;
+  void digestProposal(messages::StateDigest& digest) const;
 };
 
 bool ReplicationGroup::Impl::fresh(std::string const& id, Ms within) const {
@@ -1024,6 +1031,75 @@
   pushProposal();
 }
 
+void ReplicationGroup::Impl::digestHeard(messages::StateDigest& digest) const {
+  digest.add(heard.size());
+  for (std::pair<std::string const, Heard> const& entry : heard) {
+    digest.add(entry.first);
+    digest.add(entry.second.member.address);
+    digest.add(entry.second.member.zone);
+    digest.add(entry.second.ever);
+    digest.add(entry.second.reached);
+    digest.add(entry.second.lastToken);
+    digest.add(entry.second.heartbeat);
+    digest.add(entry.second.at);
+    digest.addDeadline(entry.second.nextHeartbeatAt);
+  }
+}
+
+void ReplicationGroup::Impl::digestPersisting(messages::StateDigest& digest) const {
+  digest.add(persisting.size());
+  for (std::pair<std::uint64_t const, TimePoint> const& entry : persisting) {
+    digest.add(lastPersist - entry.first);
+    digest.add(entry.second);
+    digest.add(entry.first == leadershipPersist);
+    digest.add(entry.first == fencePersist);
+    for (Effect const& effect : afterPersist.at(entry.first)) {
+      if (Send const* const send = std::get_if<Send>(&effect)) {
+        digest.add(send->to);
+        digest.add(send->message);
+      }
+    }
+  }
+}
+
+void ReplicationGroup::Impl::digestLeadership(messages::StateDigest& digest) const {
+  digest.add(leadership);
+  digest.add(leadershipToken);
+  digest.add(localDone);
+  digest.add(backupsToSync);
+  digest.add(ticket);
+  digest.add(syncSentAt);
+  digest.add(confirmedAt.value_or(TimePoint{}));
+  for (std::pair<std::string const, TimePoint> const& entry : echoedAt) {
+    digest.add(entry.first);
+    digest.add(entry.second);
+  }
+  digest.add(lastToken);
+  for (std::pair<std::uint64_t, TimePoint> const& sent : heartbeatsSent) {
+    digest.add(sent.first);
+    digest.add(sent.second);
+  }
+}
+
+void ReplicationGroup::Impl::digestProposal(messages::StateDigest& digest) const {
+  digest.add(proposal.step);
+  if (proposal.step == Step::none) {
+    return;
+  }
+  digest.add(proposal.primary);
+  digest.add(proposal.backups);
+  digest.add(proposal.toSync);
+  digest.add(proposal.syncToken);
+  digest.add(proposal.sentAt);
+  digest.add(proposal.ballot);
+  digest.add(proposal.record);
+  digest.add(proposal.bestBallot);
+  digest.add(proposal.best);
+  digest.add(proposal.voters);
+  digest.add(proposal.yes);
+  digest.add(proposal.retryAt);
+}
+
 Policy policyFor(std::size_t machineLosses) {
   std::size_t const losses = std::clamp<std::size_t>(machineLosses, 1, 4);
   Policy policy;
@@ -1035,7 +1111,12 @@
 
 ReplicationGroup::ReplicationGroup(Policy const& policy) : impl_(std::make_unique<Impl>(policy)) {}
 ReplicationGroup::~ReplicationGroup() = default;
+ReplicationGroup::ReplicationGroup(ReplicationGroup const& other) : impl_(std::make_unique<Impl>(*other.impl_)) {}
 ReplicationGroup::ReplicationGroup(ReplicationGroup&&) noexcept = default;
+ReplicationGroup& ReplicationGroup::operator=(ReplicationGroup const& other) {
+  impl_ = std::make_unique<Impl>(*other.impl_);
+  return *this;
+}
 ReplicationGroup& ReplicationGroup::operator=(ReplicationGroup&&) noexcept = default;
 
 std::vector<Effect> ReplicationGroup::step(TimePoint now, Event const& event) {
@@ -1079,4 +1160,30 @@
   return std::chrono::duration_cast<Ms>(now - found->second.at);
 }
 
+std::uint64_t ReplicationGroup::digest(TimePoint now) const {
+  Impl const& impl = *impl_;
+  messages::StateDigest digest(now, impl.policy.spreadMs);
+  digest.add(impl.started);
+  digest.add(impl.broken);
+  digest.add(impl.diskless);
+  digest.add(impl.retiring);
+  digest.add(impl.mayFound);
+  digest.add(impl.self.id);
+  digest.add(impl.self.address);
+  digest.add(impl.self.zone);
+  digest.add(impl.founders);
+  digest.add(impl.vote);
+  digest.add(impl.state);
+  digest.add(impl.schemasStored);
+  digest.add(impl.highestRound);
+  digest.add(impl.quietSince);
+  digest.add(impl.startedAt);
+  digest.addDeadline(impl.yieldUntil);
+  impl.digestHeard(digest);
+  impl.digestPersisting(digest);
+  impl.digestLeadership(digest);
+  impl.digestProposal(digest);
+  return digest.finish();
+}
+
 }  // namespace limeramp::replication
