A node's earlier start no longer counts as confirming, as before the split

Cause: when node status tracking became a module, two guards of note() were left behind: a node heard at a second address within 2 s is left out, and a new start or address forgets what was confirmed before. Ruled out: that another check covers it; delivery_test passes without them.

--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -32,8 +32,14 @@
   if (status.boot != 0 && status.boot == entry.leftBoot && !direct && !status.leaving) {
     return true;
   }
-  bool const sameAddress = entry.follower.address.empty() || entry.follower.address == follower.address ||
-                           now - entry.heardAt > policy_.nodeCurrentMs;
+  bool const known = !entry.follower.address.empty();
+  bool const moved = entry.follower.address != follower.address;
+  if (known && moved && now - entry.heardAt <= policy_.nodeCurrentMs) {
+    return false;
+  }
+  if (moved || entry.boot != status.boot) {
+    entry.confirmed = {0, 0};
+  }
   std::map<std::string, DeathProof>::iterator const proof = proofs_.find(follower.node);
   if (proof != proofs_.end() && (status.boot != entry.boot || direct)) {
     proof->second.forgotten = false;
@@ -45,7 +51,7 @@
   entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
   entry.heardAt = now;
   entry.direct = direct;
-  return sameAddress;
+  return true;
 }
 
 TrackedNode const* NodeTracker::find(std::string const& node) const {
