Replication: StateVersion replaces bare pairs, and the last of the old names go

Replicated states were ordered by std::pair in three libraries. messages::StateVersion {epoch, sequence} with <=> and State::version() take their place in replication, control, distribution and the capacity bench. Note is LogEntry, Known is KnownMembers, the private Heard is MemberStatus, slot() is nextEpoch(), Step is ProposalStage. The Avro field names on the wire and on disk stay as they are (slot, sealed).

--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -36,7 +36,7 @@
   void run(milliseconds time) {
     for (replication::TimePoint const end = now + time; now < end; now += milliseconds(20)) {
       for (std::pair<std::string const, replication::ReplicationGroup>& entry : groups) {
-        step(entry.first, replication::Known{members, true});
+        step(entry.first, replication::KnownMembers{members, true});
         step(entry.first, replication::Tick{});
       }
       while (!posts.empty()) {
--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -96,7 +96,8 @@
   std::string address;
 };
 
-using Effect = std::variant<replication::Offer, Decided, ReadBack, distribution::Outgoing, Probe, replication::Note>;
+using Effect =
+    std::variant<replication::Offer, Decided, ReadBack, distribution::Outgoing, Probe, replication::LogEntry>;
 
 struct NodeView {
   std::string node;
--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
 using config::Problem;
+using messages::StateVersion;
 
 struct Known {
   messages::Follower follower;
@@ -135,7 +135,7 @@
 
 bool Plane::Impl::confirmed(std::string const& node, StateVersion const& wanted) const {
   std::map<std::string, Known>::const_iterator const found = known.find(node);
-  if (found == known.end() || found->second.confirmed < wanted || found->second.confirmed.first > published.epoch) {
+  if (found == known.end() || found->second.confirmed < wanted || found->second.confirmed.epoch > published.epoch) {
     return false;
   }
   distribution::IncarnationRecords::const_iterator const incarnation = incarnations.find(node);
@@ -281,8 +281,8 @@
   }
   if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
       now - entry.heardAt <= policy.nodeCurrentMs) {
-    effects.emplace_back(replication::Note{logging::Event::peerStrange,
-                                           follower.node + " is at two addresses, one of them " + follower.address});
+    effects.emplace_back(replication::LogEntry{
+        logging::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
     return;
   }
   if (entry.follower.address != follower.address || entry.boot != peerStatus.boot) {
@@ -296,7 +296,7 @@
   entry.leaving = peerStatus.leaving;
   entry.leftBoot = peerStatus.leaving ? peerStatus.boot : entry.leftBoot;
   entry.follower = follower;
-  entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
+  entry.confirmed = std::max(entry.confirmed, StateVersion{follower.epoch, follower.sequence});
   entry.heardAt = now;
   entry.direct = direct;
 }
@@ -326,12 +326,12 @@
 }
 
 void Plane::Impl::publish(messages::State const& state) {
-  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) ==
-                          StateVersion(published.rosterEpoch, published.rosterSequence);
+  bool const sameRoster = StateVersion{state.rosterEpoch, state.rosterSequence} ==
+                          StateVersion{published.rosterEpoch, published.rosterSequence};
   stable = stable && sameRoster;
   bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
-                          StateVersion(state.configurationEpoch, state.configurationSequence) ==
-                              StateVersion(published.configurationEpoch, published.configurationSequence);
+                          StateVersion{state.configurationEpoch, state.configurationSequence} ==
+                              StateVersion{published.configurationEpoch, published.configurationSequence};
   published = state;
   publishedAt = now;
   publishings[mark()] = now;
@@ -392,7 +392,7 @@
       waiting.push_back({working->ticket, mark(), version, now, working->deadline});
     }
     effects.emplace_back(
-        replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
+        replication::LogEntry{logging::Event::configurationTaken, version.text() + " change " + working->id});
   }
   if (event.ticket == workingTicket) {
     working.reset();
@@ -409,7 +409,7 @@
     decide(working->ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   if (working) {
-    effects.emplace_back(replication::Note{logging::Event::configurationUnknown, working->id});
+    effects.emplace_back(replication::LogEntry{logging::Event::configurationUnknown, working->id});
   }
   working.reset();
   workingTicket = 0;
@@ -508,7 +508,7 @@
   if (!active) {
     return;
   }
-  StateVersion const rosterMark(published.rosterEpoch, published.rosterSequence);
+  StateVersion const rosterMark{published.rosterEpoch, published.rosterSequence};
   if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
     stable = true;
   }
@@ -579,7 +579,7 @@
   next.rosterSequence = published.sequence + 1;
   stable = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(replication::Note{logging::Event::rosterChanged, about});
+  effects.emplace_back(replication::LogEntry{logging::Event::rosterChanged, about});
   effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
   return true;
 }
@@ -746,7 +746,7 @@
                   {},         Ms(0),         false,      impl_->persistentlyGone(entry.node)};
     std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
     if (found != impl_->known.end()) {
-      view.confirmed = {found->second.confirmed.first, found->second.confirmed.second};
+      view.confirmed = {found->second.confirmed.epoch, found->second.confirmed.sequence};
       view.heardMs = std::chrono::duration_cast<Ms>(now - found->second.heardAt);
       view.everHeard = true;
     }
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -217,7 +217,7 @@
       if (!work.tryPush({persist->token, persist->puts})) {
         inbox.push(DiskDone{persist->token, false, "the disk's queue is full"});
       }
-    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+    } else if (replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect)) {
       logging::raise(note->event, {{"about", note->about}});
     } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
       drivePlane(*committed);
@@ -252,7 +252,7 @@
       probe(*wanted);
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
       send(outgoing->address, outgoing->message);
-    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+    } else if (replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect)) {
       logging::raise(note->event, {{"about", note->about}});
     }
   }
@@ -478,7 +478,7 @@
     return;
   }
   absl::StatusOr<messages::Shuffle> const stored = messages::unpack<messages::Shuffle>(store->values().at(membersKey));
-  replication::Known known;
+  replication::KnownMembers known;
   if (stored.ok() && group.decided().epoch > 0) {
     for (messages::Peer const& peer : stored->peers) {
       known.members.push_back({peer.node, peer.address, peer.zone});
@@ -503,7 +503,7 @@
 void ControlServer::Impl::tick() {
   Clock::time_point const now = Clock::now();
   sendAll(views.tick(now, group.decided().epoch == 0 || now - startedAt < eagerMs));
-  replication::Known known;
+  replication::KnownMembers known;
   for (messages::Peer const& peer : views.peers(now)) {
     if (peer.role == messages::controllerRole) {
       known.members.push_back({peer.node, peer.address, peer.zone});
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
+using messages::StateVersion;
 
 constexpr std::size_t mostIncarnations = 2000;
 
@@ -64,7 +64,7 @@
   IncarnationRecords incarnations;
   std::map<std::string, std::uint64_t> recovering;
 
-  StateVersion mark() const { return state ? StateVersion(state->epoch, state->sequence) : StateVersion(0, 0); }
+  StateVersion mark() const { return state ? StateVersion{state->epoch, state->sequence} : StateVersion{0, 0}; }
 
   bool listed() const {
     return state && std::any_of(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
@@ -84,8 +84,8 @@
     messages::Poll poll;
     poll.token = ++lastToken;
     poll.self = self;
-    poll.self.epoch = mark().first;
-    poll.self.sequence = mark().second;
+    poll.self.epoch = mark().epoch;
+    poll.self.sequence = mark().sequence;
     poll.recover = recover;
     peerStatus.incarnations = incarnationList();
     poll.peerStatuses.push_back(peerStatus);
@@ -161,12 +161,12 @@
   }
 
   bool adopt(messages::State const& next) {
-    if (StateVersion(next.epoch, next.sequence) <= mark()) {
+    if (StateVersion{next.epoch, next.sequence} <= mark()) {
       return false;
     }
     bool const served = state && state->evacuatedZones == next.evacuatedZones &&
-                        StateVersion(state->configurationEpoch, state->configurationSequence) ==
-                            StateVersion(next.configurationEpoch, next.configurationSequence);
+                        StateVersion{state->configurationEpoch, state->configurationSequence} ==
+                            StateVersion{next.configurationEpoch, next.configurationSequence};
     state = next;
     hurry = hurry || !served;
     return true;
@@ -174,12 +174,12 @@
 
   void pushTo(std::vector<Outgoing>& sends, TimePoint now) {
     for (std::pair<std::string const, Listener> const& entry : listeners) {
-      StateVersion const has(entry.second.follower.epoch, entry.second.follower.sequence);
+      StateVersion const has{entry.second.follower.epoch, entry.second.follower.sequence};
       if (now - entry.second.at <= policy.followerMs && has < mark()) {
         messages::News news;
         news.node = self.node;
-        news.epoch = mark().first;
-        news.sequence = mark().second;
+        news.epoch = mark().epoch;
+        news.sequence = mark().sequence;
         news.state = state;
         news.primaryAddress = primaryAddress;
         sends.push_back({entry.second.follower.address, std::move(news)});
@@ -191,8 +191,8 @@
     messages::News news;
     news.token = token;
     news.node = self.node;
-    news.epoch = mark().first;
-    news.sequence = mark().second;
+    news.epoch = mark().epoch;
+    news.sequence = mark().sequence;
     news.primaryAddress = primaryAddress;
     news.settled = settled;
     news.boot = peerStatus.boot;
@@ -319,13 +319,13 @@
 ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const&, messages::Poll const& message) {
   Impl& impl = *impl_;
   ConfigDeliveryStep out;
-  StateVersion const has(message.self.epoch, message.self.sequence);
+  StateVersion const has{message.self.epoch, message.self.sequence};
   if (message.self.node.empty()) {
     out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
     return out;
   }
   Listener& listener = impl.listeners[message.self.node];
-  StateVersion const had(listener.follower.epoch, listener.follower.sequence);
+  StateVersion const had{listener.follower.epoch, listener.follower.sequence};
   if (had != has && has == impl.mark()) {
     impl.hurry = true;
   }
@@ -372,7 +372,7 @@
   bool const recover = found->second.recover;
   impl.suspects.erase(address);
   impl.asked.erase(found);
-  if (StateVersion(message.epoch, message.sequence) > impl.mark()) {
+  if (StateVersion{message.epoch, message.sequence} > impl.mark()) {
     return out;
   }
   if (message.hasAge) {
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -2,6 +2,7 @@
 
 #include "limeramp/messages/codec.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -95,7 +96,7 @@
 
 struct Promise {
   static constexpr char const* name = "Promise";
-  std::uint64_t slot = 0;
+  std::uint64_t nextEpoch = 0;
   Ballot ballot;
   bool granted = false;
   Ballot promised;
@@ -103,7 +104,7 @@
   std::optional<EpochRecord> accepted;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
-    visit("slot", self.slot);
+    visit("slot", self.nextEpoch);
     visit("ballot", self.ballot);
     visit("granted", self.granted);
     visit("promised", self.promised);
@@ -127,13 +128,13 @@
 
 struct Accepted {
   static constexpr char const* name = "Accepted";
-  std::uint64_t slot = 0;
+  std::uint64_t nextEpoch = 0;
   Ballot ballot;
   bool granted = false;
   Ballot promised;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
-    visit("slot", self.slot);
+    visit("slot", self.nextEpoch);
     visit("ballot", self.ballot);
     visit("granted", self.granted);
     visit("promised", self.promised);
@@ -189,6 +190,14 @@
   }
 };
 
+/// Orders replicated states: first by the epoch whose primary wrote them, then by their sequence within it. Versions
+/// are unique: one primary leads an epoch, and it numbers its changes without gaps.
+struct StateVersion {
+  std::uint64_t epoch = 0;
+  std::uint64_t sequence = 0;
+  auto operator<=>(StateVersion const&) const = default;
+};
+
 struct State {
   static constexpr char const* name = "State";
   std::uint64_t epoch = 0;
@@ -203,6 +212,7 @@
   std::vector<Receipt> receipts;
   std::uint64_t revision = 0;
   std::vector<std::string> evacuatedZones;
+  StateVersion version() const { return {epoch, sequence}; }
   bool operator==(State const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -51,7 +51,7 @@
   bool diskless = false;
   std::vector<std::string> founders{};
 };
-struct Known {
+struct KnownMembers {
   std::vector<Member> members;
   bool mayFound = false;
 };
@@ -75,7 +75,7 @@
   messages::State state;
 };
 
-using Event = std::variant<Start, Known, Received, Persisted, Offer, Tick, Retire, ForceNewGroup>;
+using Event = std::variant<Start, KnownMembers, Received, Persisted, Offer, Tick, Retire, ForceNewGroup>;
 
 struct Send {
   std::string to;
@@ -98,7 +98,7 @@
   messages::State state;
 };
 struct Inactive {};
-struct Note {
+struct LogEntry {
   logging::Event event;
   std::string about;
 };
@@ -107,7 +107,7 @@
   std::string refusal;
 };
 
-using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, NewGroupForced, Note>;
+using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, NewGroupForced, LogEntry>;
 
 class ReplicationGroup {
  public:
--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -28,7 +28,7 @@
   }
 };
 
-struct Heard {
+struct MemberStatus {
   Member member;
   TimePoint at{};
   messages::Heartbeat heartbeat;
@@ -42,12 +42,12 @@
   return std::max(heartbeat.epoch, heartbeat.decided.epoch);
 }
 
-enum class Step { none, choosing, syncing, preparing, accepting };
+enum class ProposalStage { none, choosing, syncing, preparing, accepting };
 
 constexpr std::uint64_t forcedEpochStride = 1'000'000;
 
 struct Proposal {
-  Step step = Step::none;
+  ProposalStage stage = ProposalStage::none;
   std::string primary;
   std::vector<std::string> backups;
   std::set<std::string> toSync;
@@ -92,7 +92,7 @@
   std::mt19937_64 random;
   Vote vote;
   messages::State state;
-  std::map<std::string, Heard> heard;
+  std::map<std::string, MemberStatus> members;
   bool mayFound = false;
   std::vector<std::string> founders;
   std::uint64_t lastToken = 0;
@@ -118,7 +118,7 @@
   Proposal proposal;
 
   void on(Start const& event);
-  void on(Known const& event);
+  void on(KnownMembers const& event);
   void on(Received const& event);
   void on(Persisted const& event);
   void on(Offer const& event);
@@ -148,7 +148,7 @@
     return vote.decided.epoch > 0 && (id == vote.decided.primary || isOf(vote.decided.backups, id));
   }
   bool isFenced() const { return vote.fenced >= vote.decided.epoch && vote.decided.epoch > 0; }
-  std::uint64_t slot() const { return vote.decided.epoch + 1; }
+  std::uint64_t nextEpoch() const { return vote.decided.epoch + 1; }
   bool fresh(std::string const& id, Ms within) const;
   std::size_t quorum() const;
   bool mayVote() const;
@@ -192,8 +192,8 @@
   if (id == self.id) {
     return true;
   }
-  std::map<std::string, Heard>::const_iterator const found = heard.find(id);
-  return found != heard.end() && found->second.ever && !found->second.heartbeat.ailing &&
+  std::map<std::string, MemberStatus>::const_iterator const found = members.find(id);
+  return found != members.end() && found->second.ever && !found->second.heartbeat.ailing &&
          now - found->second.at <= within;
 }
 
@@ -213,8 +213,8 @@
     std::visit([&](auto const& concrete) { hear(self.id, concrete); }, message);
     return;
   }
-  std::map<std::string, Heard>::const_iterator const found = heard.find(to);
-  if (found != heard.end()) {
+  std::map<std::string, MemberStatus>::const_iterator const found = members.find(to);
+  if (found != members.end()) {
     effects.emplace_back(Send{to, found->second.member.address, std::move(message)});
   }
 }
@@ -279,21 +279,21 @@
   restore("vote", event.stored, vote);
   restore("state", event.stored, state);
   if (broken) {
-    effects.emplace_back(Note{logging::Event::diskDamaged, "stored records do not read"});
+    effects.emplace_back(LogEntry{logging::Event::diskDamaged, "stored records do not read"});
     return;
   }
   highestRound = std::max(vote.promised.round, vote.acceptedBallot.round);
   beginLeadership();
 }
 
-void ReplicationGroup::Impl::on(Known const& event) {
+void ReplicationGroup::Impl::on(KnownMembers const& event) {
   mayFound = event.mayFound;
   for (Member const& member : event.members) {
     if (member.id != self.id) {
-      heard[member.id].member = member;
+      members[member.id].member = member;
     }
   }
-  std::erase_if(heard, [&](std::pair<std::string const, Heard> const& entry) {
+  std::erase_if(members, [&](std::pair<std::string const, MemberStatus> const& entry) {
     bool const listed = std::any_of(event.members.begin(), event.members.end(),
                                     [&](Member const& member) { return member.id == entry.first; });
     return !listed && now - entry.second.at > std::chrono::seconds(60) && !isReplica(entry.first);
@@ -304,7 +304,7 @@
   if (event.from == self.id) {
     return;
   }
-  Heard& entry = heard[event.from];
+  MemberStatus& entry = members[event.from];
   entry.member.id = event.from;
   entry.member.address = event.address;
   if (!broken) {
@@ -330,7 +330,7 @@
   if (!event.good) {
     if (!broken) {
       broken = true;
-      effects.emplace_back(Note{logging::Event::diskFailed, "a write or sync failed"});
+      effects.emplace_back(LogEntry{logging::Event::diskFailed, "a write or sync failed"});
       endLeadership();
       proposal = {};
     }
@@ -362,13 +362,13 @@
   } else if (vote.decided.epoch > 0 && fresh(vote.decided.primary, policy.lostMs) && backupsFresh(policy.lostMs)) {
     refusal = "primary and backup are alive";
   } else if (!couldGoOn()) {
-    refusal = "no other controller is heard that could be backup";
+    refusal = "no other controller is members that could be backup";
   }
   if (!refusal.empty()) {
     effects.emplace_back(NewGroupForced{refusal});
     return;
   }
-  if (std::pair(event.state.epoch, event.state.sequence) > std::pair(state.epoch, state.sequence)) {
+  if (event.state.version() > state.version()) {
     state = event.state;
   }
   std::uint64_t const generation = std::max(vote.decided.epoch, state.epoch) / forcedEpochStride + 1;
@@ -384,12 +384,12 @@
     return;
   }
   if (vote.decided.epoch > 0 && record.fleet != vote.decided.fleet) {
-    effects.emplace_back(Note{logging::Event::peerStrange, "a record of fleet " + record.fleet});
+    effects.emplace_back(LogEntry{logging::Event::peerStrange, "a record of fleet " + record.fleet});
     return;
   }
   effects.emplace_back(
-      Note{record.epoch == 1 ? logging::Event::founded : logging::Event::epochGranted,
-           std::to_string(record.epoch) + " primary " + record.primary + " backups " + joined(record.backups)});
+      LogEntry{record.epoch == 1 ? logging::Event::founded : logging::Event::epochGranted,
+               std::to_string(record.epoch) + " primary " + record.primary + " backups " + joined(record.backups)});
   bool const keepsTicket = record.primary == self.id;
   std::optional<std::uint64_t> const held = ticket;
   if (keepsTicket) {
@@ -410,7 +410,7 @@
 void ReplicationGroup::Impl::endLeadership() {
   if (leadership == Leadership::active) {
     effects.emplace_back(Inactive{});
-    effects.emplace_back(Note{logging::Event::primaryStopped, std::to_string(vote.decided.epoch)});
+    effects.emplace_back(LogEntry{logging::Event::primaryStopped, std::to_string(vote.decided.epoch)});
   }
   leadership = Leadership::none;
   confirmedAt.reset();
@@ -451,7 +451,7 @@
   if (leadership == Leadership::joining) {
     leadership = Leadership::active;
     effects.emplace_back(Active{vote.decided.epoch, state});
-    effects.emplace_back(Note{logging::Event::primaryBegan, std::to_string(vote.decided.epoch)});
+    effects.emplace_back(LogEntry{logging::Event::primaryBegan, std::to_string(vote.decided.epoch)});
   }
   if (ticket) {
     effects.emplace_back(Committed{*ticket, state});
@@ -490,8 +490,7 @@
     }
     yieldUntil = now + policy.lostMs;
   } else {
-    std::strong_ordering const order =
-        std::pair(message.state.epoch, message.state.sequence) <=> std::pair(state.epoch, state.sequence);
+    std::strong_ordering const order = message.state.version() <=> state.version();
     if (isPrimary() && leadership == Leadership::joining && isOf(vote.decided.backups, from) && order > 0 &&
         message.state.epoch == vote.decided.epoch) {
       state = message.state;
@@ -511,8 +510,8 @@
   bool const changed = !(state == message.state);
   std::vector<Effect> then{Send{from, "", messages::Synced{vote.decided.epoch, message.token}}};
   if (changed && state.epoch < message.state.epoch) {
-    effects.emplace_back(Note{logging::Event::replicaRebuilt,
-                              std::to_string(message.state.epoch) + "." + std::to_string(message.state.sequence)});
+    effects.emplace_back(LogEntry{logging::Event::replicaRebuilt,
+                                  std::to_string(message.state.epoch) + "." + std::to_string(message.state.sequence)});
   }
   if (changed && ticket) {
     effects.emplace_back(Doubtful{*ticket});
@@ -529,8 +528,8 @@
   if (leadership != Leadership::none && message.token == leadershipToken && backupsToSync.erase(from) > 0) {
     checkCommit();
   }
-  if (proposal.step == Step::syncing && message.token == proposal.syncToken && proposal.toSync.erase(from) > 0 &&
-      proposal.toSync.empty()) {
+  if (proposal.stage == ProposalStage::syncing && message.token == proposal.syncToken &&
+      proposal.toSync.erase(from) > 0 && proposal.toSync.empty()) {
     beginBallot();
   }
 }
@@ -539,7 +538,7 @@
   vote.fenced = std::max(vote.fenced, vote.decided.epoch);
   if (leadership == Leadership::active) {
     effects.emplace_back(Inactive{});
-    effects.emplace_back(Note{logging::Event::primaryStopped, std::to_string(vote.decided.epoch)});
+    effects.emplace_back(LogEntry{logging::Event::primaryStopped, std::to_string(vote.decided.epoch)});
   }
   leadership = Leadership::none;
   confirmedAt.reset();
@@ -560,8 +559,8 @@
 }
 
 std::string ReplicationGroup::Impl::zoneOf(std::string const& id) const {
-  std::map<std::string, Heard>::const_iterator const found = heard.find(id);
-  return id == self.id ? self.zone : found == heard.end() ? "" : found->second.member.zone;
+  std::map<std::string, MemberStatus>::const_iterator const found = members.find(id);
+  return id == self.id ? self.zone : found == members.end() ? "" : found->second.member.zone;
 }
 
 bool ReplicationGroup::Impl::apart(std::string const& left, std::string const& right) const {
@@ -574,7 +573,7 @@
     std::string best;
     int bestScore = -1;
     std::vector<std::string> const replicas = listing(primary, out);
-    for (std::pair<std::string const, Heard> const& entry : heard) {
+    for (std::pair<std::string const, MemberStatus> const& entry : members) {
       if (entry.first == self.id || isOf(replicas, entry.first) || !fresh(entry.first, policy.lostMs)) {
         continue;
       }
@@ -618,7 +617,7 @@
   while (out.size() < policy.mostWitnesses) {
     std::string best;
     int bestScore = -1;
-    for (std::pair<std::string const, Heard> const& entry : heard) {
+    for (std::pair<std::string const, MemberStatus> const& entry : members) {
       bool const witness = std::count(listed.begin(), listed.end(), entry.first) > 0;
       if (!fresh(entry.first, policy.lostMs) || superseded(entry.first) ||
           std::count(out.begin(), out.end(), entry.first) > 0) {
@@ -650,9 +649,9 @@
 }
 
 bool ReplicationGroup::Impl::superseded(std::string const& id) const {
-  std::map<std::string, Heard>::const_iterator const old = heard.find(id);
-  return old != heard.end() &&
-         std::any_of(heard.begin(), heard.end(), [&](std::pair<std::string const, Heard> const& entry) {
+  std::map<std::string, MemberStatus>::const_iterator const old = members.find(id);
+  return old != members.end() &&
+         std::any_of(members.begin(), members.end(), [&](std::pair<std::string const, MemberStatus> const& entry) {
            return entry.first != id && entry.second.member.address == old->second.member.address &&
                   entry.second.at > old->second.at && fresh(entry.first, policy.lostMs);
          });
@@ -700,13 +699,13 @@
 }
 
 void ReplicationGroup::Impl::pushProposal() {
-  if (persisting.contains(fencePersist) && proposal.step == Step::choosing) {
+  if (persisting.contains(fencePersist) && proposal.stage == ProposalStage::choosing) {
     return;
   }
-  switch (proposal.step) {
-    case Step::none:
+  switch (proposal.stage) {
+    case ProposalStage::none:
       return;
-    case Step::choosing: {
+    case ProposalStage::choosing: {
       bool const handsOver = retiring && isPrimary();
       std::vector<std::string> backups = chooseBackups(self.id);
       if (1 + backups.size() < policy.leastReplicas) {
@@ -727,7 +726,7 @@
       proposal.toSync = {proposal.backups.begin(), proposal.backups.end()};
       proposal.toSync.insert(proposal.primary);
       proposal.toSync.erase(self.id);
-      proposal.step = Step::syncing;
+      proposal.stage = ProposalStage::syncing;
       proposal.syncToken = ++lastToken;
       if (proposal.toSync.empty()) {
         beginBallot();
@@ -736,22 +735,22 @@
       }
       return;
     }
-    case Step::syncing:
+    case ProposalStage::syncing:
       if (!partnersFresh()) {
-        proposal.step = Step::choosing;
+        proposal.stage = ProposalStage::choosing;
         pushProposal();
       } else if (now - proposal.sentAt >= policy.resendMs) {
         sendFencedSyncs();
       }
       return;
-    case Step::preparing:
-    case Step::accepting:
+    case ProposalStage::preparing:
+    case ProposalStage::accepting:
       if (now < proposal.retryAt && now - proposal.sentAt >= policy.resendMs) {
         sendBallot();
       } else if (now >= proposal.retryAt) {
-        effects.emplace_back(Note{logging::Event::ballotLost, std::to_string(proposal.ballot.round)});
+        effects.emplace_back(LogEntry{logging::Event::ballotLost, std::to_string(proposal.ballot.round)});
         if (vote.decided.epoch > 0 && !partnersFresh()) {
-          proposal.step = Step::choosing;
+          proposal.stage = ProposalStage::choosing;
           pushProposal();
         } else {
           beginBallot();
@@ -762,7 +761,7 @@
 }
 
 void ReplicationGroup::Impl::beginBallot() {
-  proposal.step = Step::preparing;
+  proposal.stage = ProposalStage::preparing;
   proposal.ballot = {++highestRound, self.id};
   proposal.best.reset();
   proposal.bestBallot = {};
@@ -779,10 +778,11 @@
 
 void ReplicationGroup::Impl::sendBallot() {
   std::uint64_t const epoch = vote.decided.epoch;
-  Step const step = proposal.step;
+  ProposalStage const stage = proposal.stage;
   messages::Message const message =
-      step == Step::preparing ? messages::Message(messages::Prepare{vote.decided, proposal.ballot})
-                              : messages::Message(messages::Accept{vote.decided, proposal.ballot, proposal.record});
+      stage == ProposalStage::preparing
+          ? messages::Message(messages::Prepare{vote.decided, proposal.ballot})
+          : messages::Message(messages::Accept{vote.decided, proposal.ballot, proposal.record});
   std::vector<std::string> const voters = proposal.voters;
   proposal.sentAt = now;
   for (std::string const& voter : voters) {
@@ -790,7 +790,7 @@
       continue;
     }
     send(voter, message);
-    if (vote.decided.epoch != epoch || proposal.step != step) {
+    if (vote.decided.epoch != epoch || proposal.stage != stage) {
       return;
     }
   }
@@ -810,7 +810,7 @@
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
-  messages::Promise answer{slot(),        message.ballot,      message.ballot >= vote.promised,
+  messages::Promise answer{nextEpoch(),   message.ballot,      message.ballot >= vote.promised,
                            vote.promised, vote.acceptedBallot, vote.accepted};
   if (!answer.granted) {
     send(from, answer);
@@ -821,7 +821,8 @@
 }
 
 void ReplicationGroup::Impl::hear(std::string const& from, messages::Promise const& message) {
-  if (message.slot != slot() || proposal.step != Step::preparing || message.ballot != proposal.ballot) {
+  if (message.nextEpoch != nextEpoch() || proposal.stage != ProposalStage::preparing ||
+      message.ballot != proposal.ballot) {
     return;
   }
   highestRound = std::max(highestRound, message.promised.round);
@@ -839,7 +840,7 @@
 }
 
 void ReplicationGroup::Impl::beginAccept() {
-  proposal.step = Step::accepting;
+  proposal.stage = ProposalStage::accepting;
   proposal.yes.clear();
   if (proposal.best) {
     proposal.record = *proposal.best;
@@ -853,7 +854,7 @@
     return;
   }
   highestRound = std::max(highestRound, message.ballot.round);
-  messages::Accepted answer{slot(), message.ballot, message.ballot >= vote.promised, vote.promised};
+  messages::Accepted answer{nextEpoch(), message.ballot, message.ballot >= vote.promised, vote.promised};
   if (!answer.granted) {
     send(from, answer);
     return;
@@ -865,7 +866,8 @@
 }
 
 void ReplicationGroup::Impl::hear(std::string const& from, messages::Accepted const& message) {
-  if (message.slot != slot() || proposal.step != Step::accepting || message.ballot != proposal.ballot) {
+  if (message.nextEpoch != nextEpoch() || proposal.stage != ProposalStage::accepting ||
+      message.ballot != proposal.ballot) {
     return;
   }
   highestRound = std::max(highestRound, message.promised.round);
@@ -881,7 +883,7 @@
 }
 
 void ReplicationGroup::Impl::hear(std::string const& from, messages::Heartbeat const& message) {
-  Heard& entry = heard[from];
+  MemberStatus& entry = members[from];
   entry.at = now;
   entry.ever = true;
   entry.heartbeat = message;
@@ -907,7 +909,7 @@
 }
 
 void ReplicationGroup::Impl::heartbeatAll() {
-  for (std::pair<std::string const, Heard>& entry : heard) {
+  for (std::pair<std::string const, MemberStatus>& entry : members) {
     entry.second.nextHeartbeatAt = now;
   }
   heartbeat();
@@ -915,7 +917,7 @@
 
 void ReplicationGroup::Impl::heartbeat() {
   std::uint64_t token = 0;
-  for (std::pair<std::string const, Heard>& entry : heard) {
+  for (std::pair<std::string const, MemberStatus>& entry : members) {
     if (now < entry.second.nextHeartbeatAt) {
       continue;
     }
@@ -949,7 +951,7 @@
   }
   std::map<std::string, std::pair<TimePoint, std::string>> voters{{self.address, {now, self.id}}};
   std::size_t inSight = 1;
-  for (std::pair<std::string const, Heard> const& entry : heard) {
+  for (std::pair<std::string const, MemberStatus> const& entry : members) {
     std::string const& address = entry.second.member.address;
     inSight += fresh(entry.first, policy.lostMs) ? 1 : 0;
     if (entry.second.ever && std::binary_search(founders.begin(), founders.end(), address)) {
@@ -977,7 +979,7 @@
     return;
   }
   if (vote.decided.epoch == 0) {
-    if (proposal.step == Step::none) {
+    if (proposal.stage == ProposalStage::none) {
       tryFounding();
     } else if (now >= proposal.retryAt) {
       proposal = {};
@@ -985,7 +987,7 @@
     }
     return;
   }
-  if (proposal.step != Step::none) {
+  if (proposal.stage != ProposalStage::none) {
     pushProposal();
     return;
   }
@@ -999,13 +1001,13 @@
     bool const handsOver = retiring && !ticket && !chooseBackups(self.id).empty();
     if (!isFenced() && !ailing() && (handsOver || backupGone || (!ticket && witnessesNeedChange())) && couldGoOn()) {
       if (backupGone) {
-        effects.emplace_back(Note{logging::Event::backupLost, joined(vote.decided.backups)});
+        effects.emplace_back(LogEntry{logging::Event::backupLost, joined(vote.decided.backups)});
       }
       fenceSelf();
       persist(true, false, {});
-      proposal.step = Step::choosing;
+      proposal.stage = ProposalStage::choosing;
     } else if (isFenced() && !ailing()) {
-      proposal.step = Step::choosing;
+      proposal.stage = ProposalStage::choosing;
     }
   } else if (isBackup()) {
     std::vector<std::string> const& successors = vote.decided.backups;
@@ -1016,9 +1018,9 @@
     if (!isFenced() && !ailing() && gone && couldGoOn()) {
       fenceSelf();
       persist(true, false, {});
-      proposal.step = Step::choosing;
+      proposal.stage = ProposalStage::choosing;
     } else if (isFenced() && !ailing() && now >= yieldUntil) {
-      proposal.step = Step::choosing;
+      proposal.stage = ProposalStage::choosing;
     }
   }
   pushProposal();
@@ -1051,9 +1053,10 @@
 bool ReplicationGroup::busy() const { return impl_->ticket.has_value(); }
 bool ReplicationGroup::ailing() const { return impl_->ailing() && !impl_->diskless; }
 bool ReplicationGroup::retired() const {
-  std::map<std::string, Heard>::const_iterator const successor = impl_->heard.find(impl_->vote.decided.primary);
+  std::map<std::string, MemberStatus>::const_iterator const successor =
+      impl_->members.find(impl_->vote.decided.primary);
   bool const known =
-      successor != impl_->heard.end() && epochOf(successor->second.heartbeat) == impl_->vote.decided.epoch;
+      successor != impl_->members.end() && epochOf(successor->second.heartbeat) == impl_->vote.decided.epoch;
   return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isFenced()));
 }
 std::string const& ReplicationGroup::id() const { return impl_->self.id; }
@@ -1067,13 +1070,13 @@
   if (primary == impl_->self.id) {
     return impl_->ailing() ? "" : impl_->self.address;
   }
-  std::map<std::string, Heard>::const_iterator const found = impl_->heard.find(primary);
-  return found == impl_->heard.end() ? "" : found->second.member.address;
+  std::map<std::string, MemberStatus>::const_iterator const found = impl_->members.find(primary);
+  return found == impl_->members.end() ? "" : found->second.member.address;
 }
 
 std::optional<std::chrono::milliseconds> ReplicationGroup::heardMs(TimePoint now, std::string const& member) const {
-  std::map<std::string, Heard>::const_iterator const found = impl_->heard.find(member);
-  if (found == impl_->heard.end() || !found->second.ever) {
+  std::map<std::string, MemberStatus>::const_iterator const found = impl_->members.find(member);
+  if (found == impl_->members.end() || !found->second.ever) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Ms>(now - found->second.at);
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -289,7 +289,7 @@
     }
     ++broken;
     EXPECT_TRUE(std::any_of(effects.begin(), effects.end(), [](replication::Effect const& effect) {
-      replication::Note const* const note = std::get_if<replication::Note>(&effect);
+      replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect);
       return note != nullptr && note->event == logging::Event::diskDamaged;
     }));
     for (replication::Effect const& effect : group.step(
--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -249,7 +249,7 @@
       std::vector<distribution::Outgoing> shuffles =
           member.views->tick(now, member.controller->group->decided().epoch == 0);
       sendAll(index, shuffles);
-      replication::Known known;
+      replication::KnownMembers known;
       for (messages::Peer const& peer : member.views->peers(now)) {
         if (peer.role == messages::controllerRole) {
           known.members.push_back({peer.node, peer.address, peer.zone});
@@ -571,14 +571,13 @@
 }
 
 bool Fleet::Impl::everyoneHas(messages::State const& wanted) const {
-  std::pair<std::uint64_t, std::uint64_t> const mark(wanted.epoch, wanted.sequence);
   for (std::size_t index = 0; index < members.size(); ++index) {
     Member const& member = members[index];
     if (!member.up || !member.gateway || !member.gateway->delivery->state()) {
       continue;
     }
     messages::State const& state = *member.gateway->delivery->state();
-    if (std::pair(state.epoch, state.sequence) < mark && serves(index)) {
+    if (state.version() < wanted.version() && serves(index)) {
       return false;
     }
   }
--- a/testside/simulator/fleet_simulation.cpp
+++ b/testside/simulator/fleet_simulation.cpp
@@ -267,7 +267,7 @@
     if (machine.gateway) {
       follow(index, machine.gateway->delivery->tick(network.now(), peers()));
     } else {
-      replication::Known known;
+      replication::KnownMembers known;
       known.mayFound = machine.controller->mayFound;
       for (messages::Peer const& peer : peers()) {
         if (peer.role == messages::controllerRole) {
--- a/testside/simulator/replication_simulation.cpp
+++ b/testside/simulator/replication_simulation.cpp
@@ -80,7 +80,7 @@
     return;
   }
   if (!node.frozen) {
-    replication::Known known;
+    replication::KnownMembers known;
     known.mayFound = node.mayFound;
     for (SimulatedMember const& other : nodes) {
       if (other.up) {
