--- a/tests/explorer_test.cpp
+++ b/tests/explorer_test.cpp
@@ -1,7 +1,12 @@
+#include "explorer/scenarios.h"
+#include "explorer/search.h"
 #include "limeramp/replication/replication_group.h"
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
+
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -9,8 +14,9 @@
 
 using namespace limeramp;
 using replication::ReplicationGroup;
-using replication::TimePoint;
+using namespace limeramp::explorer;
 using Ms = std::chrono::milliseconds;
+using TimePoint = std::chrono::steady_clock::time_point;
 
 std::vector<replication::Member> threeMembers() {
   return {{"a", "10.0.0.1:1", "z1"}, {"b", "10.0.0.2:1", "z2"}, {"c", "10.0.0.3:1", "z3"}};
@@ -43,4 +49,64 @@
   EXPECT_NE(startedMember(early, 1).digest(early), startedMember(early, 1).digest(early + Ms(100)));
 }
 
+/// The steps of a trace by name, the violation, and how to run it again.
+std::string accountOf(Scenario const& scenario, Finding const& finding) {
+  std::string account;
+  replay(scenario.start, finding.trace, true, &account);
+  return finding.violation + "\n" + account + "state_explorer --scenario " + scenario.name + " --replay " +
+         traceText(finding.trace);
+}
+
+class Search : public testing::TestWithParam<std::string> {};
+class Walk : public testing::TestWithParam<std::string> {};
+
+Scenario named(std::vector<Scenario> const& scenarios, std::string const& name) {
+  return *std::find_if(scenarios.begin(), scenarios.end(),
+                       [&](Scenario const& scenario) { return scenario.name == name; });
+}
+
+std::vector<std::string> namesOf(std::vector<Scenario> const& scenarios) {
+  std::vector<std::string> out;
+  for (Scenario const& scenario : scenarios) {
+    out.push_back(scenario.name);
+  }
+  return out;
+}
+
+std::string testName(testing::TestParamInfo<std::string> const& info) {
+  std::string out = info.param;
+  std::replace(out.begin(), out.end(), '-', '_');
+  return out;
+}
+
+TEST_P(Search, NoReachableStateBreaksAnInvariant) {
+  Scenario const scenario = named(searchScenarios(), GetParam());
+  SearchReport const report = searchAll(scenario.start, {.mostStates = 60'000, .recoverEvery = 500});
+  std::printf("%zu states, %zu transitions, depth %zu, %zu recoveries\n", report.states, report.transitions,
+              report.depth, report.recoveries);
+  EXPECT_GT(report.states, 10'000u);
+  EXPECT_FALSE(report.finding.has_value()) << accountOf(scenario, *report.finding);
+}
+
+TEST_P(Walk, NoSeededWalkBreaksAnInvariant) {
+  Scenario const scenario = named(walkScenarios(), GetParam());
+  WalkReport const report = walkRandomly(scenario.start, {.firstSeed = 1, .walks = 1500, .steps = 400});
+  std::printf("%zu walks, %zu steps, %zu epochs, %zu acknowledged, seeds 1 to %llu\n", report.walks, report.steps,
+              report.epochs, report.acknowledged, static_cast<unsigned long long>(report.seed));
+  EXPECT_GT(report.epochs, report.walks * 3 / 2);
+  EXPECT_GT(report.acknowledged, report.walks);
+  EXPECT_FALSE(report.finding.has_value()) << accountOf(scenario, shorten(scenario.start, *report.finding));
+}
+
+INSTANTIATE_TEST_SUITE_P(Explorer, Search, testing::ValuesIn(namesOf(searchScenarios())), testName);
+INSTANTIATE_TEST_SUITE_P(Explorer, Walk, testing::ValuesIn(namesOf(walkScenarios())), testName);
+
+TEST(Trace, ReadsWhatItWrites) {
+  Trace const trace{{ActionKind::tick, 2, 0}, {ActionKind::crash, 1, 3}, {ActionKind::deliver, 0, 0}};
+  EXPECT_EQ(traceText(trace), "tick:2,crash:1:3,deliver:0");
+  EXPECT_EQ(parseTrace(traceText(trace)), trace);
+  EXPECT_FALSE(parseTrace("tick:2,sleep:1").has_value());
+  EXPECT_FALSE(parseTrace("tick:x").has_value());
+}
+
 }  // namespace
--- /dev/null
+++ b/testside/explorer/scenarios.cpp
@@ -0,0 +1,142 @@
+#include "explorer/scenarios.h"
+
+#include <algorithm>
+
+namespace limeramp::explorer {
+namespace {
+
+constexpr Ms roundMs{50};
+constexpr Ms settleBoundMs{20'000};
+constexpr int calmRounds = 60;
+
+/// A group that has been founded, has acknowledged one change, and has been calm since.
+World settled(Setup const& setup) {
+  Setup calm = setup;
+  calm.heartbeats = true;
+  calm.mostPackets = 1000;
+  World world(calm, {});
+  world.recover(settleBoundMs);
+  for (int round = 0; round < calmRounds; ++round) {
+    world.round(roundMs, nullptr);
+  }
+  world.setSetup(setup);
+  return world;
+}
+
+bool isNoPrepare(Packet const& packet) { return !std::holds_alternative<messages::Prepare>(packet.message); }
+
+std::size_t proposers(World const& world) {
+  std::set<std::string> from;
+  for (std::shared_ptr<Packet const> const& packet : world.packets()) {
+    if (!isNoPrepare(*packet)) {
+      from.insert(packet->from);
+    }
+  }
+  return from.size();
+}
+
+/// Primary and backup cannot hear one another, have both fenced themselves and begun ballots; then the links work
+/// again.
+World rivalBallots(Setup const& setup) {
+  Setup calm = setup;
+  calm.heartbeats = true;
+  calm.mostPackets = 1000;
+  World world = settled(calm);
+  std::size_t const primary = *world.leader();
+  std::string const backup = world.members()[primary]->group.decided().backups.front();
+  for (std::size_t other = 0; other < world.members().size(); ++other) {
+    if (world.members()[other]->id == backup) {
+      world.cutLink(primary, other);
+      world.cutLink(other, primary);
+    }
+  }
+  for (int round = 0; round < 200 && proposers(world) < 2; ++round) {
+    world.round(roundMs, isNoPrepare);
+  }
+  world.healLinks();
+  world.setSetup(setup);
+  return world;
+}
+
+Scenario scenario(std::string name, std::string about, World start, Budget const& budget) {
+  start.setBudget(budget);
+  return {std::move(name), std::move(about), std::move(start)};
+}
+
+World withoutPackets(World world) {
+  world.dropPackets();
+  return world;
+}
+
+}  // namespace
+
+std::vector<Scenario> searchScenarios() {
+  Setup three;
+  Setup threeAtOnce;
+  threeAtOnce.syncsAtOnce = true;
+  Setup threeQuiet = threeAtOnce;
+  threeQuiet.heartbeats = false;
+  Setup five;
+  five.members = 5;
+  five.machineLosses = 2;
+  five.syncsAtOnce = true;
+  std::vector<Scenario> out;
+  out.push_back(scenario("changes", "three members, changes while one crashes or is silent",
+                         withoutPackets(settled(three)), {.offers = 2, .ticks = 4, .jumps = 1, .crashes = 1}));
+  out.push_back(scenario("takeover", "three members, a silent primary, syncs at once",
+                         withoutPackets(settled(threeAtOnce)), {.offers = 2, .ticks = 8, .jumps = 2}));
+  out.push_back(
+      scenario("ballots", "primary and backup propose at once, no heartbeats", rivalBallots(threeQuiet), {.ticks = 4}));
+  out.push_back(scenario("ballots-crash", "the same, and one machine loses power", rivalBallots([] {
+                           Setup setup;
+                           setup.heartbeats = false;
+                           return setup;
+                         }()),
+                         {.ticks = 2, .crashes = 1}));
+  out.push_back(scenario("founding", "three members that were never started", World(threeAtOnce, {}),
+                         {.offers = 1, .ticks = 15, .wipes = 1}));
+  out.push_back(scenario("leave", "the primary is told to end", withoutPackets(settled(threeAtOnce)),
+                         {.offers = 2, .ticks = 6, .retirements = 1}));
+  out.push_back(scenario("wipe", "a machine loses its disk and returns", withoutPackets(settled(threeAtOnce)),
+                         {.offers = 1, .ticks = 8, .jumps = 1, .wipes = 1}));
+  out.push_back(scenario("five", "three replicas, five members", withoutPackets(settled(five)),
+                         {.offers = 1, .ticks = 6, .jumps = 2}));
+  return out;
+}
+
+std::vector<Scenario> walkScenarios() {
+  Budget const mixed{.offers = 30,
+                     .ticks = 400,
+                     .jumps = 6,
+                     .crashes = 4,
+                     .wipes = 1,
+                     .replacements = 0,
+                     .retirements = 2,
+                     .duplicates = 6,
+                     .drops = 12,
+                     .cuts = 3};
+  Budget const replaced{.offers = 30,
+                        .ticks = 400,
+                        .jumps = 6,
+                        .crashes = 4,
+                        .replacements = 1,
+                        .retirements = 2,
+                        .duplicates = 6,
+                        .drops = 12,
+                        .cuts = 3};
+  Setup three;
+  Setup four;
+  four.members = 4;
+  Setup five;
+  five.members = 5;
+  five.machineLosses = 2;
+  five.mostPackets = 40;
+  std::vector<Scenario> out;
+  out.push_back(scenario("walk-3", "three members, all faults", settled(three), mixed));
+  out.push_back(scenario("walk-founding", "three members from the first start", World(three, {}), mixed));
+  out.push_back(scenario("walk-4", "three members and a spare, one replaced", settled(four), replaced));
+  out.push_back(scenario("walk-5", "five members, three replicas", settled(five), mixed));
+  return out;
+}
+
+}  // namespace limeramp::explorer
--- /dev/null
+++ b/testside/explorer/scenarios.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "explorer/world.h"
+
+#include <string>
+#include <vector>
+
+namespace limeramp::explorer {
+
+/// A named start of a search: the members, the point that they have reached, and the budget from there on.
+struct Scenario {
+  std::string name;
+  std::string about;
+  World start;
+};
+
+std::vector<Scenario> searchScenarios();
+std::vector<Scenario> walkScenarios();
+
+}  // namespace limeramp::explorer
--- /dev/null
+++ b/testside/explorer/world.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "explorer/action.h"
+#include "explorer/history.h"
+#include "limeramp/replication/replication_group.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace limeramp::explorer {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+using Ms = std::chrono::milliseconds;
+
+/// How often each kind of step may still happen.
+struct Budget {
+  std::size_t offers = 0;
+  std::size_t ticks = 0;
+  std::size_t jumps = 0;
+  std::size_t crashes = 0;
+  std::size_t wipes = 0;
+  std::size_t replacements = 0;
+  std::size_t retirements = 0;
+  std::size_t duplicates = 0;
+  std::size_t drops = 0;
+  std::size_t cuts = 0;
+};
+
+struct Setup {
+  std::size_t members = 3;
+  std::size_t machineLosses = 1;
+  /// A write counts as synced at once. Leaves out the crashes between a write and its sync, for deeper searches.
+  bool syncsAtOnce = false;
+  /// Heartbeats are messages like all others. Without them members learn only from the other messages.
+  bool heartbeats = true;
+  std::size_t mostPackets = 24;
+};
+
+struct PendingWrite {
+  std::uint64_t token = 0;
+  replication::Puts puts;
+};
+
+/// The number of acknowledged bytes when this member's clock showed a time.
+struct AcknowledgedMark {
+  TimePoint at;
+  std::size_t size = 0;
+};
+
+/// A member with its own clock. Members are shared between worlds and copied before a change.
+struct Member {
+  std::string id;
+  std::string address;
+  std::string zone;
+  bool up = false;
+  bool mayFound = true;
+  bool retiring = false;
+  std::uint64_t life = 0;
+  TimePoint clock{std::chrono::hours(1)};
+  std::map<std::string, std::string> disk;
+  std::vector<PendingWrite> unsynced;
+  replication::ReplicationGroup group{replication::Policy{}};
+  std::vector<AcknowledgedMark> acknowledgedMarks;
+  std::optional<std::uint64_t> digest;
+};
+
+struct Packet {
+  std::string from;
+  std::string fromAddress;
+  std::string toAddress;
+  messages::Message message;
+  std::uint64_t digest = 0;
+};
+
+/// Equal members of different worlds, kept once.
+class MemberPool {
+ public:
+  std::shared_ptr<Member> intern(std::shared_ptr<Member> member);
+
+ private:
+  void prune();
+  std::map<std::uint64_t, std::weak_ptr<Member>> members_;
+  std::size_t pruneAt_ = 1 << 16;
+};
+
+/// A group of replication::ReplicationGroup members, their disks, their clocks and the packets between them. Copies are
+/// cheap, so that a search can branch.
+class World {
+ public:
+  World(Setup const& setup, Budget const& budget);
+
+  /// Every step that is possible and within the budget.
+  std::vector<Action> actions() const;
+  bool enabled(Action const& action) const;
+  void apply(Action const& action);
+  std::string describe(Action const& action) const;
+  std::string picture() const;
+  std::string const& violation() const { return history_->violation; }
+  std::uint64_t digest(MemberPool* pool);
+
+  /// Ends all faults and runs a fixed schedule: restarts, deliveries in order, syncs at once, clocks in step. Returns
+  /// what is still missing after the bound: an empty text if a leader acknowledged a new change.
+  std::string recover(Ms bound);
+
+  void setBudget(Budget const& budget) { budget_ = budget; }
+  void setSetup(Setup const& setup) { setup_ = setup; }
+  void dropPackets() { packets_.clear(); }
+  std::vector<std::shared_ptr<Packet const>> const& packets() const { return packets_; }
+  std::vector<std::shared_ptr<Member>> const& members() const { return members_; }
+  std::optional<std::size_t> leader() const;
+  std::size_t acknowledgedChanges() const { return history_->changes.size(); }
+  std::size_t epochs() const { return history_->records.size(); }
+  bool offer(std::size_t index);
+  void round(Ms time, bool (*delivers)(Packet const& packet));
+  void cutLink(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
+  void healLinks() { cuts_.clear(); }
+
+ private:
+  Member& change(std::size_t index);
+  History& changeHistory();
+  void start(std::size_t index);
+  void crash(std::size_t index, std::size_t writesKept);
+  void wipe(std::size_t index, bool atNewAddress);
+  void syncOldest(std::size_t index);
+  void tick(std::size_t index, Ms time);
+  void deliver(std::size_t packet);
+  void step(std::size_t index, replication::Event const& event);
+  void carry(std::size_t index, replication::Effect const& effect);
+  void send(std::size_t index, replication::Send const& send);
+  void checkVote(std::size_t index, messages::Message const& message);
+  void checkReads(std::size_t index);
+  std::optional<std::size_t> indexAt(std::string const& address) const;
+
+  Setup setup_;
+  Budget budget_;
+  std::vector<std::string> founders_;
+  std::vector<std::shared_ptr<Member>> members_;
+  std::vector<std::shared_ptr<Packet const>> packets_;
+  std::shared_ptr<History> history_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::uint64_t lastTicket_ = 0;
+  std::size_t renamed_ = 0;
+};
+
+}  // namespace limeramp::explorer
