--- a/testside/simulator/fleet_simulation.cpp
+++ b/testside/simulator/fleet_simulation.cpp
@@ -386,6 +386,9 @@
       step(index, *offer);
     } else if (control::Decided const* const decided = std::get_if<control::Decided>(&effect)) {
       answers[decided->ticket] = {*decided, network.now()};
+      if (onDecided) {
+        onDecided(*decided);
+      }
       if (decided->verdict == control::Verdict::taken && decided->version != config::Version{}) {
         acknowledged_.emplace(decided->version, network.now());
       }
@@ -404,8 +407,14 @@
       probe(index, *wanted);
     }
   }
+  if (onPublished &&
+      (std::holds_alternative<replication::Committed>(event) || std::holds_alternative<replication::Active>(event))) {
+    onPublished(controller.plane->published());
+  }
 }
 
+void FleetSimulation::retire(std::size_t index) { step(index, replication::Retire{}); }
+
 std::optional<std::uint64_t> FleetSimulation::forget(std::vector<std::string> const& nodes) {
   std::optional<std::size_t> const index = primary();
   if (!index) {
--- a/testside/simulator/fleet_simulation.h
+++ b/testside/simulator/fleet_simulation.h
@@ -5,6 +5,7 @@
 #include "limeramp/replication/replication_group.h"
 #include "simulator/simulated_network.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -87,6 +88,15 @@
   std::optional<std::uint64_t> change(control::Change change);
   std::optional<std::uint64_t> order(std::string const& zone, bool evacuated);
   std::uint64_t read(std::size_t index, Ms wait);
+  /// Hands an operator's event to the configuration service of one machine, whether it is primary or not.
+  void submit(std::size_t index, control::Event const& event) { drivePlane(index, event); }
+  std::uint64_t nextTicket() { return ++lastTicket_; }
+  /// Told each answer of a configuration service, and each state that one publishes.
+  std::function<void(control::Decided const&)> onDecided;
+  std::function<void(messages::State const&)> onPublished;
+  /// Tells a controller that its process will be stopped, as SIGTERM does.
+  void retire(std::size_t index);
+  bool isCut(std::size_t from, std::size_t to) const { return cuts_.contains({from, to}); }
   std::optional<std::uint64_t> forget(std::vector<std::string> const& nodes);
   std::optional<std::size_t> primary() const;
   bool serves(std::size_t index) const;
