Definite answers to orders wait for a leadership confirmation begun after they came

Change: refusals, conflicts, receipts and orders that find nothing to do are held (AnswerGate) until every backup has answered a heartbeat sent after the order came, as reads were; otherwise 503. A change that was replicated for the order is its own proof. A retiring primary takes no orders. The deadline of an order counts from the moment when it was read, not when its turn came.

config_service.cpp is split: order_evaluator, change_receipts, answer_gate.

--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -27,6 +27,7 @@
   std::chrono::milliseconds probeEveryMs{250};
   std::chrono::milliseconds gonePersistsMs{1000};
   std::size_t mostChanges = 64;
+  std::size_t mostWaitingAnswers = 256;
   std::size_t mostReceipts = 256;
   std::size_t mostNodes = 1000;
   std::size_t mostEvacuatedZones = 100;
@@ -41,6 +42,7 @@
 
 struct Change {
   std::uint64_t ticket = 0;
+  /// The idempotency key: the same at each repetition, at every node. Named by the caller, or derived from the content.
   std::string id;
   std::optional<config::Version> base;
   bool patch = false;
@@ -48,6 +50,8 @@
   TimePoint deadline;
   std::optional<std::uint64_t> baseRevision{};
   std::optional<ZoneOrder> zone{};
+  /// The key was derived from a content that names no base: it does not tell a repetition from a new wish.
+  bool keyedByContentOnly = false;
 };
 
 struct Read {
@@ -70,9 +74,14 @@
   TimePoint deadline;
 };
 
+/// The process will be stopped: take no new orders, finish what was begun.
+struct Retire {};
+
 using Event = std::variant<replication::Active, replication::Inactive, replication::Committed, replication::Doubtful,
-                           Change, Read, Polled, Probed, Forget, Tick>;
+                           Change, Read, Polled, Probed, Forget, Tick, Retire>;
 
+/// How an order ended. `taken`, `refused` and `conflict` are definite and linearizable. `notRun`: this call changed
+/// nothing and will change nothing. `unknown`: it may have taken effect, or may still do so.
 enum class Verdict { taken, refused, conflict, notRun, unknown };
 
 struct Decided {
--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -17,8 +17,10 @@
 enum class OperatorCall { none, change, read, forget };
 
 OperatorCall operatorCallOf(net::Request const& request);
-std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint now);
-std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now, std::string const& freshId);
+std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint arrivedAt);
+/// Reads an order that came at `arrivedAt`. Without a key of the caller's, its key is derived from the content and the
+/// base alone, so that a repetition has the same one at every node.
+std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint arrivedAt);
 std::variant<std::vector<std::string>, net::Answer> readForget(std::string const& body);
 std::variant<std::string, net::Answer> readForceNewGroup(std::string const& body);
 bool provesGone(net::Exchange const& exchange, std::string const& node);
--- a/libs/control/include/limeramp/control/runner.h
+++ b/libs/control/include/limeramp/control/runner.h
@@ -23,7 +23,8 @@
   Runner(Runner const&) = delete;
   Runner& operator=(Runner const&) = delete;
 
-  void take(TimePoint now, net::Request content, net::Responder respond);
+  /// Forwards an order or a read that came at `arrivedAt`; its deadline counts from then.
+  void take(TimePoint now, TimePoint arrivedAt, net::Request content, net::Responder respond);
   void hear(TimePoint now, RunBack& back);
   void tick(TimePoint now, std::string const& primaryAddress);
 
--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -1,9 +1,9 @@
 #include "limeramp/control/config_service.h"
 
+#include "limeramp/control/answer_gate.h"
+#include "limeramp/control/order_evaluator.h"
 #include "node_tracker.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -14,55 +14,58 @@
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using config::Problem;
 
 struct Forgetting {
   std::uint64_t ticket = 0;
   std::set<std::string> nodes;
+  TimePoint arrivedAt{};
   TimePoint deadline{};
 };
 
+/// An order that is taken, and is acknowledged once enough nodes have it in force.
 struct Waiting {
   std::uint64_t ticket = 0;
   StateVersion mark;
   config::Version version;
   TimePoint since{};
   TimePoint deadline{};
+  /// Set if nothing was replicated for this order: the leadership must be confirmed as of this time.
+  std::optional<TimePoint> arrivedAt;
 };
 
-struct Reading {
-  std::uint64_t ticket = 0;
-  TimePoint askedAt{};
-  TimePoint deadline{};
+struct QueuedOrder {
+  Change order;
+  TimePoint arrivedAt{};
 };
 
-std::string digestOf(Change const& change) {
-  return std::to_string(XXH64(change.body.data(), change.body.size(), 0)) + "/" + std::to_string(change.body.size()) +
-         (change.patch ? "/patch" : "/whole");
-}
-
-Problem tooLong(std::size_t most) { return {"/", "longer than " + std::to_string(most) + " bytes"}; }
-
 }  // namespace
 
 struct Plane::Impl {
+  Impl(Policy const& policyIn, std::string const& idIn, config::Language language)
+      : policy(policyIn), id(idIn), evaluator(policyIn, std::move(language)) {}
+
   Policy policy;
   std::string id;
-  config::Language language;
+  OrderEvaluator evaluator;
   TimePoint now{};
+  /// ReplicationGroup::leadershipConfirmedAt at this step.
+  std::optional<TimePoint> confirmedAt;
   std::vector<Effect> effects;
   bool active = false;
+  bool retiring = false;
+  TimePoint activeAt{};
   messages::State published;
   TimePoint publishedAt{};
   NodeTracker tracker{policy};
   std::vector<Forgetting> forgetting;
-  std::deque<Change> queue;
+  std::deque<QueuedOrder> queue;
   std::optional<Change> working;
   bool workingAnswered = false;
   std::uint64_t lastOwnTicket = 1ULL << 60;
   std::uint64_t workingTicket = 0;
   std::vector<Waiting> waiting;
-  std::vector<Reading> reading;
+  AnswerGate reads;
+  AnswerGate refusals;
   bool stable = false;
   TimePoint nextRosterAt{};
 
@@ -76,16 +79,21 @@
   void on(replication::ReplicationGroup const& group, Probed const& event);
   void on(replication::ReplicationGroup const& group, Forget const& event);
   void on(replication::ReplicationGroup const& group, Tick const& event);
+  void on(replication::ReplicationGroup const& group, Retire const& event);
 
   StateVersion mark() const { return {published.epoch, published.sequence}; }
   void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", config::Version version = {},
               std::vector<config::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
   }
-  bool alone(replication::ReplicationGroup const& group) const {
-    std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
-    return leadershipConfirmedAt && now - *leadershipConfirmedAt > policy.leadershipConfirmationMs;
+  /// The backups have been silent for so long that another primary may lead soon. Spares callers the wait for an answer
+  /// that would not come; what may be answered is decided by `confirmedSince` alone.
+  bool isUnconfirmed() const { return now - confirmedAt.value_or(activeAt) > policy.leadershipConfirmationMs; }
+  /// Why this node cannot carry out an order now; empty if it can.
+  std::string whyNot() const {
+    return !active ? "this node is not the primary" : isUnconfirmed() ? "the backup is not heard" : "";
   }
+  std::size_t waitingAnswers() const { return waiting.size() + refusals.size() + forgetting.size(); }
   bool majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
     return tracker.majority(roster, wanted, published.epoch);
   }
@@ -98,13 +106,14 @@
   void publish(messages::State const& state);
   void pump(replication::ReplicationGroup const& group);
   bool offerRoster(replication::ReplicationGroup const& group);
-  void offerChange(replication::ReplicationGroup const& group, Change const& change);
-  void offerZone(Change const& change);
-  void offer(Change const& change, messages::State next);
-  std::optional<std::string> documentOf(Change const& change, std::vector<Problem>& problems) const;
-  void awaitInForce(std::uint64_t ticket, config::Version const& version, TimePoint deadline);
+  void begin(replication::ReplicationGroup const& group, QueuedOrder const& queued);
+  void begin(QueuedOrder const& queued, Proposal proposal);
+  void begin(QueuedOrder const& queued, AlreadyTaken const& taken);
+  void begin(QueuedOrder const& queued, Rejection rejection);
+  void holdRefusal(std::uint64_t ticket, TimePoint arrivedAt, TimePoint deadline, Decided refusal);
+  void rejectQueued(std::string const& reason);
   void settle();
-  void settleReading(replication::ReplicationGroup const& group);
+  void releaseConfirmed();
   void expire();
   messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
 };
@@ -129,11 +138,11 @@
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Forget const& event) {
-  if (!active) {
-    decide(event.ticket, Verdict::notRun, "this node is not the primary");
+  if (std::string const reason = retiring ? "this node is leaving" : whyNot(); !reason.empty()) {
+    decide(event.ticket, Verdict::notRun, reason);
     return;
   }
-  if (forgetting.size() >= policy.mostChanges) {
+  if (forgetting.size() >= policy.mostChanges || waitingAnswers() >= policy.mostWaitingAnswers) {
     decide(event.ticket, Verdict::notRun, "too many changes wait");
     return;
   }
@@ -150,13 +159,13 @@
     }
   }
   if (!problems.empty()) {
-    decide(event.ticket, Verdict::refused, "", {}, std::move(problems));
+    holdRefusal(event.ticket, now, event.deadline, {event.ticket, Verdict::refused, {}, std::move(problems), ""});
     return;
   }
   for (std::string const& node : event.nodes) {
     tracker.forget(node);
   }
-  forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, event.deadline});
+  forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, now, event.deadline});
   nextRosterAt = now;
   settle();
   pump(group);
@@ -166,7 +175,7 @@
   std::erase_if(forgetting, [&](Forgetting const& entry) {
     bool const listed = std::any_of(published.roster.begin(), published.roster.end(),
                                     [&](messages::RosterEntry const& row) { return entry.nodes.contains(row.node); });
-    if (stable && !listed) {
+    if (stable && !listed && confirmedSince(confirmedAt, entry.arrivedAt)) {
       decide(entry.ticket, Verdict::taken, "", {published.configurationEpoch, published.configurationSequence});
       return true;
     }
@@ -234,6 +243,7 @@
 
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Active const& event) {
   active = true;
+  activeAt = now;
   stable = false;
   tracker.begin(now);
   publish(event.state);
@@ -241,18 +251,16 @@
 
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Inactive const&) {
   active = false;
-  for (Change const& change : queue) {
-    decide(change.ticket, Verdict::notRun, "the primary changed before the change was begun");
-  }
-  queue.clear();
+  rejectQueued("the primary changed before the change was begun");
   for (Waiting const& entry : waiting) {
     decide(entry.ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   waiting.clear();
-  for (Reading const& entry : reading) {
-    decide(entry.ticket, Verdict::notRun, "this node is not the primary");
+  for (AnswerGate* const gate : {&reads, &refusals}) {
+    for (HeldAnswer const& held : gate->takeAll()) {
+      decide(held.ticket, Verdict::notRun, "this node is not the primary");
+    }
   }
-  reading.clear();
   for (Forgetting const& entry : forgetting) {
     decide(entry.ticket, Verdict::unknown, "the primary changed before the roster was known to be without these nodes");
   }
@@ -265,7 +273,7 @@
   if (event.ticket == workingTicket && working) {
     config::Version const version{published.configurationEpoch, published.configurationSequence};
     if (!workingAnswered) {
-      waiting.push_back({working->ticket, mark(), version, now, working->deadline});
+      waiting.push_back({working->ticket, mark(), version, now, working->deadline, std::nullopt});
     }
     effects.emplace_back(
         replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
@@ -292,55 +300,71 @@
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Change const& event) {
-  if (!active || alone(group)) {
-    decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
+  if (std::string const reason = retiring ? "this node is leaving" : whyNot(); !reason.empty()) {
+    decide(event.ticket, Verdict::notRun, reason);
     return;
   }
-  if (queue.size() >= policy.mostChanges) {
+  if (queue.size() >= policy.mostChanges || waitingAnswers() >= policy.mostWaitingAnswers) {
     decide(event.ticket, Verdict::notRun, "too many changes wait");
     return;
   }
-  queue.push_back(event);
+  queue.push_back({event, now});
   pump(group);
 }
 
-void Plane::Impl::on(replication::ReplicationGroup const& group, Read const& event) {
-  if (!active || alone(group)) {
-    decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
-  } else if (reading.size() >= policy.mostChanges) {
+void Plane::Impl::on(replication::ReplicationGroup const&, Read const& event) {
+  if (std::string const reason = whyNot(); !reason.empty()) {
+    decide(event.ticket, Verdict::notRun, reason);
+  } else if (reads.size() >= policy.mostChanges) {
     decide(event.ticket, Verdict::notRun, "too many reads wait");
   } else {
-    reading.push_back({event.ticket, now, event.deadline});
+    reads.hold({event.ticket, now, event.deadline, std::nullopt});
   }
 }
 
-void Plane::Impl::settleReading(replication::ReplicationGroup const& group) {
-  std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
-  std::erase_if(reading, [&](Reading const& entry) {
-    if (leadershipConfirmedAt && *leadershipConfirmedAt >= entry.askedAt) {
-      effects.emplace_back(ReadBack{entry.ticket,
-                                    {published.configurationEpoch, published.configurationSequence},
-                                    published.revision,
-                                    published.document});
-      return true;
-    }
-    if (now >= entry.deadline) {
-      decide(entry.ticket, Verdict::notRun, "the backup has not confirmed that this node is the primary");
-      return true;
-    }
-    return false;
-  });
+void Plane::Impl::on(replication::ReplicationGroup const&, Retire const&) {
+  retiring = true;
+  rejectQueued("this node is leaving");
+}
+
+void Plane::Impl::rejectQueued(std::string const& reason) {
+  for (QueuedOrder const& queued : queue) {
+    decide(queued.order.ticket, Verdict::notRun, reason);
+  }
+  queue.clear();
+}
+
+void Plane::Impl::holdRefusal(std::uint64_t ticket, TimePoint arrivedAt, TimePoint deadline, Decided refusal) {
+  refusals.hold({ticket, arrivedAt, deadline, std::move(refusal)});
+  releaseConfirmed();
+}
+
+void Plane::Impl::releaseConfirmed() {
+  for (HeldAnswer const& read : reads.takeConfirmed(confirmedAt)) {
+    effects.emplace_back(ReadBack{read.ticket,
+                                  {published.configurationEpoch, published.configurationSequence},
+                                  published.revision,
+                                  published.document});
+  }
+  for (HeldAnswer& refusal : refusals.takeConfirmed(confirmedAt)) {
+    effects.emplace_back(*std::move(refusal.decision));
+  }
 }
 
 void Plane::Impl::expire() {
+  for (AnswerGate* const gate : {&reads, &refusals}) {
+    for (HeldAnswer const& held : gate->takeExpired(now)) {
+      decide(held.ticket, Verdict::notRun, "the backup has not confirmed that this node is the primary");
+    }
+  }
   if (working && !workingAnswered && now >= working->deadline) {
     workingAnswered = true;
     decide(working->ticket, Verdict::unknown, "the backup has not confirmed the change yet");
   }
-  std::erase_if(queue, [&](Change const& change) {
-    bool const late = now >= change.deadline;
+  std::erase_if(queue, [&](QueuedOrder const& queued) {
+    bool const late = now >= queued.order.deadline;
     if (late) {
-      decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
+      decide(queued.order.ticket, Verdict::notRun, "the deadline passed before the change was begun");
     }
     return late;
   });
@@ -370,7 +394,7 @@
   tracker.expire(now);
   probe();
   settle();
-  settleReading(group);
+  releaseConfirmed();
   expire();
   pump(group);
 }
@@ -388,7 +412,8 @@
     bool const majorities =
         majority(published.roster, entry.mark) && (stable || majority(published.priorRoster, entry.mark));
     bool const lapsed = now - entry.since >= policy.silentGraceMs;
-    if (majorities && (everyone(entry.mark) || lapsed)) {
+    bool const leads = !entry.arrivedAt || confirmedSince(confirmedAt, *entry.arrivedAt);
+    if (leads && majorities && (everyone(entry.mark) || lapsed)) {
       decide(entry.ticket, Verdict::taken, "", entry.version);
       return true;
     }
@@ -401,7 +426,7 @@
 }
 
 bool Plane::Impl::offerRoster(replication::ReplicationGroup const& group) {
-  if (now < nextRosterAt || !stable) {
+  if (now < nextRosterAt || !stable || retiring) {
     return false;
   }
   nextRosterAt = now + policy.rosterBatchMs * static_cast<long>(1 + published.roster.size() / policy.rosterBatchNodes);
@@ -456,120 +481,32 @@
   return true;
 }
 
-void Plane::Impl::awaitInForce(std::uint64_t ticket, config::Version const& version, TimePoint deadline) {
-  waiting.push_back({ticket, mark(), version, publishedAt, deadline});
-  settle();
+void Plane::Impl::begin(replication::ReplicationGroup const& group, QueuedOrder const& queued) {
+  Evaluation evaluation = evaluator.evaluate(queued.order, published, group.decided().epoch);
+  std::visit([&](auto& concrete) { begin(queued, std::move(concrete)); }, evaluation);
 }
 
-void Plane::Impl::offer(Change const& change, messages::State next) {
-  working = change;
+void Plane::Impl::begin(QueuedOrder const& queued, Proposal proposal) {
+  working = queued.order;
   workingAnswered = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
-}
-
-void Plane::Impl::offerZone(Change const& change) {
-  std::vector<std::string> zones = published.evacuatedZones;
-  std::vector<std::string>::iterator const found = std::find(zones.begin(), zones.end(), change.zone->zone);
-  config::Version const current{published.configurationEpoch, published.configurationSequence};
-  if ((found != zones.end()) == change.zone->evacuated) {
-    awaitInForce(change.ticket, current, change.deadline);
-    return;
-  }
-  if (!change.zone->evacuated) {
-    zones.erase(found);
-  } else if (zones.size() >= policy.mostEvacuatedZones) {
-    decide(change.ticket, Verdict::refused, "", current,
-           {{"/", "more than " + std::to_string(policy.mostEvacuatedZones) + " zones would be emptied"}});
-    return;
-  } else {
-    zones.push_back(change.zone->zone);
-  }
-  messages::State next = published;
-  next.evacuatedZones = std::move(zones);
-  offer(change, std::move(next));
+  effects.emplace_back(replication::Offer{workingTicket, std::move(proposal.next)});
 }
 
-std::optional<std::string> Plane::Impl::documentOf(Change const& change, std::vector<Problem>& problems) const {
-  if (change.body.size() > policy.mostDocumentBytes) {
-    problems.push_back(tooLong(policy.mostDocumentBytes));
-    return std::nullopt;
-  }
-  if (!change.patch && language.verbatim) {
-    return change.body;
-  }
-  if (!change.patch) {
-    config::Checked checked = language.check(change.body);
-    if (!checked.configuration) {
-      problems = std::move(checked.problems);
-      return std::nullopt;
-    }
-  }
-  absl::StatusOr<std::string> merged = language.merge(change.patch ? published.document : "", change.body);
-  if (!merged.ok()) {
-    problems.push_back({"/", std::string(merged.status().message())});
-    return std::nullopt;
-  }
-  if (merged->size() > policy.mostDocumentBytes) {
-    problems.push_back(tooLong(policy.mostDocumentBytes));
-    return std::nullopt;
-  }
-  return *std::move(merged);
+void Plane::Impl::begin(QueuedOrder const& queued, AlreadyTaken const& taken) {
+  waiting.push_back({queued.order.ticket, mark(), taken.version, publishedAt, queued.order.deadline, queued.arrivedAt});
+  settle();
 }
 
-void Plane::Impl::offerChange(replication::ReplicationGroup const& group, Change const& change) {
-  if (change.zone) {
-    offerZone(change);
-    return;
-  }
+void Plane::Impl::begin(QueuedOrder const& queued, Rejection rejection) {
+  std::uint64_t const ticket = queued.order.ticket;
   config::Version const current{published.configurationEpoch, published.configurationSequence};
-  std::string const digest = digestOf(change);
-  for (messages::Receipt const& receipt : published.receipts) {
-    if (receipt.change != change.id) {
-      continue;
-    }
-    if (receipt.digest != digest) {
-      decide(change.ticket, Verdict::refused, "the change id was used for another change", current);
-    } else {
-      awaitInForce(change.ticket, {receipt.epoch, receipt.sequence}, change.deadline);
-    }
-    return;
-  }
-  if (change.base && *change.base != current) {
-    decide(change.ticket, Verdict::conflict, "the version named is not the current one", current);
-    return;
-  }
-  if (change.baseRevision && *change.baseRevision != published.revision) {
-    decide(change.ticket, Verdict::conflict, "the revision named is not the current one", current);
-    return;
-  }
-  std::vector<Problem> problems;
-  std::optional<std::string> document = documentOf(change, problems);
-  if (!document) {
-    decide(change.ticket, Verdict::refused, "", current, std::move(problems));
+  Decided decision{ticket, rejection.verdict, current, std::move(rejection.problems), std::move(rejection.reason)};
+  if (decision.verdict == Verdict::unknown) {
+    effects.emplace_back(std::move(decision));
     return;
   }
-  config::Checked checked = language.check(*document);
-  if (!checked.configuration) {
-    decide(change.ticket, Verdict::refused, "", current, std::move(checked.problems));
-    return;
-  }
-  std::uint64_t const revision = checked.configuration->revision;
-  if (revision > 0 && revision <= published.revision) {
-    decide(change.ticket, Verdict::refused, "", current,
-           {{"/revision", "is not above the current one, " + std::to_string(published.revision)}});
-    return;
-  }
-  messages::State next = published;
-  next.document = *std::move(document);
-  next.revision = revision > 0 ? revision : published.revision;
-  next.configurationEpoch = group.decided().epoch;
-  next.configurationSequence = published.sequence + 1;
-  next.receipts.push_back({change.id, next.configurationEpoch, next.configurationSequence, digest});
-  if (next.receipts.size() > policy.mostReceipts) {
-    next.receipts.erase(next.receipts.begin());
-  }
-  offer(change, std::move(next));
+  holdRefusal(ticket, queued.arrivedAt, queued.order.deadline, std::move(decision));
 }
 
 void Plane::Impl::pump(replication::ReplicationGroup const& group) {
@@ -580,22 +517,20 @@
     if (queue.empty()) {
       return;
     }
-    Change const change = std::move(queue.front());
+    QueuedOrder const queued = std::move(queue.front());
     queue.pop_front();
-    if (now >= change.deadline) {
-      decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
-      continue;
+    if (now >= queued.order.deadline) {
+      decide(queued.order.ticket, Verdict::notRun, "the deadline passed before the change was begun");
+    } else if (isUnconfirmed()) {
+      decide(queued.order.ticket, Verdict::notRun, "the backup is not heard");
+    } else {
+      begin(group, queued);
     }
-    offerChange(group, change);
   }
 }
 
-Plane::Plane(Policy const& policy, std::string const& id, config::Language language) : impl_(std::make_unique<Impl>()) {
-  impl_->policy = policy;
-  impl_->tracker = NodeTracker(policy);
-  impl_->id = id;
-  impl_->language = std::move(language);
-}
+Plane::Plane(Policy const& policy, std::string const& id, config::Language language)
+    : impl_(std::make_unique<Impl>(policy, id, std::move(language))) {}
 
 Plane::~Plane() = default;
 Plane::Plane(Plane&&) noexcept = default;
@@ -603,6 +538,7 @@
 
 std::vector<Effect> Plane::step(TimePoint now, replication::ReplicationGroup const& group, Event const& event) {
   impl_->now = now;
+  impl_->confirmedAt = group.leadershipConfirmedAt();
   impl_->effects.clear();
   std::visit([&](auto const& concrete) { impl_->on(group, concrete); }, event);
   return std::move(impl_->effects);
@@ -610,7 +546,7 @@
 
 bool Plane::active() const { return impl_->active; }
 messages::State const& Plane::published() const { return impl_->published; }
-std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waiting.size(); }
+std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waitingAnswers(); }
 
 std::vector<NodeView> Plane::nodes(TimePoint now) const {
   std::vector<NodeView> out;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -27,6 +27,8 @@
 struct Incoming {
   net::Request content;
   net::Responder respond;
+  /// When the network thread had read the request: a process that is held up afterwards does not prolong its deadline.
+  Clock::time_point arrivedAt = Clock::now();
 };
 struct DiskDone {
   std::uint64_t token = 0;
@@ -165,6 +167,7 @@
   void on(RetireAsked&) {
     draining = true;
     logging::raise(logging::Event::drainBegan, {});
+    drivePlane(Retire{});
     driveGroup(replication::Retire{});
   }
   void on(Probed& inbound) { drivePlane(inbound); }
@@ -181,7 +184,9 @@
   void reply(std::uint64_t ticket, net::Answer answer);
   void change(Incoming& inbound);
   void read(Incoming& inbound);
-  void pass(Incoming& inbound) { runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond)); }
+  void pass(Incoming& inbound) {
+    runner.take(Clock::now(), inbound.arrivedAt, std::move(inbound.content), std::move(inbound.respond));
+  }
   bool listen(std::string const& address, net::HttpServer::Handler handler, std::string& error);
   void take(net::Request request, net::Responder respond);
   void tick();
@@ -301,7 +306,7 @@
     pass(inbound);
     return;
   }
-  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, Clock::now());
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, inbound.arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&deadline)) {
     inbound.respond(std::move(*wrong));
     return;
@@ -353,8 +358,7 @@
     pass(inbound);
     return;
   }
-  Clock::time_point const now = Clock::now();
-  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<Change, net::Answer> read = readChange(inbound.content, inbound.arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&read)) {
     inbound.respond(std::move(*wrong));
     return;
@@ -366,8 +370,7 @@
 }
 
 void ControlServer::Impl::forget(Incoming& inbound) {
-  Clock::time_point const now = Clock::now();
-  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<Change, net::Answer> read = readChange(inbound.content, inbound.arrivedAt);
   std::variant<std::vector<std::string>, net::Answer> nodes = readForget(inbound.content.body);
   for (net::Answer* const wrong : {std::get_if<net::Answer>(&read), std::get_if<net::Answer>(&nodes)}) {
     if (wrong != nullptr) {
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -96,17 +96,17 @@
   return zoneOf(request.target) && (method == "PUT" || method == "DELETE") ? OperatorCall::change : OperatorCall::none;
 }
 
-std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint now) {
+std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint arrivedAt) {
   long waitMs = 10'000;
   if (std::optional<std::string> const text = net::findHeader(request.headers, deadlineHeader)) {
     if (!readNumber(*text, waitMs) || waitMs <= 0 || waitMs > 60'000) {
       return refused(deadlineHeader, "must be a whole number from 1 to 60000");
     }
   }
-  return now + std::chrono::milliseconds(waitMs);
+  return arrivedAt + std::chrono::milliseconds(waitMs);
 }
 
-std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint now, std::string const& freshId) {
+std::variant<Change, net::Answer> readChange(net::Request const& request, TimePoint arrivedAt) {
   Change change;
   change.patch = request.method == "PATCH";
   std::optional<std::string> const base = net::findHeader(request.headers, "limeramp-base");
@@ -123,9 +123,11 @@
   if (change.patch && !base && !baseRevision) {
     return refused("limeramp-base", "a patch must name the version or the revision it changes");
   }
-  std::string const ownId =
-      base || baseRevision ? derivedId(request, base.value_or("") + "/" + baseRevision.value_or("")) : freshId;
-  change.id = net::findHeader(request.headers, "limeramp-change").value_or(ownId);
+  bool const hasBase = base || baseRevision;
+  std::string const derived =
+      derivedId(request, hasBase ? base.value_or("") + "/" + baseRevision.value_or("") : request.target);
+  change.id = net::findHeader(request.headers, "limeramp-change").value_or(derived);
+  change.keyedByContentOnly = !hasBase && change.id == derived;
   if (change.id.empty() || change.id.size() > 128) {
     return refused("limeramp-change", "must have 1 to 128 bytes");
   }
@@ -135,7 +137,7 @@
     }
     change.zone = ZoneOrder{*zone, request.method == "PUT"};
   }
-  std::variant<TimePoint, net::Answer> deadline = readDeadline(request, now);
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(request, arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&deadline)) {
     return std::move(*wrong);
   }
--- /dev/null
+++ b/libs/control/src/order_evaluator.cpp
@@ -0,0 +1,144 @@
+#include "limeramp/control/order_evaluator.h"
+
+#include "limeramp/control/change_receipts.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace limeramp::control {
+namespace {
+
+config::Version versionOf(messages::State const& state) {
+  return {state.configurationEpoch, state.configurationSequence};
+}
+
+Rejection refusal(std::string path, std::string reason) {
+  return {Verdict::refused, "", {{std::move(path), std::move(reason)}}};
+}
+
+Rejection tooLong(std::size_t most) { return refusal("/", "longer than " + std::to_string(most) + " bytes"); }
+
+Rejection forgotten() {
+  return {Verdict::unknown, "the change is older than all that are remembered: it may have been taken", {}};
+}
+
+/// A change whose key says nothing but its content, on no base: after another change, nothing tells a late repetition
+/// from the wish to return to this configuration.
+bool isAmbiguous(Change const& change, ReceiptLookup const& receipt, messages::State const& state) {
+  return change.keyedByContentOnly && receipt.revision == 0 && receipt.version != versionOf(state);
+}
+
+std::optional<Rejection> conflictOf(Change const& change, messages::State const& state) {
+  if (change.base && *change.base != versionOf(state)) {
+    return Rejection{Verdict::conflict, "the version named is not the current one", {}};
+  }
+  if (change.baseRevision && *change.baseRevision != state.revision) {
+    return Rejection{Verdict::conflict, "the revision named is not the current one", {}};
+  }
+  return std::nullopt;
+}
+
+/// A revision is the base of one change only, so a change that names its base must leave it behind.
+std::optional<Rejection> staleRevision(Change const& change, std::uint64_t revision, messages::State const& state) {
+  bool const named = revision > 0 || change.baseRevision.has_value();
+  if (!named || revision > state.revision) {
+    return std::nullopt;
+  }
+  return refusal("/revision", "is not above the current one, " + std::to_string(state.revision));
+}
+
+}  // namespace
+
+OrderEvaluator::OrderEvaluator(Policy const& policy, config::Language language)
+    : policy_(policy), language_(std::move(language)) {}
+
+Evaluation OrderEvaluator::evaluate(Change const& order, messages::State const& state, std::uint64_t epoch) const {
+  return order.zone ? evaluateZone(*order.zone, state) : evaluateConfiguration(order, state, epoch);
+}
+
+Evaluation OrderEvaluator::evaluateZone(ZoneOrder const& order, messages::State const& state) const {
+  std::vector<std::string> const& zones = state.evacuatedZones;
+  bool const evacuated = std::find(zones.begin(), zones.end(), order.zone) != zones.end();
+  if (evacuated == order.evacuated) {
+    return AlreadyTaken{versionOf(state)};
+  }
+  if (order.evacuated && zones.size() >= policy_.mostEvacuatedZones) {
+    return refusal("/", "more than " + std::to_string(policy_.mostEvacuatedZones) + " zones would be emptied");
+  }
+  Proposal out{state};
+  if (order.evacuated) {
+    out.next.evacuatedZones.push_back(order.zone);
+  } else {
+    std::erase(out.next.evacuatedZones, order.zone);
+  }
+  return out;
+}
+
+Evaluation OrderEvaluator::evaluateConfiguration(Change const& change, messages::State const& state,
+                                                 std::uint64_t epoch) const {
+  ReceiptLookup const receipt = findReceipt(state, change);
+  if (receipt.match == ReceiptMatch::otherContent) {
+    return Rejection{Verdict::refused, "the change id was used for another change", {}};
+  }
+  if (receipt.match == ReceiptMatch::same && isAmbiguous(change, receipt, state)) {
+    return Rejection{Verdict::unknown,
+                     "this change was taken as " + receipt.version.text() +
+                         ", and others since: name a version or a change id to bring it back",
+                     {}};
+  }
+  if (receipt.match == ReceiptMatch::same) {
+    return AlreadyTaken{receipt.version};
+  }
+  return evaluateNew(change, state, epoch);
+}
+
+Evaluation OrderEvaluator::evaluateNew(Change const& change, messages::State const& state, std::uint64_t epoch) const {
+  if (std::optional<Rejection> const conflict = conflictOf(change, state)) {
+    return mayBeForgotten(state, change, 0, policy_.mostReceipts) ? forgotten() : *conflict;
+  }
+  std::variant<std::string, Rejection> document = documentOf(change, state);
+  if (Rejection* const rejection = std::get_if<Rejection>(&document)) {
+    return std::move(*rejection);
+  }
+  config::Checked checked = language_.check(std::get<std::string>(document));
+  if (!checked.configuration) {
+    return Rejection{Verdict::refused, "", std::move(checked.problems)};
+  }
+  std::uint64_t const revision = checked.configuration->revision;
+  if (std::optional<Rejection> const stale = staleRevision(change, revision, state)) {
+    return mayBeForgotten(state, change, revision, policy_.mostReceipts) ? forgotten() : *stale;
+  }
+  Proposal out{state};
+  out.next.document = std::get<std::string>(std::move(document));
+  out.next.revision = revision > 0 ? revision : state.revision;
+  out.next.configurationEpoch = epoch;
+  out.next.configurationSequence = state.sequence + 1;
+  addReceipt(out.next, change, revision, policy_.mostReceipts);
+  return out;
+}
+
+std::variant<std::string, Rejection> OrderEvaluator::documentOf(Change const& change,
+                                                                messages::State const& state) const {
+  if (change.body.size() > policy_.mostDocumentBytes) {
+    return tooLong(policy_.mostDocumentBytes);
+  }
+  if (!change.patch && language_.verbatim) {
+    return change.body;
+  }
+  if (!change.patch) {
+    config::Checked checked = language_.check(change.body);
+    if (!checked.configuration) {
+      return Rejection{Verdict::refused, "", std::move(checked.problems)};
+    }
+  }
+  absl::StatusOr<std::string> merged = language_.merge(change.patch ? state.document : "", change.body);
+  if (!merged.ok()) {
+    return refusal("/", std::string(merged.status().message()));
+  }
+  if (merged->size() > policy_.mostDocumentBytes) {
+    return tooLong(policy_.mostDocumentBytes);
+  }
+  return *std::move(merged);
+}
+
+}  // namespace limeramp::control
--- a/libs/control/src/runner.cpp
+++ b/libs/control/src/runner.cpp
@@ -1,7 +1,6 @@
 #include "limeramp/control/runner.h"
 
 #include "limeramp/control/operator_api.h"
-#include "limeramp/net/random.h"
 
 #include <unordered_map>
 
@@ -73,10 +72,10 @@
 
 Runner::~Runner() = default;
 
-void Runner::take(TimePoint now, net::Request content, net::Responder respond) {
+void Runner::take(TimePoint now, TimePoint arrivedAt, net::Request content, net::Responder respond) {
   bool const reads = operatorCallOf(content) == OperatorCall::read;
-  std::variant<Change, net::Answer> change = reads ? Change{} : readChange(content, now, net::randomName());
-  std::variant<TimePoint, net::Answer> deadline = readDeadline(content, now);
+  std::variant<Change, net::Answer> change = reads ? Change{} : readChange(content, arrivedAt);
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(content, arrivedAt);
   for (net::Answer* const wrong : {std::get_if<net::Answer>(&change), std::get_if<net::Answer>(&deadline)}) {
     if (wrong != nullptr) {
       respond(std::move(*wrong));
--- a/libs/gateway/src/gateway_server.cpp
+++ b/libs/gateway/src/gateway_server.cpp
@@ -46,6 +46,7 @@
   net::Request content;
   net::Responder respond;
   bool caller = false;
+  Clock::time_point arrivedAt = Clock::now();
 };
 struct ListRead {
   net::Exchange exchange;
@@ -668,7 +669,7 @@
 }
 
 void GatewayServer::Impl::relayChange(Incoming& inbound) {
-  runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond));
+  runner.take(Clock::now(), inbound.arrivedAt, std::move(inbound.content), std::move(inbound.respond));
 }
 
 void GatewayServer::Impl::operate(Incoming& inbound) {
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -179,6 +179,7 @@
   std::uint64_t epoch = 0;
   std::uint64_t sequence = 0;
   std::string digest;
+  std::uint64_t revision = 0;
   bool operator==(Receipt const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
@@ -186,6 +187,7 @@
     visit("epoch", self.epoch);
     visit("sequence", self.sequence);
     visit("digest", self.digest);
+    visit("revision", self.revision);
   }
 };
 
@@ -203,6 +205,9 @@
   std::vector<Receipt> receipts;
   std::uint64_t revision = 0;
   std::vector<std::string> evacuatedZones;
+  std::uint64_t forgottenEpoch = 0;
+  std::uint64_t forgottenSequence = 0;
+  std::uint64_t forgottenRevision = 0;
   bool operator==(State const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
@@ -218,6 +223,9 @@
     visit("receipts", self.receipts);
     visit("revision", self.revision);
     visit("emptiedZones", self.evacuatedZones);
+    visit("forgottenEpoch", self.forgottenEpoch);
+    visit("forgottenSequence", self.forgottenSequence);
+    visit("forgottenRevision", self.forgottenRevision);
   }
 };
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -158,7 +158,7 @@
 }
 
 Change changeOf(net::Request const& request) {
-  return std::get<Change>(readChange(request, TimePoint(std::chrono::hours(1)), "fresh"));
+  return std::get<Change>(readChange(request, TimePoint(std::chrono::hours(1))));
 }
 
 TEST(Orders, TheSameCallOnABaseHasTheSameIdAtEveryNodeAndAnotherCallHasAnother) {
@@ -173,12 +173,16 @@
     EXPECT_TRUE(ids.insert(changeOf(request).id).second) << changeOf(request).id;
   }
   EXPECT_EQ(changeOf(requestOf("PUT", path, onFive)).baseRevision, std::optional<std::uint64_t>(5));
-  EXPECT_EQ(changeOf(requestOf("PUT", path)).id, "fresh");
+  net::Request const baseless = requestOf("PUT", path, {}, "{}");
+  EXPECT_EQ(changeOf(baseless).id, changeOf(baseless).id);
+  EXPECT_TRUE(changeOf(baseless).keyedByContentOnly);
+  EXPECT_TRUE(ids.insert(changeOf(baseless).id).second);
+  EXPECT_TRUE(ids.insert(changeOf(requestOf("PUT", path, {}, "{ }")).id).second);
   EXPECT_EQ(changeOf(requestOf("PUT", path, {{"limeramp-base", "5.1"}, {"limeramp-change", "mine"}})).id, "mine");
   for (net::Request const& wrong :
        {requestOf("PATCH", path), requestOf("PUT", path, {{"limeramp-base-revision", "5x"}}),
         requestOf("PUT", path, {{"limeramp-base-revision", ""}}), requestOf("PUT", "/limeramp/zones/a b/emptied")}) {
-    EXPECT_TRUE(std::holds_alternative<net::Answer>(readChange(wrong, TimePoint(), "fresh")));
+    EXPECT_TRUE(std::holds_alternative<net::Answer>(readChange(wrong, TimePoint())));
   }
 }
 
--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -1,5 +1,6 @@
 #include "capacity/fleet.h"
 
+#include "limeramp/control/change_receipts.h"
 #include "limeramp/control/config_service.h"
 #include "limeramp/discovery/server_directory.h"
 #include "limeramp/distribution/config_delivery.h"
@@ -753,9 +754,9 @@
     std::optional<std::size_t> const index = impl.primary();
     if (!published && index) {
       messages::State const& state = impl.members[*index].controller->plane->published();
-      if (std::any_of(state.receipts.begin(), state.receipts.end(), [&](messages::Receipt const& receipt) {
-            return receipt.change == "c" + std::to_string(*ticket);
-          })) {
+      control::Change offered;
+      offered.id = "c" + std::to_string(*ticket);
+      if (control::findReceipt(state, offered).match != control::ReceiptMatch::none) {
         published = state;
       }
     }
