--- a/testside/explorer/world.cpp
+++ b/testside/explorer/world.cpp
@@ -308,7 +308,7 @@
 void World::tick(std::size_t index, Ms time) {
   Member& member = change(index);
   member.clock += time;
-  replication::Known known;
+  replication::KnownMembers known;
   known.mayFound = member.mayFound;
   for (std::shared_ptr<Member> const& other : members_) {
     known.members.push_back({other->id, other->address, other->zone});
@@ -360,11 +360,11 @@
 void World::checkVote(std::size_t index, messages::Message const& message) {
   Member const& member = *members_[index];
   if (messages::Promise const* const promise = std::get_if<messages::Promise>(&message); promise && promise->granted) {
-    changeHistory().onVote(member.id, member.mayFound, promise->slot);
+    changeHistory().onVote(member.id, member.mayFound, promise->nextEpoch);
   }
   if (messages::Accepted const* const accepted = std::get_if<messages::Accepted>(&message);
       accepted && accepted->granted) {
-    changeHistory().onVote(member.id, member.mayFound, accepted->slot);
+    changeHistory().onVote(member.id, member.mayFound, accepted->nextEpoch);
   }
 }
 
