A member that leaves is replaced by a decided epoch before it ends

Cause: retired() was true at once for every member that was not primary. Ruled out: the hand-over of a primary, which already waited.

Change: a leaving backup or witness waits until a decided epoch names others, and until the primary and a majority of the witnesses have that epoch on disk (Heartbeat.storedEpoch, a new last field). A leaving backup that must take over names another machine as primary. The wait ends after policy.leaveMs = 5 s; where nobody is heard who could take the seat, at once. leaveProgress() says what is missing, the status page shows it as "leaving". The process waits for its grace time less 0.6 s instead of half of it.

Five guards get tests: the accepted record of the highest ballot, fencing transfers from replicas only, no offer to a leaving primary, confirmation by the oldest of two echoes, a superseded witness.

No existing test changed.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -39,7 +39,8 @@
 using InboundMessage = std::variant<Incoming, DiskDone, RunBack, Probed, RetireAsked>;
 
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
-constexpr Ms retireMs{3000};
+/// Kept back from the grace time for closing the listeners and the disk.
+constexpr Ms closingMs{600};
 constexpr Ms eagerMs{1000};
 constexpr Ms settleMs{2000};
 constexpr char const* membersKey = "members";
@@ -324,6 +325,7 @@
       (decided.primary == id || std::count(decided.backups.begin(), decided.backups.end(), id) > 0 ? "true" : "false") +
       ",\"active\":" + (group.active() ? "true" : "false") + ",\"sealed\":" + std::to_string(group.fenced()) +
       ",\"ailing\":" + (group.ailing() ? "true" : "false") +
+      ",\"leaving\":" + json(std::string(replication::nameOf(group.leaveProgress()))) +
       ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
       ",\"version\":" + json(config::Version{state.configurationEpoch, state.configurationSequence}.text()) +
       ",\"pending\":" + std::to_string(plane.pending()) + ",\"witnesses\":[";
@@ -636,7 +638,7 @@
 void ControlServer::drain() {
   impl_->inbox.push(RetireAsked{});
   std::unique_lock<std::mutex> lock(impl_->retiredMutex);
-  Ms const waitMs = std::min(retireMs, impl_->settings.graceMs / 2);
+  Ms const waitMs = std::max(impl_->settings.graceMs - closingMs, impl_->settings.graceMs / 2);
   impl_->retiredChanged.wait_for(lock, waitMs, [this] { return impl_->retired; });
   for (std::unique_ptr<net::HttpServer> const& server : impl_->servers) {
     server->stopAccepting();
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -148,6 +148,8 @@
   std::uint64_t echoed = 0;
   bool ailing = false;
   std::uint64_t epoch = 0;
+  /// The highest epoch whose record the sender has synced to its disk; 0 from versions that do not say it.
+  std::uint64_t storedEpoch = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("decided", self.decided);
@@ -155,6 +157,7 @@
     visit("echoed", self.echoed);
     visit("ailing", self.ailing);
     visit("epoch", self.epoch);
+    visit("storedEpoch", self.storedEpoch);
   }
 };
 
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -31,6 +32,8 @@
   std::chrono::milliseconds diskSlowMs{1000};
   std::chrono::milliseconds founderTurnMs{700};
   std::chrono::milliseconds successorTurnMs{500};
+  /// A member that is told to end waits no longer than this for its successors; below the platform's grace time of 6 s.
+  std::chrono::milliseconds leaveMs{5000};
   std::size_t leastReplicas = 2;
   std::size_t mostReplicas = 2;
   std::size_t mostWitnesses = 3;
@@ -109,6 +112,25 @@
 
 using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, NewGroupForced, LogEntry>;
 
+/// How far a member that was told to end (Retire) has come with its leave.
+enum class LeaveProgress {
+  /// It was not told to end.
+  staying,
+  /// It is primary or backup, and no decided epoch names another one in its place yet.
+  replicaNotReplaced,
+  /// It is a witness, another machine is heard that could vote in its place, and no decided epoch says so yet.
+  voteNotReplaced,
+  /// The epoch without it is decided, but its primary and a majority of its witnesses have not stored it yet.
+  epochNotSpread,
+  /// Nothing is lost with it: it may end.
+  done,
+  /// The grace time is over, with the leave incomplete: it ends anyway.
+  graceTimeOver,
+};
+
+/// The words that the status page shows.
+std::string_view nameOf(LeaveProgress progress);
+
 class ReplicationGroup {
  public:
   explicit ReplicationGroup(Policy const& policy);
@@ -123,6 +145,9 @@
   bool active() const;
   bool busy() const;
   bool ailing() const;
+  /// What a leave still waits for, as of the last step.
+  LeaveProgress leaveProgress() const;
+  /// True once a member that was told to end may do so: its leave is done, or its grace time is over.
   bool retired() const;
   std::string const& id() const;
   messages::EpochRecord const& decided() const;
--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <compare>
 #include <deque>
+#include <functional>
 #include <random>
 #include <set>
 
@@ -89,7 +90,8 @@
   bool started = false;
   bool broken = false;
   bool diskless = false;
-  bool retiring = false;
+  std::optional<TimePoint> retireAskedAt;
+  std::uint64_t storedEpoch = 0;
   Member self;
   std::mt19937_64 random;
   Vote vote;
@@ -104,6 +106,7 @@
   std::uint64_t lastPersist = 0;
   std::map<std::uint64_t, std::vector<Effect>> afterPersist;
   std::map<std::uint64_t, TimePoint> persisting;
+  std::map<std::uint64_t, std::uint64_t> persistedEpochs;
   std::set<std::string> schemasStored;
   Leadership leadership = Leadership::none;
   std::uint64_t leadershipToken = 0;
@@ -126,7 +129,7 @@
   void on(Offer const& event);
   void on(Tick const& event);
   void on(Retire const&) {
-    retiring = true;
+    retireAskedAt = retireAskedAt.value_or(now);
     heartbeatAll();
   }
   void on(ForceNewGroup const& event);
@@ -144,6 +147,7 @@
   bool ailing() const {
     return broken || (!persisting.empty() && now - persisting.begin()->second >= policy.diskSlowMs);
   }
+  bool retiring() const { return retireAskedAt.has_value(); }
   bool isPrimary() const { return vote.decided.epoch > 0 && vote.decided.primary == self.id; }
   bool isBackup() const { return vote.decided.epoch > 0 && isOf(vote.decided.backups, self.id); }
   bool isReplica(std::string const& id) const {
@@ -154,6 +158,9 @@
   bool fresh(std::string const& id, Ms within) const;
   std::size_t quorum() const;
   bool mayVote() const;
+  bool epochSpread() const;
+  bool successorHeard(std::vector<std::string> const& seats) const;
+  LeaveProgress leaveProgress() const;
 
   void send(std::string const& to, messages::Message message);
   template <typename T>
@@ -188,6 +195,7 @@
   void tryFounding();
   void heartbeat();
   void heartbeatAll();
+  void tellLeavingMembers();
 
   void digestMembers(messages::StateDigest& digest) const;
   void digestPersisting(messages::StateDigest& digest) const;
@@ -215,6 +223,45 @@
   return std::count(vote.decided.witnesses.begin(), vote.decided.witnesses.end(), self.id) > 0;
 }
 
+// The primary and a majority of the witnesses have the decided record on their disks, so it outlives this member.
+bool ReplicationGroup::Impl::epochSpread() const {
+  std::function<bool(std::string const&)> const stored = [this](std::string const& id) {
+    std::map<std::string, MemberStatus>::const_iterator const found = members.find(id);
+    return found != members.end() && found->second.heartbeat.storedEpoch >= vote.decided.epoch;
+  };
+  std::size_t const votes =
+      static_cast<std::size_t>(std::count_if(vote.decided.witnesses.begin(), vote.decided.witnesses.end(), stored));
+  return stored(vote.decided.primary) && votes >= quorum();
+}
+
+// Somebody is heard who has none of these seats and could take one.
+bool ReplicationGroup::Impl::successorHeard(std::vector<std::string> const& seats) const {
+  return std::any_of(members.begin(), members.end(), [&](std::pair<std::string const, MemberStatus> const& entry) {
+    return !isOf(seats, entry.first) && fresh(entry.first, policy.lostMs) && !superseded(entry.first);
+  });
+}
+
+LeaveProgress ReplicationGroup::Impl::leaveProgress() const {
+  if (!retiring()) {
+    return LeaveProgress::staying;
+  }
+  if (broken || vote.decided.epoch == 0) {
+    return LeaveProgress::done;
+  }
+  if (now - *retireAskedAt >= policy.leaveMs) {
+    return LeaveProgress::graceTimeOver;
+  }
+  bool const othersHoldTheState = isBackup() && fresh(vote.decided.primary, policy.lostMs);
+  bool const successor = successorHeard(listing(vote.decided.primary, vote.decided.backups));
+  if (isReplica(self.id) && (successor || !othersHoldTheState)) {
+    return LeaveProgress::replicaNotReplaced;
+  }
+  if (isOf(vote.decided.witnesses, self.id) && successorHeard(vote.decided.witnesses)) {
+    return LeaveProgress::voteNotReplaced;
+  }
+  return epochSpread() ? LeaveProgress::done : LeaveProgress::epochNotSpread;
+}
+
 void ReplicationGroup::Impl::send(std::string const& to, messages::Message message) {
   if (to == self.id) {
     std::visit([&](auto const& concrete) { hear(self.id, concrete); }, message);
@@ -263,6 +310,7 @@
     fencePersist = token;
   }
   persisting.emplace(token, now);
+  persistedEpochs.emplace(token, withVote ? vote.decided.epoch : 0);
   afterPersist.emplace(token, std::move(then));
   effects.emplace_back(std::move(effect));
   return token;
@@ -289,6 +337,7 @@
     effects.emplace_back(LogEntry{logging::Event::diskDamaged, "stored records do not read"});
     return;
   }
+  storedEpoch = vote.decided.epoch;
   highestRound = std::max(vote.promised.round, vote.acceptedBallot.round);
   beginLeadership();
 }
@@ -334,6 +383,8 @@
   std::vector<Effect> const then = std::move(found->second);
   afterPersist.erase(found);
   persisting.erase(event.token);
+  std::uint64_t const epochOnDisk = persistedEpochs[event.token];
+  persistedEpochs.erase(event.token);
   if (!event.good) {
     if (!broken) {
       broken = true;
@@ -346,6 +397,10 @@
   if (broken) {
     return;
   }
+  if (epochOnDisk > storedEpoch) {
+    storedEpoch = epochOnDisk;
+    tellLeavingMembers();
+  }
   for (Effect const& effect : then) {
     if (Send const* const later = std::get_if<Send>(&effect)) {
       send(later->to, later->message);
@@ -362,7 +417,7 @@
 void ReplicationGroup::Impl::on(ForceNewGroup const& event) {
   std::string refusal;
   std::vector<std::string> const backups = chooseBackups(self.id);
-  if (broken || retiring) {
+  if (broken || retiring()) {
     refusal = "this controller's disk failed, or it is ending";
   } else if (vote.decided.epoch > 0 && event.fleet != vote.decided.fleet) {
     refusal = "this controller is of another fleet";
@@ -467,7 +522,7 @@
 }
 
 void ReplicationGroup::Impl::on(Offer const& event) {
-  if (leadership != Leadership::active || ticket || retiring || isFenced() || !localDone || !backupsToSync.empty()) {
+  if (leadership != Leadership::active || ticket || retiring() || isFenced() || !localDone || !backupsToSync.empty()) {
     effects.emplace_back(Doubtful{event.ticket});
     return;
   }
@@ -713,7 +768,7 @@
     case ProposalStage::none:
       return;
     case ProposalStage::choosing: {
-      bool const handsOver = retiring && isPrimary();
+      bool const handsOver = retiring();
       std::vector<std::string> backups = chooseBackups(self.id);
       if (1 + backups.size() < policy.leastReplicas) {
         return;
@@ -809,7 +864,7 @@
     messages::Heartbeat hint;
     hint.decided = vote.decided;
     hint.epoch = vote.decided.epoch;
-    hint.ailing = ailing() || retiring;
+    hint.ailing = ailing() || retiring();
     send(from, hint);
     return;
   }
@@ -922,6 +977,16 @@
   heartbeat();
 }
 
+// Whoever leaves waits until the epoch without it is stored; it need not wait for the next heartbeat besides.
+void ReplicationGroup::Impl::tellLeavingMembers() {
+  for (std::pair<std::string const, MemberStatus>& entry : members) {
+    if (entry.second.heartbeat.ailing) {
+      entry.second.nextHeartbeatAt = now;
+    }
+  }
+  heartbeat();
+}
+
 void ReplicationGroup::Impl::heartbeat() {
   std::uint64_t token = 0;
   for (std::pair<std::string const, MemberStatus>& entry : members) {
@@ -940,9 +1005,10 @@
       message.decided = vote.decided;
     }
     message.epoch = vote.decided.epoch;
+    message.storedEpoch = storedEpoch;
     message.token = token;
     message.echoed = entry.second.lastToken;
-    message.ailing = ailing() || retiring;
+    message.ailing = ailing() || retiring();
     effects.emplace_back(Send{entry.first, entry.second.member.address, message});
   }
   while (heartbeatsSent.size() > 64) {
@@ -953,7 +1019,7 @@
 void ReplicationGroup::Impl::tryFounding() {
   std::vector<std::string>::const_iterator const turn =
       std::lower_bound(founders.begin(), founders.end(), self.address);
-  if (!mayVote() || retiring || now - quietSince < policy.lostMs + policy.founderTurnMs * (turn - founders.begin())) {
+  if (!mayVote() || retiring() || now - quietSince < policy.lostMs + policy.founderTurnMs * (turn - founders.begin())) {
     return;
   }
   std::map<std::string, std::pair<TimePoint, std::string>> voters{{self.address, {now, self.id}}};
@@ -1005,7 +1071,7 @@
     confirmLeadership();
     bool const settled = now - quietSince >= policy.lostMs;
     bool const backupGone = settled && !backupsFresh(policy.lostMs);
-    bool const handsOver = retiring && !ticket && !chooseBackups(self.id).empty();
+    bool const handsOver = retiring() && !ticket && !chooseBackups(self.id).empty();
     if (!isFenced() && !ailing() && (handsOver || backupGone || (!ticket && witnessesNeedChange())) && couldGoOn()) {
       if (backupGone) {
         effects.emplace_back(LogEntry{logging::Event::backupLost, joined(vote.decided.backups)});
@@ -1055,6 +1121,7 @@
     digest.add(entry.second);
     digest.add(entry.first == leadershipPersist);
     digest.add(entry.first == fencePersist);
+    digest.add(persistedEpochs.at(entry.first));
     for (Effect const& effect : afterPersist.at(entry.first)) {
       if (Send const* const send = std::get_if<Send>(&effect)) {
         digest.add(send->to);
@@ -1102,6 +1169,24 @@
   digest.add(proposal.retryAt);
 }
 
+std::string_view nameOf(LeaveProgress progress) {
+  switch (progress) {
+    case LeaveProgress::staying:
+      return "staying";
+    case LeaveProgress::replicaNotReplaced:
+      return "replica not replaced";
+    case LeaveProgress::voteNotReplaced:
+      return "vote not replaced";
+    case LeaveProgress::epochNotSpread:
+      return "epoch not spread";
+    case LeaveProgress::done:
+      return "done";
+    case LeaveProgress::graceTimeOver:
+      return "grace time over";
+  }
+  return "";
+}
+
 Policy policyFor(std::size_t machineLosses) {
   std::size_t const losses = std::clamp<std::size_t>(machineLosses, 1, 4);
   Policy policy;
@@ -1133,12 +1218,10 @@
 bool ReplicationGroup::active() const { return impl_->leadership == Leadership::active && !impl_->isFenced(); }
 bool ReplicationGroup::busy() const { return impl_->ticket.has_value(); }
 bool ReplicationGroup::ailing() const { return impl_->ailing() && !impl_->diskless; }
+LeaveProgress ReplicationGroup::leaveProgress() const { return impl_->leaveProgress(); }
 bool ReplicationGroup::retired() const {
-  std::map<std::string, MemberStatus>::const_iterator const successor =
-      impl_->members.find(impl_->vote.decided.primary);
-  bool const known =
-      successor != impl_->members.end() && epochOf(successor->second.heartbeat) == impl_->vote.decided.epoch;
-  return impl_->broken || impl_->vote.decided.epoch == 0 || (!impl_->isPrimary() && (known || !impl_->isFenced()));
+  LeaveProgress const progress = leaveProgress();
+  return progress == LeaveProgress::done || progress == LeaveProgress::graceTimeOver;
 }
 std::string const& ReplicationGroup::id() const { return impl_->self.id; }
 messages::EpochRecord const& ReplicationGroup::decided() const { return impl_->vote.decided; }
@@ -1169,7 +1252,9 @@
   digest.add(impl.started);
   digest.add(impl.broken);
   digest.add(impl.diskless);
-  digest.add(impl.retiring);
+  digest.add(impl.retiring());
+  digest.add(impl.retireAskedAt.value_or(TimePoint{}));
+  digest.add(impl.storedEpoch);
   digest.add(impl.mayFound);
   digest.add(impl.self.id);
   digest.add(impl.self.address);
--- /dev/null
+++ b/tests/replication_guards_test.cpp
@@ -0,0 +1,241 @@
+// Tests of single guards of the replication group: a member driven by hand, and short simulated scenes.
+#include "simulator/replication_simulation.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace limeramp;
+using namespace limeramp::simulator;
+
+constexpr char const* fleet = "f";
+
+// A member whose peers are played by the test. Its writes are synced at once.
+class DrivenMember {
+ public:
+  explicit DrivenMember(std::string const& id) : id_(id) {
+    step(replication::Start{{id, "address-" + id, "zone-" + id}, {}, 7, false, {}});
+    replication::KnownMembers known;
+    for (std::string const peer : {"a", "b", "c"}) {
+      known.members.push_back({peer, "address-" + peer, "zone-" + peer});
+    }
+    step(known);
+  }
+
+  void step(replication::Event const& event) {
+    for (replication::Effect const& effect : group.step(now, event)) {
+      if (replication::Send const* const send = std::get_if<replication::Send>(&effect)) {
+        sent.push_back(*send);
+      } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
+        step(replication::Persisted{persist->token, true});
+      } else {
+        others.push_back(effect);
+      }
+    }
+  }
+
+  void receive(std::string const& from, messages::Message const& message) {
+    step(replication::Received{from, "address-" + from, message});
+  }
+
+  // Lets time pass while the named peers send heartbeats and the others are silent.
+  void pass(Ms time, std::vector<std::string> const& heard) {
+    for (Ms passed{0}; passed < time; passed += Ms(20)) {
+      now += Ms(20);
+      for (std::string const& peer : heard) {
+        messages::Heartbeat heartbeat;
+        heartbeat.epoch = group.decided().epoch;
+        receive(peer, heartbeat);
+      }
+      step(replication::Tick{});
+    }
+  }
+
+  template <typename T>
+  T const* lastSent(std::string const& to) const {
+    for (std::vector<replication::Send>::const_reverse_iterator entry = sent.rbegin(); entry != sent.rend(); ++entry) {
+      if (entry->to == to && std::holds_alternative<T>(entry->message)) {
+        return &std::get<T>(entry->message);
+      }
+    }
+    return nullptr;
+  }
+
+  void learn(messages::EpochRecord const& record, std::string const& from) {
+    messages::Heartbeat heartbeat;
+    heartbeat.decided = record;
+    heartbeat.epoch = record.epoch;
+    receive(from, heartbeat);
+  }
+
+  replication::ReplicationGroup group{replication::policyFor(1)};
+  replication::TimePoint now{std::chrono::hours(1)};
+  std::vector<replication::Send> sent;
+  std::vector<replication::Effect> others;
+
+ private:
+  std::string id_;
+};
+
+messages::EpochRecord firstEpoch() { return {1, fleet, "a", {"b"}, {"a", "b", "c"}}; }
+
+// The record that the proposer sends to be accepted, after itself has accepted `own` and a peer says it accepted
+// `peer`.
+std::string primaryCarriedOn(std::uint64_t ownRound, std::uint64_t peerRound) {
+  DrivenMember member("a");
+  member.learn(firstEpoch(), "b");
+  messages::EpochRecord const own{2, fleet, "b", {"a"}, {"a", "b", "c"}};
+  messages::EpochRecord const peer{2, fleet, "b", {"c"}, {"a", "b", "c"}};
+  member.receive("b", messages::Accept{firstEpoch(), {ownRound, "b"}, own});
+  member.pass(Ms(2000), {"c"});
+  messages::Sync const* const sync = member.lastSent<messages::Sync>("c");
+  EXPECT_NE(sync, nullptr);
+  member.receive("c", messages::Synced{1, sync == nullptr ? 0 : sync->token});
+  messages::Prepare const* const prepare = member.lastSent<messages::Prepare>("c");
+  EXPECT_NE(prepare, nullptr);
+  if (prepare == nullptr) {
+    return "";
+  }
+  messages::Ballot const ballot = prepare->ballot;
+  EXPECT_GT(ballot.round, ownRound);
+  member.receive("c", messages::Promise{2, ballot, true, ballot, {peerRound, "b"}, peer});
+  messages::Accept const* const accept = member.lastSent<messages::Accept>("c");
+  EXPECT_NE(accept, nullptr);
+  return accept == nullptr ? "" : accept->record.backups.front();
+}
+
+TEST(Guards, TheAcceptedRecordOfTheHighestBallotIsCarriedOnWhicheverAnswerComesFirst) {
+  EXPECT_EQ(primaryCarriedOn(5, 6), "c");
+  EXPECT_EQ(primaryCarriedOn(6, 5), "a");
+  EXPECT_EQ(primaryCarriedOn(1, 2), "c");
+}
+
+TEST(Guards, AFencingStateTransferIsTakenFromAReplicaOfTheEpochOnly) {
+  messages::State foreign;
+  foreign.epoch = 1;
+  foreign.sequence = 50;
+  foreign.document = "foreign";
+  messages::EpochRecord const otherFleet{1, "other", "x", {"y"}, {"x", "y", "z"}};
+  for (std::string const from : {"x", "c"}) {
+    DrivenMember member("b");
+    member.learn(firstEpoch(), "a");
+    std::size_t const sentBefore = member.sent.size();
+    member.receive(from, messages::Sync{from == "x" ? otherFleet : firstEpoch(), 9, true, foreign});
+    EXPECT_EQ(member.group.state().document, "") << from;
+    EXPECT_EQ(member.group.fenced(), 0u) << from;
+    EXPECT_EQ(member.sent.size(), sentBefore) << from;
+  }
+  DrivenMember member("b");
+  member.learn(firstEpoch(), "a");
+  member.receive("a", messages::Sync{firstEpoch(), 9, true, foreign});
+  EXPECT_EQ(member.group.fenced(), 1u);
+  EXPECT_NE(member.lastSent<messages::Synced>("a"), nullptr);
+}
+
+TEST(Guards, APrimaryThatIsToldToEndTakesNoFurtherChange) {
+  DrivenMember member("a");
+  member.learn(firstEpoch(), "b");
+  messages::Sync const* const joining = member.lastSent<messages::Sync>("b");
+  ASSERT_NE(joining, nullptr);
+  member.receive("b", messages::Synced{1, joining->token});
+  ASSERT_TRUE(member.group.active());
+  member.step(replication::Retire{});
+  member.others.clear();
+  messages::State change = member.group.state();
+  change.document = "late";
+  member.step(replication::Offer{11, change});
+  ASSERT_EQ(member.others.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<replication::Doubtful>(member.others.front()));
+  EXPECT_EQ(member.group.state().document, "");
+}
+
+void startAll(ReplicationSimulation& group) {
+  for (std::size_t index = 0; index < group.nodes.size(); ++index) {
+    group.start(index);
+  }
+}
+
+std::size_t indexOf(ReplicationSimulation const& group, std::string const& id) {
+  for (std::size_t index = 0; index < group.nodes.size(); ++index) {
+    if (group.nodes[index].id == id) {
+      return index;
+    }
+  }
+  return group.nodes.size();
+}
+
+void runUntilCommit(ReplicationSimulation& group, Ms within) {
+  std::size_t const before = group.commits;
+  for (Ms passed{0}; passed < within && group.commits == before; passed += Ms(10)) {
+    group.run(Ms(10));
+    group.offer();
+  }
+  EXPECT_GT(group.commits, before);
+}
+
+TEST(Guards, APrimaryCutOffWithOneOfTwoBackupsIsNotConfirmedByThatOneAlone) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::size_t kept : {0u, 1u}) {
+      ReplicationSimulation group(seed, 8, 0, 2);
+      startAll(group);
+      runUntilCommit(group, Ms(10'000));
+      group.run(Ms(8000));
+      std::size_t const primary = group.active().value_or(0);
+      messages::EpochRecord const record = group.nodes[primary].group.decided();
+      ASSERT_EQ(record.backups.size(), 2u);
+      std::set<std::size_t> const cutOff{primary, indexOf(group, record.backups[kept])};
+      for (std::size_t left = 0; left < group.nodes.size(); ++left) {
+        for (std::size_t right = 0; right < group.nodes.size(); ++right) {
+          if (cutOff.contains(left) != cutOff.contains(right)) {
+            group.cut(left, right);
+          }
+        }
+      }
+      for (int round = 0; round < 500; ++round) {
+        group.run(Ms(10));
+        group.offer();
+      }
+      EXPECT_GT(group.nodes[*group.active()].group.decided().epoch, record.epoch) << "the other side goes on";
+      group.mendAll();
+      group.run(Ms(3000));
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+    }
+  }
+}
+
+TEST(Guards, AWitnessWhoseAddressAnswersUnderAnotherIdentityIsReplacedWithoutWaitingForItsSilence) {
+  Ms slowest{0};
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    ReplicationSimulation group(seed, 3, 0.01);
+    startAll(group);
+    runUntilCommit(group, Ms(10'000));
+    group.run(Ms(3000));
+    messages::EpochRecord const record = group.nodes[group.active().value_or(0)].group.decided();
+    std::size_t witness = 0;
+    for (std::size_t index = 0; index < 3; ++index) {
+      std::string const& id = group.nodes[index].id;
+      witness = id != record.primary && id != record.backups.front() ? index : witness;
+    }
+    group.wipeInPlace(witness);
+    group.start(witness);
+    TimePoint const returned = group.network.now();
+    std::string const newcomer = group.nodes[witness].id;
+    std::function<bool()> const votes = [&] {
+      std::optional<std::size_t> const primary = group.active();
+      std::vector<std::string> const& listed = group.nodes[primary.value_or(0)].group.decided().witnesses;
+      return primary && std::find(listed.begin(), listed.end(), newcomer) != listed.end();
+    };
+    while (!votes() && group.network.now() - returned < Ms(5000)) {
+      group.run(Ms(10));
+    }
+    slowest = std::max(slowest, std::chrono::duration_cast<Ms>(group.network.now() - returned));
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+  }
+  std::printf("seeds 1 to 60: a witness wiped in place votes again after %ld ms at most\n",
+              static_cast<long>(slowest.count()));
+  EXPECT_LT(slowest, Ms(1500));
+}
+
+}  // namespace
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -275,6 +275,111 @@
   }
 }
 
+// Runs the group until `index` may end, 6 s at most, and removes it for good, disk and address included.
+Ms leaveForGood(ReplicationSimulation& group, std::size_t index) {
+  TimePoint const asked = group.network.now();
+  group.retire(index);
+  while (!group.nodes[index].group.retired() && group.network.now() - asked < Ms(6000)) {
+    group.run(Ms(10));
+    group.offer();
+  }
+  EXPECT_TRUE(group.nodes[index].group.retired());
+  group.wipe(index);
+  return std::chrono::duration_cast<Ms>(group.network.now() - asked);
+}
+
+std::vector<std::size_t> membersByRole(ReplicationSimulation& group) {
+  messages::EpochRecord const record = group.nodes[primaryOf(group)].group.decided();
+  std::vector<std::string> ids{record.primary};
+  ids.insert(ids.end(), record.backups.begin(), record.backups.end());
+  for (std::string const& id : record.witnesses) {
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+      ids.push_back(id);
+    }
+  }
+  std::vector<std::size_t> out;
+  for (std::string const& id : ids) {
+    out.push_back(indexOf(group, id));
+  }
+  return out;
+}
+
+TEST(Leaving, ABackupThatIsToldToEndWhileItHoldsTheOnlyCopyHandsItOverFirst) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    for (std::size_t const count : {3u, 4u, 5u}) {
+      ReplicationSimulation group(seed, count, 0.01);
+      startAll(group);
+      expectAlive(group, "at first");
+      group.run(Ms(2000));
+      std::vector<std::size_t> const roles = membersByRole(group);
+      group.offer();
+      group.run(Ms(static_cast<long>(group.network.roll(20))));
+      group.wipe(roles[0]);
+      group.run(Ms(static_cast<long>(group.network.roll(500))));
+      if (count == 3) {
+        group.start(roles[0]);
+      }
+      leaveForGood(group, roles[1]);
+      expectAlive(group, "after the backup left, seed " + std::to_string(seed) + " of " + std::to_string(count));
+      EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+    }
+  }
+}
+
+TEST(Leaving, AnyMemberIsReplacedBeforeItEndsSoAnyOtherMayBeLostRightThen) {
+  std::vector<Ms> took;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    for (std::size_t const losses : {1u, 2u}) {
+      std::size_t const least = losses == 1 ? 4 : 6;
+      std::size_t const count = least + seed % 3;
+      for (std::size_t leaver = 0; leaver < 2 * losses + 1; ++leaver) {
+        for (std::size_t other = 0; other < 2 * losses + 1; ++other) {
+          ReplicationSimulation group(100 * seed + 10 * leaver + other, count, 0.01, losses);
+          startAll(group);
+          expectAlive(group, "at first");
+          group.run(Ms(8000));
+          std::size_t const leaving = membersByRole(group)[leaver];
+          group.offer();
+          took.push_back(leaveForGood(group, leaving));
+          std::vector<std::size_t> const now = membersByRole(group);
+          ASSERT_LT(other, now.size());
+          for (std::size_t lost = 0; lost < losses; ++lost) {
+            group.wipe(now[(other + lost) % now.size()]);
+          }
+          expectAlive(group, "after " + std::to_string(leaver) + " left and " + std::to_string(other) + " was lost");
+          EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
+        }
+      }
+    }
+  }
+  std::sort(took.begin(), took.end());
+  std::printf("%zu leaves: %ld ms at the median, %ld ms at most\n", took.size(),
+              static_cast<long>(took[took.size() / 2].count()), static_cast<long>(took.back().count()));
+  EXPECT_LT(took.back(), Ms(5000));
+}
+
+TEST(Leaving, AMemberThatNobodyCanReplaceEndsWithinTheGraceTime) {
+  for (std::size_t const count : {1u, 2u, 3u}) {
+    for (std::size_t role = 0; role < count; ++role) {
+      ReplicationSimulation group(40 + count, count, 0, count == 1 ? 0 : 1);
+      startAll(group);
+      expectAlive(group, "at first");
+      group.run(Ms(2000));
+      std::size_t const leaver = membersByRole(group)[role];
+      TimePoint const asked = group.network.now();
+      group.retire(leaver);
+      while (!group.nodes[leaver].group.retired() && group.network.now() - asked < Ms(6000)) {
+        group.run(Ms(10));
+      }
+      EXPECT_TRUE(group.nodes[leaver].group.retired()) << count << " " << role;
+      group.kill(leaver, true);
+      group.start(leaver);
+      expectAlive(group, "after its return");
+      EXPECT_EQ(group.complaints, std::vector<std::string>{});
+    }
+  }
+}
+
 TEST(Zones, ReplicasAndWitnessesSpreadAgainAfterReplacements) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     ReplicationSimulation group(seed, 5, 0.01);
