--- a/testside/explorer/scenarios.cpp
+++ b/testside/explorer/scenarios.cpp
@@ -5,7 +5,6 @@
 namespace limeramp::explorer {
 namespace {
 
-constexpr Ms roundMs{50};
 constexpr Ms settleBoundMs{20'000};
 constexpr int calmRounds = 60;
 
@@ -17,7 +16,7 @@
   World world(calm, {});
   world.recover(settleBoundMs);
   for (int round = 0; round < calmRounds; ++round) {
-    world.round(roundMs, nullptr);
+    world.run({});
   }
   world.setSetup(setup);
   return world;
@@ -51,13 +50,46 @@
     }
   }
   for (int round = 0; round < 200 && proposers(world) < 2; ++round) {
-    world.round(roundMs, isNoPrepare);
+    world.run({.delivers = isNoPrepare});
   }
   world.healLinks();
   world.setSetup(setup);
   return world;
 }
 
+/// The leader and its last backup have been frozen for a while. The others have decided the next epoch, and its leader
+/// has acknowledged a change. What the frozen ones had heard before lies fresh before their clocks.
+World replacedUnawares(Setup const& setup, std::size_t changes) {
+  World world = settled(setup);
+  std::size_t const primary = *world.leader();
+  std::vector<std::string> const backups = world.members()[primary]->group.decided().backups;
+  std::set<std::size_t> frozen{primary};
+  for (std::size_t other = 0; other < world.members().size(); ++other) {
+    if (backups.size() > 1 && world.members()[other]->id == backups.back()) {
+      frozen.insert(other);
+    }
+  }
+  world.dropPackets();
+  for (std::size_t const inside : frozen) {
+    for (std::size_t other = 0; other < world.members().size(); ++other) {
+      if (!frozen.contains(other)) {
+        world.cutLink(inside, other);
+        world.cutLink(other, inside);
+      }
+    }
+  }
+  std::size_t const before = world.acknowledgedChanges();
+  for (int round = 0; round < 400 && world.acknowledgedChanges() < before + changes; ++round) {
+    world.run({.frozen = frozen});
+    std::optional<std::size_t> const leader = world.leader();
+    if (leader && !frozen.contains(*leader) && !world.members()[*leader]->group.busy()) {
+      world.offer(*leader);
+    }
+  }
+  world.healLinks();
+  return world;
+}
+
 Scenario scenario(std::string name, std::string about, World start, Budget const& budget) {
   start.setBudget(budget);
   return {std::move(name), std::move(about), std::move(start)};
@@ -101,6 +133,10 @@
                          {.offers = 1, .ticks = 8, .jumps = 1, .wipes = 1}));
   out.push_back(scenario("five", "three replicas, five members", withoutPackets(settled(five)),
                          {.offers = 1, .ticks = 6, .jumps = 2}));
+  out.push_back(scenario("replaced", "a leader was frozen while the next one acknowledged a change",
+                         replacedUnawares(threeAtOnce, 1), {.offers = 2, .ticks = 6, .jumps = 1, .crashes = 1}));
+  out.push_back(scenario("replaced-five", "the same, and its second backup with it", replacedUnawares(five, 1),
+                         {.offers = 2, .ticks = 6, .jumps = 1, .crashes = 1}));
   return out;
 }
 
--- a/testside/explorer/world.cpp
+++ b/testside/explorer/world.cpp
@@ -12,7 +12,6 @@
 constexpr Ms tickMs{400};
 /// A freeze outlasts every time-out of a group of two backups at once.
 constexpr Ms jumpMs{2100};
-constexpr Ms roundMs{50};
 /// How long a member that was told to end waits for its successor.
 constexpr Ms leaveGraceMs{3000};
 constexpr std::size_t mostDeliveriesInRound = 400;
@@ -308,7 +307,7 @@
 void World::tick(std::size_t index, Ms time) {
   Member& member = change(index);
   member.clock += time;
-  replication::Known known;
+  replication::KnownMembers known;
   known.mayFound = member.mayFound;
   for (std::shared_ptr<Member> const& other : members_) {
     known.members.push_back({other->id, other->address, other->zone});
@@ -360,11 +359,11 @@
 void World::checkVote(std::size_t index, messages::Message const& message) {
   Member const& member = *members_[index];
   if (messages::Promise const* const promise = std::get_if<messages::Promise>(&message); promise && promise->granted) {
-    changeHistory().onVote(member.id, member.mayFound, promise->slot);
+    changeHistory().onVote(member.id, member.mayFound, promise->nextEpoch);
   }
   if (messages::Accepted const* const accepted = std::get_if<messages::Accepted>(&message);
       accepted && accepted->granted) {
-    changeHistory().onVote(member.id, member.mayFound, accepted->slot);
+    changeHistory().onVote(member.id, member.mayFound, accepted->nextEpoch);
   }
 }
 
@@ -431,15 +430,17 @@
   return best;
 }
 
-void World::round(Ms time, bool (*delivers)(Packet const& packet)) {
+void World::run(Round const& round) {
   for (std::size_t index = 0; index < members_.size(); ++index) {
-    if (members_[index]->up) {
-      tick(index, time);
+    if (members_[index]->up && !round.frozen.contains(index)) {
+      tick(index, round.time);
     }
   }
   std::size_t skipped = 0;
   for (std::size_t delivered = 0; skipped < packets_.size() && delivered < mostDeliveriesInRound; ++delivered) {
-    if (delivers != nullptr && !delivers(*packets_[skipped])) {
+    std::optional<std::size_t> const to = indexAt(packets_[skipped]->toAddress);
+    bool const reaches = !to || !round.frozen.contains(*to);
+    if (!reaches || (round.delivers != nullptr && !round.delivers(*packets_[skipped]))) {
       ++skipped;
     } else {
       deliver(skipped);
@@ -457,7 +458,7 @@
   setup_.heartbeats = true;
   setup_.mostPackets = mostDeliveriesInRound;
   std::size_t const before = history_->acknowledged.size();
-  for (Ms passed{0}; passed < bound && violation().empty(); passed += roundMs) {
+  for (Ms passed{0}; passed < bound && violation().empty(); passed += Round{}.time) {
     for (std::size_t index = 0; index < members_.size(); ++index) {
       Member const& member = *members_[index];
       if (!member.up || (member.retiring && (member.group.retired() || passed >= leaveGraceMs))) {
@@ -465,11 +466,11 @@
         start(index);
       }
     }
-    round(roundMs, nullptr);
+    run({});
     std::optional<std::size_t> const active = leader();
     if (active && !members_[*active]->group.busy()) {
       offer(*active);
-      round(roundMs, nullptr);
+      run({});
     }
     if (history_->acknowledged.size() > before) {
       return "";
--- a/testside/explorer/world.h
+++ b/testside/explorer/world.h
@@ -19,6 +19,8 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Ms = std::chrono::milliseconds;
 
+struct Packet;
+
 /// How often each kind of step may still happen.
 struct Budget {
   std::size_t offers = 0;
@@ -43,6 +45,13 @@
   std::size_t mostPackets = 24;
 };
 
+/// One round of a fixed schedule: who takes part, and which packets arrive.
+struct Round {
+  Ms time{50};
+  bool (*delivers)(Packet const& packet) = nullptr;
+  std::set<std::size_t> frozen{};
+};
+
 struct PendingWrite {
   std::uint64_t token = 0;
   replication::Puts puts;
@@ -118,7 +127,7 @@
   std::size_t acknowledgedChanges() const { return history_->changes.size(); }
   std::size_t epochs() const { return history_->records.size(); }
   bool offer(std::size_t index);
-  void round(Ms time, bool (*delivers)(Packet const& packet));
+  void run(Round const& round);
   void cutLink(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
   void healLinks() { cuts_.clear(); }
 
