--- a/libs/control/include/limeramp/control/answer_gate.h
+++ b/libs/control/include/limeramp/control/answer_gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/control/config_service.h"
+#include "limeramp/messages/state_digest.h"
 
 #include <optional>
 #include <vector>
@@ -32,6 +33,8 @@
   /// Takes out all: the leadership ended.
   std::vector<HeldAnswer> takeAll();
 
+  void digest(messages::StateDigest& digest) const;
+
  private:
   std::vector<HeldAnswer> held_;
 };
--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -6,6 +6,7 @@
 #include "limeramp/replication/replication_group.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -123,7 +124,9 @@
  public:
   Plane(Policy const& policy, std::string const& id, config::Language language = config::ownLanguage());
   ~Plane();
+  Plane(Plane const&);
   Plane(Plane&&) noexcept;
+  Plane& operator=(Plane const&);
   Plane& operator=(Plane&&) noexcept;
 
   std::vector<Effect> step(TimePoint now, replication::ReplicationGroup const& group, Event const& event);
@@ -133,6 +136,9 @@
   std::vector<NodeView> nodes(TimePoint now) const;
   std::size_t pending() const;
 
+  /// A hash of everything that decides what later steps do, for the model checker. Times count as differences from now.
+  std::uint64_t digest(TimePoint now) const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/control/src/answer_gate.cpp
+++ b/libs/control/src/answer_gate.cpp
@@ -28,4 +28,14 @@
 
 std::vector<HeldAnswer> AnswerGate::takeAll() { return std::exchange(held_, {}); }
 
+void AnswerGate::digest(messages::StateDigest& digest) const {
+  digest.add(held_.size());
+  for (HeldAnswer const& held : held_) {
+    digest.add(held.ticket);
+    digest.add(held.arrivedAt);
+    digest.add(held.deadline);
+    digest.add(held.decision.has_value());
+  }
+}
+
 }  // namespace limeramp::control
--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -2,6 +2,7 @@
 
 #include "limeramp/control/answer_gate.h"
 #include "limeramp/control/order_evaluator.h"
+#include "limeramp/messages/state_digest.h"
 #include "node_tracker.h"
 
 #include <algorithm>
@@ -38,6 +39,13 @@
   TimePoint arrivedAt{};
 };
 
+void digestOrder(messages::StateDigest& digest, Change const& order) {
+  digest.add(order.ticket);
+  digest.add(order.id);
+  digest.add(order.body);
+  digest.add(order.deadline);
+}
+
 }  // namespace
 
 struct Plane::Impl {
@@ -116,6 +124,7 @@
   void releaseConfirmed();
   void expire();
   messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
+  void digestOrders(messages::StateDigest& digest) const;
 };
 
 void Plane::Impl::probe() {
@@ -533,7 +542,12 @@
     : impl_(std::make_unique<Impl>(policy, id, std::move(language))) {}
 
 Plane::~Plane() = default;
+Plane::Plane(Plane const& other) : impl_(std::make_unique<Impl>(*other.impl_)) {}
 Plane::Plane(Plane&&) noexcept = default;
+Plane& Plane::operator=(Plane const& other) {
+  impl_ = std::make_unique<Impl>(*other.impl_);
+  return *this;
+}
 Plane& Plane::operator=(Plane&&) noexcept = default;
 
 std::vector<Effect> Plane::step(TimePoint now, replication::ReplicationGroup const& group, Event const& event) {
@@ -548,6 +562,53 @@
 messages::State const& Plane::published() const { return impl_->published; }
 std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waitingAnswers(); }
 
+void Plane::Impl::digestOrders(messages::StateDigest& digest) const {
+  digest.add(queue.size());
+  for (QueuedOrder const& queued : queue) {
+    digestOrder(digest, queued.order);
+    digest.add(queued.arrivedAt);
+  }
+  digest.add(working.has_value());
+  if (working) {
+    digestOrder(digest, *working);
+    digest.add(workingAnswered);
+  }
+  digest.add(workingTicket);
+  digest.add(waiting.size());
+  for (Waiting const& entry : waiting) {
+    digest.add(entry.ticket);
+    digest.add(entry.mark.epoch);
+    digest.add(entry.mark.sequence);
+    digest.add(entry.since);
+    digest.add(entry.deadline);
+    digest.add(entry.arrivedAt.value_or(TimePoint{}));
+  }
+  digest.add(forgetting.size());
+  for (Forgetting const& entry : forgetting) {
+    digest.add(entry.ticket);
+    digest.add(entry.nodes);
+    digest.add(entry.deadline);
+  }
+}
+
+std::uint64_t Plane::digest(TimePoint now) const {
+  Impl const& impl = *impl_;
+  messages::StateDigest digest(now, std::chrono::seconds(5));
+  digest.add(impl.id);
+  digest.add(impl.active);
+  digest.add(impl.retiring);
+  digest.add(impl.activeAt);
+  digest.add(impl.published);
+  digest.add(impl.publishedAt);
+  digest.add(impl.stable);
+  digest.addDeadline(impl.nextRosterAt);
+  impl.digestOrders(digest);
+  impl.reads.digest(digest);
+  impl.refusals.digest(digest);
+  impl.tracker.digest(digest);
+  return digest.finish();
+}
+
 std::vector<NodeView> Plane::nodes(TimePoint now) const {
   std::vector<NodeView> out;
   for (messages::RosterEntry const& entry : impl_->published.roster) {
--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -162,4 +162,33 @@
   return out;
 }
 
+void NodeTracker::digest(messages::StateDigest& digest) const {
+  digest.add(nodes_.size());
+  for (std::pair<std::string const, TrackedNode> const& entry : nodes_) {
+    TrackedNode const& node = entry.second;
+    digest.add(node.follower);
+    digest.add(node.boot);
+    digest.add(node.leftBoot);
+    digest.add(node.leaving);
+    digest.add(node.confirmed.epoch);
+    digest.add(node.confirmed.sequence);
+    digest.add(node.heardAt);
+    digest.add(node.direct);
+  }
+  for (std::pair<std::string const, DeathProof> const& entry : proofs_) {
+    digest.add(entry.first);
+    digest.add(entry.second.token);
+    digest.add(entry.second.probedAt);
+    digest.add(entry.second.firstGoneAt);
+    digest.add(entry.second.goneAt);
+    digest.add(entry.second.forgotten);
+  }
+  digest.add(incarnations());
+  for (std::pair<StateVersion const, TimePoint> const& entry : publishings_) {
+    digest.add(entry.first.epoch);
+    digest.add(entry.first.sequence);
+    digest.add(entry.second);
+  }
+}
+
 }  // namespace limeramp::control
--- a/libs/control/src/node_tracker.h
+++ b/libs/control/src/node_tracker.h
@@ -2,6 +2,7 @@
 
 #include "limeramp/control/config_service.h"
 #include "limeramp/distribution/config_delivery.h"
+#include "limeramp/messages/state_digest.h"
 
 #include <map>
 #include <optional>
@@ -76,6 +77,8 @@
   TrackedNode const* find(std::string const& node) const;
   std::vector<messages::IncarnationRecord> incarnations() const;
 
+  void digest(messages::StateDigest& digest) const;
+
  private:
   Policy policy_;
   TimePoint activeAt_{};
