An answer that is not shown to be its request's belongs to nobody

Cause, found by review and by an adversary of bytes at both HTTP sides: - A surplus answer in the place of the next one was recognised only after its connection had gone back to the pool, so that the connection stayed one answer behind and spoilt the requests after it. - On the platform, a failure or a word that a request did not run was believed though it carried no id. Such a surplus answer let a request that may not be repeated be sent again while it ran. - An answer that ends only with its connection was passed on with a length, and so a cut one looked complete. - An order handed to the primary was decided by whatever answered at that address: a 404, or a 200 of another program, or an answer about another order. Ruled out: a look at the socket before a connection is used again. It costs a system call for each request and does not see what comes a moment later. Change: net::Request says which header names its answer; the client fails the exchange and closes the connection if the header differs, or is missing where it is required. Request plane: an answer that ends by close is a failure. Answers to changes carry limeramp-change; Runner takes no answer that does not name the order, and checks a forget order itself.

--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -12,6 +12,9 @@
 constexpr char const* forgetPath = "/limeramp/forget";
 constexpr char const* deadlineHeader = "limeramp-deadline-ms";
 constexpr char const* revisionHeader = "limeramp-revision";
+/// Names an order; the answer that decides it carries the name back.
+constexpr char const* changeHeader = "limeramp-change";
+constexpr char const* versionHeader = "limeramp-version";
 constexpr std::chrono::milliseconds operatorWaitMs{900};
 
 enum class OperatorCall { none, change, read, forget };
@@ -24,6 +27,8 @@
 bool provesGone(net::Exchange const& exchange, std::string const& node);
 net::Answer answerOf(Decided const& decided, std::string const& change);
 net::Answer answerOf(ReadBack const& back);
+/// The order that an answer of a primary decides: by its header, or by its body if an older version wrote it.
+std::optional<std::string> decidedChange(net::Answer const& answer);
 net::Answer relayAnswer(net::Exchange const& exchange, std::string const& change);
 net::Answer plain(int status, std::string body);
 
--- a/libs/control/include/limeramp/control/relay.h
+++ b/libs/control/include/limeramp/control/relay.h
@@ -22,7 +22,15 @@
 struct RelayPrimary {
   std::string address;
 };
-enum class RelayOutcome { final, notRun, mayHaveRun };
+/// What came back of one attempt to hand an order to the primary.
+enum class RelayOutcome {
+  /// An answer that names this order and decides it.
+  final,
+  /// This attempt did not run and never will.
+  notRun,
+  /// No answer, or one that decides nothing.
+  mayHaveRun
+};
 struct RelayReturned {
   std::uint64_t ticket = 0;
   std::uint64_t attempt = 0;
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -125,9 +125,9 @@
   }
   std::string const ownId =
       base || baseRevision ? derivedId(request, base.value_or("") + "/" + baseRevision.value_or("")) : freshId;
-  change.id = net::findHeader(request.headers, "limeramp-change").value_or(ownId);
+  change.id = net::findHeader(request.headers, changeHeader).value_or(ownId);
   if (change.id.empty() || change.id.size() > 128) {
-    return refused("limeramp-change", "must have 1 to 128 bytes");
+    return refused(changeHeader, "must have 1 to 128 bytes");
   }
   if (std::optional<std::string> const zone = zoneOf(request.target)) {
     if (!isZoneName(*zone)) {
@@ -185,7 +185,9 @@
          read->get("node").get<std::string>() != node;
 }
 
-net::Answer answerOf(Decided const& decided, std::string const& change) {
+namespace {
+
+net::Answer outcomeOf(Decided const& decided, std::string const& change) {
   std::string const tail = ",\"version\":" + json(decided.version.text()) + ",\"change\":" + json(change) +
                            (decided.reason.empty() ? "" : ",\"reason\":" + json(decided.reason)) + "}";
   switch (decided.verdict) {
@@ -208,10 +210,30 @@
   return plain(400, "{\"outcome\":\"refused\",\"problems\":[" + problems + "]" + tail);
 }
 
+}  // namespace
+
+net::Answer answerOf(Decided const& decided, std::string const& change) {
+  net::Answer answer = outcomeOf(decided, change);
+  answer.headers.emplace_back(changeHeader, change);
+  return answer;
+}
+
+std::optional<std::string> decidedChange(net::Answer const& answer) {
+  if (std::optional<std::string> const named = net::findHeader(answer.headers, changeHeader)) {
+    return named;
+  }
+  absl::StatusOr<picojson::value> const read = config::parseJson(answer.body);
+  if (!read.ok() || !read->is<picojson::object>() || !read->contains("change") ||
+      !read->get("change").is<std::string>()) {
+    return std::nullopt;
+  }
+  return read->get("change").get<std::string>();
+}
+
 net::Answer answerOf(ReadBack const& back) {
   net::Answer answer;
   answer.headers = {{"content-type", "application/json"},
-                    {"limeramp-version", back.version.text()},
+                    {versionHeader, back.version.text()},
                     {revisionHeader, std::to_string(back.revision)}};
   answer.body = back.document.empty() ? "{}" : back.document;
   return answer;
--- a/libs/control/src/runner.cpp
+++ b/libs/control/src/runner.cpp
@@ -19,6 +19,33 @@
   bool reads = false;
 };
 
+RelayOutcome outcomeOfRead(net::Answer const& answer) {
+  bool const isDocument = answer.status != 200 || net::findHeader(answer.headers, versionHeader).has_value();
+  return isDocument ? RelayOutcome::final : RelayOutcome::mayHaveRun;
+}
+
+RelayOutcome outcomeOfChange(net::Answer const& answer, std::string const& change) {
+  std::optional<std::string> const named = decidedChange(answer);
+  if (answer.status == 503 && named.value_or(change) == change) {
+    return RelayOutcome::notRun;
+  }
+  return named == change ? RelayOutcome::final : RelayOutcome::mayHaveRun;
+}
+
+RelayOutcome outcomeOf(net::Exchange const& exchange, Job const& job) {
+  if (!exchange.answer || exchange.answer->endedByClose) {
+    return exchange.verdict == retry::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+  }
+  net::Answer const& answer = *exchange.answer;
+  if (answer.status == 504) {
+    return RelayOutcome::mayHaveRun;
+  }
+  if (job.reads) {
+    return answer.status == 503 ? RelayOutcome::notRun : outcomeOfRead(answer);
+  }
+  return outcomeOfChange(answer, job.change);
+}
+
 }  // namespace
 
 struct Runner::Impl {
@@ -77,7 +104,12 @@
   bool const reads = operatorCallOf(content) == OperatorCall::read;
   std::variant<Change, net::Answer> change = reads ? Change{} : readChange(content, now, net::randomName());
   std::variant<TimePoint, net::Answer> deadline = readDeadline(content, now);
-  for (net::Answer* const wrong : {std::get_if<net::Answer>(&change), std::get_if<net::Answer>(&deadline)}) {
+  std::variant<std::vector<std::string>, net::Answer> nodes;
+  if (operatorCallOf(content) == OperatorCall::forget) {
+    nodes = readForget(content.body);
+  }
+  for (net::Answer* const wrong :
+       {std::get_if<net::Answer>(&change), std::get_if<net::Answer>(&deadline), std::get_if<net::Answer>(&nodes)}) {
     if (wrong != nullptr) {
       respond(std::move(*wrong));
       return;
@@ -89,11 +121,12 @@
     return;
   }
   content.headers = net::withoutHopByHop(content.headers);
-  for (char const* const name : {"limeramp-change", deadlineHeader, "host"}) {
+  for (char const* const name : {changeHeader, deadlineHeader, "host"}) {
     net::dropHeader(content.headers, name);
   }
   if (!reads) {
-    content.headers.emplace_back("limeramp-change", id);
+    content.headers.emplace_back(changeHeader, id);
+    content.identity = {changeHeader, changeHeader, false};
   }
   content.headers.emplace_back(relayedHeader, "1");
   content.headers.emplace_back("limeramp-from", impl_->advertise);
@@ -103,14 +136,11 @@
 }
 
 void Runner::hear(TimePoint now, RunBack& back) {
-  net::Exchange const& exchange = back.exchange;
-  RelayOutcome outcome = RelayOutcome::final;
-  if (!exchange.answer) {
-    outcome = exchange.verdict == retry::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
-  } else if (exchange.answer->status == 503 || exchange.answer->status == 504) {
-    outcome = exchange.answer->status == 503 ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+  std::unordered_map<std::uint64_t, Job>::const_iterator const job = impl_->jobs.find(back.ticket);
+  if (job != impl_->jobs.end()) {
+    RelayOutcome const outcome = outcomeOf(back.exchange, job->second);
+    impl_->drive(now, RelayReturned{back.ticket, back.attempt, outcome}, &back.exchange);
   }
-  impl_->drive(now, RelayReturned{back.ticket, back.attempt, outcome}, &exchange);
 }
 
 void Runner::tick(TimePoint now, std::string const& primaryAddress) {
--- a/libs/gateway/src/dialect.cpp
+++ b/libs/gateway/src/dialect.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view loadHeader = "limeramp-load";
 constexpr std::string_view lifeHeader = "limeramp-life";
 constexpr std::string_view verdictHeader = "limeramp-verdict";
+constexpr std::string_view answersHeader = "limeramp-answers";
 constexpr long mostDeadlineMs = 60'000;
 
 std::string json(std::string const& text) { return picojson::value(text).serialize(); }
@@ -99,7 +100,7 @@
 }
 
 void writeForwarded(net::Answer& answer, std::string const& request, std::string const& version) {
-  for (std::string_view const name : {verdictHeader, requestHeader, versionHeader, loadHeader}) {
+  for (std::string_view const name : {verdictHeader, requestHeader, versionHeader, loadHeader, answersHeader}) {
     net::dropHeader(answer.headers, name);
   }
   answer.headers.emplace_back(verdictHeader, "ran");
@@ -113,6 +114,7 @@
     net::dropHeader(headers, name);
   }
   headers.emplace_back(requestHeader, asked.request);
+  request.identity = {requestHeader, answersHeader, false};
   headers.emplace_back(shardHeader, asked.service);
   headers.emplace_back(deadlineHeader, std::to_string(asked.remainingMs.count()));
   headers.emplace_back(versionHeader, asked.version);
--- a/libs/gateway/src/request_plane.cpp
+++ b/libs/gateway/src/request_plane.cpp
@@ -275,7 +275,8 @@
   dispatch::Returned returned;
   returned.attempt = event.attempt;
   returned.verdict = exchange.verdict;
-  if (!exchange.answer) {
+  if (!exchange.answer || exchange.answer->endedByClose) {
+    // Nothing shows that an answer is whole whose only end is the end of its connection.
     outgoing.erase(found);
     drive(returned);
     return;
--- a/libs/net/include/limeramp/net/http.h
+++ b/libs/net/include/limeramp/net/http.h
@@ -24,6 +24,16 @@
 std::string percentEncoded(std::string const& text);
 std::string plainHost(std::string_view host);
 
+/// How an answer shows which request it belongs to. The names must outlive the request; empty names ask for nothing.
+struct AnswerIdentity {
+  /// The header of the request that holds its id.
+  std::string_view requestHeader;
+  /// The header in which the answer carries that id back. An answer with another id belongs to nobody.
+  std::string_view answerHeader;
+  /// Whether an answer without the header belongs to nobody either.
+  bool required = false;
+};
+
 struct Request {
   std::string method;
   std::string target;
@@ -31,6 +41,7 @@
   std::string body;
   std::string peer;
   std::uint64_t token = 0;
+  AnswerIdentity identity{};
 };
 
 struct Answer {
--- a/libs/net/src/client.cpp
+++ b/libs/net/src/client.cpp
@@ -59,6 +59,33 @@
   return std::nullopt;
 }
 
+std::string_view valueOf(Headers const& headers, std::string_view name) {
+  for (std::pair<std::string, std::string> const& header : headers) {
+    if (beast::iequals(header.first, name)) {
+      return header.second;
+    }
+  }
+  return {};
+}
+
+bool belongsTo(Request const& request, Headers const& answer) {
+  AnswerIdentity const& identity = request.identity;
+  if (identity.answerHeader.empty()) {
+    return true;
+  }
+  std::string_view const id = valueOf(request.headers, identity.requestHeader);
+  bool found = false;
+  for (std::pair<std::string, std::string> const& header : answer) {
+    if (beast::iequals(header.first, identity.answerHeader)) {
+      found = true;
+      if (header.second != id) {
+        return false;
+      }
+    }
+  }
+  return found || !identity.required;
+}
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -476,6 +503,10 @@
         connection->keepAliveMs = keepAliveTimeout(std::string_view(field.value().data(), field.value().size()));
       }
     }
+    if (!belongsTo(connection->attempt->request, connection->headers)) {
+      fail(connection, "the answer belongs to another request");
+      return false;
+    }
     parser.eager(true);
     bytes.remove_prefix(used);
   }
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -87,6 +87,12 @@
     return out + take(std::min(length, unread_.size()));
   }
 
+  std::string exactly(std::size_t bytes) {
+    while (unread_.size() < bytes && fill(bytes - unread_.size())) {
+    }
+    return take(bytes);
+  }
+
   std::string rest() {
     while (fill()) {
     }
@@ -122,9 +128,9 @@
     }
   }
 
-  bool fill() {
+  bool fill(std::size_t most = 4096) {
     char bytes[4096];
-    last_ = ::recv(descriptor_, bytes, sizeof bytes, 0);
+    last_ = ::recv(descriptor_, bytes, std::min(most, sizeof bytes), 0);
     if (last_ > 0) {
       unread_.append(bytes, static_cast<std::size_t>(last_));
     }
@@ -157,6 +163,7 @@
   ~RawListener() { ::close(descriptor_); }
 
   net::Address address() const { return address_; }
+  int descriptor() const { return descriptor_; }
   RawSocket accept() { return RawSocket(::accept(descriptor_, nullptr, nullptr)); }
 
  private:
