--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/control/config_service.h"
+#include "limeramp/control/relay.h"
 #include "limeramp/net/http.h"
 
 #include <string>
@@ -26,6 +27,9 @@
 bool provesGone(net::Exchange const& exchange, std::string const& node);
 net::Answer answerOf(Decided const& decided, std::string const& change);
 net::Answer answerOf(ReadBack const& back);
+/// What an exchange with the primary says of a forwarded order or read. Only an answer that names its outcome is final:
+/// anything else may come from another process that got the address, or from a connection that broke.
+RelayOutcome relayOutcomeOf(net::Exchange const& exchange, bool reads);
 net::Answer relayAnswer(net::Exchange const& exchange, std::string const& change);
 net::Answer plain(int status, std::string body);
 
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -70,6 +70,16 @@
   return text.data();
 }
 
+constexpr char const* versionHeader = "limeramp-version";
+
+/// The member `outcome` of an answer's body; empty if there is none.
+std::string outcomeNameOf(net::Answer const& answer) {
+  absl::StatusOr<picojson::value> const read = config::parseJson(answer.body);
+  bool const named =
+      read.ok() && read->is<picojson::object>() && read->contains("outcome") && read->get("outcome").is<std::string>();
+  return named ? read->get("outcome").get<std::string>() : "";
+}
+
 }  // namespace
 
 net::Answer plain(int status, std::string body) {
@@ -213,12 +223,29 @@
 net::Answer answerOf(ReadBack const& back) {
   net::Answer answer;
   answer.headers = {{"content-type", "application/json"},
-                    {"limeramp-version", back.version.text()},
+                    {versionHeader, back.version.text()},
                     {revisionHeader, std::to_string(back.revision)}};
   answer.body = back.document.empty() ? "{}" : back.document;
   return answer;
 }
 
+RelayOutcome relayOutcomeOf(net::Exchange const& exchange, bool reads) {
+  if (!exchange.answer) {
+    return exchange.verdict == retry::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+  }
+  net::Answer const& answer = *exchange.answer;
+  if (reads) {
+    bool const whole = answer.status == 200 && net::findHeader(answer.headers, versionHeader);
+    return whole ? RelayOutcome::final : RelayOutcome::notRun;
+  }
+  std::string const outcome = outcomeNameOf(answer);
+  bool const definite = (answer.status == 200 && outcome == "taken") ||
+                        (answer.status == 400 && outcome == "refused") ||
+                        (answer.status == 409 && outcome == "conflict");
+  bool const notRun = answer.status == 503 && outcome == "not_run";
+  return definite ? RelayOutcome::final : notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+}
+
 net::Answer relayAnswer(net::Exchange const& exchange, std::string const& change) {
   if (exchange.answer) {
     net::Answer answer = *exchange.answer;
--- a/libs/control/src/runner.cpp
+++ b/libs/control/src/runner.cpp
@@ -102,13 +102,12 @@
 }
 
 void Runner::hear(TimePoint now, RunBack& back) {
-  net::Exchange const& exchange = back.exchange;
-  RelayOutcome outcome = RelayOutcome::final;
-  if (!exchange.answer) {
-    outcome = exchange.verdict == retry::Verdict::notRun ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
-  } else if (exchange.answer->status == 503 || exchange.answer->status == 504) {
-    outcome = exchange.answer->status == 503 ? RelayOutcome::notRun : RelayOutcome::mayHaveRun;
+  std::unordered_map<std::uint64_t, Job>::const_iterator const job = impl_->jobs.find(back.ticket);
+  if (job == impl_->jobs.end()) {
+    return;
   }
+  net::Exchange const& exchange = back.exchange;
+  RelayOutcome const outcome = relayOutcomeOf(exchange, job->second.reads);
   impl_->drive(now, RelayReturned{back.ticket, back.attempt, outcome}, &exchange);
 }
 
--- a/testside/simulator/fleet_simulation.cpp
+++ b/testside/simulator/fleet_simulation.cpp
@@ -413,7 +413,18 @@
   }
 }
 
-void FleetSimulation::retire(std::size_t index) { step(index, replication::Retire{}); }
+void FleetSimulation::submit(std::size_t index, control::Event const& event) {
+  control::Change const* const change = std::get_if<control::Change>(&event);
+  if (change != nullptr && change->zone) {
+    orders_.emplace(change->ticket, *change->zone);
+  }
+  drivePlane(index, event);
+}
+
+void FleetSimulation::retire(std::size_t index) {
+  drivePlane(index, control::Retire{});
+  step(index, replication::Retire{});
+}
 
 std::optional<std::uint64_t> FleetSimulation::forget(std::vector<std::string> const& nodes) {
   std::optional<std::size_t> const index = primary();
--- a/testside/simulator/fleet_simulation.h
+++ b/testside/simulator/fleet_simulation.h
@@ -89,7 +89,9 @@
   std::optional<std::uint64_t> order(std::string const& zone, bool evacuated);
   std::uint64_t read(std::size_t index, Ms wait);
   /// Hands an operator's event to the configuration service of one machine, whether it is primary or not.
-  void submit(std::size_t index, control::Event const& event) { drivePlane(index, event); }
+  void submit(std::size_t index, control::Event const& event);
+  /// An order that contradicts the last one acknowledged for this zone is on its way.
+  void expectNothingOf(std::string const& zone) { orderedZones_.erase(zone); }
   std::uint64_t nextTicket() { return ++lastTicket_; }
   /// Told each answer of a configuration service, and each state that one publishes.
   std::function<void(control::Decided const&)> onDecided;
