--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -189,8 +189,8 @@
 
 void Plane::Impl::note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct) {
   if (!tracker.report(now, follower, peerStatus, direct)) {
-    effects.emplace_back(replication::Note{logging::Event::peerStrange,
-                                           follower.node + " is at two addresses, one of them " + follower.address});
+    effects.emplace_back(replication::LogEntry{
+        logging::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
   }
 }
 
@@ -217,12 +217,12 @@
 }
 
 void Plane::Impl::publish(messages::State const& state) {
-  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) ==
-                          StateVersion(published.rosterEpoch, published.rosterSequence);
+  bool const sameRoster = StateVersion{state.rosterEpoch, state.rosterSequence} ==
+                          StateVersion{published.rosterEpoch, published.rosterSequence};
   stable = stable && sameRoster;
   bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
-                          StateVersion(state.configurationEpoch, state.configurationSequence) ==
-                              StateVersion(published.configurationEpoch, published.configurationSequence);
+                          StateVersion{state.configurationEpoch, state.configurationSequence} ==
+                              StateVersion{published.configurationEpoch, published.configurationSequence};
   published = state;
   publishedAt = now;
   tracker.published(now, mark());
@@ -276,7 +276,7 @@
       waiting.push_back({working->ticket, mark(), version, now, working->deadline, std::nullopt});
     }
     effects.emplace_back(
-        replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
+        replication::LogEntry{logging::Event::configurationTaken, version.text() + " change " + working->id});
   }
   if (event.ticket == workingTicket) {
     working.reset();
@@ -293,7 +293,7 @@
     decide(working->ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   if (working) {
-    effects.emplace_back(replication::Note{logging::Event::configurationUnknown, working->id});
+    effects.emplace_back(replication::LogEntry{logging::Event::configurationUnknown, working->id});
   }
   working.reset();
   workingTicket = 0;
@@ -403,7 +403,7 @@
   if (!active) {
     return;
   }
-  StateVersion const rosterMark(published.rosterEpoch, published.rosterSequence);
+  StateVersion const rosterMark{published.rosterEpoch, published.rosterSequence};
   if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
     stable = true;
   }
@@ -476,7 +476,7 @@
   next.rosterSequence = published.sequence + 1;
   stable = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(replication::Note{logging::Event::rosterChanged, about});
+  effects.emplace_back(replication::LogEntry{logging::Event::rosterChanged, about});
   effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
   return true;
 }
@@ -554,7 +554,7 @@
     NodeView view{entry.node, entry.address, entry.zone, entry.slot,
                   {},         Ms(0),         false,      impl_->tracker.persistentlyGone(now, entry.node)};
     if (TrackedNode const* const found = impl_->tracker.find(entry.node)) {
-      view.confirmed = {found->confirmed.first, found->confirmed.second};
+      view.confirmed = {found->confirmed.epoch, found->confirmed.sequence};
       view.heardMs = std::chrono::duration_cast<Ms>(now - found->heardAt);
       view.everHeard = true;
     }
