--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -89,6 +89,7 @@
   /// The backups have been silent for so long that another primary may lead soon. Spares callers the wait for an answer
   /// that would not come; what may be answered is decided by `confirmedSince` alone.
   bool isUnconfirmed() const { return now - confirmedAt.value_or(activeAt) > policy.leadershipConfirmationMs; }
+  bool mayLead() const { return active && !isUnconfirmed(); }
   /// Why this node cannot carry out an order now; empty if it can.
   std::string whyNot() const {
     return !active ? "this node is not the primary" : isUnconfirmed() ? "the backup is not heard" : "";
@@ -199,7 +200,7 @@
   messages::News out;
   out.token = token;
   out.node = id;
-  out.primaryAddress = group.primaryAddress();
+  out.primaryAddress = group.decided().primary != group.id() || mayLead() ? group.primaryAddress() : "";
   out.incarnations = tracker.incarnations();
   if (!active) {
     return out;
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -360,6 +360,8 @@
   if (!message.primaryAddress.empty()) {
     impl.hurry = impl.hurry || (!impl.state && impl.primaryAddress != message.primaryAddress);
     impl.primaryAddress = message.primaryAddress;
+  } else if (message.token != 0 && address == impl.primaryAddress) {
+    impl.primaryAddress.clear();
   }
   if (out.changed) {
     impl.pushTo(out.sends, now);
