--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -41,7 +41,8 @@
 using InboundMessage = std::variant<Incoming, DiskDone, RunBack, Probed, RetireAsked>;
 
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
-constexpr Ms retireMs{3000};
+/// Kept back from the grace time for closing the listeners and the disk.
+constexpr Ms closingMs{600};
 constexpr Ms eagerMs{1000};
 constexpr Ms settleMs{2000};
 constexpr char const* membersKey = "members";
@@ -106,6 +107,15 @@
   return absl::OkStatus();
 }
 
+/// Nodes hold no receipts: those of this replica's own state are the best that is left after a total loss.
+messages::State withReceipts(messages::State state, messages::State const& own) {
+  state.receipts = own.receipts;
+  state.forgottenEpoch = own.forgottenEpoch;
+  state.forgottenSequence = own.forgottenSequence;
+  state.forgottenRevision = own.forgottenRevision;
+  return state;
+}
+
 }  // namespace
 
 struct ControlServer::Impl {
@@ -284,7 +294,7 @@
     drivePlane(Polled{received->address, *poll});
   } else if (messages::News const* const news = std::get_if<messages::News>(&received->message)) {
     if (forcingNewGroup && received->address == forcingNewGroup->from && news->state && !received->fleet.empty()) {
-      driveGroup(replication::ForceNewGroup{received->fleet, *news->state});
+      driveGroup(replication::ForceNewGroup{received->fleet, withReceipts(*news->state, group.state())});
     }
   } else {
     driveGroup(replication::Received{received->from, received->address, std::move(received->message)});
@@ -329,6 +339,7 @@
       (decided.primary == id || std::count(decided.backups.begin(), decided.backups.end(), id) > 0 ? "true" : "false") +
       ",\"active\":" + (group.active() ? "true" : "false") + ",\"sealed\":" + std::to_string(group.fenced()) +
       ",\"ailing\":" + (group.ailing() ? "true" : "false") +
+      ",\"leaving\":" + json(std::string(replication::nameOf(group.leaveProgress()))) +
       ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
       ",\"version\":" + json(config::Version{state.configurationEpoch, state.configurationSequence}.text()) +
       ",\"pending\":" + std::to_string(plane.pending()) + ",\"witnesses\":[";
@@ -639,7 +650,7 @@
 void ControlServer::drain() {
   impl_->inbox.push(RetireAsked{});
   std::unique_lock<std::mutex> lock(impl_->retiredMutex);
-  Ms const waitMs = std::min(retireMs, impl_->settings.graceMs / 2);
+  Ms const waitMs = std::max(impl_->settings.graceMs - closingMs, impl_->settings.graceMs / 2);
   impl_->retiredChanged.wait_for(lock, waitMs, [this] { return impl_->retired; });
   for (std::unique_ptr<net::HttpServer> const& server : impl_->servers) {
     server->stopAccepting();
--- a/libs/distribution/include/limeramp/distribution/state_feed.h
+++ b/libs/distribution/include/limeramp/distribution/state_feed.h
@@ -3,6 +3,7 @@
 #include "limeramp/distribution/peer_views.h"
 #include "limeramp/distribution/state_update.h"
 #include "limeramp/messages/messages.h"
+#include "limeramp/messages/state_digest.h"
 
 #include <chrono>
 #include <map>
@@ -36,6 +37,8 @@
                            messages::News news);
   /// What the followers lack, each with `news`.
   std::vector<Outgoing> push(TimePoint now, messages::State const& newest, messages::News const& news);
+  /// Adds what decides over later sends to the digest of the whole state machine.
+  void digest(messages::StateDigest& digest) const;
 
  private:
   struct Position {
--- a/libs/distribution/src/state_feed.cpp
+++ b/libs/distribution/src/state_feed.cpp
@@ -58,6 +58,22 @@
   return out;
 }
 
+void StateFeed::digest(messages::StateDigest& digest) const {
+  digest.add(followers_.size());
+  for (std::pair<std::string const, Position> const& entry : followers_) {
+    Position const& follower = entry.second;
+    digest.add(entry.first);
+    digest.add(follower.address);
+    digest.add(follower.parts.has_value());
+    for (messages::StateVersion const& version : {follower.has, follower.sentConfiguration}) {
+      digest.add(version.epoch);
+      digest.add(version.sequence);
+    }
+    digest.add(follower.heardAt);
+    digest.add(follower.sentAt);
+  }
+}
+
 bool StateFeed::isUnderWay(TimePoint now, messages::State const& newest, Position const& follower) const {
   Ms const transfer(static_cast<long>(newest.document.size() / policy_.bytesPerMs));
   return follower.sentConfiguration == configurationVersionOf(newest) &&
