--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -23,6 +23,7 @@
   std::chrono::milliseconds recoverAfterMs{1000};
   std::size_t wideSlices = 4;
   std::chrono::milliseconds wideRoundMs{900};
+  std::chrono::milliseconds fetchAfterMs{150};
 };
 
 using IncarnationRecords = std::map<std::string, messages::IncarnationRecord>;
--- a/libs/distribution/include/limeramp/distribution/state_feed.h
+++ b/libs/distribution/include/limeramp/distribution/state_feed.h
@@ -20,7 +20,8 @@
 struct StateFeedPolicy {
   /// A follower that has not polled for this long is sent no pushes.
   std::chrono::milliseconds followerMs{2000};
-  /// A configuration is sent again at the earliest after this time, and after 1 ms more for each `bytesPerMs`.
+  /// A configuration is sent again at the earliest this long after it, and all that was sent before it, could have left
+  /// over a link of `bytesPerMs`.
   std::chrono::milliseconds resendMs{150};
   std::size_t bytesPerMs = 500;
   std::size_t mostFollowers = 1000;
@@ -47,16 +48,17 @@
     std::optional<messages::PartVersions> parts;
     TimePoint heardAt{};
     messages::StateVersion sentConfiguration;
-    TimePoint sentAt{};
+    TimePoint underWayUntil{};
   };
 
   std::optional<messages::Message> next(TimePoint now, messages::State const& newest, Position& follower,
-                                        messages::News const& news) const;
-  bool isUnderWay(TimePoint now, messages::State const& newest, Position const& follower) const;
+                                        messages::News const& news);
+  void documentSent(TimePoint now, messages::State const& newest, Position& follower);
 
   StateFeedPolicy policy_;
   RosterHistory rosters_;
   std::map<std::string, Position> followers_;
+  TimePoint linkBusyUntil_{};
 };
 
 }  // namespace limeramp::distribution
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -63,6 +63,8 @@
   std::uint64_t lastToken = 0;
   TimePoint nextPollAt{};
   TimePoint nextWideAt{};
+  std::optional<TimePoint> behindSince;
+  std::string fetchFrom;
   TimePoint nextFetchAt{};
   std::size_t turn = 0;
   std::size_t wideTurn = 0;
@@ -110,8 +112,9 @@
   }
 
   /// A poll of the primary also reports the followers. What they know of incarnations is in this node's own list.
-  messages::Poll makeReport(TimePoint now, std::string const& address) {
-    messages::Poll poll = makePoll(now, address);
+  messages::Poll makeReport(TimePoint now, std::string const& address, Purpose purpose = Purpose::follow) {
+    messages::Poll poll = makePoll(now, address, purpose);
+    poll.peerStatuses.back().incarnations = incarnationList();
     for (std::pair<std::string const, Listener> const& entry : listeners) {
       messages::PeerStatus const& status = entry.second.peerStatus;
       poll.followers.push_back(entry.second.follower);
@@ -195,6 +198,9 @@
     }
     state = std::move(next);
     state->receipts.clear();
+    if (mark() >= newestHeard) {
+      behindSince.reset();
+    }
     hurry = hurry || !served;
     return true;
   }
@@ -262,11 +268,17 @@
     }
   }
 
-  /// A node that was asked what it knows has named a newer state: it is asked for it, at most once in `replyMs`.
-  void fetch(TimePoint now, std::string const& address, std::vector<Outgoing>& sends) {
-    if (now >= nextFetchAt) {
+  /// Another node has named a newer state than this one's. If nothing brings it soon, that node is asked for it, at
+  /// most once in `replyMs`.
+  void noteNewer(TimePoint now, std::string const& address) {
+    behindSince = behindSince.value_or(now);
+    fetchFrom = address;
+  }
+
+  void fetch(TimePoint now, std::vector<Outgoing>& sends) {
+    if (behindSince && now - *behindSince >= policy.fetchAfterMs && now >= nextFetchAt) {
       nextFetchAt = now + policy.replyMs;
-      sends.push_back({address, makePoll(now, address)});
+      sends.push_back({fetchFrom, makePoll(now, fetchFrom)});
     }
   }
 
@@ -321,7 +333,7 @@
   asked.erase(found);
   if (StateVersion{message.epoch, message.sequence} > mark()) {
     if (question.purpose != Purpose::follow) {
-      fetch(now, address, out.sends);
+      noteNewer(now, address);
     }
     return out;
   }
@@ -409,7 +421,7 @@
       out.sends.push_back({target, target == control ? impl.makeReport(now, target) : impl.makePoll(now, target)});
     }
     if ((worried || impl.peerStatus.leaving) && !control.empty() && control != target) {
-      out.sends.push_back({control, impl.makeReport(now, control)});
+      out.sends.push_back({control, impl.makeReport(now, control, Purpose::verify)});
     }
   }
   if (!impl.state && now >= impl.nextWideAt) {
@@ -422,10 +434,11 @@
     }
     if (!fronts.empty()) {
       std::string const& chosen = fronts[impl.random() % fronts.size()];
-      out.sends.push_back({chosen, impl.makePoll(now, chosen)});
+      out.sends.push_back({chosen, impl.makePoll(now, chosen, Purpose::verify)});
     }
   }
   impl.askRoster(now, worried, out.sends);
+  impl.fetch(now, out.sends);
   return out;
 }
 
--- a/libs/distribution/src/state_feed.cpp
+++ b/libs/distribution/src/state_feed.cpp
@@ -38,7 +38,7 @@
   }
   if (known != followers_.end() && known->second.has <= asking.has) {
     asking.sentConfiguration = known->second.sentConfiguration;
-    asking.sentAt = known->second.sentAt;
+    asking.underWayUntil = known->second.underWayUntil;
   }
   Position& follower = followers_[poll.self.node];
   follower = std::move(asking);
@@ -70,18 +70,19 @@
       digest.add(version.sequence);
     }
     digest.add(follower.heardAt);
-    digest.add(follower.sentAt);
+    digest.add(follower.underWayUntil);
   }
 }
 
-bool StateFeed::isUnderWay(TimePoint now, messages::State const& newest, Position const& follower) const {
+void StateFeed::documentSent(TimePoint now, messages::State const& newest, Position& follower) {
   Ms const transfer(static_cast<long>(newest.document.size() / policy_.bytesPerMs));
-  return follower.sentConfiguration == configurationVersionOf(newest) &&
-         now - follower.sentAt < policy_.resendMs + transfer;
+  linkBusyUntil_ = std::max(linkBusyUntil_, now) + transfer;
+  follower.sentConfiguration = configurationVersionOf(newest);
+  follower.underWayUntil = linkBusyUntil_ + policy_.resendMs;
 }
 
 std::optional<messages::Message> StateFeed::next(TimePoint now, messages::State const& newest, Position& follower,
-                                                 messages::News const& news) const {
+                                                 messages::News const& news) {
   if (follower.has >= newest.version()) {
     return std::nullopt;
   }
@@ -92,12 +93,12 @@
     return whole;
   }
   messages::StateUpdate update = updateFor(newest, *follower.parts, rosters_, news);
-  if (update.document && isUnderWay(now, newest, follower)) {
+  bool const underWay = follower.sentConfiguration == configurationVersionOf(newest) && now < follower.underWayUntil;
+  if (update.document && underWay) {
     return std::nullopt;
   }
   if (update.document) {
-    follower.sentConfiguration = configurationVersionOf(newest);
-    follower.sentAt = now;
+    documentSent(now, newest, follower);
   }
   return update;
 }
--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -1,9 +1,12 @@
+#include "limeramp/distribution/state_feed.h"
+#include "limeramp/distribution/state_update.h"
 #include "simulator/fleet_simulation.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstdio>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -127,4 +130,299 @@
   }
 }
 
+/// States as a primary publishes them: each differs from the one before in one part.
+class RandomHistory {
+ public:
+  explicit RandomHistory(std::uint64_t seed) : random_(seed) { state_.epoch = 1; }
+
+  messages::State const& next() {
+    ++state_.sequence;
+    state_.epoch += random_() % 20 == 0 ? 1 : 0;
+    switch (random_() % 3) {
+      case 0:
+        state_.document = "configuration " + std::to_string(random_());
+        state_.revision += random_() % 2;
+        state_.configurationEpoch = state_.epoch;
+        state_.configurationSequence = state_.sequence;
+        state_.receipts.push_back({"change", state_.epoch, state_.sequence, "digest"});
+        break;
+      case 1:
+        state_.evacuatedZones.assign(random_() % 3, "z" + std::to_string(random_() % 4));
+        break;
+      default:
+        changeRoster();
+        break;
+    }
+    return state_;
+  }
+
+ private:
+  void changeRoster() {
+    state_.priorRoster = state_.roster;
+    state_.rosterEpoch = state_.epoch;
+    state_.rosterSequence = state_.sequence;
+    for (std::uint64_t left = 1 + random_() % 3; left > 0; --left) {
+      std::string const node = "n" + std::to_string(random_() % 12);
+      std::size_t const removed =
+          std::erase_if(state_.roster, [&](messages::RosterEntry const& entry) { return entry.node == node; });
+      if (removed == 0 || random_() % 3 == 0) {
+        state_.roster.push_back({node, "10.0.0." + std::to_string(random_() % 200) + ":1", "z", random_() % 9});
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  messages::State state_;
+};
+
+/// What a node keeps of a state: no receipts, and rosters as sets.
+messages::State asKept(messages::State state) {
+  state.receipts.clear();
+  for (std::vector<messages::RosterEntry>* const roster : {&state.roster, &state.priorRoster}) {
+    std::sort(
+        roster->begin(), roster->end(),
+        [](messages::RosterEntry const& left, messages::RosterEntry const& right) { return left.node < right.node; });
+  }
+  return state;
+}
+
+TEST(StateUpdate, LeadsFromAnyVersionToTheNewestOne) {
+  std::size_t differences = 0;
+  std::size_t snapshots = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    RandomHistory history(seed);
+    distribution::RosterHistory rosters;
+    std::vector<std::optional<messages::State>> known{std::nullopt};
+    for (int round = 0; round < 60; ++round) {
+      messages::State const newest = history.next();
+      for (std::optional<messages::State> const& follower : known) {
+        messages::StateUpdate const update =
+            distribution::updateFor(newest, distribution::partVersionsOf(follower), rosters, {});
+        std::optional<messages::State> const reached = distribution::applyUpdate(follower, update);
+        ASSERT_TRUE(reached) << seed << " " << round;
+        EXPECT_EQ(asKept(*reached), asKept(newest)) << seed << " " << round;
+        (update.document || update.rosterBaseSequence == 0 ? snapshots : differences) += 1;
+      }
+      rosters.remember(newest);
+      known.push_back(newest);
+    }
+  }
+  std::printf("seeds 1 to 200: %zu followers were sent differences alone, %zu a whole part\n", differences, snapshots);
+  EXPECT_GT(differences, 1000u);
+}
+
+TEST(StateUpdate, IsLeftIfItBuildsOnWhatIsNotHere) {
+  RandomHistory history(5);
+  distribution::RosterHistory rosters;
+  messages::State older = history.next();
+  while (older.rosterSequence == 0 || older.configurationSequence == 0) {
+    older = history.next();
+  }
+  rosters.remember(older);
+  messages::State newer = older;
+  while (newer.rosterSequence == older.rosterSequence || newer.configurationSequence != older.configurationSequence) {
+    newer = newer.rosterSequence == older.rosterSequence ? history.next() : newer;
+    newer.configurationSequence = older.configurationSequence;
+    newer.configurationEpoch = older.configurationEpoch;
+  }
+  messages::StateUpdate const update = distribution::updateFor(newer, distribution::partVersionsOf(older), rosters, {});
+  ASSERT_FALSE(update.document);
+  ASSERT_NE(update.rosterBaseSequence, 0u);
+  EXPECT_TRUE(distribution::applyUpdate(older, update));
+  messages::State otherRoster = older;
+  ++otherRoster.rosterSequence;
+  EXPECT_FALSE(distribution::applyUpdate(otherRoster, update));
+  messages::State otherConfiguration = older;
+  ++otherConfiguration.configurationSequence;
+  EXPECT_FALSE(distribution::applyUpdate(otherConfiguration, update));
+  EXPECT_FALSE(distribution::applyUpdate(std::nullopt, update));
+}
+
+/// Poll as it was before parts of a state had versions.
+struct EarlierPoll {
+  static constexpr char const* name = "Poll";
+  std::uint64_t token = 0;
+  messages::Follower self;
+  std::vector<messages::Follower> followers;
+  std::vector<messages::PeerStatus> peerStatuses;
+  bool recover = false;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("token", self.token);
+    visit("self", self.self);
+    visit("followers", self.followers);
+    visit("bearings", self.peerStatuses);
+    visit("recover", self.recover);
+  }
+};
+
+TEST(EarlierVersions, APollWithoutPartsIsAnsweredWithTheWholeStateButItsReceipts) {
+  EarlierPoll earlier;
+  earlier.self = {"m1", "10.0.0.1:1", "z1", 1, 0};
+  absl::StatusOr<messages::Poll> const poll =
+      messages::unpack<messages::Poll>(messages::pack(earlier), messages::schemaOf<EarlierPoll>());
+  ASSERT_TRUE(poll.ok());
+  EXPECT_FALSE(poll->parts);
+  EXPECT_TRUE(poll->follows);
+  RandomHistory history(8);
+  messages::State newest = history.next();
+  while (newest.receipts.empty()) {
+    newest = history.next();
+  }
+  distribution::StateFeed feed;
+  messages::Message const answer = feed.answer(TimePoint(Ms(1000)), &newest, *poll, {});
+  messages::News const* const news = std::get_if<messages::News>(&answer);
+  ASSERT_TRUE(news != nullptr && news->state);
+  messages::State expected = newest;
+  expected.receipts.clear();
+  EXPECT_EQ(*news->state, expected);
+  std::vector<distribution::Outgoing> const pushes = feed.push(TimePoint(Ms(1100)), newest, {});
+  ASSERT_EQ(pushes.size(), 1u);
+  EXPECT_TRUE(std::get<messages::News>(pushes[0].message).state);
+}
+
+TEST(EarlierVersions, ANodeOfAnEarlierVersionReadsThePollAndItsWholeStateIsTaken) {
+  messages::Poll poll;
+  poll.token = 9;
+  poll.self = {"m1", "10.0.0.1:1", "z1", 4, 2};
+  poll.parts = messages::PartVersions{4, 1, 3, 9};
+  absl::StatusOr<EarlierPoll> const earlier =
+      messages::unpack<EarlierPoll>(messages::pack(poll), messages::schemaOf<messages::Poll>());
+  ASSERT_TRUE(earlier.ok());
+  EXPECT_EQ(earlier->self.sequence, 2u);
+  distribution::ConfigDelivery delivery({}, {"m1", "10.0.0.1:1", "z1", 0, 0}, 7, 1);
+  messages::News news;
+  news.state = RandomHistory(3).next();
+  news.epoch = news.state->epoch;
+  news.sequence = news.state->sequence;
+  EXPECT_TRUE(delivery.hear(TimePoint(Ms(1000)), "10.0.0.2:1", news).changed);
+  EXPECT_EQ(delivery.state()->version(), news.state->version());
+}
+
+/// The time a gateway needs, from its start, until it has the newest version; `limit` if it takes longer.
+Ms catchUpTime(FleetSimulation& fleet, std::size_t index, Ms limit) {
+  TimePoint const began = fleet.network.now();
+  while (fleet.network.now() - began < limit) {
+    std::optional<messages::State> const& state = fleet.machines[index].gateway->delivery->state();
+    std::optional<std::size_t> const primary = fleet.primary();
+    if (state && primary && fleet.serves(index) &&
+        state->version() >= fleet.machines[*primary].controller->plane->published().version()) {
+      break;
+    }
+    fleet.run(Ms(20));
+  }
+  return std::chrono::duration_cast<Ms>(fleet.network.now() - began);
+}
+
+/// Complains if a machine leads with a state that is older than what was acknowledged before it began to lead.
+void checkLeaders(FleetSimulation& fleet, std::vector<std::string>& complaints, messages::State const& published) {
+  config::Version const version{published.configurationEpoch, published.configurationSequence};
+  if (version < fleet.newestAcknowledged()) {
+    complaints.push_back("a primary publishes " + version.text() + " after " + fleet.newestAcknowledged().text());
+  }
+}
+
+TEST(CatchUp, MembersAwayForAnyPartOfFiveHundredChangesComeBackAndLead) {
+  Ms slowest{0};
+  std::size_t taken = 0;
+  std::size_t takeovers = 0;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    FleetSimulation fleet(seed, 4, 9, 3);
+    std::vector<std::string> complaints;
+    fleet.onPublished = [&](messages::State const& published) { checkLeaders(fleet, complaints, published); };
+    ASSERT_TRUE(startServing(fleet, 9, smallDocument(0))) << seed;
+    std::optional<std::size_t> awayController;
+    std::set<std::size_t> awayGateways;
+    for (std::uint64_t number = 1; number <= 500; ++number) {
+      bool const order = number % 4 == 0;
+      taken += isTaken(fleet, order ? fleet.order("z1", number % 8 == 0)
+                                    : fleet.change("c" + std::to_string(number), smallDocument(number)))
+                   ? 1
+                   : 0;
+      std::size_t const gateway = 4 + fleet.network.roll(9);
+      if (awayGateways.contains(gateway)) {
+        awayGateways.erase(gateway);
+        fleet.start(gateway);
+        Ms const needed = catchUpTime(fleet, gateway, Ms(10'000));
+        slowest = std::max(slowest, needed);
+        EXPECT_LT(needed, Ms(5000)) << seed << " " << number << fleet.picture();
+      } else if (awayGateways.size() < 3 && number % 5 == 0) {
+        awayGateways.insert(gateway);
+        fleet.kill(gateway);
+      }
+      if (awayController && number % 40 == 0) {
+        fleet.start(*awayController);
+        fleet.run(Ms(static_cast<long>(fleet.network.roll(6000))));
+        if (std::optional<std::size_t> const leader = fleet.primary(); leader && *leader != *awayController) {
+          ++takeovers;
+          fleet.kill(*leader);
+          awayController = leader;
+        }
+      } else if (!awayController && number % 25 == 0) {
+        awayController = fleet.network.roll(4);
+        fleet.kill(*awayController);
+      }
+    }
+    for (std::size_t index = 0; index < fleet.machines.size(); ++index) {
+      if (!fleet.machines[index].up) {
+        fleet.start(index);
+      }
+    }
+    EXPECT_TRUE(fleet.awaitServing(9, Ms(10'000))) << seed << fleet.picture();
+    EXPECT_TRUE(retryUntilTaken(fleet, "last", smallDocument(501))) << seed;
+    EXPECT_EQ(fleet.complaints, std::vector<std::string>{}) << seed;
+    EXPECT_EQ(complaints, std::vector<std::string>{}) << seed;
+    for (Machine const& machine : fleet.machines) {
+      if (machine.gateway) {
+        EXPECT_EQ(machine.gateway->delivery->status(fleet.network.now()).versionsBehind, 0u) << seed;
+      }
+    }
+  }
+  std::printf(
+      "seeds 1 to 4: %zu of 2000 changes taken at once, %zu take-overs, a restarted gateway serves the newest "
+      "version after %ld ms at most\n",
+      taken, takeovers, static_cast<long>(slowest.count()));
+  EXPECT_GT(takeovers, 10u);
+}
+
+TEST(CatchUp, AConfigurationThatIsUnderWayOverASlowLinkIsNotSentAgain) {
+  constexpr std::size_t gateways = 6;
+  FleetSimulation fleet(21, 3, gateways, 3);
+  ASSERT_TRUE(startServing(fleet, gateways, smallDocument(0)));
+  fleet.limit({840'000, {}, {}});
+  fleet.weighs = true;
+  std::string document = largeDocument(1);
+  document.resize(100'000, 'x');
+  EXPECT_TRUE(retryUntilTaken(fleet, "large", document));
+  EXPECT_TRUE(fleet.awaitServing(gateways, Ms(10'000)));
+  std::size_t const bytes = stateBytes(fleet);
+  std::printf("seed 21: %zu bytes sent to bring a document of %zu bytes to %zu nodes over links of 6.7 Mbit/s\n", bytes,
+              document.size(), gateways);
+  EXPECT_LT(bytes, document.size() * gateways * 3 / 2);
+  EXPECT_EQ(fleet.lost, 0u);
+  EXPECT_EQ(fleet.complaints, std::vector<std::string>{});
+}
+
+TEST(CatchUp, EightyEightNodesStartOverSlowLinksOnSmallProcessors) {
+  constexpr std::size_t gateways = 85;
+  FleetSimulation fleet(31, 3, gateways, 3);
+  fleet.limit({1'250'000, std::chrono::microseconds(1500), std::chrono::microseconds(80)});
+  fleet.weighs = true;
+  TimePoint const began = fleet.network.now();
+  bool const serving = startServing(fleet, gateways, largeDocument(0));
+  long const took = std::chrono::duration_cast<Ms>(fleet.network.now() - began).count();
+  std::size_t bytes = 0;
+  for (std::pair<std::string const, Traffic> const& entry : fleet.traffic) {
+    std::printf("  %s: %zu messages, %zu bytes\n", entry.first.c_str(), entry.second.messages, entry.second.bytes);
+    bytes += entry.second.bytes;
+  }
+  std::printf(
+      "seed 31: 88 machines, links of 10 Mbit/s, 1.5 ms a message: %s after %ld ms, %zu bytes sent, %zu "
+      "messages lost\n",
+      serving ? "all serve" : "NOT all serve", took, bytes, fleet.lost);
+  EXPECT_TRUE(serving) << fleet.picture();
+  EXPECT_LT(took, 15'000);
+  EXPECT_EQ(fleet.complaints, std::vector<std::string>{});
+}
+
 }  // namespace
