--- a/tests/resend_adversary_test.cpp
+++ b/tests/resend_adversary_test.cpp
@@ -509,7 +509,7 @@
           {{"limeramp-base-revision", "7"}, {"limeramp-deadline-ms", "3000"}, {"x-order", order}},
           "{\"order\":" + order + "}",
           ""};
-      runner_->take(now(), request, [&answer](net::Answer const& told) { answer.set_value(told); });
+      runner_->take(now(), now(), request, [&answer](net::Answer const& told) { answer.set_value(told); });
     });
     return answer.get_future().get();
   }
