--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -1,8 +1,8 @@
 #include "limeramp/control/config_service.h"
 
-#include "limeramp/distribution/config_delivery.h"
-
-#include <xxhash.h>
+#include "limeramp/control/answer_gate.h"
+#include "limeramp/control/order_evaluator.h"
+#include "node_tracker.h"
 
 #include <algorithm>
 #include <deque>
@@ -14,81 +14,60 @@
 namespace {
 
 using Ms = std::chrono::milliseconds;
-using StateVersion = std::pair<std::uint64_t, std::uint64_t>;
-using config::Problem;
-
-struct Known {
-  messages::Follower follower;
-  std::uint64_t boot = 0;
-  std::uint64_t leftBoot = 0;
-  bool leaving = false;
-  StateVersion confirmed{0, 0};
-  TimePoint heardAt{};
-  bool direct = false;
-};
-
-struct Proof {
-  std::uint64_t token = 0;
-  TimePoint probedAt{};
-  TimePoint firstGoneAt{};
-  TimePoint goneAt{};
-  bool forgotten = false;
-};
 
 struct Forgetting {
   std::uint64_t ticket = 0;
   std::set<std::string> nodes;
+  TimePoint arrivedAt{};
   TimePoint deadline{};
 };
 
+/// An order that is taken, and is acknowledged once enough nodes have it in force.
 struct Waiting {
   std::uint64_t ticket = 0;
   StateVersion mark;
   config::Version version;
   TimePoint since{};
   TimePoint deadline{};
+  /// Set if nothing was replicated for this order: the leadership must be confirmed as of this time.
+  std::optional<TimePoint> arrivedAt;
 };
 
-struct Reading {
-  std::uint64_t ticket = 0;
-  TimePoint askedAt{};
-  TimePoint deadline{};
+struct QueuedOrder {
+  Change order;
+  TimePoint arrivedAt{};
 };
 
-std::string digestOf(Change const& change) {
-  return std::to_string(XXH64(change.body.data(), change.body.size(), 0)) + "/" + std::to_string(change.body.size()) +
-         (change.patch ? "/patch" : "/whole");
-}
-
-Problem tooLong(std::size_t most) { return {"/", "longer than " + std::to_string(most) + " bytes"}; }
-
 }  // namespace
 
 struct Plane::Impl {
+  Impl(Policy const& policyIn, std::string const& idIn, config::Language language)
+      : policy(policyIn), id(idIn), evaluator(policyIn, std::move(language)) {}
+
   Policy policy;
   std::string id;
-  config::Language language;
+  OrderEvaluator evaluator;
   TimePoint now{};
+  /// ReplicationGroup::leadershipConfirmedAt at this step.
+  std::optional<TimePoint> confirmedAt;
   std::vector<Effect> effects;
   bool active = false;
+  bool retiring = false;
+  TimePoint activeAt{};
   messages::State published;
   TimePoint publishedAt{};
-  std::map<std::string, Known> known;
-  std::map<std::string, Proof> proofs;
-  distribution::IncarnationRecords incarnations;
+  NodeTracker tracker{policy};
   std::vector<Forgetting> forgetting;
-  std::uint64_t lastProbe = 0;
-  std::map<StateVersion, TimePoint> publishings;
-  std::deque<Change> queue;
+  std::deque<QueuedOrder> queue;
   std::optional<Change> working;
   bool workingAnswered = false;
   std::uint64_t lastOwnTicket = 1ULL << 60;
   std::uint64_t workingTicket = 0;
   std::vector<Waiting> waiting;
-  std::vector<Reading> reading;
+  AnswerGate reads;
+  AnswerGate refusals;
   bool stable = false;
   TimePoint nextRosterAt{};
-  TimePoint activeAt{};
 
   void on(replication::ReplicationGroup const& group, replication::Active const& event);
   void on(replication::ReplicationGroup const& group, replication::Inactive const& event);
@@ -100,87 +79,45 @@
   void on(replication::ReplicationGroup const& group, Probed const& event);
   void on(replication::ReplicationGroup const& group, Forget const& event);
   void on(replication::ReplicationGroup const& group, Tick const& event);
+  void on(replication::ReplicationGroup const& group, Retire const& event);
 
   StateVersion mark() const { return {published.epoch, published.sequence}; }
   void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", config::Version version = {},
               std::vector<config::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
   }
-  bool alone(replication::ReplicationGroup const& group) const {
-    std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
-    return leadershipConfirmedAt && now - *leadershipConfirmedAt > policy.leadershipConfirmationMs;
+  /// The backups have been silent for so long that another primary may lead soon. Spares callers the wait for an answer
+  /// that would not come; what may be answered is decided by `confirmedSince` alone.
+  bool isUnconfirmed() const { return now - confirmedAt.value_or(activeAt) > policy.leadershipConfirmationMs; }
+  /// Why this node cannot carry out an order now; empty if it can.
+  std::string whyNot() const {
+    return !active ? "this node is not the primary" : isUnconfirmed() ? "the backup is not heard" : "";
+  }
+  std::size_t waitingAnswers() const { return waiting.size() + refusals.size() + forgetting.size(); }
+  bool majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
+    return tracker.majority(roster, wanted, published.epoch);
+  }
+  bool everyone(StateVersion const& wanted) const {
+    return tracker.everyone(published.roster, wanted, published.epoch);
   }
-  bool confirmed(std::string const& node, StateVersion const& wanted) const;
-  bool gone(std::string const& node, StateVersion const& wanted) const;
-  bool persistentlyGone(std::string const& node) const;
-  TimePoint heardAt(std::string const& node) const;
-  bool majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const;
-  bool everyone(StateVersion const& wanted) const;
   void note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct);
   void probe();
   void settleForgetting();
   void publish(messages::State const& state);
   void pump(replication::ReplicationGroup const& group);
   bool offerRoster(replication::ReplicationGroup const& group);
-  void offerChange(replication::ReplicationGroup const& group, Change const& change);
-  void offerZone(Change const& change);
-  void offer(Change const& change, messages::State next);
-  std::optional<std::string> documentOf(Change const& change, std::vector<Problem>& problems) const;
-  void awaitInForce(std::uint64_t ticket, config::Version const& version, TimePoint deadline);
+  void begin(replication::ReplicationGroup const& group, QueuedOrder const& queued);
+  void begin(QueuedOrder const& queued, Proposal proposal);
+  void begin(QueuedOrder const& queued, AlreadyTaken const& taken);
+  void begin(QueuedOrder const& queued, Rejection rejection);
+  void holdRefusal(std::uint64_t ticket, TimePoint arrivedAt, TimePoint deadline, Decided refusal);
+  void rejectQueued(std::string const& reason);
   void settle();
-  void settleReading(replication::ReplicationGroup const& group);
+  void releaseConfirmed();
   void expire();
   messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
 };
 
-bool Plane::Impl::confirmed(std::string const& node, StateVersion const& wanted) const {
-  std::map<std::string, Known>::const_iterator const found = known.find(node);
-  if (found == known.end() || found->second.confirmed < wanted || found->second.confirmed.first > published.epoch) {
-    return false;
-  }
-  distribution::IncarnationRecords::const_iterator const incarnation = incarnations.find(node);
-  return incarnation == incarnations.end() || incarnation->second.boot == found->second.boot;
-}
-
-bool Plane::Impl::gone(std::string const& node, StateVersion const& wanted) const {
-  std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
-  if (found == proofs.end()) {
-    return false;
-  }
-  std::map<StateVersion, TimePoint>::const_iterator const since = publishings.lower_bound(wanted);
-  return found->second.forgotten || (since != publishings.end() && found->second.goneAt > since->second);
-}
-
-TimePoint Plane::Impl::heardAt(std::string const& node) const {
-  std::map<std::string, Known>::const_iterator const found = known.find(node);
-  return found == known.end() ? activeAt : std::max(activeAt, found->second.heardAt);
-}
-
-bool Plane::Impl::persistentlyGone(std::string const& node) const {
-  std::map<std::string, Proof>::const_iterator const found = proofs.find(node);
-  if (found == proofs.end()) {
-    return false;
-  }
-  Proof const& proof = found->second;
-  return proof.forgotten ||
-         (proof.goneAt > heardAt(node) && proof.goneAt - proof.firstGoneAt >= policy.gonePersistsMs &&
-          now - heardAt(node) > policy.nodeCurrentMs);
-}
-
-bool Plane::Impl::majority(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
-  std::size_t const count =
-      static_cast<std::size_t>(std::count_if(roster.begin(), roster.end(), [&](messages::RosterEntry const& entry) {
-        return confirmed(entry.node, wanted) || gone(entry.node, wanted);
-      }));
-  return roster.empty() || count > roster.size() / 2;
-}
-
-bool Plane::Impl::everyone(StateVersion const& wanted) const {
-  return std::all_of(published.roster.begin(), published.roster.end(), [&](messages::RosterEntry const& entry) {
-    return confirmed(entry.node, wanted) || gone(entry.node, wanted);
-  });
-}
-
 void Plane::Impl::probe() {
   if (!active) {
     return;
@@ -189,42 +126,23 @@
   if (!stable) {
     wanted.insert(wanted.end(), published.priorRoster.begin(), published.priorRoster.end());
   }
-  for (messages::RosterEntry const& entry : wanted) {
-    if (now - heardAt(entry.node) < policy.probeAfterMs) {
-      continue;
-    }
-    Proof& proof = proofs[entry.node];
-    if (now - proof.probedAt >= policy.probeEveryMs) {
-      proof.probedAt = now;
-      proof.token = ++lastProbe;
-      effects.emplace_back(Probe{proof.token, entry.node, entry.address});
-    }
+  for (Probe& due : tracker.probesDue(now, wanted)) {
+    effects.emplace_back(std::move(due));
   }
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Probed const& event) {
-  for (std::pair<std::string const, Proof>& entry : proofs) {
-    Proof& proof = entry.second;
-    if (proof.token != event.token || event.token == 0) {
-      continue;
-    }
-    if (event.gone) {
-      proof.firstGoneAt = proof.firstGoneAt <= heardAt(entry.first) ? proof.probedAt : proof.firstGoneAt;
-      proof.goneAt = std::max(proof.goneAt, proof.probedAt);
-    } else {
-      proof.firstGoneAt = {};
-    }
-  }
+  tracker.probed(event);
   settle();
   pump(group);
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Forget const& event) {
-  if (!active) {
-    decide(event.ticket, Verdict::notRun, "this node is not the primary");
+  if (std::string const reason = retiring ? "this node is leaving" : whyNot(); !reason.empty()) {
+    decide(event.ticket, Verdict::notRun, reason);
     return;
   }
-  if (forgetting.size() >= policy.mostChanges) {
+  if (forgetting.size() >= policy.mostChanges || waitingAnswers() >= policy.mostWaitingAnswers) {
     decide(event.ticket, Verdict::notRun, "too many changes wait");
     return;
   }
@@ -234,21 +152,20 @@
                                     [&](messages::RosterEntry const& entry) { return entry.node == node; });
     bool const prior = std::any_of(published.priorRoster.begin(), published.priorRoster.end(),
                                    [&](messages::RosterEntry const& entry) { return entry.node == node; });
-    std::map<std::string, Known>::const_iterator const found = known.find(node);
     if (!listed && !prior) {
       problems.push_back({"/nodes/" + node, "is not on the roster"});
-    } else if (found != known.end() && now - found->second.heardAt <= policy.nodeCurrentMs) {
+    } else if (tracker.isAlive(now, node)) {
       problems.push_back({"/nodes/" + node, "is alive"});
     }
   }
   if (!problems.empty()) {
-    decide(event.ticket, Verdict::refused, "", {}, std::move(problems));
+    holdRefusal(event.ticket, now, event.deadline, {event.ticket, Verdict::refused, {}, std::move(problems), ""});
     return;
   }
   for (std::string const& node : event.nodes) {
-    proofs[node].forgotten = true;
+    tracker.forget(node);
   }
-  forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, event.deadline});
+  forgetting.push_back({event.ticket, {event.nodes.begin(), event.nodes.end()}, now, event.deadline});
   nextRosterAt = now;
   settle();
   pump(group);
@@ -258,7 +175,7 @@
   std::erase_if(forgetting, [&](Forgetting const& entry) {
     bool const listed = std::any_of(published.roster.begin(), published.roster.end(),
                                     [&](messages::RosterEntry const& row) { return entry.nodes.contains(row.node); });
-    if (stable && !listed) {
+    if (stable && !listed && confirmedSince(confirmedAt, entry.arrivedAt)) {
       decide(entry.ticket, Verdict::taken, "", {published.configurationEpoch, published.configurationSequence});
       return true;
     }
@@ -271,34 +188,10 @@
 }
 
 void Plane::Impl::note(messages::Follower const& follower, messages::PeerStatus const& peerStatus, bool direct) {
-  if (known.size() >= policy.mostNodes && !known.contains(follower.node)) {
-    return;
+  if (!tracker.report(now, follower, peerStatus, direct)) {
+    effects.emplace_back(replication::LogEntry{
+        logging::Event::peerStrange, follower.node + " is at two addresses, one of them " + follower.address});
   }
-  distribution::mergeIncarnations(incarnations, peerStatus.incarnations);
-  Known& entry = known[follower.node];
-  if (peerStatus.boot != 0 && peerStatus.boot == entry.leftBoot && !direct && !peerStatus.leaving) {
-    return;
-  }
-  if (!entry.follower.address.empty() && entry.follower.address != follower.address &&
-      now - entry.heardAt <= policy.nodeCurrentMs) {
-    effects.emplace_back(replication::Note{logging::Event::peerStrange,
-                                           follower.node + " is at two addresses, one of them " + follower.address});
-    return;
-  }
-  if (entry.follower.address != follower.address || entry.boot != peerStatus.boot) {
-    entry.confirmed = {0, 0};
-  }
-  std::map<std::string, Proof>::iterator const proof = proofs.find(follower.node);
-  if (proof != proofs.end() && (peerStatus.boot != entry.boot || direct)) {
-    proof->second.forgotten = false;
-  }
-  entry.boot = peerStatus.boot;
-  entry.leaving = peerStatus.leaving;
-  entry.leftBoot = peerStatus.leaving ? peerStatus.boot : entry.leftBoot;
-  entry.follower = follower;
-  entry.confirmed = std::max(entry.confirmed, StateVersion(follower.epoch, follower.sequence));
-  entry.heardAt = now;
-  entry.direct = direct;
 }
 
 messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has,
@@ -307,9 +200,7 @@
   out.token = token;
   out.node = id;
   out.primaryAddress = group.primaryAddress();
-  for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations) {
-    out.incarnations.push_back(entry.second);
-  }
+  out.incarnations = tracker.incarnations();
   if (!active) {
     return out;
   }
@@ -326,22 +217,19 @@
 }
 
 void Plane::Impl::publish(messages::State const& state) {
-  bool const sameRoster = StateVersion(state.rosterEpoch, state.rosterSequence) ==
-                          StateVersion(published.rosterEpoch, published.rosterSequence);
+  bool const sameRoster = StateVersion{state.rosterEpoch, state.rosterSequence} ==
+                          StateVersion{published.rosterEpoch, published.rosterSequence};
   stable = stable && sameRoster;
   bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
-                          StateVersion(state.configurationEpoch, state.configurationSequence) ==
-                              StateVersion(published.configurationEpoch, published.configurationSequence);
+                          StateVersion{state.configurationEpoch, state.configurationSequence} ==
+                              StateVersion{published.configurationEpoch, published.configurationSequence};
   published = state;
   publishedAt = now;
-  publishings[mark()] = now;
-  if (publishings.size() > 4 * policy.mostChanges) {
-    publishings.erase(publishings.begin());
-  }
+  tracker.published(now, mark());
   if (onlyRoster) {
     return;
   }
-  for (std::pair<std::string const, Known> const& entry : known) {
+  for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
     if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
       messages::News out;
       out.node = id;
@@ -355,33 +243,29 @@
 
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Active const& event) {
   active = true;
-  stable = false;
   activeAt = now;
-  publishings.clear();
+  stable = false;
+  tracker.begin(now);
   publish(event.state);
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Inactive const&) {
   active = false;
-  for (Change const& change : queue) {
-    decide(change.ticket, Verdict::notRun, "the primary changed before the change was begun");
-  }
-  queue.clear();
+  rejectQueued("the primary changed before the change was begun");
   for (Waiting const& entry : waiting) {
     decide(entry.ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   waiting.clear();
-  for (Reading const& entry : reading) {
-    decide(entry.ticket, Verdict::notRun, "this node is not the primary");
+  for (AnswerGate* const gate : {&reads, &refusals}) {
+    for (HeldAnswer const& held : gate->takeAll()) {
+      decide(held.ticket, Verdict::notRun, "this node is not the primary");
+    }
   }
-  reading.clear();
   for (Forgetting const& entry : forgetting) {
     decide(entry.ticket, Verdict::unknown, "the primary changed before the roster was known to be without these nodes");
   }
   forgetting.clear();
-  for (std::pair<std::string const, Proof>& entry : proofs) {
-    entry.second.forgotten = false;
-  }
+  tracker.end();
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const&, replication::Committed const& event) {
@@ -389,10 +273,10 @@
   if (event.ticket == workingTicket && working) {
     config::Version const version{published.configurationEpoch, published.configurationSequence};
     if (!workingAnswered) {
-      waiting.push_back({working->ticket, mark(), version, now, working->deadline});
+      waiting.push_back({working->ticket, mark(), version, now, working->deadline, std::nullopt});
     }
     effects.emplace_back(
-        replication::Note{logging::Event::configurationTaken, version.text() + " change " + working->id});
+        replication::LogEntry{logging::Event::configurationTaken, version.text() + " change " + working->id});
   }
   if (event.ticket == workingTicket) {
     working.reset();
@@ -409,62 +293,78 @@
     decide(working->ticket, Verdict::unknown, "the primary changed while the change was carried out");
   }
   if (working) {
-    effects.emplace_back(replication::Note{logging::Event::configurationUnknown, working->id});
+    effects.emplace_back(replication::LogEntry{logging::Event::configurationUnknown, working->id});
   }
   working.reset();
   workingTicket = 0;
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Change const& event) {
-  if (!active || alone(group)) {
-    decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
+  if (std::string const reason = retiring ? "this node is leaving" : whyNot(); !reason.empty()) {
+    decide(event.ticket, Verdict::notRun, reason);
     return;
   }
-  if (queue.size() >= policy.mostChanges) {
+  if (queue.size() >= policy.mostChanges || waitingAnswers() >= policy.mostWaitingAnswers) {
     decide(event.ticket, Verdict::notRun, "too many changes wait");
     return;
   }
-  queue.push_back(event);
+  queue.push_back({event, now});
   pump(group);
 }
 
-void Plane::Impl::on(replication::ReplicationGroup const& group, Read const& event) {
-  if (!active || alone(group)) {
-    decide(event.ticket, Verdict::notRun, active ? "the backup is not heard" : "this node is not the primary");
-  } else if (reading.size() >= policy.mostChanges) {
+void Plane::Impl::on(replication::ReplicationGroup const&, Read const& event) {
+  if (std::string const reason = whyNot(); !reason.empty()) {
+    decide(event.ticket, Verdict::notRun, reason);
+  } else if (reads.size() >= policy.mostChanges) {
     decide(event.ticket, Verdict::notRun, "too many reads wait");
   } else {
-    reading.push_back({event.ticket, now, event.deadline});
+    reads.hold({event.ticket, now, event.deadline, std::nullopt});
   }
 }
 
-void Plane::Impl::settleReading(replication::ReplicationGroup const& group) {
-  std::optional<TimePoint> const leadershipConfirmedAt = group.leadershipConfirmedAt();
-  std::erase_if(reading, [&](Reading const& entry) {
-    if (leadershipConfirmedAt && *leadershipConfirmedAt >= entry.askedAt) {
-      effects.emplace_back(ReadBack{entry.ticket,
-                                    {published.configurationEpoch, published.configurationSequence},
-                                    published.revision,
-                                    published.document});
-      return true;
-    }
-    if (now >= entry.deadline) {
-      decide(entry.ticket, Verdict::notRun, "the backup has not confirmed that this node is the primary");
-      return true;
-    }
-    return false;
-  });
+void Plane::Impl::on(replication::ReplicationGroup const&, Retire const&) {
+  retiring = true;
+  rejectQueued("this node is leaving");
+}
+
+void Plane::Impl::rejectQueued(std::string const& reason) {
+  for (QueuedOrder const& queued : queue) {
+    decide(queued.order.ticket, Verdict::notRun, reason);
+  }
+  queue.clear();
+}
+
+void Plane::Impl::holdRefusal(std::uint64_t ticket, TimePoint arrivedAt, TimePoint deadline, Decided refusal) {
+  refusals.hold({ticket, arrivedAt, deadline, std::move(refusal)});
+  releaseConfirmed();
+}
+
+void Plane::Impl::releaseConfirmed() {
+  for (HeldAnswer const& read : reads.takeConfirmed(confirmedAt)) {
+    effects.emplace_back(ReadBack{read.ticket,
+                                  {published.configurationEpoch, published.configurationSequence},
+                                  published.revision,
+                                  published.document});
+  }
+  for (HeldAnswer& refusal : refusals.takeConfirmed(confirmedAt)) {
+    effects.emplace_back(*std::move(refusal.decision));
+  }
 }
 
 void Plane::Impl::expire() {
+  for (AnswerGate* const gate : {&reads, &refusals}) {
+    for (HeldAnswer const& held : gate->takeExpired(now)) {
+      decide(held.ticket, Verdict::notRun, "the backup has not confirmed that this node is the primary");
+    }
+  }
   if (working && !workingAnswered && now >= working->deadline) {
     workingAnswered = true;
     decide(working->ticket, Verdict::unknown, "the backup has not confirmed the change yet");
   }
-  std::erase_if(queue, [&](Change const& change) {
-    bool const late = now >= change.deadline;
+  std::erase_if(queue, [&](QueuedOrder const& queued) {
+    bool const late = now >= queued.order.deadline;
     if (late) {
-      decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
+      decide(queued.order.ticket, Verdict::notRun, "the deadline passed before the change was begun");
     }
     return late;
   });
@@ -491,15 +391,10 @@
 }
 
 void Plane::Impl::on(replication::ReplicationGroup const& group, Tick const&) {
-  std::erase_if(known, [&](std::pair<std::string const, Known> const& entry) {
-    return now - entry.second.heardAt > policy.rosterForgetMs * 2;
-  });
-  std::erase_if(proofs, [&](std::pair<std::string const, Proof> const& entry) {
-    return !entry.second.forgotten && now - entry.second.probedAt > policy.rosterForgetMs * 2;
-  });
+  tracker.expire(now);
   probe();
   settle();
-  settleReading(group);
+  releaseConfirmed();
   expire();
   pump(group);
 }
@@ -508,7 +403,7 @@
   if (!active) {
     return;
   }
-  StateVersion const rosterMark(published.rosterEpoch, published.rosterSequence);
+  StateVersion const rosterMark{published.rosterEpoch, published.rosterSequence};
   if (!stable && majority(published.roster, rosterMark) && majority(published.priorRoster, rosterMark)) {
     stable = true;
   }
@@ -517,7 +412,8 @@
     bool const majorities =
         majority(published.roster, entry.mark) && (stable || majority(published.priorRoster, entry.mark));
     bool const lapsed = now - entry.since >= policy.silentGraceMs;
-    if (majorities && (everyone(entry.mark) || lapsed)) {
+    bool const leads = !entry.arrivedAt || confirmedSince(confirmedAt, *entry.arrivedAt);
+    if (leads && majorities && (everyone(entry.mark) || lapsed)) {
       decide(entry.ticket, Verdict::taken, "", entry.version);
       return true;
     }
@@ -530,16 +426,17 @@
 }
 
 bool Plane::Impl::offerRoster(replication::ReplicationGroup const& group) {
-  if (now < nextRosterAt || !stable) {
+  if (now < nextRosterAt || !stable || retiring) {
     return false;
   }
   nextRosterAt = now + policy.rosterBatchMs * static_cast<long>(1 + published.roster.size() / policy.rosterBatchNodes);
   std::vector<messages::RosterEntry> roster = published.roster;
   std::string about;
   std::erase_if(roster, [&](messages::RosterEntry const& entry) {
-    std::map<std::string, Known>::const_iterator const found = known.find(entry.node);
-    bool const left = found != known.end() && found->second.leaving;
-    bool const out = left || now - heardAt(entry.node) > policy.rosterForgetMs || persistentlyGone(entry.node);
+    TrackedNode const* const found = tracker.find(entry.node);
+    bool const left = found != nullptr && found->leaving;
+    bool const out =
+        left || now - tracker.heardAt(entry.node) > policy.rosterForgetMs || tracker.persistentlyGone(now, entry.node);
     about += out ? " -" + entry.node : "";
     return out;
   });
@@ -547,9 +444,9 @@
   for (messages::RosterEntry const& entry : roster) {
     taken.insert(entry.slot);
   }
-  for (std::pair<std::string const, Known> const& entry : known) {
+  for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
     messages::Follower const& follower = entry.second.follower;
-    if (now - entry.second.heardAt > policy.nodeCurrentMs || entry.second.leaving || persistentlyGone(entry.first)) {
+    if (!tracker.isAlive(now, entry.first) || entry.second.leaving || tracker.persistentlyGone(now, entry.first)) {
       continue;
     }
     std::vector<messages::RosterEntry>::iterator const found =
@@ -579,125 +476,37 @@
   next.rosterSequence = published.sequence + 1;
   stable = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(replication::Note{logging::Event::rosterChanged, about});
+  effects.emplace_back(replication::LogEntry{logging::Event::rosterChanged, about});
   effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
   return true;
 }
 
-void Plane::Impl::awaitInForce(std::uint64_t ticket, config::Version const& version, TimePoint deadline) {
-  waiting.push_back({ticket, mark(), version, publishedAt, deadline});
-  settle();
+void Plane::Impl::begin(replication::ReplicationGroup const& group, QueuedOrder const& queued) {
+  Evaluation evaluation = evaluator.evaluate(queued.order, published, group.decided().epoch);
+  std::visit([&](auto& concrete) { begin(queued, std::move(concrete)); }, evaluation);
 }
 
-void Plane::Impl::offer(Change const& change, messages::State next) {
-  working = change;
+void Plane::Impl::begin(QueuedOrder const& queued, Proposal proposal) {
+  working = queued.order;
   workingAnswered = false;
   workingTicket = ++lastOwnTicket;
-  effects.emplace_back(replication::Offer{workingTicket, std::move(next)});
-}
-
-void Plane::Impl::offerZone(Change const& change) {
-  std::vector<std::string> zones = published.evacuatedZones;
-  std::vector<std::string>::iterator const found = std::find(zones.begin(), zones.end(), change.zone->zone);
-  config::Version const current{published.configurationEpoch, published.configurationSequence};
-  if ((found != zones.end()) == change.zone->evacuated) {
-    awaitInForce(change.ticket, current, change.deadline);
-    return;
-  }
-  if (!change.zone->evacuated) {
-    zones.erase(found);
-  } else if (zones.size() >= policy.mostEvacuatedZones) {
-    decide(change.ticket, Verdict::refused, "", current,
-           {{"/", "more than " + std::to_string(policy.mostEvacuatedZones) + " zones would be emptied"}});
-    return;
-  } else {
-    zones.push_back(change.zone->zone);
-  }
-  messages::State next = published;
-  next.evacuatedZones = std::move(zones);
-  offer(change, std::move(next));
+  effects.emplace_back(replication::Offer{workingTicket, std::move(proposal.next)});
 }
 
-std::optional<std::string> Plane::Impl::documentOf(Change const& change, std::vector<Problem>& problems) const {
-  if (change.body.size() > policy.mostDocumentBytes) {
-    problems.push_back(tooLong(policy.mostDocumentBytes));
-    return std::nullopt;
-  }
-  if (!change.patch && language.verbatim) {
-    return change.body;
-  }
-  if (!change.patch) {
-    config::Checked checked = language.check(change.body);
-    if (!checked.configuration) {
-      problems = std::move(checked.problems);
-      return std::nullopt;
-    }
-  }
-  absl::StatusOr<std::string> merged = language.merge(change.patch ? published.document : "", change.body);
-  if (!merged.ok()) {
-    problems.push_back({"/", std::string(merged.status().message())});
-    return std::nullopt;
-  }
-  if (merged->size() > policy.mostDocumentBytes) {
-    problems.push_back(tooLong(policy.mostDocumentBytes));
-    return std::nullopt;
-  }
-  return *std::move(merged);
+void Plane::Impl::begin(QueuedOrder const& queued, AlreadyTaken const& taken) {
+  waiting.push_back({queued.order.ticket, mark(), taken.version, publishedAt, queued.order.deadline, queued.arrivedAt});
+  settle();
 }
 
-void Plane::Impl::offerChange(replication::ReplicationGroup const& group, Change const& change) {
-  if (change.zone) {
-    offerZone(change);
-    return;
-  }
+void Plane::Impl::begin(QueuedOrder const& queued, Rejection rejection) {
+  std::uint64_t const ticket = queued.order.ticket;
   config::Version const current{published.configurationEpoch, published.configurationSequence};
-  std::string const digest = digestOf(change);
-  for (messages::Receipt const& receipt : published.receipts) {
-    if (receipt.change != change.id) {
-      continue;
-    }
-    if (receipt.digest != digest) {
-      decide(change.ticket, Verdict::refused, "the change id was used for another change", current);
-    } else {
-      awaitInForce(change.ticket, {receipt.epoch, receipt.sequence}, change.deadline);
-    }
+  Decided decision{ticket, rejection.verdict, current, std::move(rejection.problems), std::move(rejection.reason)};
+  if (decision.verdict == Verdict::unknown) {
+    effects.emplace_back(std::move(decision));
     return;
   }
-  if (change.base && *change.base != current) {
-    decide(change.ticket, Verdict::conflict, "the version named is not the current one", current);
-    return;
-  }
-  if (change.baseRevision && *change.baseRevision != published.revision) {
-    decide(change.ticket, Verdict::conflict, "the revision named is not the current one", current);
-    return;
-  }
-  std::vector<Problem> problems;
-  std::optional<std::string> document = documentOf(change, problems);
-  if (!document) {
-    decide(change.ticket, Verdict::refused, "", current, std::move(problems));
-    return;
-  }
-  config::Checked checked = language.check(*document);
-  if (!checked.configuration) {
-    decide(change.ticket, Verdict::refused, "", current, std::move(checked.problems));
-    return;
-  }
-  std::uint64_t const revision = checked.configuration->revision;
-  if (revision > 0 && revision <= published.revision) {
-    decide(change.ticket, Verdict::refused, "", current,
-           {{"/revision", "is not above the current one, " + std::to_string(published.revision)}});
-    return;
-  }
-  messages::State next = published;
-  next.document = *std::move(document);
-  next.revision = revision > 0 ? revision : published.revision;
-  next.configurationEpoch = group.decided().epoch;
-  next.configurationSequence = published.sequence + 1;
-  next.receipts.push_back({change.id, next.configurationEpoch, next.configurationSequence, digest});
-  if (next.receipts.size() > policy.mostReceipts) {
-    next.receipts.erase(next.receipts.begin());
-  }
-  offer(change, std::move(next));
+  holdRefusal(ticket, queued.arrivedAt, queued.order.deadline, std::move(decision));
 }
 
 void Plane::Impl::pump(replication::ReplicationGroup const& group) {
@@ -708,21 +517,20 @@
     if (queue.empty()) {
       return;
     }
-    Change const change = std::move(queue.front());
+    QueuedOrder const queued = std::move(queue.front());
     queue.pop_front();
-    if (now >= change.deadline) {
-      decide(change.ticket, Verdict::notRun, "the deadline passed before the change was begun");
-      continue;
+    if (now >= queued.order.deadline) {
+      decide(queued.order.ticket, Verdict::notRun, "the deadline passed before the change was begun");
+    } else if (isUnconfirmed()) {
+      decide(queued.order.ticket, Verdict::notRun, "the backup is not heard");
+    } else {
+      begin(group, queued);
     }
-    offerChange(group, change);
   }
 }
 
-Plane::Plane(Policy const& policy, std::string const& id, config::Language language) : impl_(std::make_unique<Impl>()) {
-  impl_->policy = policy;
-  impl_->id = id;
-  impl_->language = std::move(language);
-}
+Plane::Plane(Policy const& policy, std::string const& id, config::Language language)
+    : impl_(std::make_unique<Impl>(policy, id, std::move(language))) {}
 
 Plane::~Plane() = default;
 Plane::Plane(Plane&&) noexcept = default;
@@ -730,6 +538,7 @@
 
 std::vector<Effect> Plane::step(TimePoint now, replication::ReplicationGroup const& group, Event const& event) {
   impl_->now = now;
+  impl_->confirmedAt = group.leadershipConfirmedAt();
   impl_->effects.clear();
   std::visit([&](auto const& concrete) { impl_->on(group, concrete); }, event);
   return std::move(impl_->effects);
@@ -737,17 +546,16 @@
 
 bool Plane::active() const { return impl_->active; }
 messages::State const& Plane::published() const { return impl_->published; }
-std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waiting.size(); }
+std::size_t Plane::pending() const { return impl_->queue.size() + impl_->waitingAnswers(); }
 
 std::vector<NodeView> Plane::nodes(TimePoint now) const {
   std::vector<NodeView> out;
   for (messages::RosterEntry const& entry : impl_->published.roster) {
     NodeView view{entry.node, entry.address, entry.zone, entry.slot,
-                  {},         Ms(0),         false,      impl_->persistentlyGone(entry.node)};
-    std::map<std::string, Known>::const_iterator const found = impl_->known.find(entry.node);
-    if (found != impl_->known.end()) {
-      view.confirmed = {found->second.confirmed.first, found->second.confirmed.second};
-      view.heardMs = std::chrono::duration_cast<Ms>(now - found->second.heardAt);
+                  {},         Ms(0),         false,      impl_->tracker.persistentlyGone(now, entry.node)};
+    if (TrackedNode const* const found = impl_->tracker.find(entry.node)) {
+      view.confirmed = {found->confirmed.epoch, found->confirmed.sequence};
+      view.heardMs = std::chrono::duration_cast<Ms>(now - found->heardAt);
       view.everHeard = true;
     }
     out.push_back(std::move(view));
--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -1,5 +1,6 @@
 #include "capacity/fleet.h"
 
+#include "limeramp/control/change_receipts.h"
 #include "limeramp/control/config_service.h"
 #include "limeramp/discovery/server_directory.h"
 #include "limeramp/distribution/config_delivery.h"
@@ -249,7 +250,7 @@
       std::vector<distribution::Outgoing> shuffles =
           member.views->tick(now, member.controller->group->decided().epoch == 0);
       sendAll(index, shuffles);
-      replication::Known known;
+      replication::KnownMembers known;
       for (messages::Peer const& peer : member.views->peers(now)) {
         if (peer.role == messages::controllerRole) {
           known.members.push_back({peer.node, peer.address, peer.zone});
@@ -571,14 +572,13 @@
 }
 
 bool Fleet::Impl::everyoneHas(messages::State const& wanted) const {
-  std::pair<std::uint64_t, std::uint64_t> const mark(wanted.epoch, wanted.sequence);
   for (std::size_t index = 0; index < members.size(); ++index) {
     Member const& member = members[index];
     if (!member.up || !member.gateway || !member.gateway->delivery->state()) {
       continue;
     }
     messages::State const& state = *member.gateway->delivery->state();
-    if (std::pair(state.epoch, state.sequence) < mark && serves(index)) {
+    if (state.version() < wanted.version() && serves(index)) {
       return false;
     }
   }
@@ -753,9 +753,9 @@
     std::optional<std::size_t> const index = impl.primary();
     if (!published && index) {
       messages::State const& state = impl.members[*index].controller->plane->published();
-      if (std::any_of(state.receipts.begin(), state.receipts.end(), [&](messages::Receipt const& receipt) {
-            return receipt.change == "c" + std::to_string(*ticket);
-          })) {
+      control::Change offered;
+      offered.id = "c" + std::to_string(*ticket);
+      if (control::findReceipt(state, offered).match != control::ReceiptMatch::none) {
         published = state;
       }
     }
