--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/control/config_service.h"
+#include "limeramp/control/relay.h"
 #include "limeramp/net/http.h"
 
 #include <string>
--- a/libs/control/src/runner.cpp
+++ b/libs/control/src/runner.cpp
@@ -19,7 +19,7 @@
 };
 
 RelayOutcome outcomeOfRead(net::Answer const& answer) {
-  bool const isDocument = answer.status != 200 || net::findHeader(answer.headers, versionHeader).has_value();
+  bool const isDocument = answer.status == 200 && net::findHeader(answer.headers, versionHeader).has_value();
   return isDocument ? RelayOutcome::final : RelayOutcome::mayHaveRun;
 }
 
