A stream of changes no longer holds up a repair

Cause: a primary replaced witnesses and made up missing backups only when no change was in hand at its tick. Ruled out: rival ballots and slow syncs; the trace shows the primary active, unfenced and not trying, for 4 s. Change: the change in hand ends first, and its end begins the repair (membershipChangeDue, beginMembershipChange).

The tests' bound falls from 8 s to the 4 s of a counted loss.

--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -112,6 +112,7 @@
   std::uint64_t leadershipToken = 0;
   std::uint64_t leadershipPersist = 0;
   bool localDone = false;
+  bool membershipChangeDue = false;
   std::set<std::string> backupsToSync;
   std::map<std::string, TimePoint> echoedAt;
   TimePoint syncSentAt{};
@@ -175,6 +176,7 @@
   void checkCommit();
   void confirmLeadership();
   void fenceSelf();
+  void beginMembershipChange();
   std::string zoneOf(std::string const& id) const;
   bool apart(std::string const& left, std::string const& right) const;
   std::vector<std::string> chooseBackups(std::string const& primary) const;
@@ -487,6 +489,7 @@
     return;
   }
   leadership = Leadership::joining;
+  membershipChangeDue = false;
   echoedAt.clear();
   leadershipPersist = persist(false, true, {});
   localDone = false;
@@ -518,6 +521,9 @@
   if (ticket) {
     effects.emplace_back(Committed{*ticket, state});
     ticket.reset();
+    if (membershipChangeDue) {
+      beginMembershipChange();
+    }
   }
 }
 
@@ -596,7 +602,16 @@
   }
 }
 
+// The primary leaves its own epoch, so that the next one may name other members. Between two changes, as a rule: the
+// end of a change begins it too, or a stream of changes would hold it up for as long as it lasts.
+void ReplicationGroup::Impl::beginMembershipChange() {
+  fenceSelf();
+  persist(true, false, {});
+  proposal.stage = ProposalStage::choosing;
+}
+
 void ReplicationGroup::Impl::fenceSelf() {
+  membershipChangeDue = false;
   vote.fenced = std::max(vote.fenced, vote.decided.epoch);
   if (leadership == Leadership::active) {
     effects.emplace_back(Inactive{});
@@ -1071,14 +1086,13 @@
     confirmLeadership();
     bool const settled = now - quietSince >= policy.lostMs;
     bool const backupGone = settled && !backupsFresh(policy.lostMs);
-    bool const handsOver = retiring() && !ticket && !chooseBackups(self.id).empty();
-    if (!isFenced() && !ailing() && (handsOver || backupGone || (!ticket && witnessesNeedChange())) && couldGoOn()) {
+    bool const handsOver = retiring() && !chooseBackups(self.id).empty();
+    membershipChangeDue = !isFenced() && !ailing() && couldGoOn() && (backupGone || handsOver || witnessesNeedChange());
+    if (membershipChangeDue && (backupGone || !ticket)) {
       if (backupGone) {
         effects.emplace_back(LogEntry{logging::Event::backupLost, joined(vote.decided.backups)});
       }
-      fenceSelf();
-      persist(true, false, {});
-      proposal.stage = ProposalStage::choosing;
+      beginMembershipChange();
     } else if (isFenced() && !ailing()) {
       proposal.stage = ProposalStage::choosing;
     }
@@ -1135,6 +1149,7 @@
   digest.add(leadership);
   digest.add(leadershipToken);
   digest.add(localDone);
+  digest.add(membershipChangeDue);
   digest.add(backupsToSync);
   digest.add(ticket);
   digest.add(syncSentAt);
--- a/tests/second_loss_test.cpp
+++ b/tests/second_loss_test.cpp
@@ -11,6 +11,8 @@
 using namespace limeramp::simulator;
 
 constexpr Ms serveAgainWithin{12'000};
+// A machine counts as lost for this long after its return or its start: after that the next loss must be borne.
+constexpr Ms lossCountsFor{4000};
 
 enum class Loss { killed, wiped };
 
@@ -124,7 +126,7 @@
       EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
     }
     printDistribution("machineLosses " + std::to_string(losses) + ", with a spare, from the loss", times);
-    EXPECT_LT(*std::max_element(times.begin(), times.end()), Ms(8000));
+    EXPECT_LT(*std::max_element(times.begin(), times.end()), lossCountsFor);
   }
 }
 
@@ -145,7 +147,7 @@
       EXPECT_EQ(group.complaints, std::vector<std::string>{}) << seed;
     }
     printDistribution("machineLosses " + std::to_string(losses) + ", no spare, from its empty return", times);
-    EXPECT_LT(*std::max_element(times.begin(), times.end()), Ms(8000));
+    EXPECT_LT(*std::max_element(times.begin(), times.end()), lossCountsFor);
   }
 }
 
