--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -6,6 +6,7 @@
 #include "limeramp/replication/replication_group.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,7 @@
   std::chrono::milliseconds probeEveryMs{250};
   std::chrono::milliseconds gonePersistsMs{1000};
   std::size_t mostChanges = 64;
+  std::size_t mostWaitingAnswers = 256;
   std::size_t mostReceipts = 256;
   std::size_t mostNodes = 1000;
   std::size_t mostEvacuatedZones = 100;
@@ -41,6 +43,7 @@
 
 struct Change {
   std::uint64_t ticket = 0;
+  /// The idempotency key: the same at each repetition, at every node. Named by the caller, or derived from the content.
   std::string id;
   std::optional<config::Version> base;
   bool patch = false;
@@ -48,6 +51,8 @@
   TimePoint deadline;
   std::optional<std::uint64_t> baseRevision{};
   std::optional<ZoneOrder> zone{};
+  /// The key was derived from a content that names no base: it does not tell a repetition from a new wish.
+  bool keyedByContentOnly = false;
 };
 
 struct Read {
@@ -70,9 +75,14 @@
   TimePoint deadline;
 };
 
+/// The process will be stopped: take no new orders, finish what was begun.
+struct Retire {};
+
 using Event = std::variant<replication::Active, replication::Inactive, replication::Committed, replication::Doubtful,
-                           Change, Read, Polled, Probed, Forget, Tick>;
+                           Change, Read, Polled, Probed, Forget, Tick, Retire>;
 
+/// How an order ended. `taken`, `refused` and `conflict` are definite and linearizable. `notRun`: this call changed
+/// nothing and will change nothing. `unknown`: it may have taken effect, or may still do so.
 enum class Verdict { taken, refused, conflict, notRun, unknown };
 
 struct Decided {
@@ -114,7 +124,9 @@
  public:
   Plane(Policy const& policy, std::string const& id, config::Language language = config::ownLanguage());
   ~Plane();
+  Plane(Plane const&);
   Plane(Plane&&) noexcept;
+  Plane& operator=(Plane const&);
   Plane& operator=(Plane&&) noexcept;
 
   std::vector<Effect> step(TimePoint now, replication::ReplicationGroup const& group, Event const& event);
@@ -124,6 +136,9 @@
   std::vector<NodeView> nodes(TimePoint now) const;
   std::size_t pending() const;
 
+  /// A hash of everything that decides what later steps do, for the model checker. Times count as differences from now.
+  std::uint64_t digest(TimePoint now) const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -32,8 +32,14 @@
   if (status.boot != 0 && status.boot == entry.leftBoot && !direct && !status.leaving) {
     return true;
   }
-  bool const sameAddress = entry.follower.address.empty() || entry.follower.address == follower.address ||
-                           now - entry.heardAt > policy_.nodeCurrentMs;
+  bool const known = !entry.follower.address.empty();
+  bool const moved = entry.follower.address != follower.address;
+  if (known && moved && now - entry.heardAt <= policy_.nodeCurrentMs) {
+    return false;
+  }
+  if (moved || entry.boot != status.boot) {
+    entry.confirmed = {0, 0};
+  }
   std::map<std::string, DeathProof>::iterator const proof = proofs_.find(follower.node);
   if (proof != proofs_.end() && (status.boot != entry.boot || direct)) {
     proof->second.forgotten = false;
@@ -45,7 +51,7 @@
   entry.confirmed = std::max(entry.confirmed, StateVersion{follower.epoch, follower.sequence});
   entry.heardAt = now;
   entry.direct = direct;
-  return sameAddress;
+  return true;
 }
 
 TrackedNode const* NodeTracker::find(std::string const& node) const {
@@ -156,4 +162,33 @@
   return out;
 }
 
+void NodeTracker::digest(messages::StateDigest& digest) const {
+  digest.add(nodes_.size());
+  for (std::pair<std::string const, TrackedNode> const& entry : nodes_) {
+    TrackedNode const& node = entry.second;
+    digest.add(node.follower);
+    digest.add(node.boot);
+    digest.add(node.leftBoot);
+    digest.add(node.leaving);
+    digest.add(node.confirmed.epoch);
+    digest.add(node.confirmed.sequence);
+    digest.add(node.heardAt);
+    digest.add(node.direct);
+  }
+  for (std::pair<std::string const, DeathProof> const& entry : proofs_) {
+    digest.add(entry.first);
+    digest.add(entry.second.token);
+    digest.add(entry.second.probedAt);
+    digest.add(entry.second.firstGoneAt);
+    digest.add(entry.second.goneAt);
+    digest.add(entry.second.forgotten);
+  }
+  digest.add(incarnations());
+  for (std::pair<StateVersion const, TimePoint> const& entry : publishings_) {
+    digest.add(entry.first.epoch);
+    digest.add(entry.first.sequence);
+    digest.add(entry.second);
+  }
+}
+
 }  // namespace limeramp::control
