Explorer: two operators call control::Plane; orders, repetitions and reads are checked

Each member may run the real Plane. Two operators make one order after the other, A naming the revision and B the version that it builds on, repeat each at any member until its outcome is known, and read. New starts: rival ballots and a replaced leader for short walks.

--- a/tests/explorer_test.cpp
+++ b/tests/explorer_test.cpp
@@ -90,7 +90,7 @@
 
 TEST_P(Walk, NoSeededWalkBreaksAnInvariant) {
   Scenario const scenario = named(walkScenarios(), GetParam());
-  WalkReport const report = walkRandomly(scenario.start, {.firstSeed = 1, .walks = 1500, .steps = 400});
+  WalkReport const report = walkRandomly(scenario.start, {.firstSeed = 1, .walks = 1500, .steps = scenario.steps});
   std::printf("%zu walks, %zu steps, %zu epochs, %zu acknowledged, seeds 1 to %llu\n", report.walks, report.steps,
               report.epochs, report.acknowledged, static_cast<unsigned long long>(report.seed));
   EXPECT_GT(report.epochs, report.walks * 3 / 2);
--- a/testside/explorer/scenarios.cpp
+++ b/testside/explorer/scenarios.cpp
@@ -41,6 +41,9 @@
   calm.heartbeats = true;
   calm.mostPackets = 1000;
   World world = settled(calm);
+  if (!world.leader()) {
+    return world;
+  }
   std::size_t const primary = *world.leader();
   std::string const backup = world.members()[primary]->group.decided().backups.front();
   for (std::size_t other = 0; other < world.members().size(); ++other) {
@@ -61,6 +64,9 @@
 /// has acknowledged a change. What the frozen ones had heard before lies fresh before their clocks.
 World replacedUnawares(Setup const& setup, std::size_t changes) {
   World world = settled(setup);
+  if (!world.leader()) {
+    return world;
+  }
   std::size_t const primary = *world.leader();
   std::vector<std::string> const backups = world.members()[primary]->group.decided().backups;
   std::set<std::size_t> frozen{primary};
@@ -81,18 +87,18 @@
   std::size_t const before = world.acknowledgedChanges();
   for (int round = 0; round < 400 && world.acknowledgedChanges() < before + changes; ++round) {
     world.run({.frozen = frozen});
-    std::optional<std::size_t> const leader = world.leader();
-    if (leader && !frozen.contains(*leader) && !world.members()[*leader]->group.busy()) {
-      world.offer(*leader);
+    std::optional<std::size_t> const leader = world.idleLeader();
+    if (leader && !frozen.contains(*leader)) {
+      world.offer(*leader, 0);
     }
   }
   world.healLinks();
   return world;
 }
 
-Scenario scenario(std::string name, std::string about, World start, Budget const& budget) {
+Scenario scenario(std::string name, std::string about, World start, Budget const& budget, std::size_t steps = 400) {
   start.setBudget(budget);
-  return {std::move(name), std::move(about), std::move(start)};
+  return {std::move(name), std::move(about), std::move(start), steps};
 }
 
 World withoutPackets(World world) {
@@ -137,6 +143,12 @@
                          replacedUnawares(threeAtOnce, 1), {.offers = 2, .ticks = 6, .jumps = 1, .crashes = 1}));
   out.push_back(scenario("replaced-five", "the same, and its second backup with it", replacedUnawares(five, 1),
                          {.offers = 2, .ticks = 6, .jumps = 1, .crashes = 1}));
+  Setup services = threeAtOnce;
+  services.services = true;
+  out.push_back(scenario("orders", "two operators, orders, repetitions and reads", withoutPackets(settled(services)),
+                         {.offers = 4, .reads = 1, .ticks = 6, .jumps = 1, .crashes = 1}));
+  out.push_back(scenario("orders-replaced", "two operators call a replaced leader and its successor",
+                         replacedUnawares(services, 1), {.offers = 4, .reads = 2, .ticks = 6, .jumps = 1}));
   return out;
 }
 
@@ -172,6 +184,23 @@
   out.push_back(scenario("walk-founding", "three members from the first start", World(three, {}), mixed));
   out.push_back(scenario("walk-4", "three members and a spare, one replaced", settled(four), replaced));
   out.push_back(scenario("walk-5", "five members, three replicas", settled(five), mixed));
+  Budget const shortFaults{.offers = 3, .ticks = 40, .jumps = 1, .crashes = 2, .duplicates = 2, .drops = 4, .cuts = 1};
+  out.push_back(scenario("walk-ballots", "primary and backup propose at once, and machines lose power",
+                         rivalBallots(three), shortFaults, 80));
+  out.push_back(scenario("walk-replaced", "a leader and its second backup were frozen while others went on",
+                         replacedUnawares(five, 1), shortFaults, 80));
+  Setup orders = three;
+  orders.services = true;
+  Setup forgetful = orders;
+  forgetful.mostReceipts = 2;
+  Budget called = mixed;
+  called.offers = 100;
+  called.reads = 40;
+  out.push_back(scenario("walk-orders", "two operators call three members, all faults", settled(orders), called));
+  out.push_back(scenario("walk-receipts", "the same, with two receipts", settled(forgetful), called));
+  Setup ordersFive = five;
+  ordersFive.services = true;
+  out.push_back(scenario("walk-orders-5", "two operators call five members", settled(ordersFive), called));
   return out;
 }
 
--- a/testside/explorer/scenarios.h
+++ b/testside/explorer/scenarios.h
@@ -12,6 +12,8 @@
   std::string name;
   std::string about;
   World start;
+  /// The length of a random walk from here.
+  std::size_t steps = 400;
 };
 
 std::vector<Scenario> searchScenarios();
--- a/testside/explorer/search.cpp
+++ b/testside/explorer/search.cpp
@@ -41,6 +41,8 @@
       return 150;
     case ActionKind::offer:
       return 60;
+    case ActionKind::read:
+      return 30;
     case ActionKind::restart:
       return 40;
     case ActionKind::heal:
@@ -83,6 +85,11 @@
   std::vector<Unexpanded> level{{start, 0}};
   seen.insert(level.front().world.digest(&pool));
   bool withinBounds = true;
+  if (!start.violation().empty()) {
+    report.states = 1;
+    report.finding = Finding{start.violation(), {}};
+    return report;
+  }
   while (!level.empty() && report.depth < bounds.mostDepth) {
     ++report.depth;
     std::vector<Unexpanded> next;
--- a/testside/explorer/state_explorer.cpp
+++ b/testside/explorer/state_explorer.cpp
@@ -37,7 +37,8 @@
 
 int walk(Scenario const& scenario, WalkBounds const& bounds) {
   std::chrono::steady_clock::time_point const start = std::chrono::steady_clock::now();
-  WalkReport const found = walkRandomly(scenario.start, bounds);
+  WalkReport const found =
+      walkRandomly(scenario.start, {bounds.firstSeed, bounds.walks, bounds.steps == 0 ? scenario.steps : bounds.steps});
   std::printf("%s: %zu walks, %zu steps, %zu epochs, %zu acknowledged, seeds %llu to %llu, %.1f s\n",
               scenario.name.c_str(), found.walks, found.steps, found.epochs, found.acknowledged,
               static_cast<unsigned long long>(bounds.firstSeed), static_cast<unsigned long long>(found.seed),
@@ -64,7 +65,7 @@
   cxxopts::Options options("state_explorer", "explores the real state machines of the control plane");
   options.add_options()("scenario", "only this one, by default all", cxxopts::value<std::string>()->default_value(""))(
       "walks", "random walks of each walk scenario", cxxopts::value<std::size_t>()->default_value("1000"))(
-      "steps", "steps of a walk", cxxopts::value<std::size_t>()->default_value("400"))(
+      "steps", "steps of a walk, 0 for what its scenario names", cxxopts::value<std::size_t>()->default_value("0"))(
       "seed", "seed of the first walk", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "states", "most states of a search", cxxopts::value<std::size_t>()->default_value("200000"))(
       "depth", "most steps from the start of a search", cxxopts::value<std::size_t>()->default_value("200"))(
--- a/testside/explorer/world.cpp
+++ b/testside/explorer/world.cpp
@@ -15,6 +15,9 @@
 /// How long a member that was told to end waits for its successor.
 constexpr Ms leaveGraceMs{3000};
 constexpr std::size_t mostDeliveriesInRound = 400;
+constexpr Ms callMs{3000};
+/// The operator who asks for a change while the group recovers.
+constexpr std::size_t lastOperator = 2;
 
 std::uint64_t digestOf(Packet const& packet) {
   messages::StateDigest digest({}, Ms(0));
@@ -38,6 +41,7 @@
     digest.add(write.puts);
   }
   digest.add(member.up ? member.group.digest(member.clock) : 0);
+  digest.add(member.plane ? member.plane->digest(member.clock) : 0);
   for (AcknowledgedMark const& mark : member.acknowledgedMarks) {
     digest.add(mark.at);
     digest.add(mark.size);
@@ -45,6 +49,21 @@
   return digest.finish();
 }
 
+/// A language of changes alone: a patch is appended, the revision is the number of changes.
+config::Language appendingLanguage() {
+  config::Language language;
+  language.check = [](std::string const& document) {
+    config::Checked checked;
+    checked.configuration.emplace();
+    checked.configuration->revision = changesOf(document).size();
+    return checked;
+  };
+  language.merge = [](std::string const& document, std::string const& patch) -> absl::StatusOr<std::string> {
+    return document + patch;
+  };
+  return language;
+}
+
 char const* nameOf(messages::Message const& message) {
   return std::visit([](auto const& concrete) { return std::decay_t<decltype(concrete)>::name; }, message);
 }
@@ -159,7 +178,9 @@
     case ActionKind::retire:
       return member.up && !member.retiring && budget_.retirements > 0;
     case ActionKind::offer:
-      return member.up && member.group.active() && !member.group.busy() && budget_.offers > 0;
+      return budget_.offers > 0 && mayCall(action.subject, action.detail);
+    case ActionKind::read:
+      return member.up && budget_.reads > 0 && member.plane && member.plane->active();
     default:
       return false;
   }
@@ -180,7 +201,10 @@
   }
   for (std::size_t index = 0; index < members_.size(); ++index) {
     std::uint8_t const subject = static_cast<std::uint8_t>(index);
-    for (ActionKind const kind : {ActionKind::sync, ActionKind::offer, ActionKind::tick, ActionKind::jump,
+    for (std::size_t caller = 0; caller < lastOperator; ++caller) {
+      out.push_back({ActionKind::offer, subject, static_cast<std::uint8_t>(caller)});
+    }
+    for (ActionKind const kind : {ActionKind::sync, ActionKind::read, ActionKind::tick, ActionKind::jump,
                                   ActionKind::restart, ActionKind::retire, ActionKind::wipe, ActionKind::replace}) {
       out.push_back({kind, subject, 0});
     }
@@ -248,13 +272,16 @@
     case ActionKind::retire:
       spend(budget_.retirements);
       change(index).retiring = true;
+      drivePlane(index, control::Retire{});
       step(index, replication::Retire{});
       return;
     case ActionKind::offer:
       spend(budget_.offers);
-      offer(index);
+      offer(index, action.detail);
       return;
     case ActionKind::read:
+      spend(budget_.reads);
+      read(index);
       return;
   }
 }
@@ -265,6 +292,11 @@
   member.up = true;
   member.retiring = false;
   member.group = replication::ReplicationGroup(replication::policyFor(setup_.machineLosses));
+  if (setup_.services) {
+    control::Policy policy;
+    policy.mostReceipts = setup_.mostReceipts;
+    member.plane.emplace(policy, member.id, appendingLanguage());
+  }
   member.acknowledgedMarks = {{member.clock, history_->acknowledged.size()}};
   step(index, replication::Start{
                   {member.id, member.address, member.zone}, member.disk, 1000 * member.life + index, false, founders_});
@@ -280,6 +312,7 @@
   member.unsynced.clear();
   member.up = false;
   member.group = replication::ReplicationGroup(replication::Policy{});
+  member.plane.reset();
 }
 
 void World::wipe(std::size_t index, bool atNewAddress) {
@@ -314,6 +347,7 @@
   }
   step(index, known);
   step(index, replication::Tick{});
+  drivePlane(index, control::Tick{});
 }
 
 void World::deliver(std::size_t packet) {
@@ -379,8 +413,14 @@
       Member& member = change(other);
       member.acknowledgedMarks.push_back({member.clock, history_->acknowledged.size()});
     }
+    drivePlane(index, *committed);
   } else if (replication::Active const* const active = std::get_if<replication::Active>(&effect)) {
     changeHistory().onActive(members_[index]->id, active->epoch, active->state.document);
+    drivePlane(index, *active);
+  } else if (std::holds_alternative<replication::Inactive>(effect)) {
+    drivePlane(index, replication::Inactive{});
+  } else if (replication::Doubtful const* const doubtful = std::get_if<replication::Doubtful>(&effect)) {
+    drivePlane(index, *doubtful);
   }
 }
 
@@ -405,17 +445,95 @@
   }
 }
 
-bool World::offer(std::size_t index) {
+void World::offer(std::size_t index, std::size_t operatorNumber) {
+  if (setup_.services) {
+    call(index, operatorNumber);
+    return;
+  }
   messages::State state = members_[index]->group.state();
   std::uint64_t const ticket = ++lastTicket_;
   state.document += std::to_string(ticket) + ",";
+  propose(index, {ticket, std::move(state)});
+}
+
+void World::propose(std::size_t index, replication::Offer offer) {
   bool const retiring = members_[index]->retiring;
   std::string const before = members_[index]->group.state().document;
-  step(index, replication::Offer{ticket, std::move(state)});
+  step(index, std::move(offer));
   if (retiring && members_[index]->group.state().document != before) {
     changeHistory().fail(members_[index]->id + " is told to end and takes a new change");
   }
-  return true;
+}
+
+bool World::mayCall(std::size_t index, std::size_t operatorNumber) const {
+  Member const& member = *members_[index];
+  if (!setup_.services) {
+    return operatorNumber == 0 && member.up && member.group.active() && !member.group.busy();
+  }
+  bool const inTurn = operatorNumber == 0 || !operators_[operatorNumber].open.empty() ||
+                      operators_[operatorNumber].started < operators_[operatorNumber - 1].started;
+  return operatorNumber < lastOperator && inTurn && member.up && member.plane && member.plane->active();
+}
+
+void World::call(std::size_t index, std::size_t operatorNumber) {
+  Operator& caller = operators_[operatorNumber];
+  std::map<std::string, OrderOutcome>::const_iterator const open = history_->orders.find(caller.open);
+  if (open == history_->orders.end() || open->second.refused || open->second.takenAs) {
+    caller.open = std::string(1, static_cast<char>('A' + operatorNumber)) + std::to_string(++caller.started);
+    messages::State const& seen = members_[index]->plane->published();
+    caller.baseRevision = seen.revision;
+    caller.base = {seen.configurationEpoch, seen.configurationSequence};
+  }
+  Member& member = change(index);
+  member.clock += std::chrono::microseconds(1);
+  control::Change order;
+  order.ticket = ++lastTicket_;
+  order.id = caller.open;
+  order.patch = true;
+  order.body = caller.open + ",";
+  if (operatorNumber == 1) {
+    order.base = caller.base;
+  } else {
+    order.baseRevision = caller.baseRevision;
+  }
+  order.deadline = member.clock + callMs;
+  changeHistory().onCall(order.ticket, order.id, caller.baseRevision);
+  drivePlane(index, order);
+}
+
+void World::read(std::size_t index) {
+  Member& member = change(index);
+  member.clock += std::chrono::microseconds(1);
+  std::uint64_t const ticket = ++lastTicket_;
+  changeHistory().onRead(ticket);
+  drivePlane(index, control::Read{ticket, member.clock + callMs});
+}
+
+void World::drivePlane(std::size_t index, control::Event const& event) {
+  if (!members_[index]->plane) {
+    return;
+  }
+  Member& member = change(index);
+  std::vector<control::Effect> const effects = member.plane->step(member.clock, member.group, event);
+  for (control::Effect const& effect : effects) {
+    if (replication::Offer const* const offer = std::get_if<replication::Offer>(&effect)) {
+      propose(index, *offer);
+    } else if (control::Decided const* const decided = std::get_if<control::Decided>(&effect)) {
+      changeHistory().onAnswer(members_[index]->id, *decided, members_[index]->plane->published());
+    } else if (control::ReadBack const* const readBack = std::get_if<control::ReadBack>(&effect)) {
+      changeHistory().onReadBack(members_[index]->id, members_[index]->group.decided().epoch, *readBack);
+    }
+  }
+}
+
+std::optional<std::size_t> World::idleLeader() const {
+  std::optional<std::size_t> const index = leader();
+  if (!index) {
+    return std::nullopt;
+  }
+  Member const& member = *members_[*index];
+  bool const idle = !member.group.busy() && (!member.plane || (member.plane->active() && member.plane->pending() == 0));
+  return idle ? index : std::nullopt;
 }
 
 std::optional<std::size_t> World::leader() const {
@@ -467,9 +585,8 @@
       }
     }
     run({});
-    std::optional<std::size_t> const active = leader();
-    if (active && !members_[*active]->group.busy()) {
-      offer(*active);
+    if (std::optional<std::size_t> const active = idleLeader()) {
+      offer(*active, lastOperator);
       run({});
     }
     if (history_->acknowledged.size() > before) {
@@ -529,10 +646,15 @@
   }
   digest.add(packets);
   digest.add(cuts_);
+  for (Operator const& caller : operators_) {
+    digest.add(caller.started);
+    digest.add(caller.open);
+    digest.add(caller.baseRevision);
+  }
   digest.add(history_->digest());
   for (std::size_t const left :
-       {budget_.offers, budget_.ticks, budget_.jumps, budget_.crashes, budget_.wipes, budget_.replacements,
-        budget_.retirements, budget_.duplicates, budget_.drops, budget_.cuts}) {
+       {budget_.offers, budget_.reads, budget_.ticks, budget_.jumps, budget_.crashes, budget_.wipes,
+        budget_.replacements, budget_.retirements, budget_.duplicates, budget_.drops, budget_.cuts}) {
     digest.add(left);
   }
   return digest.finish();
--- a/testside/explorer/world.h
+++ b/testside/explorer/world.h
@@ -2,8 +2,10 @@
 
 #include "explorer/action.h"
 #include "explorer/history.h"
+#include "limeramp/control/config_service.h"
 #include "limeramp/replication/replication_group.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -24,6 +26,7 @@
 /// How often each kind of step may still happen.
 struct Budget {
   std::size_t offers = 0;
+  std::size_t reads = 0;
   std::size_t ticks = 0;
   std::size_t jumps = 0;
   std::size_t crashes = 0;
@@ -43,6 +46,9 @@
   /// Heartbeats are messages like all others. Without them members learn only from the other messages.
   bool heartbeats = true;
   std::size_t mostPackets = 24;
+  /// Each member runs a control::Plane, which two operators call. Otherwise changes are offered to the group itself.
+  bool services = false;
+  std::size_t mostReceipts = 256;
 };
 
 /// One round of a fixed schedule: who takes part, and which packets arrive.
@@ -76,6 +82,7 @@
   std::map<std::string, std::string> disk;
   std::vector<PendingWrite> unsynced;
   replication::ReplicationGroup group{replication::Policy{}};
+  std::optional<control::Plane> plane;
   std::vector<AcknowledgedMark> acknowledgedMarks;
   std::optional<std::uint64_t> digest;
 };
@@ -88,6 +95,14 @@
   std::uint64_t digest = 0;
 };
 
+/// What an operator is about: one order after the other, each repeated until its outcome is known.
+struct Operator {
+  std::size_t started = 0;
+  std::string open;
+  std::uint64_t baseRevision = 0;
+  config::Version base;
+};
+
 /// Equal members of different worlds, kept once.
 class MemberPool {
  public:
@@ -126,7 +141,10 @@
   std::optional<std::size_t> leader() const;
   std::size_t acknowledgedChanges() const { return history_->changes.size(); }
   std::size_t epochs() const { return history_->records.size(); }
-  bool offer(std::size_t index);
+  /// Offers the next change to the group, or calls the member in the name of an operator.
+  void offer(std::size_t index, std::size_t operatorNumber);
+  /// A leader that could take a change at once.
+  std::optional<std::size_t> idleLeader() const;
   void run(Round const& round);
   void cutLink(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
   void healLinks() { cuts_.clear(); }
@@ -140,6 +158,11 @@
   void syncOldest(std::size_t index);
   void tick(std::size_t index, Ms time);
   void deliver(std::size_t packet);
+  void call(std::size_t index, std::size_t operatorNumber);
+  void read(std::size_t index);
+  bool mayCall(std::size_t index, std::size_t operatorNumber) const;
+  void propose(std::size_t index, replication::Offer offer);
+  void drivePlane(std::size_t index, control::Event const& event);
   void step(std::size_t index, replication::Event const& event);
   void carry(std::size_t index, replication::Effect const& effect);
   void send(std::size_t index, replication::Send const& send);
@@ -155,6 +178,7 @@
   std::shared_ptr<History> history_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::uint64_t lastTicket_ = 0;
+  std::array<Operator, 3> operators_;
   std::size_t renamed_ = 0;
 };
 
