replication_group.cpp split by job: acceptor, detector, planner, replicator, confirmation

Cause: one class of 1,300 lines did ballots, state transfer, failure detection, the choice of members and leadership confirmation. Now acceptor, epoch_proposal, failure_detector, membership_planner, replicator and leadership_confirmation are types of their own with a contract each; the group binds them (replication_group_impl.h) and its member functions stand in state_transfer, epoch_change, founding, heartbeats and leaving.

Two more guard tests: a leaving member waits for the epoch to be stored, and ends when its time is over.

--- /dev/null
+++ b/libs/replication/src/epoch_change.cpp
@@ -0,0 +1,305 @@
+#include "replication_group_impl.h"
+
+#include <algorithm>
+
+namespace limeramp::replication {
+namespace {
+
+std::string joined(std::vector<std::string> const& ids) {
+  std::string out;
+  for (std::string const& id : ids) {
+    out += (out.empty() ? "" : " ") + id;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::size_t ReplicationGroup::Impl::quorum() const {
+  return (acceptor.decided.epoch == 0 ? founders.size() : acceptor.decided.witnesses.size()) / 2 + 1;
+}
+
+bool ReplicationGroup::Impl::mayVote() const {
+  if (acceptor.decided.epoch == 0) {
+    return mayFound && std::binary_search(founders.begin(), founders.end(), self.address);
+  }
+  return std::count(acceptor.decided.witnesses.begin(), acceptor.decided.witnesses.end(), self.id) > 0;
+}
+
+void ReplicationGroup::Impl::learn(messages::EpochRecord const& record, bool withState) {
+  if (record.epoch <= acceptor.decided.epoch) {
+    return;
+  }
+  if (acceptor.decided.epoch > 0 && record.fleet != acceptor.decided.fleet) {
+    effects.emplace_back(LogEntry{logging::Event::peerStrange, "a record of fleet " + record.fleet});
+    return;
+  }
+  effects.emplace_back(
+      LogEntry{record.epoch == 1 ? logging::Event::founded : logging::Event::epochGranted,
+               std::to_string(record.epoch) + " primary " + record.primary + " backups " + joined(record.backups)});
+  bool const keepsTicket = record.primary == self.id;
+  std::optional<std::uint64_t> const held = ticket;
+  if (keepsTicket) {
+    ticket.reset();
+  }
+  endLeadership();
+  ticket = keepsTicket ? held : std::nullopt;
+  proposal = {};
+  acceptor.adopt(record);
+  quietSince = now;
+  persist(true, withState, {});
+  beginLeadership();
+}
+
+void ReplicationGroup::Impl::fenceSelf() {
+  membershipChangeDue = false;
+  acceptor.fence();
+  if (leadership == Leadership::active) {
+    effects.emplace_back(Inactive{});
+    effects.emplace_back(LogEntry{logging::Event::primaryStopped, std::to_string(acceptor.decided.epoch)});
+  }
+  leadership = Leadership::none;
+  confirmation.withdraw();
+}
+
+// The primary leaves its own epoch, so that the next one may name other members. Between two changes, as a
+// rule: the end of a change begins it too, or a stream of changes would hold it up for as long as it lasts.
+void ReplicationGroup::Impl::beginMembershipChange() {
+  fenceSelf();
+  persist(true, false, {});
+  proposal.stage = ProposalStage::choosing;
+}
+
+void ReplicationGroup::Impl::tickPrimary() {
+  if (leadership != Leadership::none && !replicator.waitingFor().empty() &&
+      now - replicator.sentAt() >= policy.resendMs) {
+    sendLeadershipSyncs();
+  }
+  confirmLeadership();
+  bool const settled = now - quietSince >= policy.lostMs;
+  bool const backupGone = settled && !detector.allFresh(now, acceptor.decided.backups, policy.lostMs);
+  bool const handsOver = retiring() && !planner().backupsFor(self.id).empty();
+  membershipChangeDue =
+      !acceptor.isFenced() && !ailing() && (backupGone || handsOver || witnessesNeedChange()) && planner().couldGoOn();
+  if (membershipChangeDue && (backupGone || !ticket)) {
+    if (backupGone) {
+      effects.emplace_back(LogEntry{logging::Event::backupLost, joined(acceptor.decided.backups)});
+    }
+    beginMembershipChange();
+  } else if (acceptor.isFenced() && !ailing()) {
+    proposal.stage = ProposalStage::choosing;
+  }
+}
+
+// Takes over a primary that has been silent: the backups in their order, one after the other.
+void ReplicationGroup::Impl::tickBackup() {
+  std::vector<std::string> const& successors = acceptor.decided.backups;
+  Ms const patience =
+      policy.takeoverMs +
+      policy.successorTurnMs * (std::find(successors.begin(), successors.end(), self.id) - successors.begin());
+  bool const gone = now - quietSince >= patience && !fresh(acceptor.decided.primary, patience);
+  if (!acceptor.isFenced() && !ailing() && gone && planner().couldGoOn()) {
+    fenceSelf();
+    persist(true, false, {});
+    proposal.stage = ProposalStage::choosing;
+  } else if (acceptor.isFenced() && !ailing() && now >= yieldUntil) {
+    proposal.stage = ProposalStage::choosing;
+  }
+}
+
+bool ReplicationGroup::Impl::witnessesNeedChange() const {
+  if (now - startedAt < policy.lostMs || now - quietSince < policy.repairMs) {
+    return false;
+  }
+  MembershipChoice const choice = planner().preferred();
+  return planner().repairWanted(choice) || (now - quietSince >= policy.spreadMs && planner().spreadWanted(choice));
+}
+
+bool ReplicationGroup::Impl::partnersFresh() const {
+  return fresh(proposal.primary, policy.lostMs) && detector.allFresh(now, proposal.backups, policy.lostMs);
+}
+
+void ReplicationGroup::Impl::sendFencedSyncs() {
+  proposal.sentAt = now;
+  for (std::string const& id : proposal.toSync) {
+    send(id, messages::Sync{acceptor.decided, proposal.syncToken, true, state});
+  }
+}
+
+void ReplicationGroup::Impl::pushProposal() {
+  if (persisting.contains(fencePersist) && proposal.stage == ProposalStage::choosing) {
+    return;
+  }
+  switch (proposal.stage) {
+    case ProposalStage::none:
+      return;
+    case ProposalStage::choosing:
+      chooseMembers();
+      return;
+    case ProposalStage::syncing:
+      if (!partnersFresh()) {
+        proposal.stage = ProposalStage::choosing;
+        pushProposal();
+      } else if (now - proposal.sentAt >= policy.resendMs) {
+        sendFencedSyncs();
+      }
+      return;
+    case ProposalStage::preparing:
+    case ProposalStage::accepting:
+      pushBallot();
+      return;
+  }
+}
+
+// Names the members of the next epoch and hands them the state. A leaving replica names another primary, and itself as
+// a backup only where the next primary would have none.
+void ReplicationGroup::Impl::chooseMembers() {
+  bool const handsOver = retiring();
+  std::vector<std::string> backups = planner().backupsFor(self.id);
+  if (1 + backups.size() < policy.leastReplicas) {
+    return;
+  }
+  proposal.primary = self.id;
+  if (handsOver && !backups.empty()) {
+    std::vector<std::string>::const_iterator const successor =
+        std::find_if(acceptor.decided.backups.begin(), acceptor.decided.backups.end(),
+                     [&](std::string const& id) { return fresh(id, policy.lostMs); });
+    proposal.primary = successor == acceptor.decided.backups.end() ? backups.front() : *successor;
+    backups = planner().backupsFor(proposal.primary);
+    if (1 + backups.size() < policy.leastReplicas) {
+      backups.push_back(self.id);
+    }
+  }
+  proposal.backups = std::move(backups);
+  proposal.toSync = {proposal.backups.begin(), proposal.backups.end()};
+  proposal.toSync.insert(proposal.primary);
+  proposal.toSync.erase(self.id);
+  proposal.stage = ProposalStage::syncing;
+  proposal.syncToken = ++lastToken;
+  if (proposal.toSync.empty()) {
+    beginBallot();
+  } else {
+    sendFencedSyncs();
+  }
+}
+
+void ReplicationGroup::Impl::pushBallot() {
+  if (now < proposal.retryAt && now - proposal.sentAt >= policy.resendMs) {
+    sendBallot();
+  } else if (now >= proposal.retryAt) {
+    effects.emplace_back(LogEntry{logging::Event::ballotLost, std::to_string(proposal.ballot.round)});
+    if (acceptor.decided.epoch > 0 && !partnersFresh()) {
+      proposal.stage = ProposalStage::choosing;
+      pushProposal();
+    } else {
+      beginBallot();
+    }
+  }
+}
+
+void ReplicationGroup::Impl::beginBallot() {
+  TimePoint const retryAt =
+      now + policy.ballotMs + Ms(static_cast<long>(random() % static_cast<std::uint64_t>(policy.ballotMs.count())));
+  proposal.prepare({++highestRound, self.id}, retryAt);
+  if (acceptor.decided.epoch > 0) {
+    proposal.voters = acceptor.decided.witnesses;
+    proposal.record = {acceptor.decided.epoch + 1, acceptor.decided.fleet, proposal.primary, proposal.backups,
+                       planner().witnessesFor(proposal.primary, proposal.backups)};
+  }
+  sendBallot();
+}
+
+void ReplicationGroup::Impl::sendBallot() {
+  std::uint64_t const epoch = acceptor.decided.epoch;
+  ProposalStage const stage = proposal.stage;
+  messages::Message const message =
+      stage == ProposalStage::preparing
+          ? messages::Message(messages::Prepare{acceptor.decided, proposal.ballot})
+          : messages::Message(messages::Accept{acceptor.decided, proposal.ballot, proposal.record});
+  std::vector<std::string> const voters = proposal.voters;
+  proposal.sentAt = now;
+  for (std::string const& voter : voters) {
+    if (proposal.yes.contains(voter)) {
+      continue;
+    }
+    send(voter, message);
+    if (acceptor.decided.epoch != epoch || proposal.stage != stage) {
+      return;
+    }
+  }
+}
+
+void ReplicationGroup::Impl::beginAccept() {
+  proposal.accept();
+  sendBallot();
+}
+
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Prepare const& message) {
+  learn(message.decided);
+  if (message.decided.epoch < acceptor.decided.epoch) {
+    messages::Heartbeat hint;
+    hint.decided = acceptor.decided;
+    hint.epoch = acceptor.decided.epoch;
+    hint.ailing = ailing() || retiring();
+    send(from, hint);
+    return;
+  }
+  if (!mayVote()) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.ballot.round);
+  messages::Promise const answer = acceptor.promise(message.ballot);
+  if (!answer.granted) {
+    send(from, answer);
+    return;
+  }
+  persist(true, false, {Send{from, "", answer}});
+}
+
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Promise const& message) {
+  if (message.nextEpoch != acceptor.nextEpoch() || proposal.stage != ProposalStage::preparing ||
+      message.ballot != proposal.ballot) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.promised.round);
+  if (!message.granted) {
+    return;
+  }
+  proposal.countPromise(from, message);
+  if (proposal.yes.size() >= quorum()) {
+    beginAccept();
+  }
+}
+
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Accept const& message) {
+  learn(message.decided);
+  if (message.decided.epoch != acceptor.decided.epoch || !mayVote()) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.ballot.round);
+  messages::Accepted const answer = acceptor.accept(message.ballot, message.record);
+  if (!answer.granted) {
+    send(from, answer);
+    return;
+  }
+  persist(true, false, {Send{from, "", answer}});
+}
+
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Accepted const& message) {
+  if (message.nextEpoch != acceptor.nextEpoch() || proposal.stage != ProposalStage::accepting ||
+      message.ballot != proposal.ballot) {
+    return;
+  }
+  highestRound = std::max(highestRound, message.promised.round);
+  if (!message.granted) {
+    return;
+  }
+  proposal.yes.insert(from);
+  if (proposal.yes.size() >= quorum()) {
+    messages::EpochRecord const record = proposal.record;
+    learn(record);
+    heartbeatAll();
+  }
+}
+
+}  // namespace limeramp::replication
--- /dev/null
+++ b/libs/replication/src/failure_detector.cpp
@@ -0,0 +1,81 @@
+#include "failure_detector.h"
+
+#include <algorithm>
+
+namespace limeramp::replication {
+namespace {
+
+constexpr std::chrono::seconds forgottenAfter{60};
+
+}  // namespace
+
+std::uint64_t epochOf(messages::Heartbeat const& heartbeat) {
+  return std::max(heartbeat.epoch, heartbeat.decided.epoch);
+}
+
+void FailureDetector::know(TimePoint now, std::vector<Member> const& listed,
+                           std::function<bool(std::string const&)> const& keep) {
+  for (Member const& member : listed) {
+    if (member.id != self_) {
+      members_[member.id].member = member;
+    }
+  }
+  std::erase_if(members_, [&](std::pair<std::string const, MemberStatus> const& entry) {
+    bool const isListed =
+        std::any_of(listed.begin(), listed.end(), [&](Member const& member) { return member.id == entry.first; });
+    return !isListed && now - entry.second.at > forgottenAfter && !keep(entry.first);
+  });
+}
+
+MemberStatus& FailureDetector::heard(TimePoint now, std::string const& id, messages::Heartbeat const& heartbeat) {
+  MemberStatus& entry = members_[id];
+  entry.at = now;
+  entry.ever = true;
+  entry.heartbeat = heartbeat;
+  entry.lastToken = heartbeat.token != 0 ? heartbeat.token : entry.lastToken;
+  return entry;
+}
+
+MemberStatus const* FailureDetector::find(std::string const& id) const {
+  std::map<std::string, MemberStatus>::const_iterator const found = members_.find(id);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+bool FailureDetector::fresh(TimePoint now, std::string const& id, std::chrono::milliseconds within) const {
+  if (id == self_) {
+    return true;
+  }
+  MemberStatus const* const found = find(id);
+  return found != nullptr && found->ever && !found->heartbeat.ailing && now - found->at <= within;
+}
+
+bool FailureDetector::allFresh(TimePoint now, std::vector<std::string> const& ids,
+                               std::chrono::milliseconds within) const {
+  return std::all_of(ids.begin(), ids.end(), [&](std::string const& id) { return fresh(now, id, within); });
+}
+
+bool FailureDetector::superseded(TimePoint now, std::string const& id, std::chrono::milliseconds within) const {
+  MemberStatus const* const old = find(id);
+  return old != nullptr &&
+         std::any_of(members_.begin(), members_.end(), [&](std::pair<std::string const, MemberStatus> const& entry) {
+           return entry.first != id && entry.second.member.address == old->member.address &&
+                  entry.second.at > old->at && fresh(now, entry.first, within);
+         });
+}
+
+void FailureDetector::digest(messages::StateDigest& digest) const {
+  digest.add(members_.size());
+  for (std::pair<std::string const, MemberStatus> const& entry : members_) {
+    digest.add(entry.first);
+    digest.add(entry.second.member.address);
+    digest.add(entry.second.member.zone);
+    digest.add(entry.second.ever);
+    digest.add(entry.second.reached);
+    digest.add(entry.second.lastToken);
+    digest.add(entry.second.heartbeat);
+    digest.add(entry.second.at);
+    digest.addDeadline(entry.second.nextHeartbeatAt);
+  }
+}
+
+}  // namespace limeramp::replication
--- /dev/null
+++ b/libs/replication/src/state_transfer.cpp
@@ -0,0 +1,141 @@
+#include "replication_group_impl.h"
+
+#include <algorithm>
+#include <compare>
+
+namespace limeramp::replication {
+
+void ReplicationGroup::Impl::endLeadership() {
+  if (leadership == Leadership::active) {
+    effects.emplace_back(Inactive{});
+    effects.emplace_back(LogEntry{logging::Event::primaryStopped, std::to_string(acceptor.decided.epoch)});
+  }
+  leadership = Leadership::none;
+  confirmation.withdraw();
+  if (ticket) {
+    effects.emplace_back(Doubtful{*ticket});
+    ticket.reset();
+  }
+}
+
+void ReplicationGroup::Impl::beginLeadership() {
+  if (!isPrimary() || acceptor.isFenced()) {
+    return;
+  }
+  leadership = Leadership::joining;
+  membershipChangeDue = false;
+  confirmation.restart();
+  replicator.localWriteBegan(persist(false, true, {}));
+  beginLeadershipSync();
+}
+
+void ReplicationGroup::Impl::beginLeadershipSync() {
+  replicator.transferBegan(++lastToken, acceptor.decided.backups);
+  sendLeadershipSyncs();
+}
+
+void ReplicationGroup::Impl::sendLeadershipSyncs() {
+  replicator.sent(now);
+  for (std::string const& backup : replicator.waitingFor()) {
+    send(backup, messages::Sync{acceptor.decided, replicator.token(), false, state});
+  }
+}
+
+void ReplicationGroup::Impl::checkCommit() {
+  if (!replicator.committed() || acceptor.isFenced()) {
+    return;
+  }
+  if (leadership == Leadership::joining) {
+    leadership = Leadership::active;
+    effects.emplace_back(Active{acceptor.decided.epoch, state});
+    effects.emplace_back(LogEntry{logging::Event::primaryBegan, std::to_string(acceptor.decided.epoch)});
+  }
+  if (ticket) {
+    effects.emplace_back(Committed{*ticket, state});
+    ticket.reset();
+    if (membershipChangeDue) {
+      beginMembershipChange();
+    }
+  }
+}
+
+void ReplicationGroup::Impl::on(Offer const& event) {
+  if (leadership != Leadership::active || ticket || retiring() || acceptor.isFenced() || !replicator.committed()) {
+    effects.emplace_back(Doubtful{event.ticket});
+    return;
+  }
+  ticket = event.ticket;
+  std::uint64_t const next = state.sequence + 1;
+  state = event.state;
+  state.epoch = acceptor.decided.epoch;
+  state.sequence = next;
+  replicator.localWriteBegan(persist(false, true, {}));
+  beginLeadershipSync();
+}
+
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Sync const& message) {
+  learn(message.decided);
+  if (message.decided.epoch != acceptor.decided.epoch || message.decided.epoch == 0) {
+    return;
+  }
+  bool withVote = false;
+  if (message.fenced) {
+    if (!isReplica(from)) {
+      return;
+    }
+    if ((isPrimary() || isBackup()) && !acceptor.isFenced()) {
+      fenceSelf();
+      withVote = true;
+    }
+    yieldUntil = now + policy.lostMs;
+  } else {
+    std::strong_ordering const order = message.state.version() <=> state.version();
+    if (isPrimary() && leadership == Leadership::joining && isOf(acceptor.decided.backups, from) && order > 0 &&
+        message.state.epoch == acceptor.decided.epoch) {
+      state = message.state;
+      replicator.localWriteBegan(persist(false, true, {}));
+      beginLeadershipSync();
+      return;
+    }
+    if (from != acceptor.decided.primary || !isBackup() || acceptor.isFenced()) {
+      return;
+    }
+    if (state.epoch == acceptor.decided.epoch && order < 0) {
+      send(from, messages::Sync{acceptor.decided, message.token, false, state});
+      return;
+    }
+  }
+  bool const changed = !(state == message.state);
+  std::vector<Effect> then{Send{from, "", messages::Synced{acceptor.decided.epoch, message.token}}};
+  if (changed && state.epoch < message.state.epoch) {
+    effects.emplace_back(LogEntry{logging::Event::replicaRebuilt,
+                                  std::to_string(message.state.epoch) + "." + std::to_string(message.state.sequence)});
+  }
+  if (changed && ticket) {
+    effects.emplace_back(Doubtful{*ticket});
+    ticket.reset();
+  }
+  state = message.state;
+  persist(withVote, true, std::move(then));
+}
+
+void ReplicationGroup::Impl::hear(std::string const& from, messages::Synced const& message) {
+  if (message.epoch != acceptor.decided.epoch) {
+    return;
+  }
+  if (leadership != Leadership::none && replicator.backupSynced(from, message.token)) {
+    checkCommit();
+  }
+  if (proposal.stage == ProposalStage::syncing && message.token == proposal.syncToken &&
+      proposal.toSync.erase(from) > 0 && proposal.toSync.empty()) {
+    beginBallot();
+  }
+}
+
+void ReplicationGroup::Impl::confirmLeadership() {
+  if (leadership == Leadership::active) {
+    confirmation.confirm(acceptor.decided.backups, now);
+  }
+}
+
+}  // namespace limeramp::replication
--- a/tests/replication_guards_test.cpp
+++ b/tests/replication_guards_test.cpp
@@ -151,6 +151,35 @@
   EXPECT_EQ(member.group.state().document, "");
 }
 
+TEST(Guards, ALeavingMemberWaitsUntilThePrimaryAndAMajorityHaveStoredTheEpochWithoutIt) {
+  DrivenMember member("c");
+  member.learn(firstEpoch(), "a");
+  member.step(replication::Retire{});
+  messages::EpochRecord const without{2, fleet, "a", {"b"}, {"a", "b", "d"}};
+  member.learn(without, "a");
+  EXPECT_EQ(member.group.leaveProgress(), replication::LeaveProgress::epochNotSpread);
+  messages::Heartbeat stored;
+  stored.epoch = 2;
+  stored.storedEpoch = 2;
+  member.receive("a", stored);
+  EXPECT_EQ(member.group.leaveProgress(), replication::LeaveProgress::epochNotSpread);
+  member.receive("b", stored);
+  EXPECT_EQ(member.group.leaveProgress(), replication::LeaveProgress::done);
+  EXPECT_TRUE(member.group.retired());
+}
+
+TEST(Guards, ALeavingMemberEndsWhenItsTimeIsOver) {
+  DrivenMember member("b");
+  member.learn(firstEpoch(), "a");
+  EXPECT_EQ(member.group.leaveProgress(), replication::LeaveProgress::staying);
+  member.step(replication::Retire{});
+  member.pass(replication::Policy{}.leaveMs - Ms(40), {"a", "c"});
+  EXPECT_EQ(member.group.leaveProgress(), replication::LeaveProgress::replicaNotReplaced);
+  member.pass(Ms(60), {"a", "c"});
+  EXPECT_EQ(member.group.leaveProgress(), replication::LeaveProgress::graceTimeOver);
+  EXPECT_TRUE(member.group.retired());
+}
+
 void startAll(ReplicationSimulation& group) {
   for (std::size_t index = 0; index < group.nodes.size(); ++index) {
     group.start(index);
