--- /dev/null
+++ b/libs/net/src/client_impl.h
@@ -0,0 +1,130 @@
+#pragma once
+
+/// The parts of HttpClient. Connections are pooled for each server (connection_pool.cpp); one carries one exchange at a
+/// time (client_exchange.cpp). A connection goes back to its pool only after an exchange that ended cleanly: its whole
+/// request was sent, its own whole answer was read, and nothing came after it.
+
+#include "answer_reader.h"
+#include "deadline_sweep.h"
+#include "sockets.h"
+
+#include <array>
+#include <deque>
+#include <mutex>
+#include <unordered_map>
+
+namespace limeramp::net {
+
+/// What a connection to a server does.
+enum class ClientPhase { connecting, busy, idle, closed };
+
+struct HttpClient::Impl {
+  struct Connection;
+  struct Pool;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  /// One request on its way: waiting for a connection, or on one.
+  struct Attempt {
+    std::uint64_t number = 0;
+    Request request;
+    TimePoint deadline;
+    Done done;
+    Pool* pool = nullptr;
+    Connection* connection = nullptr;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  /// The connections to one server and the attempts that wait for one.
+  struct Pool {
+    std::string name;
+    Address server;
+    Allowance allowance;
+    std::size_t open = 0;
+    std::deque<Connection*> idle;
+    std::deque<AttemptPtr> waiting;
+    ServerCounters counters;
+
+    bool mayOpen() const { return allowance.most == 0 || open < allowance.most; }
+  };
+
+  Impl(std::shared_ptr<Network::Impl> const& networkIn, ClientBounds const& boundsIn);
+
+  Network::Impl& network;
+  std::weak_ptr<Network::Impl> life;
+  ClientBounds bounds;
+  std::weak_ptr<Impl> self;
+  std::unordered_map<std::string, std::unique_ptr<Pool>> pools;
+  std::unordered_map<std::uint64_t, AttemptPtr> attempts;
+  ConnectionSet<Connection> connections;
+  std::map<std::string, Allowance> allowances;
+  std::size_t waiting = 0;
+  /// Over zero while callers are inside begin() or cancel(), which never call back from within.
+  std::size_t beginning = 0;
+  bool ending = false;
+  DeadlineSweep sweep;
+  mutable std::mutex countersMutex;
+  ServerCounters retired;
+
+  // connection_pool.cpp
+  Pool& poolOf(Address const& server);
+  void prunePools();
+  void count(Pool& pool, std::uint64_t opened, std::uint64_t reused);
+  void place(AttemptPtr const& attempt);
+  void reuse(Pool& pool, AttemptPtr const& attempt);
+  void serveWaiting(Pool& pool);
+  void park(ConnectionPtr const& connection);
+  void close(ConnectionPtr const& connection);
+  void forget(Connection& connection);
+
+  // client_exchange.cpp
+  void connect(AttemptPtr const& attempt);
+  void connected(ConnectionPtr const& connection, boost::system::error_code const& error);
+  void send(ConnectionPtr const& connection);
+  void sendRest(ConnectionPtr const& connection);
+  void read(ConnectionPtr const& connection);
+  void received(ConnectionPtr const& connection, boost::system::error_code const& error, std::size_t bytes);
+  void hungUp(ConnectionPtr const& connection, boost::system::error_code const& error);
+  bool take(ConnectionPtr const& connection, std::string_view fresh);
+  void answered(ConnectionPtr const& connection);
+  void fail(ConnectionPtr const& connection, std::string const& reason, bool refused = false);
+
+  // client.cpp
+  void begin(Address const& server, AttemptPtr const& attempt);
+  void cancel(std::uint64_t number);
+  void finish(AttemptPtr const& attempt, Exchange exchange);
+  void giveUp(AttemptPtr const& attempt, std::string const& reason);
+  std::vector<AttemptPtr> waitingSince(TimePoint now) const;
+  TimePoint expire(TimePoint now);
+  void end();
+};
+
+/// One connection to a server and the exchange that it carries.
+struct HttpClient::Impl::Connection {
+  Connection(std::shared_ptr<Impl> clientIn, Pool& poolIn)
+      : client(std::move(clientIn)), pool(&poolIn), socket(client->network.context) {}
+  Connection(Connection const&) = delete;
+  Connection& operator=(Connection const&) = delete;
+  ~Connection() { client->forget(*this); }
+
+  std::shared_ptr<Impl> client;
+  Pool* pool;
+  Socket socket;
+  std::weak_ptr<Connection> self;
+  std::size_t place = std::string::npos;
+  ClientPhase phase = ClientPhase::connecting;
+  TimePoint deadline;
+  AttemptPtr attempt;
+  AnswerReader reader;
+  std::string output;
+  /// Bytes of the request that the socket has taken. While there are none, and none are being sent, nothing can run.
+  std::size_t sentBytes = 0;
+  bool sending = false;
+  bool sendBroken = false;
+  bool reading = false;
+  std::array<char, landingBytes> landing;
+
+  bool nothingSent() const { return sentBytes == 0 && !sending; }
+  bool endedCleanly() const { return reader.leavesConnectionClean() && !sending && !sendBroken; }
+};
+
+}  // namespace limeramp::net
--- a/libs/net/src/network.cpp
+++ b/libs/net/src/network.cpp
@@ -116,6 +116,15 @@
   return id;
 }
 
+void runOn(std::weak_ptr<Network::Impl> const& network, std::function<void()> work) {
+  std::shared_ptr<Network::Impl> const living = network.lock();
+  if (living != nullptr && living->onThread()) {
+    work();
+  } else if (living != nullptr) {
+    boost::asio::post(living->context, std::move(work));
+  }
+}
+
 std::string Address::text() const { return host + ":" + std::to_string(port); }
 
 std::optional<Address> Address::parse(std::string const& text) {
--- a/libs/net/src/network.h
+++ b/libs/net/src/network.h
@@ -42,4 +42,7 @@
   std::unordered_set<std::shared_ptr<void>> held;
 };
 
+/// Runs `work` on the thread of a network: at once if this is it, and not at all if the network is gone.
+void runOn(std::weak_ptr<Network::Impl> const& network, std::function<void()> work);
+
 }  // namespace limeramp::net
