--- a/tests/own_dialect_test.cpp
+++ b/tests/own_dialect_test.cpp
@@ -22,6 +22,20 @@
   EXPECT_EQ(heard.returned.verdict, Verdict::notRun);
 }
 
+TEST(OwnDialect, AnAnswerMayNameItsRequestAndTheNameIsNotPassedOn) {
+  gateway::Dialect const own = gateway::ownDialect();
+  gateway::Asked asked;
+  asked.request = "m01-1";
+  net::Request request;
+  own.writeAsk(request, asked);
+  EXPECT_EQ(net::findHeader(request.headers, std::string(request.identity.requestHeader)), "m01-1");
+  EXPECT_EQ(request.identity.answerHeader, "limeramp-answers");
+  EXPECT_FALSE(request.identity.required);
+  net::Answer answer{200, {{"limeramp-answers", "m01-1"}}, ""};
+  own.writeForwarded(answer, "m01-1", "1.2");
+  EXPECT_FALSE(net::findHeader(answer.headers, "limeramp-answers").has_value());
+}
+
 TEST(OwnDialect, ARouteOfAHostIsFoundWithThePortAndInAnyCase) {
   gateway::Dialect const own = gateway::ownDialect();
   std::variant<gateway::Caller, gateway::Refusal> const read =
--- a/testside/stub_server.cpp
+++ b/testside/stub_server.cpp
@@ -200,6 +200,7 @@
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", load);
   answer.headers.emplace_back("limeramp-load", text);
+  answer.headers.emplace_back("limeramp-answers", id);
   double waitMs = manner.latencyMs + manner.jitterMs * unit(random);
   Clock::time_point from = std::max(now, manner.pausedUntil);
   if (manner.serial > 0 && capacity > 0) {
