Explorer: nodes with ConfigDelivery follow; the world is split by job

Walks with three members and three or five nodes under one clock check that no node steps back in one life, that none serves an older version 2.1 s after a newer one was acknowledged, and that all serve the newest after the last fault. world.cpp is split: members, operators, nodes, recovery, digest.

--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -45,7 +45,9 @@
   ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot,
                  std::uint64_t seed);
   ~ConfigDelivery();
+  ConfigDelivery(ConfigDelivery const&);
   ConfigDelivery(ConfigDelivery&&) noexcept;
+  ConfigDelivery& operator=(ConfigDelivery const&);
   ConfigDelivery& operator=(ConfigDelivery&&) noexcept;
 
   ConfigDeliveryStep tick(TimePoint now, std::vector<messages::Peer> const& peers);
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -241,7 +241,12 @@
 }
 
 ConfigDelivery::~ConfigDelivery() = default;
+ConfigDelivery::ConfigDelivery(ConfigDelivery const& other) : impl_(std::make_unique<Impl>(*other.impl_)) {}
 ConfigDelivery::ConfigDelivery(ConfigDelivery&&) noexcept = default;
+ConfigDelivery& ConfigDelivery::operator=(ConfigDelivery const& other) {
+  impl_ = std::make_unique<Impl>(*other.impl_);
+  return *this;
+}
 ConfigDelivery& ConfigDelivery::operator=(ConfigDelivery&&) noexcept = default;
 
 ConfigDeliveryStep ConfigDelivery::tick(TimePoint now, std::vector<messages::Peer> const& peers) {
--- a/testside/explorer/scenarios.cpp
+++ b/testside/explorer/scenarios.cpp
@@ -201,6 +201,18 @@
   Setup ordersFive = five;
   ordersFive.services = true;
   out.push_back(scenario("walk-orders-5", "two operators call five members", settled(ordersFive), called));
+  Setup delivery = orders;
+  delivery.nodes = 3;
+  delivery.mostPackets = 80;
+  Budget followed = called;
+  followed.ticks = 1500;
+  followed.offers = 30;
+  followed.jumps = 3;
+  followed.cuts = 8;
+  out.push_back(scenario("walk-nodes", "three members and three nodes that follow", settled(delivery), followed, 1200));
+  Setup deliveryFive = delivery;
+  deliveryFive.nodes = 5;
+  out.push_back(scenario("walk-nodes-5", "three members and five nodes", settled(deliveryFive), followed, 1500));
   return out;
 }
 
--- a/testside/explorer/world.h
+++ b/testside/explorer/world.h
@@ -3,6 +3,7 @@
 #include "explorer/action.h"
 #include "explorer/history.h"
 #include "limeramp/control/config_service.h"
+#include "limeramp/distribution/config_delivery.h"
 #include "limeramp/replication/replication_group.h"
 
 #include <array>
@@ -38,6 +39,12 @@
   std::size_t cuts = 0;
 };
 
+/// Two operators act in a search; a third asks for a change while the group recovers.
+constexpr std::size_t operatorCount = 2;
+
+/// A tick of one participant, if all share one clock.
+constexpr Ms sharedTickMs{20};
+
 struct Setup {
   std::size_t members = 3;
   std::size_t machineLosses = 1;
@@ -49,6 +56,9 @@
   /// Each member runs a control::Plane, which two operators call. Otherwise changes are offered to the group itself.
   bool services = false;
   std::size_t mostReceipts = 256;
+  /// Nodes that follow the configuration, each with a distribution::ConfigDelivery. What they promise is about time, so
+  /// all clocks are one then: who is not stepped is frozen. For walks only: their state is not part of the digest.
+  std::size_t nodes = 0;
 };
 
 /// One round of a fixed schedule: who takes part, and which packets arrive.
@@ -95,6 +105,24 @@
   std::uint64_t digest = 0;
 };
 
+/// A node that serves under the configuration that it has.
+struct Node {
+  std::string name;
+  std::string address;
+  std::string zone;
+  bool up = false;
+  std::uint64_t life = 0;
+  std::optional<distribution::ConfigDelivery> delivery;
+  /// The newest version of this life.
+  config::Version version;
+};
+
+/// When a version was acknowledged to an operator.
+struct Acknowledgement {
+  config::Version version;
+  TimePoint at;
+};
+
 /// What an operator is about: one order after the other, each repeated until its outcome is known.
 struct Operator {
   std::size_t started = 0;
@@ -103,6 +131,8 @@
   config::Version base;
 };
 
+std::uint64_t digestOf(Packet const& packet);
+
 /// Equal members of different worlds, kept once.
 class MemberPool {
  public:
@@ -158,6 +188,7 @@
   void syncOldest(std::size_t index);
   void tick(std::size_t index, Ms time);
   void deliver(std::size_t packet);
+  void startPlane(Member& member) const;
   void call(std::size_t index, std::size_t operatorNumber);
   void read(std::size_t index);
   bool mayCall(std::size_t index, std::size_t operatorNumber) const;
@@ -165,20 +196,36 @@
   void drivePlane(std::size_t index, control::Event const& event);
   void step(std::size_t index, replication::Event const& event);
   void carry(std::size_t index, replication::Effect const& effect);
-  void send(std::size_t index, replication::Send const& send);
   void checkVote(std::size_t index, messages::Message const& message);
   void checkReads(std::size_t index);
+  bool hasOneClock() const { return setup_.nodes > 0; }
+  bool isUp(std::size_t participant) const;
+  std::string const& addressOf(std::size_t participant) const;
+  std::string const& nameOf(std::size_t participant) const;
+  bool enabledAtNode(Action const& action) const;
+  void applyAtNode(Action const& action);
+  void startNode(std::size_t index);
+  void tickNode(std::size_t index);
+  void deliverToNode(std::size_t index, Packet const& packet);
+  void carry(std::size_t index, distribution::ConfigDeliveryStep const& step);
+  void checkNode(std::size_t index);
+  void probe(std::size_t index, control::Probe const& probe);
+  bool allServeNewest() const;
+  void sendTo(std::size_t from, std::string const& address, messages::Message const& message);
   std::optional<std::size_t> indexAt(std::string const& address) const;
 
   Setup setup_;
   Budget budget_;
   std::vector<std::string> founders_;
   std::vector<std::shared_ptr<Member>> members_;
+  std::vector<Node> nodes_;
+  TimePoint now_{std::chrono::hours(1)};
+  std::vector<Acknowledgement> acknowledgements_;
   std::vector<std::shared_ptr<Packet const>> packets_;
   std::shared_ptr<History> history_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::uint64_t lastTicket_ = 0;
-  std::array<Operator, 3> operators_;
+  std::array<Operator, operatorCount + 1> operators_;
   std::size_t renamed_ = 0;
 };
 
--- /dev/null
+++ b/testside/explorer/world_nodes.cpp
@@ -0,0 +1,135 @@
+#include "explorer/world.h"
+
+#include <algorithm>
+
+/// The nodes that follow the configuration, and what they promise: no step back in one life, and nothing older than
+/// what was acknowledged some time ago while they serve.
+namespace limeramp::explorer {
+namespace {
+
+/// How long after its acknowledgement an older version may still be served, as docs/control.md derives it.
+constexpr Ms inForceMs{2100};
+
+bool isServing(distribution::Standing standing) {
+  return standing == distribution::Standing::current || standing == distribution::Standing::upheld;
+}
+
+}  // namespace
+
+bool World::enabledAtNode(Action const& action) const {
+  Node const& node = nodes_[action.subject - members_.size()];
+  switch (action.kind) {
+    case ActionKind::tick:
+      return node.up && budget_.ticks > 0;
+    case ActionKind::crash:
+      return node.up && budget_.crashes > 0;
+    case ActionKind::restart:
+      return !node.up;
+    case ActionKind::retire:
+      return node.up && budget_.retirements > 0;
+    default:
+      return false;
+  }
+}
+
+void World::applyAtNode(Action const& action) {
+  std::size_t const index = action.subject - members_.size();
+  switch (action.kind) {
+    case ActionKind::tick:
+      --budget_.ticks;
+      now_ += sharedTickMs;
+      tickNode(index);
+      return;
+    case ActionKind::crash:
+      --budget_.crashes;
+      nodes_[index].up = false;
+      nodes_[index].delivery.reset();
+      return;
+    case ActionKind::restart:
+      startNode(index);
+      return;
+    case ActionKind::retire:
+      --budget_.retirements;
+      nodes_[index].delivery->leave();
+      return;
+    default:
+      return;
+  }
+}
+
+void World::startNode(std::size_t index) {
+  Node& node = nodes_[index];
+  ++node.life;
+  node.up = true;
+  node.version = {};
+  std::uint64_t const boot = 1000 * (index + 1) + node.life;
+  node.delivery.emplace(distribution::ConfigDeliveryPolicy{},
+                        messages::Follower{node.name, node.address, node.zone, 0, 0}, boot, boot);
+}
+
+void World::tickNode(std::size_t index) {
+  std::vector<messages::Peer> peers;
+  for (std::shared_ptr<Member> const& member : members_) {
+    peers.push_back({member->id, member->address, member->zone, messages::controllerRole, 0, 0});
+  }
+  for (Node const& node : nodes_) {
+    peers.push_back({node.name, node.address, node.zone, messages::gatewayRole, 0, 0});
+  }
+  carry(index, nodes_[index].delivery->tick(now_, peers));
+}
+
+void World::deliverToNode(std::size_t index, Packet const& packet) {
+  distribution::ConfigDelivery& delivery = *nodes_[index].delivery;
+  if (messages::Poll const* const poll = std::get_if<messages::Poll>(&packet.message)) {
+    carry(index, delivery.hear(now_, packet.fromAddress, *poll));
+  } else if (messages::News const* const news = std::get_if<messages::News>(&packet.message)) {
+    carry(index, delivery.hear(now_, packet.fromAddress, *news));
+  }
+}
+
+void World::carry(std::size_t index, distribution::ConfigDeliveryStep const& step) {
+  for (distribution::Outgoing const& outgoing : step.sends) {
+    sendTo(members_.size() + index, outgoing.address, outgoing.message);
+  }
+  checkNode(index);
+}
+
+void World::checkNode(std::size_t index) {
+  Node& node = nodes_[index];
+  std::optional<messages::State> const& state = node.delivery->state();
+  if (!state) {
+    return;
+  }
+  config::Version const version{state->configurationEpoch, state->configurationSequence};
+  if (version < node.version) {
+    changeHistory().fail(node.name + " goes back from " + node.version.text() + " to " + version.text());
+  }
+  node.version = version;
+  if (!isServing(node.delivery->status(now_).standing)) {
+    return;
+  }
+  for (Acknowledgement const& acknowledged : acknowledgements_) {
+    if (acknowledged.version > version && now_ > acknowledged.at + inForceMs) {
+      changeHistory().fail(node.name + " serves under " + version.text() + " later than " +
+                           std::to_string(inForceMs.count()) + " ms after " + acknowledged.version.text() +
+                           " was acknowledged");
+    }
+  }
+}
+
+void World::probe(std::size_t index, control::Probe const& probe) {
+  std::optional<std::size_t> const to = indexAt(probe.address);
+  if (!to || *to < members_.size() || cuts_.contains({index, *to}) || cuts_.contains({*to, index})) {
+    return;
+  }
+  drivePlane(index, control::Probed{probe.token, !isUp(*to) || nameOf(*to) != probe.node});
+}
+
+bool World::allServeNewest() const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [this](Node const& node) {
+    return node.up && isServing(node.delivery->status(now_).standing) && node.delivery->state() &&
+           node.delivery->state()->document.size() >= history_->acknowledged.size();
+  });
+}
+
+}  // namespace limeramp::explorer
--- /dev/null
+++ b/testside/explorer/world_operators.cpp
@@ -0,0 +1,132 @@
+#include "explorer/world.h"
+
+/// The operators, and the Plane of each member that they call.
+namespace limeramp::explorer {
+namespace {
+
+constexpr Ms callMs{3000};
+
+/// A language of changes alone: a patch is appended, the revision is the number of changes.
+config::Language appendingLanguage() {
+  config::Language language;
+  language.check = [](std::string const& document) {
+    config::Checked checked;
+    checked.configuration.emplace();
+    checked.configuration->revision = changesOf(document).size();
+    return checked;
+  };
+  language.merge = [](std::string const& document, std::string const& patch) -> absl::StatusOr<std::string> {
+    return document + patch;
+  };
+  return language;
+}
+
+}  // namespace
+
+void World::startPlane(Member& member) const {
+  control::Policy policy;
+  policy.mostReceipts = setup_.mostReceipts;
+  member.plane.emplace(policy, member.id, appendingLanguage());
+}
+
+void World::offer(std::size_t index, std::size_t operatorNumber) {
+  if (setup_.services) {
+    call(index, operatorNumber);
+    return;
+  }
+  messages::State state = members_[index]->group.state();
+  std::uint64_t const ticket = ++lastTicket_;
+  state.document += std::to_string(ticket) + ",";
+  propose(index, {ticket, std::move(state)});
+}
+
+void World::propose(std::size_t index, replication::Offer offer) {
+  bool const retiring = members_[index]->retiring;
+  std::string const before = members_[index]->group.state().document;
+  step(index, std::move(offer));
+  if (retiring && members_[index]->group.state().document != before) {
+    changeHistory().fail(members_[index]->id + " is told to end and takes a new change");
+  }
+}
+
+bool World::mayCall(std::size_t index, std::size_t operatorNumber) const {
+  Member const& member = *members_[index];
+  if (!setup_.services) {
+    return operatorNumber == 0 && member.up && member.group.active() && !member.group.busy();
+  }
+  bool const inTurn = operatorNumber == 0 || !operators_[operatorNumber].open.empty() ||
+                      operators_[operatorNumber].started < operators_[operatorNumber - 1].started;
+  return operatorNumber < operatorCount && inTurn && member.up && member.plane && member.plane->active();
+}
+
+void World::call(std::size_t index, std::size_t operatorNumber) {
+  Operator& caller = operators_[operatorNumber];
+  std::map<std::string, OrderOutcome>::const_iterator const open = history_->orders.find(caller.open);
+  if (open == history_->orders.end() || open->second.refused || open->second.takenAs) {
+    caller.open = std::string(1, static_cast<char>('A' + operatorNumber)) + std::to_string(++caller.started);
+    messages::State const& seen = members_[index]->plane->published();
+    caller.baseRevision = seen.revision;
+    caller.base = {seen.configurationEpoch, seen.configurationSequence};
+  }
+  now_ += std::chrono::microseconds(1);
+  Member& member = change(index);
+  member.clock += std::chrono::microseconds(hasOneClock() ? 0 : 1);
+  control::Change order;
+  order.ticket = ++lastTicket_;
+  order.id = caller.open;
+  order.patch = true;
+  order.body = caller.open + ",";
+  if (operatorNumber == 1) {
+    order.base = caller.base;
+  } else {
+    order.baseRevision = caller.baseRevision;
+  }
+  order.deadline = member.clock + callMs;
+  changeHistory().onCall(order.ticket, order.id, caller.baseRevision);
+  drivePlane(index, order);
+}
+
+void World::read(std::size_t index) {
+  now_ += std::chrono::microseconds(1);
+  Member& member = change(index);
+  member.clock += std::chrono::microseconds(hasOneClock() ? 0 : 1);
+  std::uint64_t const ticket = ++lastTicket_;
+  changeHistory().onRead(ticket);
+  drivePlane(index, control::Read{ticket, member.clock + callMs});
+}
+
+void World::drivePlane(std::size_t index, control::Event const& event) {
+  if (!members_[index]->plane) {
+    return;
+  }
+  Member& member = change(index);
+  std::vector<control::Effect> const effects = member.plane->step(member.clock, member.group, event);
+  for (control::Effect const& effect : effects) {
+    if (replication::Offer const* const offer = std::get_if<replication::Offer>(&effect)) {
+      propose(index, *offer);
+    } else if (control::Decided const* const decided = std::get_if<control::Decided>(&effect)) {
+      changeHistory().onAnswer(members_[index]->id, *decided, members_[index]->plane->published());
+      if (decided->verdict == control::Verdict::taken) {
+        acknowledgements_.push_back({decided->version, now_});
+      }
+    } else if (control::ReadBack const* const readBack = std::get_if<control::ReadBack>(&effect)) {
+      changeHistory().onReadBack(members_[index]->id, members_[index]->group.decided().epoch, *readBack);
+    } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
+      sendTo(index, outgoing->address, outgoing->message);
+    } else if (control::Probe const* const wanted = std::get_if<control::Probe>(&effect)) {
+      probe(index, *wanted);
+    }
+  }
+}
+
+std::optional<std::size_t> World::idleLeader() const {
+  std::optional<std::size_t> const index = leader();
+  if (!index) {
+    return std::nullopt;
+  }
+  Member const& member = *members_[*index];
+  bool const idle = !member.group.busy() && (!member.plane || (member.plane->active() && member.plane->pending() == 0));
+  return idle ? index : std::nullopt;
+}
+
+}  // namespace limeramp::explorer
