--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -107,6 +107,15 @@
   return absl::OkStatus();
 }
 
+/// Nodes hold no receipts: those of this replica's own state are the best that is left after a total loss.
+messages::State withReceipts(messages::State state, messages::State const& own) {
+  state.receipts = own.receipts;
+  state.forgottenEpoch = own.forgottenEpoch;
+  state.forgottenSequence = own.forgottenSequence;
+  state.forgottenRevision = own.forgottenRevision;
+  return state;
+}
+
 }  // namespace
 
 struct ControlServer::Impl {
@@ -285,7 +294,7 @@
     drivePlane(Polled{received->address, *poll});
   } else if (messages::News const* const news = std::get_if<messages::News>(&received->message)) {
     if (forcingNewGroup && received->address == forcingNewGroup->from && news->state && !received->fleet.empty()) {
-      driveGroup(replication::ForceNewGroup{received->fleet, *news->state});
+      driveGroup(replication::ForceNewGroup{received->fleet, withReceipts(*news->state, group.state())});
     }
   } else {
     driveGroup(replication::Received{received->from, received->address, std::move(received->message)});
--- a/libs/control/src/node_tracker.h
+++ b/libs/control/src/node_tracker.h
@@ -23,7 +23,7 @@
   std::uint64_t boot = 0;
   std::uint64_t leftBoot = 0;
   bool leaving = false;
-  StateVersion confirmed{0, 0};
+  StateVersion confirmed;
   TimePoint heardAt{};
   bool direct = false;
 };
