Incarnation records go only to who lacks them, questions only to as many as needed

Cause: with 88 machines polls grew to 34 kB (46 kB from a zone's home), since each repeated the incarnation records for every follower, and a node with news older than 1.3 s polled the whole roster each 0.45 s. Ruled out: states (0.3 % of the bytes), the list, tables and views: counted by kind on a copy, 97 % of 785 MB between zones were polls. Change: records travel by digest; a receiver that may lack one counts nothing of the poll and is sent them. StalenessCheck chooses whom to ask: a majority and one in eight, each once in 0.9 s.

--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -108,7 +108,7 @@
   void settle();
   void settleReading(replication::ReplicationGroup const& group);
   void expire();
-  messages::News news(std::uint64_t token, replication::ReplicationGroup const& group) const;
+  messages::News news(messages::Poll const& poll, replication::ReplicationGroup const& group) const;
 };
 
 void Plane::Impl::probe() {
@@ -187,12 +187,15 @@
   }
 }
 
-messages::News Plane::Impl::news(std::uint64_t token, replication::ReplicationGroup const& group) const {
+messages::News Plane::Impl::news(messages::Poll const& poll, replication::ReplicationGroup const& group) const {
   messages::News out;
-  out.token = token;
+  out.token = poll.token;
   out.node = id;
   out.primaryAddress = group.primaryAddress();
-  out.incarnations = tracker.incarnations();
+  out.incarnationsDigest = tracker.incarnations().digest();
+  if (poll.incarnationsDigest != out.incarnationsDigest) {
+    out.incarnations = tracker.incarnations().list();
+  }
   if (!active) {
     return out;
   }
@@ -352,11 +355,13 @@
       [&](std::string const& node) -> messages::PeerStatus const& {
     return peerStatuses.contains(node) ? *peerStatuses.at(node) : none;
   };
-  note(event.poll.self, statusOf(event.poll.self.node), true);
+  bool const confirms = tracker.learnIncarnations(event.poll);
+  note(confirms ? event.poll.self : distribution::withoutVersion(event.poll.self), statusOf(event.poll.self.node),
+       true);
   for (messages::Follower const& follower : event.poll.followers) {
-    note(follower, statusOf(follower.node), false);
+    note(confirms ? follower : distribution::withoutVersion(follower), statusOf(follower.node), false);
   }
-  messages::News out = news(event.poll.token, group);
+  messages::News out = news(event.poll, group);
   messages::Message answer = active ? feed.answer(now, published, event.poll, std::move(out)) : std::move(out);
   effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(answer)});
   settle();
--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -22,12 +22,21 @@
   }
 }
 
+bool NodeTracker::learnIncarnations(messages::Poll const& poll) {
+  for (messages::PeerStatus const& status : poll.peerStatuses) {
+    if (status.node == poll.self.node) {
+      return incarnations_.learn(poll.incarnationsDigest, status.incarnations);
+    }
+  }
+  return poll.incarnationsDigest == 0 || incarnations_.learn(poll.incarnationsDigest, {});
+}
+
 bool NodeTracker::report(TimePoint now, messages::Follower const& follower, messages::PeerStatus const& status,
                          bool direct) {
   if (nodes_.size() >= policy_.mostNodes && !nodes_.contains(follower.node)) {
     return true;
   }
-  distribution::mergeIncarnations(incarnations_, status.incarnations);
+  incarnations_.merge(status.incarnations);
   TrackedNode& entry = nodes_[follower.node];
   if (status.boot != 0 && status.boot == entry.leftBoot && !direct && !status.leaving) {
     return true;
@@ -64,8 +73,7 @@
   if (found == nullptr || found->confirmed < wanted || found->confirmed.epoch > epoch) {
     return false;
   }
-  distribution::IncarnationRecords::const_iterator const incarnation = incarnations_.find(node);
-  return incarnation == incarnations_.end() || incarnation->second.boot == found->boot;
+  return incarnations_.trusts(node, found->boot);
 }
 
 bool NodeTracker::gone(std::string const& node, StateVersion const& wanted) const {
@@ -154,12 +162,4 @@
   });
 }
 
-std::vector<messages::IncarnationRecord> NodeTracker::incarnations() const {
-  std::vector<messages::IncarnationRecord> out;
-  for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations_) {
-    out.push_back(entry.second);
-  }
-  return out;
-}
-
 }  // namespace limeramp::control
--- a/libs/control/src/node_tracker.h
+++ b/libs/control/src/node_tracker.h
@@ -47,6 +47,10 @@
   /// A state of this version goes out to the nodes.
   void published(TimePoint now, StateVersion const& version);
 
+  /// Takes in what the sender of a poll knows of incarnations. False if it knows some that are not known here and that
+  /// might overrule what the poll confirms.
+  bool learnIncarnations(messages::Poll const& poll);
+
   /// Takes in one node's report. False if the node was heard at another address just before.
   bool report(TimePoint now, messages::Follower const& follower, messages::PeerStatus const& status, bool direct);
 
@@ -74,7 +78,7 @@
 
   std::map<std::string, TrackedNode> const& nodes() const { return nodes_; }
   TrackedNode const* find(std::string const& node) const;
-  std::vector<messages::IncarnationRecord> incarnations() const;
+  distribution::IncarnationRecords const& incarnations() const { return incarnations_; }
 
  private:
   Policy policy_;
--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limeramp/distribution/incarnations.h"
 #include "limeramp/distribution/peer_views.h"
 #include "limeramp/messages/messages.h"
 
@@ -21,13 +22,12 @@
   std::chrono::milliseconds currentMs{2000};
   std::chrono::milliseconds followerMs{2000};
   std::chrono::milliseconds recoverAfterMs{1000};
-  std::size_t wideSlices = 4;
-  std::chrono::milliseconds wideRoundMs{900};
+  /// How long the answer of a node that knew nothing newer is good before it is asked again.
+  std::chrono::milliseconds contactGoodMs{1000};
 };
 
-using IncarnationRecords = std::map<std::string, messages::IncarnationRecord>;
-
-void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard);
+/// The same report of a node that is alive, confirming nothing.
+messages::Follower withoutVersion(messages::Follower follower);
 
 enum class Standing { unknown, unlisted, stale, current, upheld };
 
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -1,5 +1,6 @@
 #include "limeramp/distribution/config_delivery.h"
 
+#include "limeramp/distribution/staleness_check.h"
 #include "limeramp/distribution/state_feed.h"
 
 #include <algorithm>
@@ -13,9 +14,9 @@
 using Ms = std::chrono::milliseconds;
 using messages::StateVersion;
 
-constexpr std::size_t mostIncarnations = 2000;
 constexpr std::size_t mostListeners = 1000;
 constexpr std::size_t mostContacts = 2000;
+constexpr std::size_t mostPeersKnown = 2000;
 
 /// Why a node polls another: to follow its state, to hear whether it knows a newer one, or, after a restart, to be
 /// recorded and hear the same.
@@ -25,6 +26,10 @@
   std::string address;
   TimePoint at{};
   Purpose purpose = Purpose::follow;
+  /// What this node knew of incarnations when it asked, whether it sent it along, and whether its own start was in it.
+  std::uint64_t incarnationsDigest = 0;
+  bool sentIncarnations = true;
+  bool ownStartRecorded = false;
 };
 
 struct Listener {
@@ -35,18 +40,10 @@
 
 }  // namespace
 
-void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard) {
-  for (messages::IncarnationRecord const& incarnation : heard) {
-    if (known.size() >= mostIncarnations && !known.contains(incarnation.node)) {
-      continue;
-    }
-    messages::IncarnationRecord& entry = known[incarnation.node];
-    if (incarnation.rank > entry.rank) {
-      entry = incarnation;
-    } else if (incarnation.rank == entry.rank && incarnation.boot != entry.boot) {
-      entry.boot = 0;
-    }
-  }
+messages::Follower withoutVersion(messages::Follower follower) {
+  follower.epoch = 0;
+  follower.sequence = 0;
+  return follower;
 }
 
 struct ConfigDelivery::Impl {
@@ -62,16 +59,17 @@
   std::map<std::string, Listener> listeners;
   std::uint64_t lastToken = 0;
   TimePoint nextPollAt{};
-  TimePoint nextWideAt{};
+  TimePoint nextFirstStateAt{};
   TimePoint nextFetchAt{};
   std::size_t turn = 0;
-  std::size_t wideTurn = 0;
   bool hurry = false;
   std::optional<TimePoint> startedAt;
   bool settled = false;
   messages::PeerStatus peerStatus;
   IncarnationRecords incarnations;
+  std::map<std::string, std::uint64_t> digestsOfPeers;
   std::map<std::string, std::uint64_t> recovering;
+  StalenessCheck stalenessCheck{{}, "", 0};
 
   StateFeed feed;
   StateVersion newestHeard;
@@ -84,12 +82,10 @@
            });
   }
 
-  std::vector<messages::IncarnationRecord> incarnationList() const {
-    std::vector<messages::IncarnationRecord> out;
-    for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations) {
-      out.push_back(entry.second);
-    }
-    return out;
+  /// Whether the peer named the same incarnation records as known here are when it last answered.
+  bool knowsIncarnations(std::string const& address) const {
+    std::map<std::string, std::uint64_t>::const_iterator const found = digestsOfPeers.find(address);
+    return found != digestsOfPeers.end() && found->second == incarnations.digest();
   }
 
   messages::Poll makePoll(TimePoint now, std::string const& address, Purpose purpose = Purpose::follow) {
@@ -102,10 +98,13 @@
     poll.follows = purpose == Purpose::follow;
     poll.parts = partVersionsOf(state);
     poll.peerStatuses.push_back(peerStatus);
-    if (purpose != Purpose::verify) {
-      poll.peerStatuses.back().incarnations = incarnationList();
+    poll.incarnationsDigest = incarnations.digest();
+    bool const sends = purpose != Purpose::verify && !knowsIncarnations(address);
+    if (sends) {
+      poll.peerStatuses.back().incarnations = incarnations.list();
     }
-    asked[poll.token] = {address, now, purpose};
+    asked[poll.token] = {
+        address, now, purpose, poll.incarnationsDigest, sends, incarnations.holds(self.node, peerStatus.boot)};
     return poll;
   }
 
@@ -120,27 +119,13 @@
     return poll;
   }
 
-  bool trusts(std::string const& node, std::uint64_t boot) const {
-    IncarnationRecords::const_iterator const found = incarnations.find(node);
-    return found == incarnations.end() || found->second.boot == boot;
-  }
-
-  void recordIncarnation(std::string const& node, std::uint64_t boot) {
-    messages::IncarnationRecord& entry = incarnations[node];
-    if (entry.boot != boot || entry.rank == 0) {
-      entry = {node, boot, entry.rank + 1};
-    }
-  }
-
   bool recovered() const {
-    if (!listed() || !trusts(self.node, peerStatus.boot)) {
+    if (!listed() || !incarnations.trusts(self.node, peerStatus.boot)) {
       return false;
     }
-    std::size_t const count = static_cast<std::size_t>(
-        std::count_if(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
-          std::map<std::string, std::uint64_t>::const_iterator const found = recovering.find(entry.node);
-          return entry.node != self.node && found != recovering.end() && trusts(entry.node, found->second);
-        }));
+    std::size_t const count = static_cast<std::size_t>(std::count_if(
+        state->roster.begin(), state->roster.end(),
+        [&](messages::RosterEntry const& entry) { return entry.node != self.node && hasVouched(entry.node); }));
     return count >= (state->roster.size() + 1) / 2;
   }
 
@@ -228,8 +213,9 @@
     news.primaryAddress = primaryAddress;
     news.settled = settled;
     news.boot = peerStatus.boot;
-    if (poll.follows || poll.recover) {
-      news.incarnations = incarnationList();
+    news.incarnationsDigest = incarnations.digest();
+    if ((poll.follows || poll.recover) && poll.incarnationsDigest != news.incarnationsDigest) {
+      news.incarnations = incarnations.list();
     }
     if (anchor) {
       news.hasAge = true;
@@ -238,30 +224,33 @@
     return state ? feed.answer(now, *state, poll, std::move(news)) : messages::Message(std::move(news));
   }
 
-  /// A node whose state is old asks the nodes of the roster, a slice at a time, whether they know a newer one: once
-  /// round quickly, since it has been without an answer for long, and then at a pace that keeps a majority's answers
-  /// fresh.
+  /// A node whose state is old asks nodes of the roster whether they know a newer one.
   void askRoster(TimePoint now, bool worried, std::vector<Outgoing>& sends) {
     bool const alone = worried && state && (settled || now - *startedAt >= policy.recoverAfterMs);
     if (!alone) {
-      wideTurn = 0;
       return;
     }
-    if (now < nextWideAt) {
-      return;
-    }
-    Ms const round = settled && wideTurn >= policy.wideSlices ? policy.wideRoundMs : policy.replyMs;
-    nextWideAt = now + round / policy.wideSlices;
-    std::size_t const count = state->roster.size();
-    for (std::size_t slot = wideTurn++ % policy.wideSlices; slot < count; slot += policy.wideSlices) {
-      messages::RosterEntry const& entry = state->roster[slot];
-      if (entry.node != self.node) {
-        Purpose const purpose = settled ? Purpose::verify : Purpose::recover;
-        sends.push_back({entry.address, makePoll(now, entry.address, purpose)});
-      }
+    Purpose const purpose = settled ? Purpose::verify : Purpose::recover;
+    std::size_t const needed = settled ? state->roster.size() / 2 : (state->roster.size() + 1) / 2;
+    StalenessCheck::Answered const answered = [&](std::string const& node) {
+      return settled ? heardWithin(now, node, policy.contactGoodMs) : hasVouched(node);
+    };
+    for (messages::RosterEntry const& entry : stalenessCheck.due(now, state->roster, needed, answered)) {
+      sends.push_back({entry.address, makePoll(now, entry.address, purpose)});
     }
   }
 
+  bool heardWithin(TimePoint now, std::string const& node, Ms time) const {
+    std::map<std::string, TimePoint>::const_iterator const found = contacts.find(node);
+    return found != contacts.end() && now - found->second < time;
+  }
+
+  /// Whether this start of this node is known to a settled `node` that knows nothing newer.
+  bool hasVouched(std::string const& node) const {
+    std::map<std::string, std::uint64_t>::const_iterator const found = recovering.find(node);
+    return found != recovering.end() && incarnations.trusts(node, found->second);
+  }
+
   /// A node that was asked what it knows has named a newer state: it is asked for it, at most once in `replyMs`.
   void fetch(TimePoint now, std::string const& address, std::vector<Outgoing>& sends) {
     if (now >= nextFetchAt) {
@@ -272,6 +261,7 @@
 
   ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::News const& message,
                           std::optional<messages::State> next);
+  void learnDigest(std::string const& address, Asked const& question, messages::News const& message);
   void take(Asked const& question, messages::News const& message);
 
   std::optional<TimePoint> upheldAt() const {
@@ -300,7 +290,7 @@
 ConfigDeliveryStep ConfigDelivery::Impl::hear(TimePoint now, std::string const& address, messages::News const& message,
                                               std::optional<messages::State> next) {
   ConfigDeliveryStep out;
-  mergeIncarnations(incarnations, message.incarnations);
+  incarnations.merge(message.incarnations);
   newestHeard = std::max(newestHeard, StateVersion{message.epoch, message.sequence});
   out.changed = next && adopt(now, *std::move(next));
   if (!message.primaryAddress.empty()) {
@@ -315,6 +305,7 @@
     return out;
   }
   Asked const question = found->second;
+  learnDigest(address, question, message);
   suspects.erase(address);
   asked.erase(found);
   if (StateVersion{message.epoch, message.sequence} > mark()) {
@@ -327,22 +318,36 @@
   return out;
 }
 
+/// A peer that lacked records which were not sent along has counted nothing of the poll: it is polled again at once,
+/// and this time is sent them.
+void ConfigDelivery::Impl::learnDigest(std::string const& address, Asked const& question,
+                                       messages::News const& message) {
+  if (digestsOfPeers.size() >= mostPeersKnown) {
+    digestsOfPeers.clear();
+  }
+  digestsOfPeers[address] = message.incarnationsDigest;
+  bool const counted = question.sentIncarnations || message.incarnationsDigest == question.incarnationsDigest;
+  hurry = hurry || (question.purpose == Purpose::follow && !counted);
+}
+
 /// The answer of a node that knows no newer state than this one.
 void ConfigDelivery::Impl::take(Asked const& question, messages::News const& message) {
   if (message.hasAge) {
     TimePoint const at = question.at - Ms(static_cast<long>(message.ageMs));
     anchor = anchor ? std::max(*anchor, at) : at;
   }
-  bool const recorded = std::any_of(message.incarnations.begin(), message.incarnations.end(),
-                                    [&](messages::IncarnationRecord const& incarnation) {
-                                      return incarnation.node == self.node && incarnation.boot == peerStatus.boot;
-                                    });
+  bool const sameRecords = message.incarnationsDigest == question.incarnationsDigest && question.ownStartRecorded;
+  bool const recorded =
+      sameRecords || std::any_of(message.incarnations.begin(), message.incarnations.end(),
+                                 [&](messages::IncarnationRecord const& incarnation) {
+                                   return incarnation.node == self.node && incarnation.boot == peerStatus.boot;
+                                 });
   if (question.purpose == Purpose::recover && message.settled && recorded && !settled) {
     recovering[message.node] = message.boot;
   }
   bool const caughtUp = anchor && startedAt && *anchor >= *startedAt;
-  if (caughtUp && !trusts(self.node, peerStatus.boot)) {
-    recordIncarnation(self.node, peerStatus.boot);
+  if (caughtUp && !incarnations.trusts(self.node, peerStatus.boot)) {
+    incarnations.record(self.node, peerStatus.boot);
   }
   settled = settled || caughtUp || recovered();
   if (message.settled && (contacts.size() < mostContacts || contacts.contains(message.node))) {
@@ -359,6 +364,9 @@
   impl_->peerStatus = {self.node, boot, false, {}};
   impl_->random.seed(seed);
   impl_->lastToken = impl_->random() >> 20;
+  StalenessCheckPolicy check;
+  check.replyMs = policy.replyMs;
+  impl_->stalenessCheck = StalenessCheck(check, self.node, impl_->random() >> 20);
 }
 
 ConfigDelivery::~ConfigDelivery() = default;
@@ -410,8 +418,8 @@
       out.sends.push_back({control, impl.makeReport(now, control)});
     }
   }
-  if (!impl.state && now >= impl.nextWideAt) {
-    impl.nextWideAt = now + impl.policy.replyMs;
+  if (!impl.state && now >= impl.nextFirstStateAt) {
+    impl.nextFirstStateAt = now + impl.policy.replyMs;
     std::vector<std::string> fronts;
     for (messages::Peer const& peer : peers) {
       if (peer.role == messages::gatewayRole && peer.address != impl.self.address) {
@@ -441,14 +449,14 @@
       break;
     }
   }
-  mergeIncarnations(impl.incarnations, peerStatus.incarnations);
+  bool const confirms = impl.incarnations.learn(message.incarnationsDigest, peerStatus.incarnations);
   if (message.recover && impl.settled && peerStatus.boot != 0 && impl.state &&
       std::any_of(impl.state->roster.begin(), impl.state->roster.end(),
                   [&](messages::RosterEntry const& entry) { return entry.node == peerStatus.node; })) {
-    impl.recordIncarnation(peerStatus.node, peerStatus.boot);
+    impl.incarnations.record(peerStatus.node, peerStatus.boot);
   }
   if (message.follows) {
-    impl.listen(now, message.self, peerStatus);
+    impl.listen(now, confirms ? message.self : withoutVersion(message.self), peerStatus);
   }
   out.sends.push_back({message.self.address, impl.answer(now, message)});
   return out;
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -331,6 +331,8 @@
   std::optional<PartVersions> parts;
   /// False: the node asks which version is known, and wants neither the state nor later pushes.
   bool follows = true;
+  /// Names the sender's incarnation records; 0 from nodes that always send them all.
+  std::uint64_t incarnationsDigest = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -340,6 +342,7 @@
     visit("recover", self.recover);
     visit("parts", self.parts);
     visit("follows", self.follows);
+    visit("incarnationsDigest", self.incarnationsDigest);
   }
 };
 
@@ -356,6 +359,8 @@
   std::string primaryAddress;
   std::uint64_t boot = 0;
   std::vector<IncarnationRecord> incarnations;
+  /// Names the sender's incarnation records; 0 from nodes that always send them all.
+  std::uint64_t incarnationsDigest = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -369,6 +374,7 @@
     visit("primaryAddress", self.primaryAddress);
     visit("boot", self.boot);
     visit("vouched", self.incarnations);
+    visit("incarnationsDigest", self.incarnationsDigest);
   }
 };
 
--- a/tests/node_tracker_test.cpp
+++ b/tests/node_tracker_test.cpp
@@ -13,7 +13,7 @@
 StateVersion const wanted{epoch, 7};
 
 messages::Follower followerAt(std::string const& address, StateVersion const& version) {
-  return {"node", address, "zone", version.first, version.second};
+  return {"node", address, "zone", version.epoch, version.sequence};
 }
 
 messages::PeerStatus startedAs(std::uint64_t boot) { return {"node", boot, false, {}}; }
--- /dev/null
+++ b/tests/staleness_check_test.cpp
@@ -0,0 +1,77 @@
+#include "limeramp/distribution/staleness_check.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace {
+
+using namespace limeramp;
+using distribution::StalenessCheck;
+using distribution::StalenessCheckPolicy;
+using distribution::TimePoint;
+using Ms = std::chrono::milliseconds;
+
+constexpr std::size_t nodes = 88;
+constexpr std::size_t needed = nodes / 2;
+
+std::vector<messages::RosterEntry> rosterOf(std::size_t count) {
+  std::vector<messages::RosterEntry> roster;
+  for (std::size_t number = 0; number < count; ++number) {
+    roster.push_back({"n" + std::to_string(number), "10.0.0.1:" + std::to_string(number), "zone", number});
+  }
+  return roster;
+}
+
+struct Outcome {
+  std::size_t questions = 0;
+  std::set<std::string> answered;
+};
+
+/// Asks every 20 ms for `time`; the first `silent` nodes of the roster never answer, the others after 20 ms.
+Outcome ask(StalenessCheck& check, TimePoint from, Ms time, std::size_t silent, Ms goodFor) {
+  std::vector<messages::RosterEntry> const roster = rosterOf(nodes);
+  std::map<std::string, TimePoint> answeredAt;
+  Outcome out;
+  for (TimePoint now = from; now < from + time; now += Ms(20)) {
+    std::vector<messages::RosterEntry> const due = check.due(now, roster, needed, [&](std::string const& node) {
+      return answeredAt.contains(node) && now - answeredAt.at(node) < goodFor;
+    });
+    for (messages::RosterEntry const& entry : due) {
+      EXPECT_NE(entry.node, "n0");
+      ++out.questions;
+      if (entry.slot >= silent) {
+        answeredAt[entry.node] = now;
+        out.answered.insert(entry.node);
+      }
+    }
+  }
+  return out;
+}
+
+TEST(StalenessCheck, AsksNoMoreThanAMajorityAndAReserve) {
+  StalenessCheck check({}, "n0", 3);
+  Outcome const outcome = ask(check, TimePoint(std::chrono::hours(1)), Ms(600), 0, Ms(60'000));
+  EXPECT_GE(outcome.answered.size(), needed);
+  EXPECT_LE(outcome.questions, needed * 5 / 4);
+}
+
+TEST(StalenessCheck, AsksOthersInPlaceOfThoseThatAreSilent) {
+  StalenessCheck check({}, "n0", 3);
+  Outcome const outcome = ask(check, TimePoint(std::chrono::hours(1)), Ms(1500), nodes / 2 - 1, Ms(60'000));
+  EXPECT_GE(outcome.answered.size(), needed);
+}
+
+TEST(StalenessCheck, KeepsTheAnswersOfAMajorityFreshAtABoundedRate) {
+  StalenessCheck check({}, "n0", 3);
+  Outcome const outcome = ask(check, TimePoint(std::chrono::hours(1)), Ms(10'000), 0, Ms(1000));
+  EXPECT_LE(outcome.questions, 10 * needed * 5 / 4 + needed);
+}
+
+TEST(StalenessCheck, AsksNobodyTwiceWithinTheTimeOfOneRound) {
+  StalenessCheck check({}, "n0", 3);
+  Outcome const outcome = ask(check, TimePoint(std::chrono::hours(1)), Ms(900), nodes, Ms(1000));
+  EXPECT_LE(outcome.questions, nodes - 1);
+}
+
+}  // namespace
