--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -27,6 +27,8 @@
 struct Incoming {
   net::Request content;
   net::Responder respond;
+  /// When the network thread had read the request: a process that is held up afterwards does not prolong its deadline.
+  Clock::time_point arrivedAt = Clock::now();
 };
 struct DiskDone {
   std::uint64_t token = 0;
@@ -165,6 +167,7 @@
   void on(RetireAsked&) {
     draining = true;
     logging::raise(logging::Event::drainBegan, {});
+    drivePlane(Retire{});
     driveGroup(replication::Retire{});
   }
   void on(Probed& inbound) { drivePlane(inbound); }
@@ -181,7 +184,9 @@
   void reply(std::uint64_t ticket, net::Answer answer);
   void change(Incoming& inbound);
   void read(Incoming& inbound);
-  void pass(Incoming& inbound) { runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond)); }
+  void pass(Incoming& inbound) {
+    runner.take(Clock::now(), inbound.arrivedAt, std::move(inbound.content), std::move(inbound.respond));
+  }
   bool listen(std::string const& address, net::HttpServer::Handler handler, std::string& error);
   void take(net::Request request, net::Responder respond);
   void tick();
@@ -217,7 +222,7 @@
       if (!work.tryPush({persist->token, persist->puts})) {
         inbox.push(DiskDone{persist->token, false, "the disk's queue is full"});
       }
-    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+    } else if (replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect)) {
       logging::raise(note->event, {{"about", note->about}});
     } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
       drivePlane(*committed);
@@ -252,7 +257,7 @@
       probe(*wanted);
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
       send(outgoing->address, outgoing->message);
-    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+    } else if (replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect)) {
       logging::raise(note->event, {{"about", note->about}});
     }
   }
@@ -301,7 +306,7 @@
     pass(inbound);
     return;
   }
-  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, Clock::now());
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, inbound.arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&deadline)) {
     inbound.respond(std::move(*wrong));
     return;
@@ -353,8 +358,7 @@
     pass(inbound);
     return;
   }
-  Clock::time_point const now = Clock::now();
-  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<Change, net::Answer> read = readChange(inbound.content, inbound.arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&read)) {
     inbound.respond(std::move(*wrong));
     return;
@@ -366,8 +370,7 @@
 }
 
 void ControlServer::Impl::forget(Incoming& inbound) {
-  Clock::time_point const now = Clock::now();
-  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<Change, net::Answer> read = readChange(inbound.content, inbound.arrivedAt);
   std::variant<std::vector<std::string>, net::Answer> nodes = readForget(inbound.content.body);
   for (net::Answer* const wrong : {std::get_if<net::Answer>(&read), std::get_if<net::Answer>(&nodes)}) {
     if (wrong != nullptr) {
@@ -478,7 +481,7 @@
     return;
   }
   absl::StatusOr<messages::Shuffle> const stored = messages::unpack<messages::Shuffle>(store->values().at(membersKey));
-  replication::Known known;
+  replication::KnownMembers known;
   if (stored.ok() && group.decided().epoch > 0) {
     for (messages::Peer const& peer : stored->peers) {
       known.members.push_back({peer.node, peer.address, peer.zone});
@@ -503,7 +506,7 @@
 void ControlServer::Impl::tick() {
   Clock::time_point const now = Clock::now();
   sendAll(views.tick(now, group.decided().epoch == 0 || now - startedAt < eagerMs));
-  replication::Known known;
+  replication::KnownMembers known;
   for (messages::Peer const& peer : views.peers(now)) {
     if (peer.role == messages::controllerRole) {
       known.members.push_back({peer.node, peer.address, peer.zone});
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -96,7 +96,7 @@
 
 struct Promise {
   static constexpr char const* name = "Promise";
-  std::uint64_t slot = 0;
+  std::uint64_t nextEpoch = 0;
   Ballot ballot;
   bool granted = false;
   Ballot promised;
@@ -104,7 +104,7 @@
   std::optional<EpochRecord> accepted;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
-    visit("slot", self.slot);
+    visit("slot", self.nextEpoch);
     visit("ballot", self.ballot);
     visit("granted", self.granted);
     visit("promised", self.promised);
@@ -128,13 +128,13 @@
 
 struct Accepted {
   static constexpr char const* name = "Accepted";
-  std::uint64_t slot = 0;
+  std::uint64_t nextEpoch = 0;
   Ballot ballot;
   bool granted = false;
   Ballot promised;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
-    visit("slot", self.slot);
+    visit("slot", self.nextEpoch);
     visit("ballot", self.ballot);
     visit("granted", self.granted);
     visit("promised", self.promised);
@@ -180,6 +180,7 @@
   std::uint64_t epoch = 0;
   std::uint64_t sequence = 0;
   std::string digest;
+  std::uint64_t revision = 0;
   bool operator==(Receipt const&) const = default;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
@@ -187,6 +188,7 @@
     visit("epoch", self.epoch);
     visit("sequence", self.sequence);
     visit("digest", self.digest);
+    visit("revision", self.revision);
   }
 };
 
@@ -212,6 +214,9 @@
   std::vector<Receipt> receipts;
   std::uint64_t revision = 0;
   std::vector<std::string> evacuatedZones;
+  std::uint64_t forgottenEpoch = 0;
+  std::uint64_t forgottenSequence = 0;
+  std::uint64_t forgottenRevision = 0;
   StateVersion version() const { return {epoch, sequence}; }
   bool operator==(State const&) const = default;
   template <typename V, typename T>
@@ -228,6 +233,9 @@
     visit("receipts", self.receipts);
     visit("revision", self.revision);
     visit("emptiedZones", self.evacuatedZones);
+    visit("forgottenEpoch", self.forgottenEpoch);
+    visit("forgottenSequence", self.forgottenSequence);
+    visit("forgottenRevision", self.forgottenRevision);
   }
 };
 
