--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -1,8 +1,8 @@
 #include "limeramp/control/config_service.h"
 
-#include "limeramp/distribution/state_feed.h"
 #include "limeramp/control/answer_gate.h"
 #include "limeramp/control/order_evaluator.h"
+#include "limeramp/distribution/state_feed.h"
 #include "node_tracker.h"
 
 #include <algorithm>
@@ -386,7 +386,7 @@
     note(confirms ? follower : distribution::withoutVersion(follower), statusOf(follower.node), false);
   }
   messages::News out = news(event.poll, group);
-  messages::Message answer = active ? feed.answer(now, published, event.poll, std::move(out)) : std::move(out);
+  messages::Message answer = feed.answer(now, active ? &published : nullptr, event.poll, std::move(out));
   effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(answer)});
   settle();
   pump(group);
