--- a/libs/config/include/limeramp/config/reader.h
+++ b/libs/config/include/limeramp/config/reader.h
@@ -11,7 +11,7 @@
   Reader(picojson::value const& value, std::string path, std::vector<Problem>& problems);
 
   bool isObject() const;
-  std::string text(std::string const& key, std::optional<std::string> fallback, std::size_t maxBytes = 256);
+  std::string text(std::string const& key, std::optional<std::string> const& fallback, std::size_t maxBytes = 256);
   double number(std::string const& key, std::optional<double> fallback, double least, double most);
   std::size_t whole(std::string const& key, std::optional<std::size_t> fallback, std::size_t least, std::size_t most);
   std::chrono::milliseconds durationMs(std::string const& key, std::optional<std::chrono::milliseconds> fallback,
--- a/libs/config/src/reader.cpp
+++ b/libs/config/src/reader.cpp
@@ -33,7 +33,7 @@
   problems_.push_back({path_ + (key.empty() ? "" : "/" + key), reason});
 }
 
-std::string Reader::text(std::string const& key, std::optional<std::string> fallback, std::size_t maxBytes) {
+std::string Reader::text(std::string const& key, std::optional<std::string> const& fallback, std::size_t maxBytes) {
   picojson::value const* const found = find(key, !fallback.has_value());
   if (found == nullptr) {
     return fallback.value_or("");
--- a/libs/gateway/src/request_plane.cpp
+++ b/libs/gateway/src/request_plane.cpp
@@ -64,7 +64,7 @@
   void carry(dispatch::Finish const& finish);
   void carry(dispatch::Note const& note) { effects.emplace_back(note); }
   void reply(std::uint64_t request, net::Answer answer);
-  void refuse(std::uint64_t request, Refusal refusal);
+  void refuse(std::uint64_t request, Refusal const& refusal);
   void keepAnswer(Exchanged const& event, dispatch::Returned const& returned);
   void hear(std::uint64_t attempt, dispatch::Returned const& returned, dispatch::Part part);
   Asked askedOf(Open const& entry, std::size_t leg) const;
@@ -95,7 +95,7 @@
   drive(servers);
 }
 
-void Plane::Impl::refuse(std::uint64_t request, Refusal refusal) { reply(request, dialect.writeRefusal(refusal)); }
+void Plane::Impl::refuse(std::uint64_t request, Refusal const& refusal) { reply(request, dialect.writeRefusal(refusal)); }
 
 Asked Plane::Impl::askedOf(Open const& entry, std::size_t leg) const {
   Asked asked;
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -285,12 +285,12 @@
       size += entry.first.size() + entry.second.size() + 32;
     }
     if (generation == 0 || end + size > shape.fileBytes) {
-      absl::Status const rotated = rotate();
+      absl::Status rotated = rotate();
       if (!rotated.ok()) {
         return rotated;
       }
     }
-    absl::Status const written = append(batch);
+    absl::Status written = append(batch);
     if (written.ok()) {
       for (Pair& pair : batch.pairs) {
         values[pair.key] = std::move(pair.value);
@@ -337,7 +337,7 @@
   if (impl_->findings.damaged) {
     return absl::DataLossError("the store is damaged");
   }
-  absl::Status const status = impl_->put(puts);
+  absl::Status status = impl_->put(puts);
   impl_->broken = !status.ok();
   return status;
 }
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -380,14 +380,14 @@
     for (int round = 0; round < 200; ++round) {
       bench.now += Ms(100);
       bench.step(Servers{"a", {rowOf("s", "l1"), rowOf("t", "l2")}});
-      bench.arrive(static_cast<std::uint64_t>(10 + round), {"a"}, 1, 2, true, Ms(500));
+      bench.arrive(10 + static_cast<std::uint64_t>(round), {"a"}, 1, 2, true, Ms(500));
       EXPECT_NE(bench.sent.back().server, gone);
       bench.good(bench.sent.back().attempt);
     }
     bench.step(Servers{"a", {rowOf("s", gone == "s" ? "l3" : "l1"), rowOf("t", gone == "t" ? "l3" : "l2")}});
     bool used = false;
     for (int round = 0; round < 20; ++round) {
-      bench.arrive(static_cast<std::uint64_t>(1000 + round), {"a"}, 1, 2, true, Ms(500));
+      bench.arrive(1000 + static_cast<std::uint64_t>(round), {"a"}, 1, 2, true, Ms(500));
       used = used || bench.sent.back().server == gone;
       bench.good(bench.sent.back().attempt);
     }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -304,6 +304,7 @@
   HttpClient client(network, bounds);
   RawListener listener(0);
   std::vector<RawSocket> filling;
+  filling.reserve(4);
   for (int number = 0; number < 4; ++number) {
     filling.push_back(RawSocket::dial(listener.address()));
   }
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -127,7 +127,7 @@
 TEST(Versions, SchemasThatDoNotFitOrHaveNoBoundAreRefused) {
   std::string nested = "\"long\"";
   for (int depth = 0; depth < 40; ++depth) {
-    nested = "{\"type\":\"array\",\"items\":" + nested + "}";
+    nested.insert(0, "{\"type\":\"array\",\"items\":").append("}");
   }
   for (
       std::string const& schema :
@@ -191,8 +191,8 @@
                                 "b\x04\x02"
                                 "a\x02"
                                 "b",
-                                13) +
-                            std::string(1, '\0');
+                                12) +
+                            std::string(2, '\0');
   absl::StatusOr<EpochRecord> const read = unpack<EpochRecord>(bytes, schema);
   ASSERT_TRUE(read.ok());
   EXPECT_EQ(*read, (EpochRecord{7, "f", "a", {"b"}, {"a", "b"}}));
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -90,14 +90,15 @@
   for (std::uint64_t number = 1; number <= 300; ++number) {
     std::string const body(number * 7, 'x');
     std::string const target = "/" + std::to_string(number);
-    client.begin(number, server->address(), {"POST", target, {}, body, ""}, Clock::now() + std::chrono::seconds(60),
-                 [&, body, target](Exchange const& exchange) {
-                   right += exchange.answer && exchange.answer->body == target + "|" + body &&
-                                    exchange.verdict == retry::Verdict::ran
-                                ? 1
-                                : 0;
-                   left.count_down();
-                 });
+    std::string expected = target;
+    expected.append("|").append(body);
+    client.begin(
+        number, server->address(), {"POST", target, {}, body, ""}, Clock::now() + std::chrono::seconds(60),
+        [&, expected](Exchange const& exchange) {
+          right +=
+              exchange.answer && exchange.answer->body == expected && exchange.verdict == retry::Verdict::ran ? 1 : 0;
+          left.count_down();
+        });
   }
   left.wait();
   EXPECT_EQ(right, 300);
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -35,14 +35,14 @@
   static RawSocket to(net::Address const& address) {
     RawSocket out(::socket(AF_INET, SOCK_STREAM, 0));
     sockaddr_in const place = placeOf(address);
-    ::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place);
+    static_cast<void>(::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place));
     return out;
   }
 
   static RawSocket dial(net::Address const& address) {
     RawSocket out(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
     sockaddr_in const place = placeOf(address);
-    ::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place);
+    static_cast<void>(::connect(out.descriptor_, reinterpret_cast<sockaddr const*>(&place), sizeof place));
     return out;
   }
 
@@ -147,7 +147,7 @@
   explicit RawListener(int backlog = 64) : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in place = RawSocket::placeOf({"127.0.0.1", 0});
     socklen_t size = sizeof place;
-    ::bind(descriptor_, reinterpret_cast<sockaddr const*>(&place), size);
+    static_cast<void>(::bind(descriptor_, reinterpret_cast<sockaddr const*>(&place), size));
     ::listen(descriptor_, backlog);
     ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&place), &size);
     address_ = {"127.0.0.1", ntohs(place.sin_port)};
--- a/tests/worth_test.cpp
+++ b/tests/worth_test.cpp
@@ -400,7 +400,7 @@
     furnish(town, dear, Ms(40 + static_cast<long>(town.network.roll(150))));
     town.start();
     town.load(Ms(4000));
-    std::string const victim = shards[town.network.roll(4)];
+    std::string const& victim = shards[town.network.roll(4)];
     std::vector<std::string> hurt;
     for (std::string const& shard : shards) {
       if (trouble.starts_with("dark shard") ? shard == victim : true) {
--- a/testside/capacity/fleet.cpp
+++ b/testside/capacity/fleet.cpp
@@ -528,6 +528,7 @@
     }
   }
   std::vector<std::string> out;
+  out.reserve(zones.size());
   for (std::pair<std::string const, std::vector<std::string>> const& entry : zones) {
     out.push_back(distribution::rankHomes("configuration/" + entry.first, entry.second).front());
   }
