--- a/libs/config/include/limeramp/config/flags.h
+++ b/libs/config/include/limeramp/config/flags.h
@@ -4,19 +4,32 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace limeramp::config {
 
+/// The settings that flags and the settings file give together; a flag goes before the file.
+struct FlagSettings {
+  Settings settings;
+  /// The settings file; empty if no flag names one.
+  std::string path;
+};
+/// What a flag asked to be printed.
 struct FlagText {
   std::string text;
 };
+/// Why the flags or the file give no settings.
 struct FlagProblem {
   std::string text;
 };
 
-using FlagOutcome = std::variant<Settings, FlagText, FlagProblem>;
+using FlagOutcome = std::variant<FlagSettings, FlagText, FlagProblem>;
 
 FlagOutcome settingsFromFlags(std::string const& program, std::string const& purpose, SettingsNeeds const& needs,
                               int argc, char const* const* argv);
 
+/// Reads the file again that the same command line named, while the process runs.
+CheckedSettings readAgain(std::string const& program, std::string const& purpose, SettingsNeeds const& needs,
+                          std::vector<std::string> const& words);
+
 }  // namespace limeramp::config
--- a/libs/config/src/flags.cpp
+++ b/libs/config/src/flags.cpp
@@ -34,8 +34,9 @@
       return FlagProblem{"'" + flags.unmatched().front() + "' is not understood"};
     }
     picojson::value document{picojson::object()};
+    std::string path;
     if (flags.count("settings") > 0) {
-      std::string const path = flags["settings"].as<std::string>();
+      path = flags["settings"].as<std::string>();
       std::ifstream file(path);
       std::stringstream text;
       text << file.rdbuf();
@@ -74,10 +75,26 @@
       }
       return FlagProblem{text};
     }
-    return *std::move(checked.settings);
+    return FlagSettings{*std::move(checked.settings), path};
   } catch (cxxopts::exceptions::exception const& wrong) {
     return FlagProblem{wrong.what()};
   }
 }
 
+CheckedSettings readAgain(std::string const& program, std::string const& purpose, SettingsNeeds const& needs,
+                          std::vector<std::string> const& words) {
+  std::vector<char const*> arguments;
+  arguments.reserve(words.size());
+  for (std::string const& word : words) {
+    arguments.push_back(word.c_str());
+  }
+  FlagOutcome const outcome =
+      settingsFromFlags(program, purpose, needs, static_cast<int>(arguments.size()), arguments.data());
+  if (FlagSettings const* const given = std::get_if<FlagSettings>(&outcome)) {
+    return {given->settings, {}};
+  }
+  FlagProblem const* const problem = std::get_if<FlagProblem>(&outcome);
+  return {std::nullopt, {{"/", problem == nullptr ? "gives no settings" : problem->text}}};
+}
+
 }  // namespace limeramp::config
--- a/libs/control/include/limeramp/control/control_server.h
+++ b/libs/control/include/limeramp/control/control_server.h
@@ -2,6 +2,7 @@
 
 #include "limeramp/config/configuration.h"
 #include "limeramp/config/settings.h"
+#include "limeramp/config/settings_file.h"
 #include "limeramp/control/dialect.h"
 
 #include <memory>
@@ -9,8 +10,15 @@
 
 namespace limeramp::control {
 
+/// A running controller: a member of the control group that takes operators' changes, makes them safe and hands them
+/// out.
+///
+/// It runs on three threads of its own from `start` until it is destroyed: network, event loop and disk. Its functions
+/// may be called from any thread.
 class ControlServer {
  public:
+  /// Opens the disk folder, takes the addresses that the settings name, and begins. Without a folder it keeps nothing.
+  /// @return nothing, with the reason in `error`, if the folder or an address cannot be used
   static std::unique_ptr<ControlServer> start(config::Settings const& settings, std::string& error,
                                               OperatorDialect const& dialect = {},
                                               config::Language const& language = config::ownLanguage());
@@ -18,6 +26,13 @@
   ControlServer(ControlServer const&) = delete;
   ControlServer& operator=(ControlServer const&) = delete;
 
+  /// Looks at this settings file now and then, and takes what can change while the process runs.
+  void follow(config::SettingsFile file);
+
+  /// Reads the settings file at once. No call notices.
+  void reload();
+
+  /// Hands the duties over and takes no new connections; returns within the grace time of the settings.
   void drain();
 
  private:
--- /dev/null
+++ b/libs/control/src/control_server_impl.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "limeramp/control/config_service.h"
+#include "limeramp/control/control_server.h"
+#include "limeramp/control/runner.h"
+#include "limeramp/distribution/peer_views.h"
+#include "limeramp/net/ring.h"
+#include "limeramp/node/listeners.h"
+#include "limeramp/node/peer_link.h"
+#include "limeramp/node/settings_follower.h"
+#include "limeramp/replication/replication_group.h"
+#include "limeramp/storage/record_store.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace limeramp::control {
+
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+/// A request that arrived at one of this controller's listeners.
+struct Incoming {
+  net::Request content;
+  net::Responder respond;
+};
+
+/// What came of writing to the disk.
+struct DiskDone {
+  std::uint64_t token = 0;
+  bool good = false;
+  std::string reason;
+};
+
+/// Asks the controller to hand its duties over.
+struct DrainAsked {};
+
+/// Names the settings file to follow from now on.
+struct FollowSettings {
+  config::SettingsFile file;
+};
+
+/// Asks for the settings file to be read at once.
+struct ReloadAsked {};
+
+using InboundMessage = std::variant<Incoming, DiskDone, RunBack, Probed, DrainAsked, FollowSettings, ReloadAsked>;
+
+/// Records that are to be made safe on the disk.
+struct DiskJob {
+  std::uint64_t token = 0;
+  storage::Puts puts;
+};
+
+/// An operator's order to force a new group, while the configuration for it is being fetched.
+struct ForcingNewGroup {
+  /// The node that holds the configuration.
+  std::string from;
+  net::Responder respond;
+  Clock::time_point deadline;
+  Clock::time_point nextAt;
+};
+
+/// An operator's call whose outcome the configuration service has yet to decide.
+struct WaitingCall {
+  net::Responder respond;
+  /// The id of its change; empty for a read.
+  std::string change;
+};
+
+/// Who this controller is in the group: what its disk says, or what a new disk begins with.
+struct Identity {
+  std::string id;
+  bool mayFound = false;
+  std::vector<std::string> founders;
+};
+
+/// All of a controller. Its members belong to the thread of the event loop, but for the rings, `store`, which the
+/// disk's thread writes, and what `retiredMutex` guards.
+///
+/// The functions stand by job in event_loop.cpp, state_machines.cpp, operator_calls.cpp, force_new_group.cpp and
+/// status_pages.cpp.
+struct ControlServer::Impl {
+  Impl(config::Settings const& settingsIn, OperatorDialect const& dialectIn, config::Language const& languageIn,
+       std::unique_ptr<storage::RecordStore> storeIn, Identity const& identity);
+
+  // Start and end: control_server.cpp.
+  bool listen(std::string& error);
+  void take(net::Request request, net::Responder respond);
+  void drainAndWait();
+
+  // The loops: event_loop.cpp.
+  void runEventLoop();
+  void runDisk();
+  void tick();
+  void restoreMembers();
+  void storeMembers(std::vector<replication::Member> const& members);
+  void on(Incoming& inbound);
+  void on(DiskDone& inbound);
+  void on(RunBack& inbound) { runner.hear(Clock::now(), inbound); }
+  void on(Probed& inbound) { stepService(inbound); }
+  void on(DrainAsked& inbound);
+  void on(FollowSettings& inbound) { settingsFollower.follow(std::move(inbound.file)); }
+  void on(ReloadAsked&) { apply(settingsFollower.reload(Clock::now())); }
+  void apply(std::optional<config::SettingsUpdate> const& update);
+
+  // The state machines and their effects: state_machines.cpp.
+  void stepGroup(replication::Event const& event);
+  void stepService(Event const& event);
+  void apply(Decided const& decided);
+  void persist(replication::Persist const& effect);
+  void probe(Probe const& effect);
+  void reply(std::uint64_t ticket, net::Answer answer);
+  void receivePeerMessage(std::string const& body);
+
+  // Calls under /limeramp: operator_calls.cpp.
+  void readConfiguration(Incoming& inbound);
+  void changeConfiguration(Incoming& inbound);
+  void forgetNodes(Incoming& inbound);
+  void relayCall(Incoming& inbound) {
+    runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond));
+  }
+
+  // A new group by an operator's word: force_new_group.cpp.
+  void forceNewGroup(Incoming& inbound);
+  void continueForcingNewGroup(Clock::time_point now);
+  void finishForcingNewGroup(std::string const& refusal);
+
+  // Pages: status_pages.cpp.
+  net::Answer statusPage() const;
+  net::Answer readinessPage() const;
+
+  config::Settings settings;
+  node::SettingsFollower settingsFollower;
+  OperatorDialect dialect;
+  std::string id;
+  bool mayFound = false;
+  std::vector<std::string> founders;
+  std::unique_ptr<storage::RecordStore> store;
+  net::Network network;
+  net::HttpClient client;
+  node::PeerLink peerLink;
+  net::Ring<InboundMessage> inboundMessages;
+  net::Ring<DiskJob> diskJobs;
+  replication::ReplicationGroup group;
+  Plane service;
+  distribution::PeerViews views;
+  node::Listeners listeners;
+  std::thread core;
+  std::thread disk;
+  Runner runner;
+  std::unordered_map<std::uint64_t, WaitingCall> waitingCalls;
+  std::uint64_t lastTicket = 0;
+  /// Whether a message came from a fleet that was founded while this controller knows none.
+  bool fleetElsewhere = false;
+  std::string keptMembers;
+  Clock::time_point startedAt = Clock::now();
+  bool draining = false;
+  std::optional<ForcingNewGroup> forcingNewGroup;
+
+  /// Guards what the thread that ends the process reads.
+  std::mutex retiredMutex;
+  std::condition_variable retiredChanged;
+  bool retired = false;
+  Ms graceMs;
+};
+
+}  // namespace limeramp::control
--- /dev/null
+++ b/libs/control/src/event_loop.cpp
@@ -0,0 +1,126 @@
+// The loops of a controller: inbound messages and the timer on one thread, the disk on another.
+#include "control_server_impl.h"
+
+#include "limeramp/logging/logging.h"
+#include "limeramp/net/random.h"
+
+namespace limeramp::control {
+namespace {
+
+constexpr Ms tickMs{20};
+/// How long after the start every seed is asked.
+constexpr Ms eagerMs{1000};
+/// How long after the start the members that others name are not yet written to the disk.
+constexpr Ms settleMs{2000};
+constexpr char const* membersKey = "members";
+constexpr std::size_t mostKeptMembers = 16;
+
+}  // namespace
+
+void ControlServer::Impl::runEventLoop() {
+  replication::Start start{{id, settings.advertise, settings.zone}, {}, net::randomWord(), store == nullptr, founders};
+  if (store != nullptr) {
+    start.stored = store->values();
+  }
+  stepGroup(start);
+  restoreMembers();
+  disk = std::thread([this] { runDisk(); });
+  Clock::time_point nextTick = Clock::now();
+  while (!inboundMessages.closed()) {
+    std::optional<InboundMessage> inbound = inboundMessages.popUntil(nextTick);
+    if (inbound) {
+      std::visit([this](auto& concrete) { on(concrete); }, *inbound);
+    }
+    Clock::time_point const now = Clock::now();
+    if (now >= nextTick) {
+      tick();
+      nextTick = now + tickMs;
+    }
+  }
+}
+
+void ControlServer::Impl::tick() {
+  Clock::time_point const now = Clock::now();
+  peerLink.sendAll(group.decided().fleet, views.tick(now, group.decided().epoch == 0 || now - startedAt < eagerMs));
+  replication::Known known;
+  for (messages::Peer const& peer : views.peers(now)) {
+    if (peer.role == messages::controllerRole) {
+      known.members.push_back({peer.node, peer.address, peer.zone});
+    }
+  }
+  known.mayFound = mayFound && !fleetElsewhere && views.mayFound(now);
+  if (now - startedAt > settleMs) {
+    storeMembers(known.members);
+  }
+  stepGroup(known);
+  stepGroup(replication::Tick{});
+  stepService(Tick{});
+  continueForcingNewGroup(now);
+  if (draining && group.retired()) {
+    std::unique_lock<std::mutex> const lock(retiredMutex);
+    retired = true;
+    retiredChanged.notify_all();
+  }
+  runner.tick(now, group.decided().epoch == 0 ? "" : group.primaryAddress());
+  apply(settingsFollower.tick(now));
+}
+
+void ControlServer::Impl::on(DrainAsked&) {
+  draining = true;
+  logging::raise(logging::Event::drainBegan, {});
+  stepGroup(replication::Retire{});
+}
+
+void ControlServer::Impl::apply(std::optional<config::SettingsUpdate> const& update) {
+  if (!update) {
+    return;
+  }
+  settings = update->settings;
+  views.setSeeds(settings.seeds);
+  listeners.setMaxConnections(settings.maxConnections);
+  std::unique_lock<std::mutex> const lock(retiredMutex);
+  graceMs = settings.graceMs;
+}
+
+void ControlServer::Impl::runDisk() {
+  while (std::optional<DiskJob> job = diskJobs.pop()) {
+    absl::Status const status = store == nullptr ? absl::OkStatus() : store->put(job->puts);
+    inboundMessages.push(DiskDone{job->token, status.ok(), std::string(status.message())});
+  }
+}
+
+void ControlServer::Impl::on(DiskDone& inbound) {
+  if (!inbound.good) {
+    logging::raise(logging::Event::diskFailed, {{"reason", inbound.reason}});
+  }
+  stepGroup(replication::Persisted{inbound.token, inbound.good});
+}
+
+void ControlServer::Impl::restoreMembers() {
+  if (store == nullptr || !store->values().contains(membersKey)) {
+    return;
+  }
+  absl::StatusOr<messages::Shuffle> const stored = messages::unpack<messages::Shuffle>(store->values().at(membersKey));
+  replication::Known known;
+  if (stored.ok() && group.decided().epoch > 0) {
+    for (messages::Peer const& peer : stored->peers) {
+      known.members.push_back({peer.node, peer.address, peer.zone});
+    }
+    stepGroup(known);
+  }
+}
+
+void ControlServer::Impl::storeMembers(std::vector<replication::Member> const& members) {
+  messages::Shuffle kept;
+  for (replication::Member const& member : members) {
+    if (kept.peers.size() < mostKeptMembers) {
+      kept.peers.push_back({member.id, member.address, member.zone, "", 0, 0});
+    }
+  }
+  std::string const packed = messages::pack(kept);
+  if (store != nullptr && !members.empty() && packed != keptMembers && diskJobs.tryPush({0, {{membersKey, packed}}})) {
+    keptMembers = packed;
+  }
+}
+
+}  // namespace limeramp::control
--- /dev/null
+++ b/libs/control/src/force_new_group.cpp
@@ -0,0 +1,59 @@
+// An operator's order to begin a new control group from the configuration that a gateway still holds.
+#include "control_server_impl.h"
+
+#include "limeramp/control/operator_api.h"
+#include "limeramp/logging/logging.h"
+
+namespace limeramp::control {
+namespace {
+
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
+constexpr Ms forceWaitMs{5'000};
+constexpr Ms forceRepeatMs{300};
+
+}  // namespace
+
+void ControlServer::Impl::forceNewGroup(Incoming& inbound) {
+  std::variant<std::string, net::Answer> from = readForceNewGroup(inbound.content.body);
+  if (net::Answer* const wrong = std::get_if<net::Answer>(&from)) {
+    inbound.respond(std::move(*wrong));
+    return;
+  }
+  if (forcingNewGroup) {
+    inbound.respond(plain(409, "{\"outcome\":\"conflict\",\"reason\":\"a new group is already being forced\"}"));
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  forcingNewGroup = ForcingNewGroup{std::get<std::string>(from), std::move(inbound.respond), now + forceWaitMs, now};
+  continueForcingNewGroup(now);
+}
+
+void ControlServer::Impl::continueForcingNewGroup(Clock::time_point now) {
+  if (forcingNewGroup && now >= forcingNewGroup->deadline) {
+    finishForcingNewGroup("no configuration came from " + forcingNewGroup->from);
+  } else if (forcingNewGroup && now >= forcingNewGroup->nextAt) {
+    forcingNewGroup->nextAt = now + forceRepeatMs;
+    messages::Poll poll;
+    poll.token = 1;
+    poll.self.address = settings.advertise;
+    peerLink.send(group.decided().fleet, forcingNewGroup->from, std::move(poll));
+  }
+}
+
+void ControlServer::Impl::finishForcingNewGroup(std::string const& refusal) {
+  if (!forcingNewGroup) {
+    return;
+  }
+  net::Responder const respond = std::move(forcingNewGroup->respond);
+  forcingNewGroup.reset();
+  if (!refusal.empty()) {
+    respond(plain(409, "{\"outcome\":\"refused\",\"reason\":" + json(refusal) + "}"));
+    return;
+  }
+  logging::raise(logging::Event::newGroupForced, {{"epoch", std::to_string(group.decided().epoch)}});
+  respond(plain(200, "{\"outcome\":\"taken\",\"epoch\":" + std::to_string(group.decided().epoch) + ",\"state\":" +
+                         json(config::Version{group.state().epoch, group.state().sequence}.text()) + "}"));
+}
+
+}  // namespace limeramp::control
--- /dev/null
+++ b/libs/control/src/operator_calls.cpp
@@ -0,0 +1,89 @@
+// Calls under /limeramp: operators', peers', and those of whoever watches this controller.
+#include "control_server_impl.h"
+
+#include "limeramp/control/operator_api.h"
+#include "limeramp/logging/logging.h"
+#include "limeramp/net/random.h"
+
+namespace limeramp::control {
+
+void ControlServer::Impl::on(Incoming& inbound) {
+  std::string const& target = inbound.content.target;
+  std::string const& method = inbound.content.method;
+  if (target == "/limeramp/inner" && method == "POST") {
+    receivePeerMessage(inbound.content.body);
+    inbound.respond({204, {}, ""});
+  } else if (operatorCallOf(inbound.content) == OperatorCall::change) {
+    changeConfiguration(inbound);
+  } else if (operatorCallOf(inbound.content) == OperatorCall::forget) {
+    forgetNodes(inbound);
+  } else if (operatorCallOf(inbound.content) == OperatorCall::read) {
+    readConfiguration(inbound);
+  } else if (target == "/limeramp/force-new-group" && method == "POST") {
+    forceNewGroup(inbound);
+  } else if (target == "/limeramp/ready" && method == "GET") {
+    inbound.respond(readinessPage());
+  } else if (target == "/limeramp/status" && method == "GET") {
+    inbound.respond(statusPage());
+  } else if (target == "/limeramp/drain" && method == "POST") {
+    DrainAsked asked;
+    on(asked);
+    inbound.respond(plain(200, "{\"draining\":true}"));
+  } else {
+    inbound.respond(plain(404, "{\"reason\":\"no such page\"}"));
+  }
+}
+
+void ControlServer::Impl::readConfiguration(Incoming& inbound) {
+  if (!service.active()) {
+    relayCall(inbound);
+    return;
+  }
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, Clock::now());
+  if (net::Answer* const wrong = std::get_if<net::Answer>(&deadline)) {
+    inbound.respond(std::move(*wrong));
+    return;
+  }
+  std::uint64_t const ticket = ++lastTicket;
+  waitingCalls.emplace(ticket, WaitingCall{std::move(inbound.respond), ""});
+  stepService(Read{ticket, std::get<TimePoint>(deadline)});
+}
+
+void ControlServer::Impl::changeConfiguration(Incoming& inbound) {
+  if (!service.active()) {
+    relayCall(inbound);
+    return;
+  }
+  Clock::time_point const now = Clock::now();
+  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  if (net::Answer* const wrong = std::get_if<net::Answer>(&read)) {
+    inbound.respond(std::move(*wrong));
+    return;
+  }
+  Change& wanted = std::get<Change>(read);
+  wanted.ticket = ++lastTicket;
+  waitingCalls.emplace(wanted.ticket, WaitingCall{std::move(inbound.respond), wanted.id});
+  stepService(wanted);
+}
+
+void ControlServer::Impl::forgetNodes(Incoming& inbound) {
+  Clock::time_point const now = Clock::now();
+  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<std::vector<std::string>, net::Answer> nodes = readForget(inbound.content.body);
+  for (net::Answer* const wrong : {std::get_if<net::Answer>(&read), std::get_if<net::Answer>(&nodes)}) {
+    if (wrong != nullptr) {
+      inbound.respond(std::move(*wrong));
+      return;
+    }
+  }
+  Change const& wanted = std::get<Change>(read);
+  if (!service.active()) {
+    relayCall(inbound);
+    return;
+  }
+  std::uint64_t const ticket = ++lastTicket;
+  waitingCalls.emplace(ticket, WaitingCall{std::move(inbound.respond), wanted.id});
+  stepService(Forget{ticket, std::get<std::vector<std::string>>(nodes), wanted.deadline});
+}
+
+}  // namespace limeramp::control
--- /dev/null
+++ b/libs/control/src/state_machines.cpp
@@ -0,0 +1,115 @@
+// Feeds the replication group and the configuration service, and carries their effects out.
+#include "control_server_impl.h"
+
+#include "limeramp/control/operator_api.h"
+#include "limeramp/logging/logging.h"
+
+namespace limeramp::control {
+namespace {
+
+constexpr std::uint64_t probeAttempts = 1ULL << 61;
+constexpr Ms probeWaitMs{500};
+
+}  // namespace
+
+void ControlServer::Impl::stepGroup(replication::Event const& event) {
+  for (replication::Effect const& effect : group.step(Clock::now(), event)) {
+    if (replication::Send const* const outgoing = std::get_if<replication::Send>(&effect)) {
+      peerLink.send(group.decided().fleet, outgoing->address, outgoing->message);
+    } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
+      this->persist(*persist);
+    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+      logging::raise(note->event, {{"about", note->about}});
+    } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
+      stepService(*committed);
+    } else if (replication::Doubtful const* const doubtful = std::get_if<replication::Doubtful>(&effect)) {
+      stepService(*doubtful);
+    } else if (replication::Active const* const active = std::get_if<replication::Active>(&effect)) {
+      stepService(*active);
+    } else if (std::holds_alternative<replication::Inactive>(effect)) {
+      stepService(replication::Inactive{});
+    } else if (replication::NewGroupForced const* const newGroupForced =
+                   std::get_if<replication::NewGroupForced>(&effect)) {
+      finishForcingNewGroup(newGroupForced->refusal);
+    }
+  }
+}
+
+void ControlServer::Impl::stepService(Event const& event) {
+  for (Effect const& effect : service.step(Clock::now(), group, event)) {
+    if (replication::Offer const* const offer = std::get_if<replication::Offer>(&effect)) {
+      stepGroup(*offer);
+    } else if (Decided const* const decided = std::get_if<Decided>(&effect)) {
+      apply(*decided);
+    } else if (ReadBack const* const back = std::get_if<ReadBack>(&effect)) {
+      reply(back->ticket, answerOf(*back));
+    } else if (Probe const* const wanted = std::get_if<Probe>(&effect)) {
+      probe(*wanted);
+    } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
+      peerLink.send(group.decided().fleet, outgoing->address, outgoing->message);
+    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+      logging::raise(note->event, {{"about", note->about}});
+    }
+  }
+}
+
+void ControlServer::Impl::persist(replication::Persist const& effect) {
+  if (!diskJobs.tryPush({effect.token, effect.puts})) {
+    inboundMessages.push(DiskDone{effect.token, false, "the disk's queue is full"});
+  }
+}
+
+void ControlServer::Impl::apply(Decided const& decided) {
+  std::unordered_map<std::uint64_t, WaitingCall>::iterator const found = waitingCalls.find(decided.ticket);
+  if (found == waitingCalls.end()) {
+    return;
+  }
+  std::string const change = found->second.change;
+  if (decided.verdict == Verdict::refused || decided.verdict == Verdict::conflict) {
+    logging::raise(logging::Event::configurationRefused, {{"change", change}});
+  }
+  reply(decided.ticket, answerOf(decided, change));
+}
+
+void ControlServer::Impl::reply(std::uint64_t ticket, net::Answer answer) {
+  std::unordered_map<std::uint64_t, WaitingCall>::iterator const found = waitingCalls.find(ticket);
+  if (found != waitingCalls.end()) {
+    found->second.respond(std::move(answer));
+    waitingCalls.erase(found);
+  }
+}
+
+void ControlServer::Impl::probe(Probe const& effect) {
+  std::uint64_t const token = effect.token;
+  std::string const node = effect.node;
+  net::Request request;
+  request.method = "GET";
+  request.target = "/limeramp/ready";
+  client.begin(probeAttempts + token, net::Address::parse(effect.address).value_or(net::Address{}), std::move(request),
+               Clock::now() + probeWaitMs, [this, token, node](net::Exchange const& exchange) {
+                 inboundMessages.push(Probed{token, provesGone(exchange, node)});
+               });
+}
+
+void ControlServer::Impl::receivePeerMessage(std::string const& body) {
+  std::string const& fleet = group.decided().fleet;
+  std::optional<messages::PeerMessage> received = node::PeerLink::open(fleet, body);
+  if (!received) {
+    return;
+  }
+  fleetElsewhere = fleetElsewhere || (fleet.empty() && !received->fleet.empty());
+  Clock::time_point const now = Clock::now();
+  if (messages::Shuffle const* const shuffle = std::get_if<messages::Shuffle>(&received->message)) {
+    peerLink.sendAll(group.decided().fleet, views.hear(now, received->from, received->address, *shuffle));
+  } else if (messages::Poll const* const poll = std::get_if<messages::Poll>(&received->message)) {
+    stepService(Polled{received->address, *poll});
+  } else if (messages::News const* const news = std::get_if<messages::News>(&received->message)) {
+    if (forcingNewGroup && received->address == forcingNewGroup->from && news->state && !received->fleet.empty()) {
+      stepGroup(replication::ForceNewGroup{received->fleet, *news->state});
+    }
+  } else {
+    stepGroup(replication::Received{received->from, received->address, std::move(received->message)});
+  }
+}
+
+}  // namespace limeramp::control
--- a/libs/discovery/include/limeramp/discovery/server_directory.h
+++ b/libs/discovery/include/limeramp/discovery/server_directory.h
@@ -52,6 +52,9 @@
   Desk(Desk&&) noexcept;
   Desk& operator=(Desk&&) noexcept;
 
+  /// Changes how often the platform's list is read, from the next reading on.
+  void setListRate(std::chrono::milliseconds listMs, std::chrono::milliseconds pageMs);
+
   DeskStep tick(TimePoint now, Around const& around);
   DeskStep hear(TimePoint now, std::string const& address, messages::TablePoll const& message);
   DeskStep hear(TimePoint now, std::string const& address, messages::TableNews const& message);
--- a/libs/discovery/src/server_directory.cpp
+++ b/libs/discovery/src/server_directory.cpp
@@ -230,6 +230,11 @@
 Desk::Desk(Desk&&) noexcept = default;
 Desk& Desk::operator=(Desk&&) noexcept = default;
 
+void Desk::setListRate(std::chrono::milliseconds listMs, std::chrono::milliseconds pageMs) {
+  impl_->policy.listMs = listMs;
+  impl_->policy.pageMs = pageMs;
+}
+
 DeskStep Desk::tick(TimePoint now, Around const& around) {
   Impl& impl = *impl_;
   DeskStep out;
--- a/libs/distribution/include/limeramp/distribution/peer_views.h
+++ b/libs/distribution/include/limeramp/distribution/peer_views.h
@@ -39,6 +39,11 @@
   PeerViews(PeerViews&&) noexcept;
   PeerViews& operator=(PeerViews&&) noexcept;
 
+  /// Replaces the seeds that this process asks when it knows few others, and asks all of them at the next tick.
+  /// Founding still counts the seeds of the construction: processes may hold different seeds for a while, and two
+  /// halves that count different ones could found two groups.
+  void setSeeds(std::vector<std::string> const& seeds);
+
   std::vector<Outgoing> tick(TimePoint now, bool eager = false);
   std::vector<Outgoing> hear(TimePoint now, std::string const& from, std::string const& address,
                              messages::Shuffle const& message);
--- a/libs/distribution/src/peer_views.cpp
+++ b/libs/distribution/src/peer_views.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <utility>
 
 namespace limeramp::distribution {
 namespace {
@@ -22,6 +23,8 @@
   ViewPolicy policy;
   messages::Peer self;
   std::vector<std::string> seeds;
+  std::vector<std::string> foundingSeeds;
+  bool seedsAreNew = false;
   std::mt19937_64 random;
   std::map<std::string, Entry> entries;
   std::map<std::string, TimePoint> heardAt;
@@ -77,9 +80,15 @@
   impl_->self = self;
   impl_->self.ageMs = 0;
   impl_->seeds = seeds;
+  impl_->foundingSeeds = seeds;
   impl_->random.seed(seed);
 }
 
+void PeerViews::setSeeds(std::vector<std::string> const& seeds) {
+  impl_->seedsAreNew = impl_->seeds != seeds;
+  impl_->seeds = seeds;
+}
+
 PeerViews::~PeerViews() = default;
 PeerViews::PeerViews(PeerViews&&) noexcept = default;
 PeerViews& PeerViews::operator=(PeerViews&&) noexcept = default;
@@ -107,7 +116,7 @@
       targets.push_back(seed);
     }
   }
-  if (eager) {
+  if (std::exchange(impl_->seedsAreNew, false) || eager) {
     targets.insert(targets.end(), impl_->seeds.begin(), impl_->seeds.end());
     std::erase(targets, impl_->self.address);
   }
@@ -152,14 +161,14 @@
 }
 
 bool PeerViews::mayFound(TimePoint now) const {
-  std::size_t const heard =
-      static_cast<std::size_t>(std::count_if(impl_->seeds.begin(), impl_->seeds.end(), [&](std::string const& seed) {
+  std::size_t const heard = static_cast<std::size_t>(
+      std::count_if(impl_->foundingSeeds.begin(), impl_->foundingSeeds.end(), [&](std::string const& seed) {
         std::map<std::string, TimePoint>::const_iterator const found = impl_->heardAt.find(seed);
         return seed == impl_->self.address ||
                (found != impl_->heardAt.end() && now - found->second <= impl_->policy.seedHeardMs);
       }));
   bool const waited = impl_->startedAt && now - *impl_->startedAt >= impl_->policy.loneFoundingMs;
-  return heard == impl_->seeds.size() || (waited && 2 * heard > impl_->seeds.size());
+  return heard == impl_->foundingSeeds.size() || (waited && 2 * heard > impl_->foundingSeeds.size());
 }
 
 std::vector<std::string> rankHomes(std::string const& topic, std::vector<std::string> nodes) {
--- /dev/null
+++ b/libs/gateway/src/configuration_in_force.cpp
@@ -0,0 +1,149 @@
+// Puts a delivered state in force: the configuration, this node's share of the fleet, the servers of each service.
+#include "gateway_server_impl.h"
+
+#include "limeramp/control/zones.h"
+#include "limeramp/logging/logging.h"
+
+#include <algorithm>
+
+namespace limeramp::gateway {
+namespace {
+
+constexpr std::uint64_t leastBudgetSlots = 20;
+constexpr std::size_t leavingFronts = 1'000'000;
+constexpr double slackShare = 0.9;
+constexpr double connectionShare = 0.85;
+constexpr std::size_t leastConnections = 2;
+constexpr std::size_t mostAllowances = 20'000;
+constexpr Ms scarceIdleMs{200};
+
+}  // namespace
+
+void GatewayServer::Impl::putInForce() {
+  messages::State const& state = *delivery.state();
+  updatePlace();
+  config::Version const version{state.configurationEpoch, state.configurationSequence};
+  if (version == config::Version{} || (plane.snapshot() != nullptr && plane.snapshot()->version >= version)) {
+    for (std::string const& service : services) {
+      updateServers(service);
+    }
+    return;
+  }
+  config::Checked checked = dialect.language.check(state.document);
+  unreadable = !checked.configuration;
+  if (unreadable) {
+    logging::raise(logging::Event::configurationUnreadable,
+                   {{"version", version.text()}, {"path", checked.problems.front().path}});
+    return;
+  }
+  std::shared_ptr<config::Snapshot> const snapshot = std::make_shared<config::Snapshot>();
+  snapshot->version = version;
+  snapshot->text = state.document;
+  snapshot->configuration = *std::move(checked.configuration);
+  step(InForce{snapshot});
+  applyCallerLimits();
+  replaceServices(snapshot->configuration);
+  updatePlace();
+  logging::raise(logging::Event::configurationInForce, {{"version", version.text()}});
+}
+
+void GatewayServer::Impl::replaceServices(config::Configuration const& configuration) {
+  std::set<std::string> next;
+  for (std::pair<std::string const, config::Service> const& entry : configuration.services) {
+    next.insert(entry.first);
+  }
+  for (std::string const& service : services) {
+    if (!next.contains(service)) {
+      step(Tables{dispatch::Servers{service, {}}});
+    }
+  }
+  services = std::move(next);
+  for (std::string const& service : services) {
+    updateServers(service);
+  }
+}
+
+void GatewayServer::Impl::updatePlace() {
+  messages::State const& state = *delivery.state();
+  dispatch::Place own;
+  own.zone = settings.zone;
+  own.budgetRatio = settings.extraRatio;
+  own.fronts = std::max<std::size_t>(1, state.roster.size());
+  std::uint64_t const slots = std::max<std::uint64_t>(leastBudgetSlots, (state.roster.size() * 5 / 4 + 9) / 10 * 10);
+  std::size_t index = 0;
+  for (messages::RosterEntry const& entry : state.roster) {
+    if (entry.node == settings.node && entry.address == settings.advertise) {
+      own.rank = index;
+      own.budgetDepth = entry.slot < slots ? settings.extraSlack * slackShare / static_cast<double>(slots) : 0;
+    }
+    ++index;
+  }
+  if (draining) {
+    own.fronts = leavingFronts;
+    own.budgetDepth = 0;
+  }
+  step(Placed{own});
+  if (plane.snapshot() == nullptr) {
+    return;
+  }
+  for (config::Cell const& cell : plane.snapshot()->configuration.cells) {
+    Owners owners{cell.name, {}};
+    for (messages::RosterEntry const& entry : state.roster) {
+      if (cell.nodes.contains(entry.node) && entry.node != settings.node) {
+        owners.addresses.push_back(entry.address);
+      }
+    }
+    step(owners);
+  }
+}
+
+void GatewayServer::Impl::boundConnections(std::string const& address, std::size_t allowed) {
+  std::optional<net::Address> const server = net::Address::parse(address);
+  if (allowed == 0 || !server) {
+    return;
+  }
+  double const share = static_cast<double>(allowed) * connectionShare /
+                       static_cast<double>(std::max<std::size_t>(1, delivery.state()->roster.size()));
+  net::Allowance const allowance{std::max<std::size_t>(leastConnections, static_cast<std::size_t>(share)),
+                                 share < leastConnections ? scarceIdleMs : net::Allowance{}.idleMs};
+  net::Allowance& known = allowances[address];
+  if (known.most != allowance.most || known.idleMs != allowance.idleMs) {
+    if (allowances.size() > mostAllowances) {
+      allowances.clear();
+    }
+    allowances[address] = allowance;
+    client.allow(*server, allowance);
+  }
+}
+
+void GatewayServer::Impl::updateServers(std::string const& service) {
+  if (plane.snapshot() == nullptr || !services.contains(service)) {
+    return;
+  }
+  config::Configuration const& configuration = plane.snapshot()->configuration;
+  std::set<std::string> const evacuated = control::evacuatedZones(*delivery.state(), configuration);
+  Clock::time_point const now = Clock::now();
+  dispatch::Servers servers{service, directory.rows(now, service)};
+  for (dispatch::ServerRow& row : servers.rows) {
+    row.leaving = row.leaving || evacuated.contains(row.zone);
+    row.coldPerSecond = configuration.services.at(service).coldPerSecond;
+    boundConnections(row.address, configuration.services.at(service).maxConnections);
+    if (row.slowStartMs.count() == 0) {
+      row.slowStartMs = configuration.services.at(service).slowStartMs;
+    }
+  }
+  step(Tables{std::move(servers)});
+}
+
+void GatewayServer::Impl::applyCallerLimits() {
+  config::CallerLimits const& limits = plane.snapshot()->configuration.limits;
+  net::ServerBounds bounds;
+  bounds.maxConnections = settings.maxConnections;
+  bounds.maxHeaderBytes = limits.maxHeaderBytes;
+  bounds.maxBodyBytes = limits.maxBodyBytes;
+  bounds.headerMs = limits.headerMs;
+  bounds.idleMs = limits.idleMs;
+  listeners.setBounds(node::Listeners::Audience::callers, bounds);
+}
+
+}  // namespace limeramp::gateway
--- /dev/null
+++ b/libs/gateway/src/event_loop.cpp
@@ -0,0 +1,143 @@
+// The loop of a gateway: inbound messages one after another, and the timer.
+#include "gateway_server_impl.h"
+
+#include "limeramp/logging/logging.h"
+
+#include <algorithm>
+
+namespace limeramp::gateway {
+namespace {
+
+constexpr Ms tickMs{50};
+constexpr Ms eagerMs{3000};
+
+}  // namespace
+
+void GatewayServer::Impl::post(InboundMessage inbound) {
+  if (!network.onThread()) {
+    std::shared_ptr<InboundMessage> const content = std::make_shared<InboundMessage>(std::move(inbound));
+    network.post([this, content] { post(std::move(*content)); });
+    return;
+  }
+  inboundMessages.push_back(std::move(inbound));
+  if (!handling) {
+    handleInbound();
+  }
+}
+
+void GatewayServer::Impl::handleInbound() {
+  handling = true;
+  while (!inboundMessages.empty()) {
+    InboundMessage inbound = std::move(inboundMessages.front());
+    inboundMessages.pop_front();
+    std::visit([this](auto& concrete) { on(concrete); }, inbound);
+  }
+  handling = false;
+  armTimer();
+}
+
+void GatewayServer::Impl::armTimer() {
+  Clock::time_point const now = Clock::now();
+  Clock::time_point const wake = std::max(now, std::min(nextTick, plane.nextWake(now).value_or(nextTick)));
+  if (armedFor <= wake) {
+    return;
+  }
+  network.cancel(alarm);
+  armedFor = wake;
+  alarm = network.at(wake, [this] { onTimer(); });
+}
+
+void GatewayServer::Impl::onTimer() {
+  armedFor = Clock::time_point::max();
+  Clock::time_point const now = Clock::now();
+  if (plane.nextWake(now).value_or(Clock::time_point::max()) <= now) {
+    inboundMessages.emplace_back(Event(Tick{}));
+  }
+  if (now >= nextTick) {
+    nextTick = now + tickMs;
+    tick();
+  }
+  handleInbound();
+}
+
+void GatewayServer::Impl::tick() {
+  Clock::time_point const now = Clock::now();
+  std::vector<messages::Peer> const peers = views.peers(now);
+  peerLink.sendAll(fleet, views.tick(now, !delivery.state() && now - startedAt < eagerMs));
+  apply(delivery.tick(now, peers));
+  apply(directory.tick(now, surroundings()));
+  runner.tick(now, delivery.primaryAddress());
+  refreshReadiness(now);
+  apply(settingsFollower.tick(now));
+}
+
+discovery::Around GatewayServer::Impl::surroundings() const {
+  discovery::Around around;
+  around.services = services;
+  around.zoneAddresses.push_back(settings.advertise);
+  if (delivery.state()) {
+    for (messages::RosterEntry const& entry : delivery.state()->roster) {
+      if (entry.zone == settings.zone && entry.address != settings.advertise) {
+        around.zoneAddresses.push_back(entry.address);
+      }
+    }
+  }
+  return around;
+}
+
+void GatewayServer::Impl::refreshReadiness(Clock::time_point now) {
+  std::string const why = whyNotReady(now);
+  if (!callersLetIn && (why.empty() || now - startedAt >= settings.startHoldMs)) {
+    callersLetIn = true;
+    listeners.open(node::Listeners::Audience::callers);
+  }
+  if (why != lastWhy) {
+    lastWhy = why;
+    logging::raise(logging::Event::readinessChanged, {{"ready", why.empty() ? "yes" : "no"}, {"reason", why}});
+  }
+}
+
+void GatewayServer::Impl::on(Incoming& inbound) {
+  std::string const& target = inbound.content.target;
+  if (!inbound.caller && (target == "/limeramp" || target.starts_with("/limeramp/"))) {
+    serveOperator(inbound);
+  } else {
+    admit(std::move(inbound.content), std::move(inbound.respond), false, std::nullopt);
+  }
+}
+
+void GatewayServer::Impl::on(DrainAsked&) {
+  draining = true;
+  listeners.drain();
+  delivery.leave();
+  if (delivery.state()) {
+    updatePlace();
+  }
+  logging::raise(logging::Event::drainBegan, {});
+}
+
+void GatewayServer::Impl::apply(std::optional<config::SettingsUpdate> const& update) {
+  if (!update) {
+    return;
+  }
+  settings = update->settings;
+  views.setSeeds(settings.seeds);
+  directory.setListRate(settings.listMs, settings.listPageMs);
+  listeners.setMaxConnections(settings.maxConnections);
+  if (delivery.state()) {
+    updatePlace();
+  }
+  std::unique_lock<std::mutex> const lock(heldMutex);
+  drainTimes = {settings.graceMs, settings.noticeMs};
+}
+
+void GatewayServer::Impl::on(EndAsked&) {
+  std::unordered_map<std::uint64_t, net::Responder> const waiting = std::move(responders);
+  responders.clear();
+  for (std::pair<std::uint64_t const, net::Responder> const& entry : waiting) {
+    entry.second(dialect.writeRefusal({Unserved::failed, "this node ends", retry::Verdict::mayHaveRun, {}, "", ""}));
+    countHeld(-1);
+  }
+}
+
+}  // namespace limeramp::gateway
--- /dev/null
+++ b/libs/gateway/src/forwarding.cpp
@@ -0,0 +1,159 @@
+// Requests of callers: admission, the attempts at servers and other nodes, and the answers.
+#include "gateway_server_impl.h"
+
+#include "limeramp/control/operator_api.h"
+#include "limeramp/logging/logging.h"
+
+#include <algorithm>
+
+namespace limeramp::gateway {
+namespace {
+
+constexpr std::size_t mostCallerBytes = 1 << 20;
+constexpr std::uint64_t mostForwardedMs = 60'000;
+constexpr Ms staleRetryMs{1'000};
+constexpr char const* forwardPath = "/limeramp/carry";
+constexpr char const* avroType = "avro/binary";
+
+std::vector<messages::HeaderLine> toLines(net::Headers const& headers) {
+  std::vector<messages::HeaderLine> out;
+  for (std::pair<std::string, std::string> const& header : headers) {
+    out.push_back({header.first, header.second});
+  }
+  return out;
+}
+
+net::Headers fromLines(std::vector<messages::HeaderLine> const& lines) {
+  net::Headers out;
+  for (messages::HeaderLine const& line : lines) {
+    out.emplace_back(line.key, line.value);
+  }
+  return out;
+}
+
+/// The request that carries a caller's request to another node.
+net::Request enclosed(SendOut const& effect, std::string const& from) {
+  messages::ForwardRequest forward;
+  forward.remainingMs = static_cast<std::uint64_t>(std::max<long>(1, effect.remainingMs.count()));
+  forward.method = effect.content.method;
+  forward.target = effect.content.target;
+  forward.headers = toLines(effect.content.headers);
+  forward.body = effect.content.body;
+  return {"POST",
+          forwardPath,
+          {{"content-type", avroType}, {"limeramp-from", from}},
+          messages::enclose(messages::pack(forward)),
+          ""};
+}
+
+/// Replaces the other node's answer by the one that it carries. One that carries none may have run.
+net::Exchange disclosed(net::Exchange exchange) {
+  if (!exchange.answer) {
+    return exchange;
+  }
+  absl::StatusOr<messages::ForwardReply> const reply =
+      messages::unpack<messages::ForwardReply>(messages::disclose(exchange.answer->body).value_or(""));
+  if (exchange.answer->status == 200 && reply.ok() && reply->status >= 200 && reply->status <= 599) {
+    exchange.answer = net::Answer{static_cast<int>(reply->status), fromLines(reply->headers), reply->body};
+  } else {
+    exchange.answer.reset();
+    exchange.verdict = retry::Verdict::mayHaveRun;
+  }
+  return exchange;
+}
+
+}  // namespace
+
+void GatewayServer::Impl::admit(net::Request content, net::Responder respond, bool passed,
+                                std::optional<Ms> remainingMs) {
+  distribution::Standing const standing = delivery.status(Clock::now()).standing;
+  if (standing != distribution::Standing::current && standing != distribution::Standing::upheld) {
+    ++refusedStale;
+    respond(dialect.writeRefusal({Unserved::stale, "this node's configuration is " + nameOf(standing),
+                                  retry::Verdict::notRun, staleRetryMs, "", ""}));
+    return;
+  }
+  if (content.body.size() >
+      (plane.snapshot() == nullptr ? mostCallerBytes : plane.snapshot()->configuration.limits.maxBodyBytes)) {
+    respond(dialect.writeRefusal(
+        {Unserved::tooLong, "the body is longer than the limit", retry::Verdict::notRun, {}, "", ""}));
+    return;
+  }
+  std::uint64_t const request = ++lastRequest;
+  responders.emplace(request, std::move(respond));
+  countHeld(1);
+  step(Arrived{request, std::move(content), passed, remainingMs});
+}
+
+void GatewayServer::Impl::takeForwarded(Incoming& inbound) {
+  absl::StatusOr<messages::ForwardRequest> const received =
+      messages::unpack<messages::ForwardRequest>(messages::disclose(inbound.content.body).value_or(""));
+  if (!received.ok()) {
+    inbound.respond(control::plain(400, "{\"reason\":\"not a carried request\"}"));
+    return;
+  }
+  net::Request content{received->method, received->target, fromLines(received->headers), received->body,
+                       inbound.content.peer};
+  admit(
+      std::move(content),
+      [respond = std::move(inbound.respond)](net::Answer const& answer) {
+        messages::ForwardReply const back{static_cast<std::uint64_t>(answer.status), toLines(answer.headers),
+                                          answer.body};
+        respond({200, {{"content-type", avroType}}, messages::enclose(messages::pack(back))});
+      },
+      true, Ms(static_cast<long>(std::min<std::uint64_t>(received->remainingMs, mostForwardedMs))));
+}
+
+void GatewayServer::Impl::step(Event const& event) {
+  for (Effect const& effect : plane.step(Clock::now(), event)) {
+    std::visit([this](auto const& concrete) { apply(concrete); }, effect);
+  }
+}
+
+void GatewayServer::Impl::apply(Reply const& effect) {
+  std::unordered_map<std::uint64_t, net::Responder>::iterator const found = responders.find(effect.request);
+  if (found != responders.end()) {
+    found->second(effect.answer);
+    responders.erase(found);
+    countHeld(-1);
+  }
+}
+
+void GatewayServer::Impl::apply(SendOut const& effect) {
+  net::Address const address = net::Address::parse(effect.server).value_or(net::Address{});
+  std::uint64_t const attempt = effect.attempt;
+  bool const forwarded = effect.carried;
+  net::Request content = forwarded ? enclosed(effect, settings.advertise) : effect.content;
+  client.begin(attempt, address, std::move(content), effect.deadline,
+               [this, attempt, forwarded](net::Exchange exchange) {
+                 post(Event(Exchanged{attempt, forwarded ? disclosed(std::move(exchange)) : std::move(exchange)}));
+               });
+}
+
+void GatewayServer::Impl::apply(Grind const& effect) {
+  std::uint64_t const attempt = effect.attempt;
+  std::optional<double> const load = effect.load;
+  workers.read(effect.body, effect.expected, effect.result_size,
+               [this, attempt, load](absl::StatusOr<dispatch::Part> part) {
+                 post(Event(Ground{attempt, std::move(part), load}));
+               });
+}
+
+void GatewayServer::Impl::apply(Merge const& effect) {
+  std::uint64_t const request = effect.request;
+  workers.merge(effect.parts, effect.result_size, [this, request](std::vector<std::string> records) {
+    post(Event(Merged{request, std::move(records)}));
+  });
+}
+
+void GatewayServer::Impl::apply(dispatch::Note const& note) {
+  logging::raise(note.event, {{"service", note.service}, {"about", note.server}});
+}
+
+void GatewayServer::Impl::countHeld(int change) {
+  std::unique_lock<std::mutex> const lock(heldMutex);
+  held += static_cast<std::size_t>(change);
+  heldChanged.notify_all();
+}
+
+}  // namespace limeramp::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway_server_impl.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "limeramp/control/runner.h"
+#include "limeramp/discovery/server_directory.h"
+#include "limeramp/distribution/config_delivery.h"
+#include "limeramp/gateway/gateway_server.h"
+#include "limeramp/gateway/request_plane.h"
+#include "limeramp/node/listeners.h"
+#include "limeramp/node/peer_link.h"
+#include "limeramp/node/settings_follower.h"
+#include "limeramp/query/query_engine.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+
+namespace limeramp::gateway {
+
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+/// A request that arrived at one of this node's listeners.
+struct Incoming {
+  net::Request content;
+  net::Responder respond;
+  /// Whether it came to a listener for callers, which knows no pages of the node's own.
+  bool caller = false;
+};
+
+/// What came of reading a page of the platform's list.
+struct ListRead {
+  net::Exchange exchange;
+};
+
+/// Asks the node to take nothing new and to finish what it holds.
+struct DrainAsked {};
+
+/// Asks the node to refuse what it still holds, since the process ends.
+struct EndAsked {};
+
+/// Names the settings file to follow from now on.
+struct FollowSettings {
+  config::SettingsFile file;
+};
+
+/// Asks for the settings file to be read at once.
+struct ReloadAsked {};
+
+using InboundMessage =
+    std::variant<Incoming, ListRead, control::RunBack, DrainAsked, EndAsked, FollowSettings, ReloadAsked, Event>;
+
+std::string nameOf(distribution::Standing standing);
+
+/// All of a gateway. Its members belong to the network's thread, but for what `heldMutex` guards.
+///
+/// The functions stand by job in event_loop.cpp, forwarding.cpp, operator_calls.cpp, peer_messages.cpp,
+/// configuration_in_force.cpp, list_reader.cpp and status_pages.cpp.
+struct GatewayServer::Impl {
+  Impl(config::Settings const& settingsIn, Dialect dialectIn, control::OperatorDialect operatorsIn);
+
+  // Start and end: gateway_server.cpp.
+  bool listen(std::string& error);
+  net::ServerOptions listenerOptions(std::size_t maxBodyBytes);
+  void drainAndWait();
+
+  // The loop: event_loop.cpp.
+  void post(InboundMessage inbound);
+  void handleInbound();
+  void armTimer();
+  void onTimer();
+  void tick();
+  discovery::Around surroundings() const;
+  void refreshReadiness(Clock::time_point now);
+  void on(Incoming& inbound);
+  void on(ListRead& inbound);
+  void on(control::RunBack& inbound) { runner.hear(Clock::now(), inbound); }
+  void on(DrainAsked& inbound);
+  void on(EndAsked& inbound);
+  void on(FollowSettings& inbound) { settingsFollower.follow(std::move(inbound.file)); }
+  void on(ReloadAsked&) { apply(settingsFollower.reload(Clock::now())); }
+  void on(Event& event) { step(event); }
+  void apply(std::optional<config::SettingsUpdate> const& update);
+
+  // Callers' requests: forwarding.cpp.
+  void admit(net::Request content, net::Responder respond, bool passed, std::optional<Ms> remainingMs);
+  void takeForwarded(Incoming& inbound);
+  void step(Event const& event);
+  void apply(Reply const& effect);
+  void apply(SendOut const& effect);
+  void apply(CancelOut const& effect) { client.cancel(effect.attempt); }
+  void apply(Grind const& effect);
+  void apply(Merge const& effect);
+  void apply(dispatch::Note const& note);
+  void countHeld(int change);
+
+  // Calls under /limeramp: operator_calls.cpp.
+  void serveOperator(Incoming& inbound);
+  void relayCall(Incoming& inbound);
+  void runQuery(Incoming& inbound);
+
+  // Messages between processes: peer_messages.cpp.
+  void receivePeerMessage(std::string const& body);
+  void apply(distribution::ConfigDeliveryStep const& step);
+
+  // The state in force: configuration_in_force.cpp.
+  void putInForce();
+  void replaceServices(config::Configuration const& configuration);
+  void updatePlace();
+  void updateServers(std::string const& service);
+  void boundConnections(std::string const& address, std::size_t allowed);
+  void applyCallerLimits();
+
+  // The platform's list: list_reader.cpp.
+  void apply(discovery::DeskStep const& step);
+  void readList(std::string const& page);
+  void takeList(discovery::List const& list);
+
+  // Pages: status_pages.cpp.
+  std::string whyNotReady(Clock::time_point now) const;
+  net::Answer readinessPage() const;
+  net::Answer currentConfiguration() const;
+  net::Answer statusPage() const;
+  net::Answer metricsPage() const;
+  std::vector<query::Sheet> tables() const;
+
+  config::Settings settings;
+  node::SettingsFollower settingsFollower;
+  Dialect dialect;
+  control::OperatorDialect operators;
+  net::Network network;
+  net::HttpClient client;
+  node::PeerLink peerLink;
+  dispatch::Mill workers;
+  std::deque<InboundMessage> inboundMessages;
+  bool handling = false;
+  Clock::time_point nextTick = Clock::now();
+  Clock::time_point armedFor = Clock::time_point::max();
+  /// Tells this start of the process from every other.
+  std::uint64_t boot;
+  Plane plane;
+  distribution::PeerViews views;
+  distribution::ConfigDelivery delivery;
+  discovery::Desk directory;
+  control::Runner runner;
+  query::Clerk queries;
+  node::Listeners listeners;
+  net::Network::TimerId alarm = 0;
+  std::unordered_map<std::uint64_t, net::Responder> responders;
+  std::uint64_t lastRequest = 0;
+  std::string fleet;
+  std::set<std::string> services;
+  std::map<std::string, net::Allowance> allowances;
+  std::vector<std::string> droppedRows;
+  std::string listTrouble;
+  Clock::time_point startedAt = Clock::now();
+  bool draining = false;
+  std::string lastWhy = "starting";
+  bool callersLetIn = false;
+  bool unreadable = false;
+  std::uint64_t refusedStale = 0;
+
+  /// Guards `held` and `drainTimes`, which the thread that ends the process reads.
+  std::mutex heldMutex;
+  std::condition_variable heldChanged;
+  /// Requests that were read and have no answer yet.
+  std::size_t held = 0;
+  struct DrainTimes {
+    Ms graceMs;
+    Ms noticeMs;
+  };
+  DrainTimes drainTimes;
+};
+
+}  // namespace limeramp::gateway
--- /dev/null
+++ b/libs/gateway/src/list_reader.cpp
@@ -0,0 +1,66 @@
+// Reads the platform's list of servers, when the directory asks for it, and shares what it says.
+#include "gateway_server_impl.h"
+
+#include "limeramp/logging/logging.h"
+
+namespace limeramp::gateway {
+namespace {
+
+constexpr Ms listWaitMs{1'000};
+constexpr std::uint64_t listAttempt = 1ULL << 62;
+constexpr int overRateStatus = 429;
+
+}  // namespace
+
+void GatewayServer::Impl::apply(discovery::DeskStep const& step) {
+  peerLink.sendAll(fleet, step.sends);
+  for (std::string const& service : step.changed) {
+    updateServers(service);
+  }
+  if (step.emptyHeld && listTrouble != "empty") {
+    listTrouble = "empty";
+    logging::raise(logging::Event::listEmptyHeld, {{"platform", settings.platform}});
+  }
+  if (step.readList) {
+    readList(step.page);
+  }
+}
+
+void GatewayServer::Impl::readList(std::string const& page) {
+  client.begin(listAttempt, net::Address::parse(settings.platform).value_or(net::Address{}), dialect.listRequest(page),
+               Clock::now() + listWaitMs, [this](net::Exchange exchange) { post(ListRead{std::move(exchange)}); });
+}
+
+void GatewayServer::Impl::takeList(discovery::List const& list) {
+  if (list.dropped != droppedRows) {
+    for (std::string const& dropped : list.dropped) {
+      logging::raise(logging::Event::listRowDropped, {{"row", dropped}});
+    }
+    droppedRows = list.dropped;
+  }
+  if (list.rows > 0) {
+    listTrouble.clear();
+  }
+  apply(directory.listed(Clock::now(), list));
+  refreshReadiness(Clock::now());
+}
+
+void GatewayServer::Impl::on(ListRead& inbound) {
+  std::optional<net::Answer> const& answer = inbound.exchange.answer;
+  std::string reason = answer ? "status " + std::to_string(answer->status) : inbound.exchange.reason;
+  if (answer && answer->status == 200) {
+    absl::StatusOr<discovery::List> const list = dialect.readList(answer->body);
+    if (list.ok()) {
+      takeList(*list);
+      return;
+    }
+    reason = std::string(list.status().message());
+  }
+  directory.listFailed(Clock::now(), answer && answer->status == overRateStatus);
+  if (reason != listTrouble) {
+    listTrouble = reason;
+    logging::raise(logging::Event::listUnreachable, {{"platform", settings.platform}, {"reason", reason}});
+  }
+}
+
+}  // namespace limeramp::gateway
--- /dev/null
+++ b/libs/gateway/src/operator_calls.cpp
@@ -0,0 +1,57 @@
+// Calls under /limeramp: operators', peers', and those of whoever watches this node.
+#include "gateway_server_impl.h"
+
+#include "limeramp/control/operator_api.h"
+
+namespace limeramp::gateway {
+namespace {
+
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
+}  // namespace
+
+void GatewayServer::Impl::serveOperator(Incoming& inbound) {
+  std::string const& target = inbound.content.target;
+  std::string const& method = inbound.content.method;
+  if (target == "/limeramp/inner" && method == "POST") {
+    receivePeerMessage(inbound.content.body);
+    inbound.respond({204, {}, ""});
+  } else if (target == "/limeramp/carry" && method == "POST") {
+    takeForwarded(inbound);
+  } else if (control::operatorCallOf(inbound.content) == control::OperatorCall::read) {
+    inbound.respond(currentConfiguration());
+  } else if (control::operatorCallOf(inbound.content) != control::OperatorCall::none) {
+    relayCall(inbound);
+  } else if (target == "/limeramp/ready" && method == "GET") {
+    inbound.respond(readinessPage());
+  } else if (target == "/limeramp/status" && method == "GET") {
+    inbound.respond(statusPage());
+  } else if (target == "/limeramp/metrics" && method == "GET") {
+    inbound.respond(metricsPage());
+  } else if (target == "/limeramp/query" && method == "POST") {
+    runQuery(inbound);
+  } else if (target == "/limeramp/drain" && method == "POST") {
+    DrainAsked asked;
+    on(asked);
+    inbound.respond(control::plain(200, "{\"draining\":true}"));
+  } else {
+    inbound.respond(control::plain(404, "{\"reason\":\"no such page\"}"));
+  }
+}
+
+void GatewayServer::Impl::relayCall(Incoming& inbound) {
+  runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond));
+}
+
+void GatewayServer::Impl::runQuery(Incoming& inbound) {
+  net::Responder const respond = inbound.respond;
+  bool const taken = queries.ask(tables(), inbound.content.body, [respond](absl::StatusOr<std::string> const& answer) {
+    respond(answer.ok() ? control::plain(200, *answer)
+                        : control::plain(400, "{\"reason\":" + json(std::string(answer.status().message())) + "}"));
+  });
+  if (!taken) {
+    respond(control::plain(503, "{\"reason\":\"too many queries wait\"}"));
+  }
+}
+
+}  // namespace limeramp::gateway
--- /dev/null
+++ b/libs/gateway/src/status_pages.cpp
@@ -0,0 +1,207 @@
+// What this node says about itself: readiness, status, metrics, and the tables that queries run on.
+#include "gateway_server_impl.h"
+
+#include "limeramp/control/operator_api.h"
+
+namespace limeramp::gateway {
+namespace {
+
+/// How long after its start a node without word on a service's servers is not ready.
+constexpr Ms serversUnknownMs{5'000};
+
+std::string json(std::string const& text) { return picojson::value(text).serialize(); }
+
+char const* json(bool flag) { return flag ? "true" : "false"; }
+
+std::string peerJson(messages::Peer const& peer) {
+  return "{\"node\":" + json(peer.node) + ",\"address\":" + json(peer.address) + ",\"zone\":" + json(peer.zone) +
+         ",\"role\":" + json(peer.role) + ",\"age_ms\":" + std::to_string(peer.ageMs) + "}";
+}
+
+std::string serverJson(dispatch::ServerView const& server) {
+  char numbers[96];
+  std::snprintf(numbers, sizeof numbers, ",\"latency_ms\":%.2f,\"load\":%.3f,\"in_flight\":%zu", server.latencyMs,
+                server.load, server.inFlight);
+  return "{\"service\":" + json(server.service) + ",\"address\":" + json(server.address) +
+         ",\"zone\":" + json(server.zone) + ",\"down\":" + json(server.down) + ",\"leaving\":" + json(server.leaving) +
+         ",\"fresh\":" + json(server.fresh) + numbers + "}";
+}
+
+template <typename Element>
+std::string listOf(std::vector<Element> const& elements, std::string (*write)(Element const&)) {
+  std::string out;
+  for (Element const& element : elements) {
+    out += (out.empty() ? "" : ",") + write(element);
+  }
+  return out;
+}
+
+std::int64_t whole(bool flag) { return static_cast<std::int64_t>(flag); }
+
+query::Sheet nodesTable(messages::State const& state, std::vector<messages::Peer> const& peers,
+                        std::string const& self) {
+  query::Sheet table{"nodes", {"node", "address", "zone", "slot", "heard_ms"}, {}};
+  for (messages::RosterEntry const& entry : state.roster) {
+    std::int64_t heardMs = entry.node == self ? 0 : -1;
+    for (messages::Peer const& peer : peers) {
+      heardMs = peer.node == entry.node ? static_cast<std::int64_t>(peer.ageMs) : heardMs;
+    }
+    table.rows.push_back({entry.node, entry.address, entry.zone, static_cast<std::int64_t>(entry.slot), heardMs});
+  }
+  return table;
+}
+
+query::Sheet controllersTable(std::vector<messages::Peer> const& peers) {
+  query::Sheet table{"controllers", {"id", "address", "zone", "heard_ms"}, {}};
+  for (messages::Peer const& peer : peers) {
+    if (peer.role == messages::controllerRole) {
+      table.rows.push_back({peer.node, peer.address, peer.zone, static_cast<std::int64_t>(peer.ageMs)});
+    }
+  }
+  return table;
+}
+
+query::Sheet serversTable(std::vector<dispatch::ServerView> const& servers) {
+  query::Sheet table{
+      "servers", {"service", "address", "zone", "in_flight", "latency_ms", "down", "leaving", "fresh", "load"}, {}};
+  for (dispatch::ServerView const& server : servers) {
+    table.rows.push_back({server.service, server.address, server.zone, static_cast<std::int64_t>(server.inFlight),
+                          server.latencyMs, whole(server.down), whole(server.leaving), whole(server.fresh),
+                          server.load});
+  }
+  return table;
+}
+
+query::Sheet entriesTable(config::Configuration const& configuration) {
+  query::Sheet table{"entries", {"name", "kind", "tenant", "prefix", "deadline_ms", "max_attempts"}, {}};
+  for (config::Search const& search : configuration.searches) {
+    table.rows.push_back({search.name, std::string("search"), search.tenant, search.prefix, search.deadlineMs.count(),
+                          static_cast<std::int64_t>(search.max_attempts)});
+  }
+  for (config::Route const& route : configuration.routes) {
+    table.rows.push_back({route.name, std::string("route"), route.tenant, route.prefix, route.deadlineMs.count(),
+                          static_cast<std::int64_t>(route.max_attempts)});
+  }
+  return table;
+}
+
+query::Sheet shardsTable(config::Configuration const& configuration) {
+  query::Sheet table{"shards", {"search", "service", "cut"}, {}};
+  for (config::Search const& search : configuration.searches) {
+    for (config::Shard const& shard : search.shards) {
+      table.rows.push_back({search.name, shard.service, shard.cut});
+    }
+  }
+  return table;
+}
+
+}  // namespace
+
+std::string nameOf(distribution::Standing standing) {
+  switch (standing) {
+    case distribution::Standing::unknown:
+      return "unknown";
+    case distribution::Standing::unlisted:
+      return "unlisted";
+    case distribution::Standing::stale:
+      return "stale";
+    case distribution::Standing::current:
+      return "current";
+    case distribution::Standing::upheld:
+      return "upheld";
+  }
+  return "unknown";
+}
+
+std::string GatewayServer::Impl::whyNotReady(Clock::time_point now) const {
+  distribution::DeliveryStatus const status = delivery.status(now);
+  if (draining) {
+    return "draining";
+  }
+  if (status.standing != distribution::Standing::current && status.standing != distribution::Standing::upheld) {
+    return "configuration " + nameOf(status.standing);
+  }
+  if (unreadable) {
+    return "configuration unreadable";
+  }
+  if (plane.snapshot() == nullptr) {
+    return "no configuration yet";
+  }
+  if (plane.snapshot()->configuration.evacuatedZones.contains(settings.zone)) {
+    return "zone evacuated";
+  }
+  for (std::string const& service : services) {
+    if (!directory.ageMs(now, service) && now - startedAt < serversUnknownMs) {
+      return "servers of " + service + " unknown";
+    }
+  }
+  return "";
+}
+
+net::Answer GatewayServer::Impl::readinessPage() const {
+  std::string const why = whyNotReady(Clock::now());
+  return control::plain(why.empty() ? 200 : 503, std::string("{\"ready\":") + (why.empty() ? "true" : "false") +
+                                                     ",\"reason\":" + json(why) + ",\"node\":" + json(settings.node) +
+                                                     "}");
+}
+
+net::Answer GatewayServer::Impl::currentConfiguration() const {
+  distribution::Standing const standing = delivery.status(Clock::now()).standing;
+  if (standing != distribution::Standing::current && standing != distribution::Standing::upheld) {
+    return control::plain(503, "{\"reason\":\"configuration " + nameOf(standing) + "\"}");
+  }
+  config::SnapshotPtr const snapshot = plane.snapshot();
+  net::Answer answer = control::plain(200, snapshot == nullptr ? "{}" : snapshot->text);
+  answer.headers.emplace_back("limeramp-version", (snapshot == nullptr ? config::Version{} : snapshot->version).text());
+  return answer;
+}
+
+net::Answer GatewayServer::Impl::statusPage() const {
+  Clock::time_point const now = Clock::now();
+  distribution::DeliveryStatus const status = delivery.status(now);
+  std::string const why = whyNotReady(now);
+  messages::State const state = delivery.state().value_or(messages::State{});
+  std::string body =
+      "{\"node\":" + json(settings.node) + ",\"role\":\"gateway\",\"zone\":" + json(settings.zone) +
+      ",\"fleet\":" + json(fleet) + ",\"ready\":" + (why.empty() ? "true" : "false") + ",\"reason\":" + json(why) +
+      ",\"standing\":" + json(nameOf(status.standing)) +
+      ",\"age_ms\":" + (status.ageMs == Ms::max() ? "null" : std::to_string(status.ageMs.count())) +
+      ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
+      ",\"version\":" + json((plane.snapshot() == nullptr ? config::Version{} : plane.snapshot()->version).text()) +
+      ",\"primary_address\":" + json(delivery.primaryAddress()) + ",\"roster\":" + std::to_string(state.roster.size()) +
+      ",\"requests\":" + std::to_string(plane.requests()) + ",\"peers\":[";
+  body += listOf(views.peers(now), peerJson) + "],\"servers\":[" + listOf(plane.servers(now), serverJson);
+  return control::plain(200, body + "]}");
+}
+
+net::Answer GatewayServer::Impl::metricsPage() const {
+  dispatch::Counters const counters = plane.counters();
+  std::string body;
+  for (std::pair<char const*, std::uint64_t> const& entry :
+       {std::pair<char const*, std::uint64_t>("arrivals_total", counters.arrivals),
+        std::pair<char const*, std::uint64_t>("attempts_total", counters.attempts),
+        std::pair<char const*, std::uint64_t>("extra_attempts_total", counters.extras),
+        std::pair<char const*, std::uint64_t>("retries_total", counters.retries),
+        std::pair<char const*, std::uint64_t>("lost_races_total", counters.lostRaces),
+        std::pair<char const*, std::uint64_t>("missing_shards_total", counters.missing),
+        std::pair<char const*, std::uint64_t>("refused_total", counters.refused + refusedStale),
+        std::pair<char const*, std::uint64_t>("budget_spent_total", counters.budgetSpent)}) {
+    body += std::string("# TYPE limeramp_") + entry.first + " counter\nlimeramp_" + entry.first + " " +
+            std::to_string(entry.second) + "\n";
+  }
+  body += "# TYPE limeramp_requests gauge\nlimeramp_requests " + std::to_string(plane.requests()) + "\n";
+  body += std::string("# TYPE limeramp_ready gauge\nlimeramp_ready ") +
+          (whyNotReady(Clock::now()).empty() ? "1" : "0") + "\n";
+  return {200, {{"content-type", "text/plain; version=0.0.4"}}, body};
+}
+
+std::vector<query::Sheet> GatewayServer::Impl::tables() const {
+  Clock::time_point const now = Clock::now();
+  std::vector<messages::Peer> const peers = views.peers(now);
+  config::SnapshotPtr const snapshot = plane.snapshot();
+  config::Configuration const configuration = snapshot == nullptr ? config::Configuration{} : snapshot->configuration;
+  return {nodesTable(delivery.state().value_or(messages::State{}), peers, settings.node), controllersTable(peers),
+          serversTable(plane.servers(now)), entriesTable(configuration), shardsTable(configuration)};
+}
+
+}  // namespace limeramp::gateway
--- a/libs/logging/include/limeramp/logging/logging.h
+++ b/libs/logging/include/limeramp/logging/logging.h
@@ -14,6 +14,8 @@
   processStopping = 101,
   settingsRefused = 102,
   listening = 103,
+  settingsChanged = 104,
+  settingsNeedRestart = 105,
   configurationInForce = 200,
   configurationTaken = 201,
   configurationRefused = 202,
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -10,11 +10,16 @@
 namespace limeramp::logging {
 namespace {
 
-constexpr std::array<EventInfo, 35> events{{
+constexpr std::array<EventInfo, 37> events{{
     {Event::processStarted, Level::info, "process_started", "the process read its settings and begins its duties"},
     {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
-    {Event::settingsRefused, Level::error, "settings_refused", "the settings file or a flag is not usable"},
+    {Event::settingsRefused, Level::error, "settings_refused",
+     "the settings file is not usable; a process that runs keeps its former settings"},
     {Event::listening, Level::info, "listening", "the address on which the process takes connections"},
+    {Event::settingsChanged, Level::info, "settings_changed",
+     "the settings file changed while the process runs; the named settings hold from now on"},
+    {Event::settingsNeedRestart, Level::warning, "settings_need_restart",
+     "the named settings differ in the file but hold only from the next start"},
     {Event::configurationInForce, Level::info, "configuration_in_force",
      "this node now answers under the named version"},
     {Event::configurationTaken, Level::info, "configuration_taken", "a change was made safe and acknowledged"},
--- a/programs/program.h
+++ b/programs/program.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/config/flags.h"
+#include "limeramp/config/settings_file.h"
 #include "limeramp/logging/logging.h"
 
 #include <csignal>
@@ -9,15 +10,20 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace limeramp::programs {
 
+/// Starts a service with its settings; returns nothing, with the reason in `error`, if it cannot start.
 template <typename Service>
 using Start = std::function<std::unique_ptr<Service>(config::Settings const& settings, std::string& error)>;
 
+/// Runs a service until a signal ends it: SIGTERM and SIGINT drain it, SIGHUP makes it read its settings again.
+/// @param file where the settings came from; the service follows it while it runs
+/// @return the exit code of the process
 template <typename Service>
-int serve(std::string const& program, config::Settings const& settings, Start<Service> const& start,
-          std::function<void(Service&)> const& reload = {}) {
+int serve(std::string const& program, config::Settings const& settings, config::SettingsFile file,
+          Start<Service> const& start) {
   std::map<std::string, logging::Level> const levels{{"debug", logging::Level::debug},
                                                      {"info", logging::Level::info},
                                                      {"warning", logging::Level::warning},
@@ -36,6 +42,7 @@
     std::cerr << program << ": " << error << '\n';
     return 1;
   }
+  service->follow(std::move(file));
   logging::raise(logging::Event::processStarted, {{"zone", settings.zone}});
   int number = 0;
   for (;;) {
@@ -43,15 +50,14 @@
     if (number != SIGHUP) {
       break;
     }
-    if (reload) {
-      reload(*service);
-    }
+    service->reload();
   }
   logging::raise(logging::Event::processStopping, {{"signal", std::to_string(number)}});
   service->drain();
   return 0;
 }
 
+/// Reads the settings from flags and the file that they name, and serves with them.
 template <typename Service>
 int run(std::string const& program, std::string const& purpose, config::SettingsNeeds const& needs, int argc,
         char const* const* argv) {
@@ -67,7 +73,12 @@
   Start<Service> const start = [](config::Settings const& settings, std::string& error) {
     return Service::start(settings, error);
   };
-  return serve<Service>(program, std::get<config::Settings>(outcome), start);
+  config::FlagSettings const& given = std::get<config::FlagSettings>(outcome);
+  std::vector<std::string> const words(argv, argv + argc);
+  config::SettingsReader const reader = [program, purpose, needs, words] {
+    return config::readAgain(program, purpose, needs, words);
+  };
+  return serve<Service>(program, given.settings, config::SettingsFile(given.path, reader), start);
 }
 
 }  // namespace limeramp::programs
