--- a/libs/control/src/control_server_impl.h
+++ b/libs/control/src/control_server_impl.h
@@ -25,6 +25,8 @@
 struct Incoming {
   net::Request content;
   net::Responder respond;
+  /// When the network thread had read the request: a process that is held up afterwards does not prolong its deadline.
+  Clock::time_point arrivedAt = Clock::now();
 };
 
 /// What came of writing to the disk.
@@ -119,7 +121,7 @@
   void changeConfiguration(Incoming& inbound);
   void forgetNodes(Incoming& inbound);
   void relayCall(Incoming& inbound) {
-    runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond));
+    runner.take(Clock::now(), inbound.arrivedAt, std::move(inbound.content), std::move(inbound.respond));
   }
 
   // A new group by an operator's word: force_new_group.cpp.
--- a/libs/control/src/event_loop.cpp
+++ b/libs/control/src/event_loop.cpp
@@ -42,7 +42,7 @@
 void ControlServer::Impl::tick() {
   Clock::time_point const now = Clock::now();
   peerLink.sendAll(group.decided().fleet, views.tick(now, group.decided().epoch == 0 || now - startedAt < eagerMs));
-  replication::Known known;
+  replication::KnownMembers known;
   for (messages::Peer const& peer : views.peers(now)) {
     if (peer.role == messages::controllerRole) {
       known.members.push_back({peer.node, peer.address, peer.zone});
@@ -68,6 +68,7 @@
 void ControlServer::Impl::on(DrainAsked&) {
   draining = true;
   logging::raise(logging::Event::drainBegan, {});
+  stepService(Retire{});
   stepGroup(replication::Retire{});
 }
 
@@ -101,7 +102,7 @@
     return;
   }
   absl::StatusOr<messages::Shuffle> const stored = messages::unpack<messages::Shuffle>(store->values().at(membersKey));
-  replication::Known known;
+  replication::KnownMembers known;
   if (stored.ok() && group.decided().epoch > 0) {
     for (messages::Peer const& peer : stored->peers) {
       known.members.push_back({peer.node, peer.address, peer.zone});
--- a/libs/control/src/operator_calls.cpp
+++ b/libs/control/src/operator_calls.cpp
@@ -3,7 +3,6 @@
 
 #include "limeramp/control/operator_api.h"
 #include "limeramp/logging/logging.h"
-#include "limeramp/net/random.h"
 
 namespace limeramp::control {
 
@@ -39,7 +38,7 @@
     relayCall(inbound);
     return;
   }
-  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, Clock::now());
+  std::variant<TimePoint, net::Answer> deadline = readDeadline(inbound.content, inbound.arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&deadline)) {
     inbound.respond(std::move(*wrong));
     return;
@@ -54,8 +53,7 @@
     relayCall(inbound);
     return;
   }
-  Clock::time_point const now = Clock::now();
-  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<Change, net::Answer> read = readChange(inbound.content, inbound.arrivedAt);
   if (net::Answer* const wrong = std::get_if<net::Answer>(&read)) {
     inbound.respond(std::move(*wrong));
     return;
@@ -67,8 +65,7 @@
 }
 
 void ControlServer::Impl::forgetNodes(Incoming& inbound) {
-  Clock::time_point const now = Clock::now();
-  std::variant<Change, net::Answer> read = readChange(inbound.content, now, net::randomName());
+  std::variant<Change, net::Answer> read = readChange(inbound.content, inbound.arrivedAt);
   std::variant<std::vector<std::string>, net::Answer> nodes = readForget(inbound.content.body);
   for (net::Answer* const wrong : {std::get_if<net::Answer>(&read), std::get_if<net::Answer>(&nodes)}) {
     if (wrong != nullptr) {
--- a/libs/control/src/state_machines.cpp
+++ b/libs/control/src/state_machines.cpp
@@ -18,7 +18,7 @@
       peerLink.send(group.decided().fleet, outgoing->address, outgoing->message);
     } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
       this->persist(*persist);
-    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+    } else if (replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect)) {
       logging::raise(note->event, {{"about", note->about}});
     } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
       stepService(*committed);
@@ -47,7 +47,7 @@
       probe(*wanted);
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
       peerLink.send(group.decided().fleet, outgoing->address, outgoing->message);
-    } else if (replication::Note const* const note = std::get_if<replication::Note>(&effect)) {
+    } else if (replication::LogEntry const* const note = std::get_if<replication::LogEntry>(&effect)) {
       logging::raise(note->event, {{"about", note->about}});
     }
   }
--- a/libs/gateway/src/gateway_server_impl.h
+++ b/libs/gateway/src/gateway_server_impl.h
@@ -28,6 +28,8 @@
   net::Responder respond;
   /// Whether it came to a listener for callers, which knows no pages of the node's own.
   bool caller = false;
+  /// When the network thread had read the request: a process that is held up afterwards does not prolong its deadline.
+  Clock::time_point arrivedAt = Clock::now();
 };
 
 /// What came of reading a page of the platform's list.
--- a/libs/gateway/src/operator_calls.cpp
+++ b/libs/gateway/src/operator_calls.cpp
@@ -40,7 +40,7 @@
 }
 
 void GatewayServer::Impl::relayCall(Incoming& inbound) {
-  runner.take(Clock::now(), std::move(inbound.content), std::move(inbound.respond));
+  runner.take(Clock::now(), inbound.arrivedAt, std::move(inbound.content), std::move(inbound.respond));
 }
 
 void GatewayServer::Impl::runQuery(Incoming& inbound) {
--- a/libs/gateway/src/request_plane.cpp
+++ b/libs/gateway/src/request_plane.cpp
@@ -95,7 +95,9 @@
   drive(servers);
 }
 
-void Plane::Impl::refuse(std::uint64_t request, Refusal const& refusal) { reply(request, dialect.writeRefusal(refusal)); }
+void Plane::Impl::refuse(std::uint64_t request, Refusal const& refusal) {
+  reply(request, dialect.writeRefusal(refusal));
+}
 
 Asked Plane::Impl::askedOf(Open const& entry, std::size_t leg) const {
   Asked asked;
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -51,7 +51,7 @@
   bool diskless = false;
   std::vector<std::string> founders{};
 };
-struct Known {
+struct KnownMembers {
   std::vector<Member> members;
   bool mayFound = false;
 };
@@ -75,7 +75,7 @@
   messages::State state;
 };
 
-using Event = std::variant<Start, Known, Received, Persisted, Offer, Tick, Retire, ForceNewGroup>;
+using Event = std::variant<Start, KnownMembers, Received, Persisted, Offer, Tick, Retire, ForceNewGroup>;
 
 struct Send {
   std::string to;
@@ -98,7 +98,7 @@
   messages::State state;
 };
 struct Inactive {};
-struct Note {
+struct LogEntry {
   logging::Event event;
   std::string about;
 };
@@ -107,13 +107,15 @@
   std::string refusal;
 };
 
-using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, NewGroupForced, Note>;
+using Effect = std::variant<Send, Persist, Committed, Doubtful, Active, Inactive, NewGroupForced, LogEntry>;
 
 class ReplicationGroup {
  public:
   explicit ReplicationGroup(Policy const& policy);
   ~ReplicationGroup();
+  ReplicationGroup(ReplicationGroup const&);
   ReplicationGroup(ReplicationGroup&&) noexcept;
+  ReplicationGroup& operator=(ReplicationGroup const&);
   ReplicationGroup& operator=(ReplicationGroup&&) noexcept;
 
   std::vector<Effect> step(TimePoint now, Event const& event);
@@ -130,6 +132,10 @@
   std::string primaryAddress() const;
   std::optional<std::chrono::milliseconds> heardMs(TimePoint now, std::string const& member) const;
 
+  /// A hash of everything that decides what later steps do, for the model checker. Times count as differences from now;
+  /// the random source and the numbers of past disk writes are left out.
+  std::uint64_t digest(TimePoint now) const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
