--- a/tests/peer_views_test.cpp
+++ b/tests/peer_views_test.cpp
@@ -30,6 +30,8 @@
   std::vector<std::optional<PeerViews>> views;
   std::vector<bool> up;
   std::vector<std::size_t> sent;
+  /// A node that runs but reaches nobody and is reached by nobody.
+  std::optional<std::size_t> cutOff;
 
   std::string nameOf(std::size_t index) const { return "m" + std::to_string(index); }
 
@@ -58,7 +60,7 @@
           static_cast<std::size_t>(std::find(addresses.begin(), addresses.end(), outgoing.address) - addresses.begin());
       messages::Shuffle const shuffle = std::get<messages::Shuffle>(outgoing.message);
       network.after(std::chrono::microseconds(200 + network.roll(3000)), [this, from, to, shuffle] {
-        if (to < up.size() && up[to]) {
+        if (to < up.size() && up[to] && cutOff != from && cutOff != to) {
           send(to, views[to]->hear(network.now(), nameOf(from), addresses[from], shuffle));
         }
       });
@@ -159,6 +161,66 @@
   }
 }
 
+TEST(PeerViews, ANodeWhoseSeedsWereAllExchangedFindsItsFleet) {
+  std::vector<long> found;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    constexpr std::size_t count = 12;
+    constexpr std::size_t lone = 5;
+    Crowd crowd(seed, count);
+    for (std::size_t index = 0; index < count; ++index) {
+      crowd.start(index);
+    }
+    crowd.network.runUntil(crowd.network.now() + Ms(5'000));
+    crowd.cutOff = lone;
+    crowd.network.runUntil(crowd.network.now() + Ms(10'000));
+    for (std::size_t index = 0; index < 3; ++index) {
+      crowd.up[index] = false;
+    }
+    crowd.cutOff.reset();
+    crowd.network.runUntil(crowd.network.now() + Ms(10'000));
+    EXPECT_EQ(crowd.reachedFrom(lone), 1u) << "without new seeds it knows nobody, seed " << seed;
+    crowd.views[lone]->setSeeds({crowd.addresses[7], crowd.addresses[8], crowd.addresses[9]});
+    simulator::TimePoint const exchanged = crowd.network.now();
+    while (crowd.reachedFrom(lone) < count - 3 && crowd.network.now() - exchanged < Ms(10'000)) {
+      crowd.network.runUntil(crowd.network.now() + Ms(20));
+    }
+    EXPECT_EQ(crowd.reachedFrom(lone), count - 3) << seed;
+    found.push_back(std::chrono::duration_cast<Ms>(crowd.network.now() - exchanged).count());
+  }
+  std::sort(found.begin(), found.end());
+  std::printf("seeds 1 to 20: the fleet is found %ld ms after the exchange (median), %ld ms at most\n",
+              found[found.size() / 2], found.back());
+  EXPECT_LE(found.back(), 1'000);
+}
+
+TEST(PeerViews, SeedsExchangedForOnesThatAreDownLoseNoPeer) {
+  Crowd crowd(3, 12);
+  for (std::size_t index = 0; index < 12; ++index) {
+    crowd.start(index);
+  }
+  crowd.network.runUntil(crowd.network.now() + Ms(5'000));
+  for (std::size_t index = 0; index < 12; ++index) {
+    crowd.views[index]->setSeeds({"127.0.9.1:7000", "127.0.9.2:7000", "127.0.9.3:7000"});
+  }
+  crowd.network.runUntil(crowd.network.now() + Ms(20'000));
+  for (std::size_t index = 0; index < 12; ++index) {
+    EXPECT_EQ(crowd.reachedFrom(index), 12u);
+  }
+}
+
+TEST(Founding, CountsTheSeedsOfTheStartWhateverWasExchanged) {
+  std::vector<std::string> const seeds{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"};
+  PeerViews views({}, messages::Peer{"m1", seeds[0], "z", messages::controllerRole, 1, 0}, seeds, 5);
+  TimePoint const start{std::chrono::hours(1)};
+  views.tick(start);
+  views.setSeeds({"127.0.0.4:1"});
+  views.hear(start, "m4", "127.0.0.4:1", messages::Shuffle{true, {}});
+  EXPECT_FALSE(views.mayFound(start));
+  views.hear(start, "m2", seeds[1], messages::Shuffle{true, {}});
+  views.hear(start, "m3", seeds[2], messages::Shuffle{true, {}});
+  EXPECT_TRUE(views.mayFound(start));
+}
+
 TEST(Founding, OneSeedOfThreeMayBeMissingButNotTwo) {
   std::vector<std::string> const seeds{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"};
   for (std::size_t heard = 0; heard < 3; ++heard) {
