--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t placesKeptForOwn = 4'096;
 constexpr std::size_t mostDiskJobs = 1'024;
 constexpr std::size_t mostRequestBytes = 4 << 20;
-/// How long a controller that ends waits for others to take its duties over.
-constexpr Ms handOverMs{3'000};
+/// Kept back from the grace time for closing the listeners and the disk.
+constexpr Ms closingMs{600};
 
 absl::Status openRecordStore(config::Settings const& settings, std::unique_ptr<storage::RecordStore>& store) {
   storage::Shape shape;
@@ -114,7 +114,7 @@
 void ControlServer::Impl::drainAndWait() {
   inboundMessages.push(DrainAsked{});
   std::unique_lock<std::mutex> lock(retiredMutex);
-  retiredChanged.wait_for(lock, std::min(handOverMs, graceMs / 2), [this] { return retired; });
+  retiredChanged.wait_for(lock, std::max(graceMs - closingMs, graceMs / 2), [this] { return retired; });
   listeners.stopAccepting();
 }
 
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -126,10 +126,10 @@
   bool const hasBase = base || baseRevision;
   std::string const derived =
       derivedId(request, hasBase ? base.value_or("") + "/" + baseRevision.value_or("") : request.target);
-  change.id = net::findHeader(request.headers, "limeramp-change").value_or(derived);
+  change.id = net::findHeader(request.headers, changeHeader).value_or(derived);
   change.keyedByContentOnly = !hasBase && change.id == derived;
   if (change.id.empty() || change.id.size() > 128) {
-    return refused("limeramp-change", "must have 1 to 128 bytes");
+    return refused(changeHeader, "must have 1 to 128 bytes");
   }
   if (std::optional<std::string> const zone = zoneOf(request.target)) {
     if (!isZoneName(*zone)) {
@@ -187,7 +187,9 @@
          read->get("node").get<std::string>() != node;
 }
 
-net::Answer answerOf(Decided const& decided, std::string const& change) {
+namespace {
+
+net::Answer outcomeOf(Decided const& decided, std::string const& change) {
   std::string const tail = ",\"version\":" + json(decided.version.text()) + ",\"change\":" + json(change) +
                            (decided.reason.empty() ? "" : ",\"reason\":" + json(decided.reason)) + "}";
   switch (decided.verdict) {
@@ -210,10 +212,30 @@
   return plain(400, "{\"outcome\":\"refused\",\"problems\":[" + problems + "]" + tail);
 }
 
+}  // namespace
+
+net::Answer answerOf(Decided const& decided, std::string const& change) {
+  net::Answer answer = outcomeOf(decided, change);
+  answer.headers.emplace_back(changeHeader, change);
+  return answer;
+}
+
+std::optional<std::string> decidedChange(net::Answer const& answer) {
+  if (std::optional<std::string> const named = net::findHeader(answer.headers, changeHeader)) {
+    return named;
+  }
+  absl::StatusOr<picojson::value> const read = config::parseJson(answer.body);
+  if (!read.ok() || !read->is<picojson::object>() || !read->contains("change") ||
+      !read->get("change").is<std::string>()) {
+    return std::nullopt;
+  }
+  return read->get("change").get<std::string>();
+}
+
 net::Answer answerOf(ReadBack const& back) {
   net::Answer answer;
   answer.headers = {{"content-type", "application/json"},
-                    {"limeramp-version", back.version.text()},
+                    {versionHeader, back.version.text()},
                     {revisionHeader, std::to_string(back.revision)}};
   answer.body = back.document.empty() ? "{}" : back.document;
   return answer;
--- a/libs/control/src/status_pages.cpp
+++ b/libs/control/src/status_pages.cpp
@@ -58,6 +58,7 @@
                      listOf(decided.backups, [](std::string const& backup) { return json(backup); }) + "]" +
                      ",\"replica\":" + json(replica) + ",\"active\":" + json(group.active()) +
                      ",\"sealed\":" + std::to_string(group.fenced()) + ",\"ailing\":" + json(group.ailing()) +
+                     ",\"leaving\":" + json(std::string(replication::nameOf(group.leaveProgress()))) +
                      ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
                      json(config::Version{state.configurationEpoch, state.configurationSequence}.text()) +
                      ",\"pending\":" + std::to_string(service.pending()) + ",\"witnesses\":[";
