--- a/libs/control/src/node_tracker.h
+++ b/libs/control/src/node_tracker.h
@@ -2,6 +2,7 @@
 
 #include "limeramp/control/config_service.h"
 #include "limeramp/distribution/config_delivery.h"
+#include "limeramp/messages/state_digest.h"
 
 #include <map>
 #include <optional>
@@ -80,6 +81,8 @@
   TrackedNode const* find(std::string const& node) const;
   distribution::IncarnationRecords const& incarnations() const { return incarnations_; }
 
+  void digest(messages::StateDigest& digest) const;
+
  private:
   Policy policy_;
   TimePoint activeAt_{};
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -296,6 +296,8 @@
   if (!message.primaryAddress.empty()) {
     hurry = hurry || (!state && primaryAddress != message.primaryAddress);
     primaryAddress = message.primaryAddress;
+  } else if (message.token != 0 && address == primaryAddress) {
+    primaryAddress.clear();
   }
   if (out.changed) {
     out.sends = pushes(now);
