--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -183,7 +183,7 @@
     digest.add(entry.second.goneAt);
     digest.add(entry.second.forgotten);
   }
-  digest.add(incarnations_.digest());
+  digest.add(incarnations_.list());
   for (std::pair<StateVersion const, TimePoint> const& entry : publishings_) {
     digest.add(entry.first.epoch);
     digest.add(entry.first.sequence);
