--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -238,6 +238,17 @@
   EXPECT_FALSE(distribution::applyUpdate(std::nullopt, update));
 }
 
+TEST(StateUpdate, OfAnOlderVersionIsLeft) {
+  RandomHistory history(9);
+  messages::State const older = history.next();
+  messages::State const newer = history.next();
+  distribution::ConfigDelivery delivery({}, {"m1", "10.0.0.1:1", "z1", 0, 0}, 7, 1);
+  TimePoint const now{Ms(1000)};
+  EXPECT_TRUE(delivery.hear(now, "10.0.0.2:1", distribution::updateFor(newer, {}, {}, {})).changed);
+  EXPECT_FALSE(delivery.hear(now, "10.0.0.2:1", distribution::updateFor(older, {}, {}, {})).changed);
+  EXPECT_EQ(delivery.state()->version(), newer.version());
+}
+
 /// Poll as it was before parts of a state had versions.
 struct EarlierPoll {
   static constexpr char const* name = "Poll";
