--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -98,6 +98,42 @@
   EXPECT_GT(neverConfirmed, 5U);
 }
 
+/// Cut off from the other controllers only, with its nodes and its operators still there and before any time-out has
+/// run.
+TEST(CutOffPrimary, DecidesNothingFromTheMomentOfTheCut) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FleetSimulation fleet(seed, controllers, gateways, 3);
+    OperatorSimulation operators(fleet);
+    fleet.startAll();
+    ASSERT_EQ(operators.insist(orderOn(0, 4, "first"), Ms(15'000)), Reply::taken) << seed;
+    fleet.run(Ms(2000));
+    std::size_t const primary = *fleet.primary();
+    for (std::size_t other = 0; other < controllers; ++other) {
+      fleet.cut(primary, other);
+      fleet.cut(other, primary);
+    }
+    std::uint64_t const read = fleet.read(primary, callMs);
+    std::vector<std::uint64_t> tickets{read};
+    for (control::Change order :
+         {orderOn(0, 9, "conflict"), orderOn(4, 3, "invalid"), orderOn(0, 4, "first"), zoneOrder("z1", false)}) {
+      order.ticket = fleet.nextTicket();
+      order.deadline = fleet.network.now() + callMs;
+      tickets.push_back(order.ticket);
+      fleet.submit(primary, order);
+    }
+    tickets.push_back(fleet.nextTicket());
+    fleet.submit(primary, control::Forget{tickets.back(), {"nobody"}, fleet.network.now() + callMs});
+    fleet.run(callMs + Ms(50));
+    EXPECT_FALSE(fleet.readBacks.contains(read)) << seed;
+    for (std::uint64_t const ticket : tickets) {
+      ASSERT_TRUE(fleet.answers.contains(ticket)) << seed << " " << ticket - read;
+      control::Verdict const verdict = fleet.answers.at(ticket).decided.verdict;
+      EXPECT_TRUE(verdict == control::Verdict::notRun || verdict == control::Verdict::unknown)
+          << seed << " " << ticket - read << " " << static_cast<int>(verdict);
+    }
+  }
+}
+
 std::uint64_t newestRevision(FleetSimulation const& fleet) {
   std::uint64_t out = 0;
   for (Machine const& machine : fleet.machines) {
@@ -394,7 +430,7 @@
 
 TEST_P(Repetition, OfAnyOfFourHundredChangesIsAcknowledgedAgainOrLeftWithoutAClearAnswer) {
   constexpr std::uint64_t count = 400;
-  std::uint64_t const remembered = control::Policy{}.mostReceipts;
+  constexpr std::uint64_t remembered = 256;
   FleetSimulation fleet(5, controllers, 2, 3);
   OperatorSimulation operators(fleet);
   fleet.startAll();
