--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limeramp/distribution/incarnations.h"
 #include "limeramp/distribution/peer_views.h"
 #include "limeramp/messages/messages.h"
 
@@ -21,18 +22,20 @@
   std::chrono::milliseconds currentMs{2000};
   std::chrono::milliseconds followerMs{2000};
   std::chrono::milliseconds recoverAfterMs{1000};
-  std::size_t wideSlices = 4;
+  /// How long the answer of a node that knew nothing newer is good before it is asked again.
+  std::chrono::milliseconds contactGoodMs{1000};
 };
 
-using IncarnationRecords = std::map<std::string, messages::IncarnationRecord>;
-
-void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard);
+/// The same report of a node that is alive, confirming nothing.
+messages::Follower withoutVersion(messages::Follower follower);
 
 enum class Standing { unknown, unlisted, stale, current, upheld };
 
 struct DeliveryStatus {
   Standing standing = Standing::unknown;
   std::chrono::milliseconds ageMs{0};
+  /// How many versions the newest one that was heard of is ahead of the one that is here.
+  std::uint64_t versionsBehind = 0;
 };
 
 struct ConfigDeliveryStep {
@@ -45,12 +48,15 @@
   ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot,
                  std::uint64_t seed);
   ~ConfigDelivery();
+  ConfigDelivery(ConfigDelivery const&);
   ConfigDelivery(ConfigDelivery&&) noexcept;
+  ConfigDelivery& operator=(ConfigDelivery const&);
   ConfigDelivery& operator=(ConfigDelivery&&) noexcept;
 
   ConfigDeliveryStep tick(TimePoint now, std::vector<messages::Peer> const& peers);
   ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::Poll const& message);
   ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::News const& message);
+  ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::StateUpdate const& message);
 
   void leave();
   DeliveryStatus status(TimePoint now) const;
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -1,5 +1,8 @@
 #include "limeramp/distribution/config_delivery.h"
 
+#include "limeramp/distribution/staleness_check.h"
+#include "limeramp/distribution/state_feed.h"
+
 #include <algorithm>
 #include <map>
 #include <random>
@@ -11,12 +14,22 @@
 using Ms = std::chrono::milliseconds;
 using messages::StateVersion;
 
-constexpr std::size_t mostIncarnations = 2000;
+constexpr std::size_t mostListeners = 1000;
+constexpr std::size_t mostContacts = 2000;
+constexpr std::size_t mostPeersKnown = 2000;
+
+/// Why a node polls another: to follow its state, to hear whether it knows a newer one, or, after a restart, to be
+/// recorded and hear the same.
+enum class Purpose { follow, verify, recover };
 
 struct Asked {
   std::string address;
   TimePoint at{};
-  bool recover = false;
+  Purpose purpose = Purpose::follow;
+  /// What this node knew of incarnations when it asked, whether it sent it along, and whether its own start was in it.
+  std::uint64_t incarnationsDigest = 0;
+  bool sentIncarnations = true;
+  bool ownStartRecorded = false;
 };
 
 struct Listener {
@@ -27,18 +40,10 @@
 
 }  // namespace
 
-void mergeIncarnations(IncarnationRecords& known, std::vector<messages::IncarnationRecord> const& heard) {
-  for (messages::IncarnationRecord const& incarnation : heard) {
-    if (known.size() >= mostIncarnations && !known.contains(incarnation.node)) {
-      continue;
-    }
-    messages::IncarnationRecord& entry = known[incarnation.node];
-    if (incarnation.rank > entry.rank) {
-      entry = incarnation;
-    } else if (incarnation.rank == entry.rank && incarnation.boot != entry.boot) {
-      entry.boot = 0;
-    }
-  }
+messages::Follower withoutVersion(messages::Follower follower) {
+  follower.epoch = 0;
+  follower.sequence = 0;
+  return follower;
 }
 
 struct ConfigDelivery::Impl {
@@ -54,17 +59,22 @@
   std::map<std::string, Listener> listeners;
   std::uint64_t lastToken = 0;
   TimePoint nextPollAt{};
-  TimePoint nextWideAt{};
+  TimePoint nextFirstStateAt{};
+  TimePoint nextFetchAt{};
   std::size_t turn = 0;
-  std::size_t wideTurn = 0;
   bool hurry = false;
   std::optional<TimePoint> startedAt;
   bool settled = false;
   messages::PeerStatus peerStatus;
   IncarnationRecords incarnations;
+  std::map<std::string, std::uint64_t> digestsOfPeers;
   std::map<std::string, std::uint64_t> recovering;
+  StalenessCheck stalenessCheck{{}, "", 0};
 
-  StateVersion mark() const { return state ? StateVersion{state->epoch, state->sequence} : StateVersion{0, 0}; }
+  StateFeed feed;
+  StateVersion newestHeard;
+
+  StateVersion mark() const { return state ? state->version() : StateVersion{}; }
 
   bool listed() const {
     return state && std::any_of(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
@@ -72,52 +82,50 @@
            });
   }
 
-  std::vector<messages::IncarnationRecord> incarnationList() const {
-    std::vector<messages::IncarnationRecord> out;
-    for (std::pair<std::string const, messages::IncarnationRecord> const& entry : incarnations) {
-      out.push_back(entry.second);
-    }
-    return out;
+  /// Whether the peer named the same incarnation records as known here are when it last answered.
+  bool knowsIncarnations(std::string const& address) const {
+    std::map<std::string, std::uint64_t>::const_iterator const found = digestsOfPeers.find(address);
+    return found != digestsOfPeers.end() && found->second == incarnations.digest();
   }
 
-  messages::Poll makePoll(TimePoint now, std::string const& address, bool recover = false) {
+  messages::Poll makePoll(TimePoint now, std::string const& address, Purpose purpose = Purpose::follow) {
     messages::Poll poll;
     poll.token = ++lastToken;
     poll.self = self;
     poll.self.epoch = mark().epoch;
     poll.self.sequence = mark().sequence;
-    poll.recover = recover;
-    peerStatus.incarnations = incarnationList();
+    poll.recover = purpose == Purpose::recover;
+    poll.follows = purpose == Purpose::follow;
+    poll.parts = partVersionsOf(state);
     poll.peerStatuses.push_back(peerStatus);
-    for (std::pair<std::string const, Listener> const& entry : listeners) {
-      poll.followers.push_back(entry.second.follower);
-      poll.peerStatuses.push_back(entry.second.peerStatus);
+    poll.incarnationsDigest = incarnations.digest();
+    bool const sends = purpose != Purpose::verify && !knowsIncarnations(address);
+    if (sends) {
+      poll.peerStatuses.back().incarnations = incarnations.list();
     }
-    asked[poll.token] = {address, now, recover};
+    asked[poll.token] = {
+        address, now, purpose, poll.incarnationsDigest, sends, incarnations.holds(self.node, peerStatus.boot)};
     return poll;
   }
 
-  bool trusts(std::string const& node, std::uint64_t boot) const {
-    IncarnationRecords::const_iterator const found = incarnations.find(node);
-    return found == incarnations.end() || found->second.boot == boot;
-  }
-
-  void recordIncarnation(std::string const& node, std::uint64_t boot) {
-    messages::IncarnationRecord& entry = incarnations[node];
-    if (entry.boot != boot || entry.rank == 0) {
-      entry = {node, boot, entry.rank + 1};
+  /// A poll of the primary also reports the followers. What they know of incarnations is in this node's own list.
+  messages::Poll makeReport(TimePoint now, std::string const& address) {
+    messages::Poll poll = makePoll(now, address);
+    for (std::pair<std::string const, Listener> const& entry : listeners) {
+      messages::PeerStatus const& status = entry.second.peerStatus;
+      poll.followers.push_back(entry.second.follower);
+      poll.peerStatuses.push_back({status.node, status.boot, status.leaving, {}});
     }
+    return poll;
   }
 
   bool recovered() const {
-    if (!listed() || !trusts(self.node, peerStatus.boot)) {
+    if (!listed() || !incarnations.trusts(self.node, peerStatus.boot)) {
       return false;
     }
-    std::size_t const count = static_cast<std::size_t>(
-        std::count_if(state->roster.begin(), state->roster.end(), [&](messages::RosterEntry const& entry) {
-          std::map<std::string, std::uint64_t>::const_iterator const found = recovering.find(entry.node);
-          return entry.node != self.node && found != recovering.end() && trusts(entry.node, found->second);
-        }));
+    std::size_t const count = static_cast<std::size_t>(std::count_if(
+        state->roster.begin(), state->roster.end(),
+        [&](messages::RosterEntry const& entry) { return entry.node != self.node && hasVouched(entry.node); }));
     return count >= (state->roster.size() + 1) / 2;
   }
 
@@ -160,53 +168,102 @@
     return known.empty() ? primaryAddress : known[++turn % known.size()];
   }
 
-  bool adopt(messages::State const& next) {
-    if (StateVersion{next.epoch, next.sequence} <= mark()) {
+  bool adopt(TimePoint now, messages::State next) {
+    if (next.version() <= mark()) {
       return false;
     }
     bool const served = state && state->evacuatedZones == next.evacuatedZones &&
                         StateVersion{state->configurationEpoch, state->configurationSequence} ==
                             StateVersion{next.configurationEpoch, next.configurationSequence};
-    state = next;
+    if (state) {
+      feed.replaced(now, *state);
+    }
+    state = std::move(next);
+    state->receipts.clear();
     hurry = hurry || !served;
     return true;
   }
 
-  void pushTo(std::vector<Outgoing>& sends, TimePoint now) {
-    for (std::pair<std::string const, Listener> const& entry : listeners) {
-      StateVersion const has{entry.second.follower.epoch, entry.second.follower.sequence};
-      if (now - entry.second.at <= policy.followerMs && has < mark()) {
-        messages::News news;
-        news.node = self.node;
-        news.epoch = mark().epoch;
-        news.sequence = mark().sequence;
-        news.state = state;
-        news.primaryAddress = primaryAddress;
-        sends.push_back({entry.second.follower.address, std::move(news)});
-      }
+  void listen(TimePoint now, messages::Follower const& follower, messages::PeerStatus const& status) {
+    Listener& listener = listeners[follower.node];
+    StateVersion const had{listener.follower.epoch, listener.follower.sequence};
+    StateVersion const has{follower.epoch, follower.sequence};
+    hurry = hurry || (had != has && has == mark());
+    listener = {follower, status, now};
+    if (listeners.size() > mostListeners) {
+      listeners.erase(listeners.begin());
     }
   }
 
-  messages::News answer(TimePoint now, std::uint64_t token, StateVersion const& has) const {
+  std::vector<Outgoing> pushes(TimePoint now) {
+    messages::News news;
+    news.node = self.node;
+    news.epoch = mark().epoch;
+    news.sequence = mark().sequence;
+    news.primaryAddress = primaryAddress;
+    return feed.push(now, *state, news);
+  }
+
+  messages::Message answer(TimePoint now, messages::Poll const& poll) {
     messages::News news;
-    news.token = token;
+    news.token = poll.token;
     news.node = self.node;
     news.epoch = mark().epoch;
     news.sequence = mark().sequence;
     news.primaryAddress = primaryAddress;
     news.settled = settled;
     news.boot = peerStatus.boot;
-    news.incarnations = incarnationList();
+    news.incarnationsDigest = incarnations.digest();
+    if ((poll.follows || poll.recover) && poll.incarnationsDigest != news.incarnationsDigest) {
+      news.incarnations = incarnations.list();
+    }
     if (anchor) {
       news.hasAge = true;
       news.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *anchor).count()) + 1;
     }
-    if (state && has < mark()) {
-      news.state = state;
+    return feed.answer(now, state ? &*state : nullptr, poll, std::move(news));
+  }
+
+  /// A node whose state is old asks nodes of the roster whether they know a newer one.
+  void askRoster(TimePoint now, bool worried, std::vector<Outgoing>& sends) {
+    bool const alone = worried && state && (settled || now - *startedAt >= policy.recoverAfterMs);
+    if (!alone) {
+      return;
+    }
+    Purpose const purpose = settled ? Purpose::verify : Purpose::recover;
+    std::size_t const needed = settled ? state->roster.size() / 2 : (state->roster.size() + 1) / 2;
+    StalenessCheck::Answered const answered = [&](std::string const& node) {
+      return settled ? heardWithin(now, node, policy.contactGoodMs) : hasVouched(node);
+    };
+    for (messages::RosterEntry const& entry : stalenessCheck.due(now, state->roster, needed, answered)) {
+      sends.push_back({entry.address, makePoll(now, entry.address, purpose)});
     }
-    return news;
   }
 
+  bool heardWithin(TimePoint now, std::string const& node, Ms time) const {
+    std::map<std::string, TimePoint>::const_iterator const found = contacts.find(node);
+    return found != contacts.end() && now - found->second < time;
+  }
+
+  /// Whether this start of this node is known to a settled `node` that knows nothing newer.
+  bool hasVouched(std::string const& node) const {
+    std::map<std::string, std::uint64_t>::const_iterator const found = recovering.find(node);
+    return found != recovering.end() && incarnations.trusts(node, found->second);
+  }
+
+  /// A node that was asked what it knows has named a newer state: it is asked for it, at most once in `replyMs`.
+  void fetch(TimePoint now, std::string const& address, std::vector<Outgoing>& sends) {
+    if (now >= nextFetchAt) {
+      nextFetchAt = now + policy.replyMs;
+      sends.push_back({address, makePoll(now, address)});
+    }
+  }
+
+  ConfigDeliveryStep hear(TimePoint now, std::string const& address, messages::News const& message,
+                          std::optional<messages::State> next);
+  void learnDigest(std::string const& address, Asked const& question, messages::News const& message);
+  void take(Asked const& question, messages::News const& message);
+
   std::optional<TimePoint> upheldAt() const {
     if (!listed()) {
       return std::nullopt;
@@ -230,6 +287,77 @@
   }
 };
 
+ConfigDeliveryStep ConfigDelivery::Impl::hear(TimePoint now, std::string const& address, messages::News const& message,
+                                              std::optional<messages::State> next) {
+  ConfigDeliveryStep out;
+  incarnations.merge(message.incarnations);
+  newestHeard = std::max(newestHeard, StateVersion{message.epoch, message.sequence});
+  out.changed = next && adopt(now, *std::move(next));
+  if (!message.primaryAddress.empty()) {
+    hurry = hurry || (!state && primaryAddress != message.primaryAddress);
+    primaryAddress = message.primaryAddress;
+  } else if (message.token != 0 && address == primaryAddress) {
+    primaryAddress.clear();
+  }
+  if (out.changed) {
+    out.sends = pushes(now);
+  }
+  std::map<std::uint64_t, Asked>::iterator const found = asked.find(message.token);
+  if (message.token == 0 || found == asked.end()) {
+    return out;
+  }
+  Asked const question = found->second;
+  learnDigest(address, question, message);
+  suspects.erase(address);
+  asked.erase(found);
+  if (StateVersion{message.epoch, message.sequence} > mark()) {
+    if (question.purpose != Purpose::follow) {
+      fetch(now, address, out.sends);
+    }
+    return out;
+  }
+  take(question, message);
+  return out;
+}
+
+/// A peer that lacked records which were not sent along has counted nothing of the poll: it is polled again at once,
+/// and this time is sent them.
+void ConfigDelivery::Impl::learnDigest(std::string const& address, Asked const& question,
+                                       messages::News const& message) {
+  if (digestsOfPeers.size() >= mostPeersKnown) {
+    digestsOfPeers.clear();
+  }
+  digestsOfPeers[address] = message.incarnationsDigest;
+  bool const counted = question.sentIncarnations || message.incarnationsDigest == question.incarnationsDigest;
+  hurry = hurry || (question.purpose == Purpose::follow && !counted);
+}
+
+/// The answer of a node that knows no newer state than this one.
+void ConfigDelivery::Impl::take(Asked const& question, messages::News const& message) {
+  if (message.hasAge) {
+    TimePoint const at = question.at - Ms(static_cast<long>(message.ageMs));
+    anchor = anchor ? std::max(*anchor, at) : at;
+  }
+  bool const sameRecords = message.incarnationsDigest == question.incarnationsDigest && question.ownStartRecorded;
+  bool const recorded =
+      sameRecords || std::any_of(message.incarnations.begin(), message.incarnations.end(),
+                                 [&](messages::IncarnationRecord const& incarnation) {
+                                   return incarnation.node == self.node && incarnation.boot == peerStatus.boot;
+                                 });
+  if (question.purpose == Purpose::recover && message.settled && recorded && !settled) {
+    recovering[message.node] = message.boot;
+  }
+  bool const caughtUp = anchor && startedAt && *anchor >= *startedAt;
+  if (caughtUp && !incarnations.trusts(self.node, peerStatus.boot)) {
+    incarnations.record(self.node, peerStatus.boot);
+  }
+  settled = settled || caughtUp || recovered();
+  if (message.settled && (contacts.size() < mostContacts || contacts.contains(message.node))) {
+    TimePoint& contact = contacts[message.node];
+    contact = std::max(contact, question.at);
+  }
+}
+
 ConfigDelivery::ConfigDelivery(ConfigDeliveryPolicy const& policy, messages::Follower const& self, std::uint64_t boot,
                                std::uint64_t seed)
     : impl_(std::make_unique<Impl>()) {
@@ -238,10 +366,18 @@
   impl_->peerStatus = {self.node, boot, false, {}};
   impl_->random.seed(seed);
   impl_->lastToken = impl_->random() >> 20;
+  StalenessCheckPolicy check;
+  check.replyMs = policy.replyMs;
+  impl_->stalenessCheck = StalenessCheck(check, self.node, impl_->random() >> 20);
 }
 
 ConfigDelivery::~ConfigDelivery() = default;
+ConfigDelivery::ConfigDelivery(ConfigDelivery const& other) : impl_(std::make_unique<Impl>(*other.impl_)) {}
 ConfigDelivery::ConfigDelivery(ConfigDelivery&&) noexcept = default;
+ConfigDelivery& ConfigDelivery::operator=(ConfigDelivery const& other) {
+  impl_ = std::make_unique<Impl>(*other.impl_);
+  return *this;
+}
 ConfigDelivery& ConfigDelivery::operator=(ConfigDelivery&&) noexcept = default;
 
 ConfigDeliveryStep ConfigDelivery::tick(TimePoint now, std::vector<messages::Peer> const& peers) {
@@ -283,14 +419,14 @@
       impl.nextPollAt = impl.state && afar && !worried ? now + impl.policy.afarPollMs : impl.nextPollAt;
     }
     if (!target.empty()) {
-      out.sends.push_back({target, impl.makePoll(now, target)});
+      out.sends.push_back({target, target == control ? impl.makeReport(now, target) : impl.makePoll(now, target)});
     }
     if ((worried || impl.peerStatus.leaving) && !control.empty() && control != target) {
-      out.sends.push_back({control, impl.makePoll(now, control)});
+      out.sends.push_back({control, impl.makeReport(now, control)});
     }
   }
-  if (!impl.state && now >= impl.nextWideAt) {
-    impl.nextWideAt = now + impl.policy.replyMs;
+  if (!impl.state && now >= impl.nextFirstStateAt) {
+    impl.nextFirstStateAt = now + impl.policy.replyMs;
     std::vector<std::string> fronts;
     for (messages::Peer const& peer : peers) {
       if (peer.role == messages::gatewayRole && peer.address != impl.self.address) {
@@ -302,33 +438,17 @@
       out.sends.push_back({chosen, impl.makePoll(now, chosen)});
     }
   }
-  bool const alone = worried && impl.state && (impl.settled || now - *impl.startedAt >= impl.policy.recoverAfterMs);
-  if (alone && now >= impl.nextWideAt) {
-    impl.nextWideAt = now + impl.policy.replyMs / impl.policy.wideSlices;
-    std::size_t const count = impl.state->roster.size();
-    for (std::size_t slot = impl.wideTurn++ % impl.policy.wideSlices; slot < count; slot += impl.policy.wideSlices) {
-      messages::RosterEntry const& entry = impl.state->roster[slot];
-      if (entry.node != impl.self.node) {
-        out.sends.push_back({entry.address, impl.makePoll(now, entry.address, !impl.settled)});
-      }
-    }
-  }
+  impl.askRoster(now, worried, out.sends);
   return out;
 }
 
 ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const&, messages::Poll const& message) {
   Impl& impl = *impl_;
   ConfigDeliveryStep out;
-  StateVersion const has{message.self.epoch, message.self.sequence};
   if (message.self.node.empty()) {
-    out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
+    out.sends.push_back({message.self.address, impl.answer(now, message)});
     return out;
   }
-  Listener& listener = impl.listeners[message.self.node];
-  StateVersion const had{listener.follower.epoch, listener.follower.sequence};
-  if (had != has && has == impl.mark()) {
-    impl.hurry = true;
-  }
   messages::PeerStatus peerStatus{message.self.node, 0, false, {}};
   for (messages::PeerStatus const& entry : message.peerStatuses) {
     if (entry.node == message.self.node) {
@@ -336,68 +456,32 @@
       break;
     }
   }
-  mergeIncarnations(impl.incarnations, peerStatus.incarnations);
+  bool const confirms = impl.incarnations.learn(message.incarnationsDigest, peerStatus.incarnations);
   if (message.recover && impl.settled && peerStatus.boot != 0 && impl.state &&
       std::any_of(impl.state->roster.begin(), impl.state->roster.end(),
                   [&](messages::RosterEntry const& entry) { return entry.node == peerStatus.node; })) {
-    impl.recordIncarnation(peerStatus.node, peerStatus.boot);
+    impl.incarnations.record(peerStatus.node, peerStatus.boot);
   }
-  listener = {message.self, std::move(peerStatus), now};
-  if (impl.listeners.size() > 1000) {
-    impl.listeners.erase(impl.listeners.begin());
+  if (message.follows) {
+    impl.listen(now, confirms ? message.self : withoutVersion(message.self), peerStatus);
   }
-  out.sends.push_back({message.self.address, impl.answer(now, message.token, has)});
+  out.sends.push_back({message.self.address, impl.answer(now, message)});
   return out;
 }
 
 ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const& address, messages::News const& message) {
+  return impl_->hear(now, address, message, message.state);
+}
+
+ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const& address,
+                                        messages::StateUpdate const& message) {
   Impl& impl = *impl_;
-  ConfigDeliveryStep out;
-  mergeIncarnations(impl.incarnations, message.incarnations);
-  if (message.state) {
-    out.changed = impl.adopt(*message.state);
+  std::optional<messages::State> next;
+  if (StateVersion{message.news.epoch, message.news.sequence} > impl.mark()) {
+    next = applyUpdate(impl.state, message);
+    impl.hurry = impl.hurry || !next;
   }
-  if (!message.primaryAddress.empty()) {
-    impl.hurry = impl.hurry || (!impl.state && impl.primaryAddress != message.primaryAddress);
-    impl.primaryAddress = message.primaryAddress;
-  } else if (message.token != 0 && address == impl.primaryAddress) {
-    impl.primaryAddress.clear();
-  }
-  if (out.changed) {
-    impl.pushTo(out.sends, now);
-  }
-  std::map<std::uint64_t, Asked>::iterator const found = impl.asked.find(message.token);
-  if (message.token == 0 || found == impl.asked.end()) {
-    return out;
-  }
-  TimePoint const askedAt = found->second.at;
-  bool const recover = found->second.recover;
-  impl.suspects.erase(address);
-  impl.asked.erase(found);
-  if (StateVersion{message.epoch, message.sequence} > impl.mark()) {
-    return out;
-  }
-  if (message.hasAge) {
-    TimePoint const at = askedAt - Ms(static_cast<long>(message.ageMs));
-    impl.anchor = impl.anchor ? std::max(*impl.anchor, at) : at;
-  }
-  bool const incarnations = std::any_of(
-      message.incarnations.begin(), message.incarnations.end(), [&](messages::IncarnationRecord const& incarnation) {
-        return incarnation.node == impl.self.node && incarnation.boot == impl.peerStatus.boot;
-      });
-  if (recover && message.settled && incarnations && !impl.settled) {
-    impl.recovering[message.node] = message.boot;
-  }
-  bool const caughtUp = impl.anchor && impl.startedAt && *impl.anchor >= *impl.startedAt;
-  if (caughtUp && !impl.trusts(impl.self.node, impl.peerStatus.boot)) {
-    impl.recordIncarnation(impl.self.node, impl.peerStatus.boot);
-  }
-  impl.settled = impl.settled || caughtUp || impl.recovered();
-  if (message.settled && (impl.contacts.size() < 2000 || impl.contacts.contains(message.node))) {
-    TimePoint& contact = impl.contacts[message.node];
-    contact = std::max(contact, askedAt);
-  }
-  return out;
+  return impl.hear(now, address, message.news, std::move(next));
 }
 
 void ConfigDelivery::leave() {
@@ -411,6 +495,7 @@
   if (!impl.state) {
     return out;
   }
+  out.versionsBehind = impl.newestHeard > impl.mark() ? impl.newestHeard.sequence - impl.mark().sequence : 0;
   out.ageMs = impl.anchor ? std::chrono::duration_cast<Ms>(now - *impl.anchor) : Ms::max();
   if (!impl.listed() && !impl.peerStatus.leaving) {
     out.standing = Standing::unlisted;
--- a/libs/messages/include/limeramp/messages/messages.h
+++ b/libs/messages/include/limeramp/messages/messages.h
@@ -313,6 +313,24 @@
   }
 };
 
+/// The versions of the parts of a State that change apart from each other.
+struct PartVersions {
+  static constexpr char const* name = "PartVersions";
+  std::uint64_t configurationEpoch = 0;
+  std::uint64_t configurationSequence = 0;
+  std::uint64_t rosterEpoch = 0;
+  std::uint64_t rosterSequence = 0;
+  bool operator==(PartVersions const&) const = default;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("configurationEpoch", self.configurationEpoch);
+    visit("configurationSequence", self.configurationSequence);
+    visit("rosterEpoch", self.rosterEpoch);
+    visit("rosterSequence", self.rosterSequence);
+  }
+};
+
+/// A node asks for the newest state and says which it has.
 struct Poll {
   static constexpr char const* name = "Poll";
   std::uint64_t token = 0;
@@ -320,6 +338,12 @@
   std::vector<Follower> followers;
   std::vector<PeerStatus> peerStatuses;
   bool recover = false;
+  /// Absent from nodes that know no StateUpdate; they are sent the whole State in News.
+  std::optional<PartVersions> parts;
+  /// False: the node asks which version is known, and wants neither the state nor later pushes.
+  bool follows = true;
+  /// Names the sender's incarnation records; 0 from nodes that always send them all.
+  std::uint64_t incarnationsDigest = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -327,6 +351,9 @@
     visit("followers", self.followers);
     visit("bearings", self.peerStatuses);
     visit("recover", self.recover);
+    visit("parts", self.parts);
+    visit("follows", self.follows);
+    visit("incarnationsDigest", self.incarnationsDigest);
   }
 };
 
@@ -343,6 +370,8 @@
   std::string primaryAddress;
   std::uint64_t boot = 0;
   std::vector<IncarnationRecord> incarnations;
+  /// Names the sender's incarnation records; 0 from nodes that always send them all.
+  std::uint64_t incarnationsDigest = 0;
   template <typename V, typename T>
   static void describe(V& visit, T& self) {
     visit("token", self.token);
@@ -356,6 +385,49 @@
     visit("primaryAddress", self.primaryAddress);
     visit("boot", self.boot);
     visit("vouched", self.incarnations);
+    visit("incarnationsDigest", self.incarnationsDigest);
+  }
+};
+
+/// What turns one roster into another.
+struct RosterDifference {
+  static constexpr char const* name = "RosterDifference";
+  std::vector<std::string> removed;
+  std::vector<RosterEntry> put;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("removed", self.removed);
+    visit("put", self.put);
+  }
+};
+
+/// Brings a follower to the state that `news` names: the parts it lacks, and nothing that only replicas need.
+struct StateUpdate {
+  static constexpr char const* name = "StateUpdate";
+  News news;
+  std::uint64_t revision = 0;
+  std::vector<std::string> evacuatedZones;
+  /// The versions of the parts of the new state.
+  PartVersions parts;
+  /// Absent if the follower named the configuration of the new state.
+  std::optional<std::string> document;
+  /// The roster that `roster` builds on; 0, 0 is the empty one.
+  std::uint64_t rosterBaseEpoch = 0;
+  std::uint64_t rosterBaseSequence = 0;
+  RosterDifference roster;
+  /// From the new roster back to the one before it.
+  RosterDifference priorRoster;
+  template <typename V, typename T>
+  static void describe(V& visit, T& self) {
+    visit("news", self.news);
+    visit("revision", self.revision);
+    visit("evacuatedZones", self.evacuatedZones);
+    visit("parts", self.parts);
+    visit("document", self.document);
+    visit("rosterBaseEpoch", self.rosterBaseEpoch);
+    visit("rosterBaseSequence", self.rosterBaseSequence);
+    visit("roster", self.roster);
+    visit("priorRoster", self.priorRoster);
   }
 };
 
@@ -463,7 +535,7 @@
 };
 
 using Message = std::variant<Shuffle, Prepare, Promise, Accept, Accepted, Heartbeat, Sync, Synced, Poll, News,
-                             TablePoll, TableNews>;
+                             TablePoll, TableNews, StateUpdate>;
 
 struct Envelope {
   static constexpr char const* name = "Envelope";
