--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -2,6 +2,7 @@
 
 #include "limeramp/control/answer_gate.h"
 #include "limeramp/control/order_evaluator.h"
+#include "limeramp/distribution/state_feed.h"
 #include "limeramp/messages/state_digest.h"
 #include "node_tracker.h"
 
@@ -65,6 +66,7 @@
   messages::State published;
   TimePoint publishedAt{};
   NodeTracker tracker{policy};
+  distribution::StateFeed feed;
   std::vector<Forgetting> forgetting;
   std::deque<QueuedOrder> queue;
   std::optional<Change> working;
@@ -89,7 +91,7 @@
   void on(replication::ReplicationGroup const& group, Tick const& event);
   void on(replication::ReplicationGroup const& group, Retire const& event);
 
-  StateVersion mark() const { return {published.epoch, published.sequence}; }
+  StateVersion mark() const { return published.version(); }
   void decide(std::uint64_t ticket, Verdict verdict, std::string reason = "", config::Version version = {},
               std::vector<config::Problem> problems = {}) {
     effects.emplace_back(Decided{ticket, verdict, version, std::move(problems), std::move(reason)});
@@ -124,7 +126,7 @@
   void settle();
   void releaseConfirmed();
   void expire();
-  messages::News news(std::uint64_t token, StateVersion const& has, replication::ReplicationGroup const& group) const;
+  messages::News news(std::uint64_t token, replication::ReplicationGroup const& group) const;
   void digestOrders(messages::StateDigest& digest) const;
 };
 
@@ -204,8 +206,7 @@
   }
 }
 
-messages::News Plane::Impl::news(std::uint64_t token, StateVersion const& has,
-                                 replication::ReplicationGroup const& group) const {
+messages::News Plane::Impl::news(std::uint64_t token, replication::ReplicationGroup const& group) const {
   messages::News out;
   out.token = token;
   out.node = id;
@@ -220,9 +221,6 @@
     out.hasAge = true;
     out.ageMs = static_cast<std::uint64_t>(std::chrono::duration_cast<Ms>(now - *leadershipConfirmedAt).count()) + 1;
   }
-  if (has < mark()) {
-    out.state = published;
-  }
   return out;
 }
 
@@ -233,21 +231,19 @@
   bool const onlyRoster = !sameRoster && state.evacuatedZones == published.evacuatedZones &&
                           StateVersion{state.configurationEpoch, state.configurationSequence} ==
                               StateVersion{published.configurationEpoch, published.configurationSequence};
+  feed.replaced(now, published);
   published = state;
   publishedAt = now;
   tracker.published(now, mark());
   if (onlyRoster) {
     return;
   }
-  for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
-    if (entry.second.direct && now - entry.second.heardAt <= policy.nodeCurrentMs && entry.second.confirmed < mark()) {
-      messages::News out;
-      out.node = id;
-      out.epoch = published.epoch;
-      out.sequence = published.sequence;
-      out.state = published;
-      effects.emplace_back(distribution::Outgoing{entry.second.follower.address, std::move(out)});
-    }
+  messages::News out;
+  out.node = id;
+  out.epoch = published.epoch;
+  out.sequence = published.sequence;
+  for (distribution::Outgoing& outgoing : feed.push(now, published, out)) {
+    effects.emplace_back(std::move(outgoing));
   }
 }
 
@@ -394,8 +390,9 @@
   for (messages::Follower const& follower : event.poll.followers) {
     note(follower, statusOf(follower.node), false);
   }
-  messages::News out = news(event.poll.token, {event.poll.self.epoch, event.poll.self.sequence}, group);
-  effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(out)});
+  messages::News out = news(event.poll.token, group);
+  messages::Message answer = feed.answer(now, active ? &published : nullptr, event.poll, std::move(out));
+  effects.emplace_back(distribution::Outgoing{event.poll.self.address, std::move(answer)});
   settle();
   pump(group);
 }
@@ -597,6 +594,7 @@
   messages::StateDigest digest(now, std::chrono::seconds(5));
   digest.add(impl.id);
   digest.add(impl.active);
+  impl.feed.digest(digest);
   digest.add(impl.retiring);
   digest.add(impl.activeAt);
   digest.add(impl.published);
--- a/libs/control/src/state_machines.cpp
+++ b/libs/control/src/state_machines.cpp
@@ -10,6 +10,15 @@
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
 constexpr Ms probeWaitMs{500};
 
+/// Nodes hold no receipts: those of this replica's own state are the best that is left after a total loss.
+messages::State withReceipts(messages::State state, messages::State const& own) {
+  state.receipts = own.receipts;
+  state.forgottenEpoch = own.forgottenEpoch;
+  state.forgottenSequence = own.forgottenSequence;
+  state.forgottenRevision = own.forgottenRevision;
+  return state;
+}
+
 }  // namespace
 
 void ControlServer::Impl::stepGroup(replication::Event const& event) {
@@ -105,7 +114,7 @@
     stepService(Polled{received->address, *poll});
   } else if (messages::News const* const news = std::get_if<messages::News>(&received->message)) {
     if (forcingNewGroup && received->address == forcingNewGroup->from && news->state && !received->fleet.empty()) {
-      stepGroup(replication::ForceNewGroup{received->fleet, *news->state});
+      stepGroup(replication::ForceNewGroup{received->fleet, withReceipts(*news->state, group.state())});
     }
   } else {
     stepGroup(replication::Received{received->from, received->address, std::move(received->message)});
--- a/libs/gateway/src/peer_messages.cpp
+++ b/libs/gateway/src/peer_messages.cpp
@@ -18,6 +18,11 @@
       fleet = received->fleet;
     }
     apply(delivery.hear(now, received->address, *news));
+  } else if (messages::StateUpdate const* const update = std::get_if<messages::StateUpdate>(&received->message)) {
+    if (fleet.empty()) {
+      fleet = received->fleet;
+    }
+    apply(delivery.hear(now, received->address, *update));
   } else if (messages::TablePoll const* const tablePoll = std::get_if<messages::TablePoll>(&received->message)) {
     apply(directory.hear(now, received->address, *tablePoll));
   } else if (messages::TableNews const* const tableNews = std::get_if<messages::TableNews>(&received->message)) {
--- a/libs/gateway/src/status_pages.cpp
+++ b/libs/gateway/src/status_pages.cpp
@@ -167,6 +167,7 @@
       ",\"standing\":" + json(nameOf(status.standing)) +
       ",\"age_ms\":" + (status.ageMs == Ms::max() ? "null" : std::to_string(status.ageMs.count())) +
       ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) +
+      ",\"versions_behind\":" + std::to_string(status.versionsBehind) +
       ",\"version\":" + json((plane.snapshot() == nullptr ? config::Version{} : plane.snapshot()->version).text()) +
       ",\"primary_address\":" + json(delivery.primaryAddress()) + ",\"roster\":" + std::to_string(state.roster.size()) +
       ",\"requests\":" + std::to_string(plane.requests()) + ",\"peers\":[";
