--- a/libs/control/src/state_machines.cpp
+++ b/libs/control/src/state_machines.cpp
@@ -7,6 +7,15 @@
 namespace limeramp::control {
 namespace {
 
+/// Nodes hold no receipts: those of this replica's own state are the best that is left after a total loss.
+messages::State withReceipts(messages::State state, messages::State const& own) {
+  state.receipts = own.receipts;
+  state.forgottenEpoch = own.forgottenEpoch;
+  state.forgottenSequence = own.forgottenSequence;
+  state.forgottenRevision = own.forgottenRevision;
+  return state;
+}
+
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
 constexpr Ms probeWaitMs{500};
 
