--- a/libs/control/src/state_machines.cpp
+++ b/libs/control/src/state_machines.cpp
@@ -19,15 +19,6 @@
 constexpr std::uint64_t probeAttempts = 1ULL << 61;
 constexpr Ms probeWaitMs{500};
 
-/// Nodes hold no receipts: those of this replica's own state are the best that is left after a total loss.
-messages::State withReceipts(messages::State state, messages::State const& own) {
-  state.receipts = own.receipts;
-  state.forgottenEpoch = own.forgottenEpoch;
-  state.forgottenSequence = own.forgottenSequence;
-  state.forgottenRevision = own.forgottenRevision;
-  return state;
-}
-
 }  // namespace
 
 void ControlServer::Impl::stepGroup(replication::Event const& event) {
