--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -74,7 +74,7 @@
 
 struct BytesPerChange {
   std::size_t configuration = 0;
-  std::size_t evacuation = 0;
+  std::size_t zoneOrder = 0;
   std::size_t roster = 0;
 };
 
@@ -94,7 +94,7 @@
     EXPECT_TRUE(isTaken(fleet, fleet.order("z1", number % 2 == 0)));
     fleet.run(Ms(500));
   }
-  out.evacuation = stateBytes(fleet) / changes / gateways;
+  out.zoneOrder = stateBytes(fleet) / changes / gateways;
   fleet.traffic.clear();
   for (std::size_t number = 0; number < changes; ++number) {
     fleet.replace(controllers + number);
@@ -118,10 +118,10 @@
     BytesPerChange const cost = measureChanges(fleet, 3, gateways);
     std::printf(
         "seed 11, %zu nodes, document of %zu bytes, 256 receipts: a node is sent %zu bytes for a change of the "
-        "configuration, %zu for an evacuation, %zu for a replaced node\n",
-        gateways, largeDocument(0).size(), cost.configuration, cost.evacuation, cost.roster);
+        "configuration, %zu for a zone order, %zu for a replaced node\n",
+        gateways, largeDocument(0).size(), cost.configuration, cost.zoneOrder, cost.roster);
     EXPECT_LT(cost.configuration, documentBytes * 5 / 4);
-    EXPECT_LT(cost.evacuation, 1500u);
+    EXPECT_LT(cost.zoneOrder, 1500u);
     EXPECT_LT(cost.roster, 8000u);
     EXPECT_EQ(fleet.complaints, std::vector<std::string>{});
   }
