--- a/libs/config/src/settings_update.cpp
+++ b/libs/config/src/settings_update.cpp
@@ -41,7 +41,7 @@
   keep(update, readAnew, &Settings::maxRequests, "max_requests");
   keep(update, readAnew, &Settings::rerun, "rerun");
   keep(update, readAnew, &Settings::storeFileBytes, "store_file_bytes");
-  keep(update, readAnew, &Settings::machineLosses, "machine_losses");
+  keep(update, readAnew, &Settings::machineLosses, "losses_to_bear");
   keep(update, readAnew, &Settings::operatorListens, "operator_listens");
   keep(update, readAnew, &Settings::readinessListens, "readiness_listens");
   keep(update, readAnew, &Settings::callerListens, "caller_listens");
