Of a zone whose machines start together one reads the platform's list

Cause: a gateway without tables read the list within 0.2 s of its start, before it knew its zone, so 25 machines that returned together made 25 readers with several pages each, above the platform's rate: 429, back-off, the last gateway ready 2.5 s after its start. Ruled out: the configuration, which was there within 0.5 s. Change: a starting gateway takes its zone from its peer views until it has the roster, and only the first of the zone reads ahead; the others after 1 s. The zone of discovery_test takes the services known at the start as an argument.

--- a/libs/discovery/include/limeramp/discovery/server_directory.h
+++ b/libs/discovery/include/limeramp/discovery/server_directory.h
@@ -24,6 +24,10 @@
   std::chrono::milliseconds listMs{400};
   std::chrono::milliseconds pageMs{100};
   std::chrono::milliseconds firstReadMs{200};
+  /// How long a node that starts waits to hear of others in its zone before it reads the list for itself.
+  std::chrono::milliseconds firstPeersMs{300};
+  /// How long a node without tables leaves the list to the first node of its zone.
+  std::chrono::milliseconds firstReaderMs{1000};
   std::chrono::milliseconds backOffMostMs{2000};
   std::chrono::milliseconds stepInMs{200};
   std::chrono::milliseconds coldRiseMs{500};
--- a/libs/discovery/src/server_directory.cpp
+++ b/libs/discovery/src/server_directory.cpp
@@ -61,6 +61,8 @@
   std::map<std::string, TimePoint> askedAt;
   std::map<std::string, TimePoint> suspects;
   TimePoint nextPollAt{};
+  bool knowsZone = false;
+  bool isFirstOfZone = true;
   std::set<std::string> services;
   std::optional<TimePoint> startedAt;
   TimePoint nextListAt{};
@@ -174,10 +176,7 @@
     bool const own = std::any_of(sheets.begin(), sheets.end(), [&](std::pair<std::string const, Sheet> const& entry) {
       return now <= entry.second.servedUntil;
     });
-    bool const blank = lastRows == 0 && startedAt && now - *startedAt >= firstReadMs() &&
-                       std::none_of(sheets.begin(), sheets.end(), [](std::pair<std::string const, Sheet> const& entry) {
-                         return entry.second.asOf.has_value();
-                       });
+    bool const blank = mayReadBlank(now);
     if ((own || blank || !page.empty()) && !listPending && now >= nextListAt) {
       listPending = true;
       if (page.empty()) {
@@ -192,7 +191,21 @@
     return std::max(policy.oldNewsMs, std::max(policy.listMs, policy.pageMs * static_cast<long>(lastPages)) * 5 / 2);
   }
 
-  Ms firstReadMs() const {
+  /// Before this node knows its services it may read the list all the same, so that it has their servers once it does.
+  /// In a zone whose nodes start together only the first of them does, since the platform takes few calls a second.
+  bool mayReadBlank(TimePoint now) const {
+    bool const hasTables =
+        lastRows > 0 || std::any_of(sheets.begin(), sheets.end(), [](std::pair<std::string const, Sheet> const& entry) {
+          return entry.second.asOf.has_value();
+        });
+    if (hasTables || !startedAt) {
+      return false;
+    }
+    Ms const leaveToOthersMs = !knowsZone ? policy.firstPeersMs : isFirstOfZone ? Ms(0) : policy.firstReaderMs;
+    return now - *startedAt >= leaveToOthersMs + spreadOfFirstRead();
+  }
+
+  Ms spreadOfFirstRead() const {
     return policy.firstReadMs * static_cast<long>(XXH64(node.data(), node.size(), 1) % 100) / 100;
   }
 
@@ -273,6 +286,8 @@
     }
   }
   first = first.empty() ? impl.address : first;
+  impl.knowsZone = around.zoneAddresses.size() > 1;
+  impl.isFirstOfZone = first == impl.address;
   for (std::string const& service : around.services) {
     Sheet& sheet = impl.sheets[service];
     bool const old = !sheet.asOf || now - *sheet.asOf > impl.oldNewsMs();
--- a/libs/gateway/src/event_loop.cpp
+++ b/libs/gateway/src/event_loop.cpp
@@ -81,6 +81,12 @@
         around.zoneAddresses.push_back(entry.address);
       }
     }
+    return around;
+  }
+  for (messages::Peer const& peer : views.peers(Clock::now())) {
+    if (peer.role == messages::gatewayRole && peer.zone == settings.zone && peer.address != settings.advertise) {
+      around.zoneAddresses.push_back(peer.address);
+    }
   }
   return around;
 }
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -22,7 +22,8 @@
 };
 
 struct Zone {
-  Zone(std::uint64_t seed, std::size_t count) : network(seed), nodes(count) {
+  Zone(std::uint64_t seed, std::size_t count, std::set<std::string> const& known = {"a", "b"})
+      : network(seed), nodes(count), services(known) {
     for (std::size_t index = 0; index < count; ++index) {
       nodes[index].address = "127.0.0." + std::to_string(index + 1) + ":7000";
       start(index);
@@ -31,6 +32,7 @@
 
   SimulatedNetwork network;
   std::vector<Node> nodes;
+  std::set<std::string> services;
   List list;
   std::size_t reads = 0;
   std::size_t pageRows = 0;
@@ -73,7 +75,7 @@
       return;
     }
     Around around;
-    around.services = {"a", "b"};
+    around.services = services;
     for (Node const& node : nodes) {
       around.zoneAddresses.push_back(node.address);
     }
@@ -175,6 +177,22 @@
   EXPECT_LE(worst, Ms(2900));
 }
 
+TEST(ServerDirectory, OfAZoneThatStartsTogetherFewReadTheListBeforeTheyKnowTheirServices) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Zone zone(seed, 25, {});
+    zone.put("a", rowAt("s1"));
+    zone.run(Ms(900));
+    EXPECT_GE(zone.reads, 1u) << seed;
+    EXPECT_LE(zone.reads, 5u) << seed;
+    zone.services = {"a", "b"};
+    zone.run(Ms(400));
+    for (Node const& node : zone.nodes) {
+      EXPECT_EQ(node.desk->rows(zone.network.now(), "a").size(), 1u) << seed;
+    }
+    EXPECT_LE(zone.reads, 10u) << seed;
+  }
+}
+
 TEST(ServerDirectory, ADepartureShowsInTimeWhenTheReaderDiesAtThatMoment) {
   Ms worst{0};
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
