Three linter findings in net, distribution and messages

Cause: clang-tidy reads the compile flags, and clang's -Wshadow and -Wunused-lambda-capture see more than GCC's. Change: one local renamed, one reserve, one call through this; no behaviour changes. Measured: the objects and http_server_test build; http_server_test green.

--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -145,6 +145,7 @@
     }
     zone[self.node] = self.address;
     std::vector<std::string> names;
+    names.reserve(zone.size());
     for (std::pair<std::string const, std::string> const& entry : zone) {
       names.push_back(entry.first);
     }
--- a/libs/messages/include/limeramp/messages/state_digest.h
+++ b/libs/messages/include/limeramp/messages/state_digest.h
@@ -74,7 +74,7 @@
   template <typename... Types>
   void add(std::variant<Types...> const& value) {
     add(value.index());
-    std::visit([this](auto const& concrete) { add(concrete); }, value);
+    std::visit([this](auto const& concrete) { this->add(concrete); }, value);
   }
 
   void add(TimePoint at) {
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -30,14 +30,14 @@
   if (used.exchange(true)) {
     return;
   }
-  std::shared_ptr<Network::Impl> const network = life.lock();
-  if (network == nullptr) {
+  std::shared_ptr<Network::Impl> const loop = life.lock();
+  if (loop == nullptr) {
     return;
   }
-  if (network->onThread()) {
+  if (loop->onThread()) {
     hand(connection, token, std::move(answer));
   } else {
-    asio::post(network->context, [to = connection, number = token, answer = std::move(answer)]() mutable {
+    asio::post(loop->context, [to = connection, number = token, answer = std::move(answer)]() mutable {
       hand(to, number, std::move(answer));
     });
   }
