--- a/libs/distribution/include/limeramp/distribution/config_delivery.h
+++ b/libs/distribution/include/limeramp/distribution/config_delivery.h
@@ -24,6 +24,8 @@
   std::chrono::milliseconds recoverAfterMs{1000};
   /// How long the answer of a node that knew nothing newer is good before it is asked again.
   std::chrono::milliseconds contactGoodMs{1000};
+  /// How long a newer state that another node has named may take to come before it is asked for.
+  std::chrono::milliseconds fetchAfterMs{150};
 };
 
 /// The same report of a node that is alive, confirming nothing.
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -18,9 +18,9 @@
 constexpr std::size_t mostContacts = 2000;
 constexpr std::size_t mostPeersKnown = 2000;
 
-/// Why a node polls another: to follow its state, to hear whether it knows a newer one, or, after a restart, to be
-/// recorded and hear the same.
-enum class Purpose { follow, verify, recover };
+/// Why a node polls another: to follow its state; to report to the primary beside the home that it follows; to hear
+/// whether it knows a newer state; or, after a restart, to be recorded and hear the same.
+enum class Purpose { follow, report, verify, recover };
 
 struct Asked {
   std::string address;
@@ -60,6 +60,8 @@
   std::uint64_t lastToken = 0;
   TimePoint nextPollAt{};
   TimePoint nextFirstStateAt{};
+  std::optional<TimePoint> behindSince;
+  std::string fetchFrom;
   TimePoint nextFetchAt{};
   std::size_t turn = 0;
   bool hurry = false;
@@ -109,8 +111,8 @@
   }
 
   /// A poll of the primary also reports the followers. What they know of incarnations is in this node's own list.
-  messages::Poll makeReport(TimePoint now, std::string const& address) {
-    messages::Poll poll = makePoll(now, address);
+  messages::Poll makeReport(TimePoint now, std::string const& address, Purpose purpose = Purpose::follow) {
+    messages::Poll poll = makePoll(now, address, purpose);
     for (std::pair<std::string const, Listener> const& entry : listeners) {
       messages::PeerStatus const& status = entry.second.peerStatus;
       poll.followers.push_back(entry.second.follower);
@@ -145,6 +147,7 @@
     }
     zone[self.node] = self.address;
     std::vector<std::string> names;
+    names.reserve(zone.size());
     for (std::pair<std::string const, std::string> const& entry : zone) {
       names.push_back(entry.first);
     }
@@ -180,6 +183,9 @@
     }
     state = std::move(next);
     state->receipts.clear();
+    if (mark() >= newestHeard) {
+      behindSince.reset();
+    }
     hurry = hurry || !served;
     return true;
   }
@@ -251,11 +257,17 @@
     return found != recovering.end() && incarnations.trusts(node, found->second);
   }
 
-  /// A node that was asked what it knows has named a newer state: it is asked for it, at most once in `replyMs`.
-  void fetch(TimePoint now, std::string const& address, std::vector<Outgoing>& sends) {
-    if (now >= nextFetchAt) {
+  /// Another node has named a newer state than this one's. If nothing brings it soon, that node is asked for it, at
+  /// most once in `replyMs`.
+  void noteNewer(TimePoint now, std::string const& address) {
+    behindSince = behindSince.value_or(now);
+    fetchFrom = address;
+  }
+
+  void fetch(TimePoint now, std::vector<Outgoing>& sends) {
+    if (behindSince && now - *behindSince >= policy.fetchAfterMs && now >= nextFetchAt) {
       nextFetchAt = now + policy.replyMs;
-      sends.push_back({address, makePoll(now, address)});
+      sends.push_back({fetchFrom, makePoll(now, fetchFrom)});
     }
   }
 
@@ -312,7 +324,7 @@
   asked.erase(found);
   if (StateVersion{message.epoch, message.sequence} > mark()) {
     if (question.purpose != Purpose::follow) {
-      fetch(now, address, out.sends);
+      noteNewer(now, address);
     }
     return out;
   }
@@ -329,7 +341,8 @@
   }
   digestsOfPeers[address] = message.incarnationsDigest;
   bool const counted = question.sentIncarnations || message.incarnationsDigest == question.incarnationsDigest;
-  hurry = hurry || (question.purpose == Purpose::follow && !counted);
+  bool const confirms = question.purpose == Purpose::follow || question.purpose == Purpose::report;
+  hurry = hurry || (confirms && !counted);
 }
 
 /// The answer of a node that knows no newer state than this one.
@@ -422,7 +435,7 @@
       out.sends.push_back({target, target == control ? impl.makeReport(now, target) : impl.makePoll(now, target)});
     }
     if ((worried || impl.peerStatus.leaving) && !control.empty() && control != target) {
-      out.sends.push_back({control, impl.makeReport(now, control)});
+      out.sends.push_back({control, impl.makeReport(now, control, Purpose::report)});
     }
   }
   if (!impl.state && now >= impl.nextFirstStateAt) {
@@ -435,10 +448,11 @@
     }
     if (!fronts.empty()) {
       std::string const& chosen = fronts[impl.random() % fronts.size()];
-      out.sends.push_back({chosen, impl.makePoll(now, chosen)});
+      out.sends.push_back({chosen, impl.makePoll(now, chosen, Purpose::verify)});
     }
   }
   impl.askRoster(now, worried, out.sends);
+  impl.fetch(now, out.sends);
   return out;
 }
 
@@ -476,11 +490,9 @@
 ConfigDeliveryStep ConfigDelivery::hear(TimePoint now, std::string const& address,
                                         messages::StateUpdate const& message) {
   Impl& impl = *impl_;
-  std::optional<messages::State> next;
-  if (StateVersion{message.news.epoch, message.news.sequence} > impl.mark()) {
-    next = applyUpdate(impl.state, message);
-    impl.hurry = impl.hurry || !next;
-  }
+  bool const newer = StateVersion{message.news.epoch, message.news.sequence} > impl.mark();
+  std::optional<messages::State> next = applyUpdate(impl.state, message);
+  impl.hurry = impl.hurry || (newer && !next);
   return impl.hear(now, address, message.news, std::move(next));
 }
 
