--- a/tests/http_adversary_test.cpp
+++ b/tests/http_adversary_test.cpp
@@ -608,6 +608,7 @@
     callers.emplace_back(seed * 100 + index, "c" + std::to_string(index) + "n", server.address());
   }
   std::vector<std::thread> threads;
+  threads.reserve(callers.size());
   for (DisorderlyCaller& caller : callers) {
     threads.emplace_back([&caller] {
       for (int round = 0; round < connectionsEach; ++round) {
