--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -221,7 +221,7 @@
 }
 
 std::optional<std::string> decidedChange(net::Answer const& answer) {
-  if (std::optional<std::string> const named = net::findHeader(answer.headers, changeHeader)) {
+  if (std::optional<std::string> named = net::findHeader(answer.headers, changeHeader)) {
     return named;
   }
   absl::StatusOr<picojson::value> const read = config::parseJson(answer.body);
--- a/tests/http_adversary_test.cpp
+++ b/tests/http_adversary_test.cpp
@@ -167,7 +167,6 @@
     case Fault::otherId:
     case Fault::noId:
     case Fault::cutsRequest:
-      return false;
     case Fault::reset:
       return false;
     case Fault::cut:
