--- a/testside/explorer/history.cpp
+++ b/testside/explorer/history.cpp
@@ -29,8 +29,11 @@
   begunWith.emplace(epoch, document);
   for (std::pair<std::uint64_t const, std::string> const& entry : acknowledgedIn) {
     if (entry.first < epoch && !document.starts_with(entry.second)) {
-      fail(member + " begins epoch " + std::to_string(epoch) + " with '" + document + "' without '" + entry.second +
-           "', acknowledged in epoch " + std::to_string(entry.first));
+      std::string text = member;
+      text.append(" begins epoch ").append(std::to_string(epoch)).append(" with '").append(document);
+      text.append("' without '").append(entry.second);
+      text.append("', acknowledged in epoch ").append(std::to_string(entry.first));
+      fail(text);
     }
   }
 }
@@ -49,8 +52,11 @@
   }
   for (std::pair<std::uint64_t const, std::string> const& entry : begunWith) {
     if (entry.first > state.epoch && !entry.second.starts_with(state.document)) {
-      fail(member + " acknowledges '" + state.document + "' in epoch " + epoch + " after epoch " +
-           std::to_string(entry.first) + " began with '" + entry.second + "'");
+      std::string text = member;
+      text.append(" acknowledges '").append(state.document).append("' in epoch ").append(epoch);
+      text.append(" after epoch ").append(std::to_string(entry.first));
+      text.append(" began with '").append(entry.second).append("'");
+      fail(text);
     }
   }
   noteInForce(member, state.epoch, state.document);
--- a/testside/explorer/search.cpp
+++ b/testside/explorer/search.cpp
@@ -46,7 +46,6 @@
     case ActionKind::restart:
       return 40;
     case ActionKind::heal:
-      return 20;
     case ActionKind::drop:
       return 20;
     default:
