--- a/tests/explorer_test.cpp
+++ b/tests/explorer_test.cpp
@@ -69,6 +69,7 @@
 
 std::vector<std::string> namesOf(std::vector<Scenario> const& scenarios) {
   std::vector<std::string> out;
+  out.reserve(scenarios.size());
   for (Scenario const& scenario : scenarios) {
     out.push_back(scenario.name);
   }
