--- a/tests/staleness_check_test.cpp
+++ b/tests/staleness_check_test.cpp
@@ -8,7 +8,6 @@
 
 using namespace limeramp;
 using distribution::StalenessCheck;
-using distribution::StalenessCheckPolicy;
 using distribution::TimePoint;
 using Ms = std::chrono::milliseconds;
 
