--- a/libs/replication/src/acceptor.cpp
+++ b/libs/replication/src/acceptor.cpp
@@ -7,13 +7,13 @@
 std::uint64_t Acceptor::highestRound() const { return std::max(promised.round, acceptedBallot.round); }
 
 messages::Promise Acceptor::promise(messages::Ballot const& ballot) {
-  messages::Promise const answer{nextEpoch(), ballot, ballot >= promised, promised, acceptedBallot, accepted};
+  messages::Promise answer{nextEpoch(), ballot, ballot >= promised, promised, acceptedBallot, accepted};
   promised = std::max(promised, ballot);
   return answer;
 }
 
 messages::Accepted Acceptor::accept(messages::Ballot const& ballot, messages::EpochRecord const& record) {
-  messages::Accepted const answer{nextEpoch(), ballot, ballot >= promised, promised};
+  messages::Accepted answer{nextEpoch(), ballot, ballot >= promised, promised};
   if (answer.granted) {
     promised = ballot;
     acceptedBallot = ballot;
