A random name and a count of budget slots that nothing uses are gone

Cause: orders take their key from their content now, so net::randomName had no caller left; Policy::budgetSlots of the configuration service was read by nothing already before. Behaviour unchanged.

--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -33,7 +33,6 @@
   std::size_t mostNodes = 1000;
   std::size_t mostEvacuatedZones = 100;
   std::size_t mostDocumentBytes = 1 << 20;
-  std::size_t budgetSlots = 20;
 };
 
 struct ZoneOrder {
--- a/libs/net/include/limeramp/net/random.h
+++ b/libs/net/include/limeramp/net/random.h
@@ -6,6 +6,5 @@
 namespace limeramp::net {
 
 std::uint64_t randomWord();
-std::string randomName();
 
 }  // namespace limeramp::net
