Observability: missing votes, stalled epoch changes and a disk's condition are reported

Callers saw: nothing; operators saw nothing either. E508 names the voters that do not answer, E509 and E520 say on the primary when witnesses cannot vote and can again, E510 of a refused write carries the first failure, and the status page shows the disk's condition and whether each witness can vote. No decision depends on any of it.

--- a/libs/control/src/status_pages.cpp
+++ b/libs/control/src/status_pages.cpp
@@ -14,8 +14,8 @@
 
 std::string json(std::optional<Ms> const& spanMs) { return spanMs ? std::to_string(spanMs->count()) : "null"; }
 
-std::string witnessJson(std::string const& witness, std::optional<Ms> const& sinceReportMs) {
-  return "{\"id\":" + json(witness) + ",\"heard_ms\":" + json(sinceReportMs) + "}";
+std::string witnessJson(std::string const& witness, std::optional<Ms> const& sinceReportMs, bool canVote) {
+  return "{\"id\":" + json(witness) + ",\"heard_ms\":" + json(sinceReportMs) + ",\"can_vote\":" + json(canVote) + "}";
 }
 
 std::string nodeJson(NodeView const& node) {
@@ -58,12 +58,14 @@
                      listOf(decided.backups, [](std::string const& backup) { return json(backup); }) + "]" +
                      ",\"replica\":" + json(replica) + ",\"active\":" + json(group.active()) +
                      ",\"sealed\":" + std::to_string(group.fenced()) + ",\"ailing\":" + json(group.unhealthy()) +
+                     ",\"disk\":" + json(std::string(replication::nameOf(group.diskCondition()))) +
                      ",\"leaving\":" + json(std::string(replication::nameOf(group.shutdownProgress()))) +
                      ",\"state\":" + json(config::Version{state.epoch, state.sequence}.text()) + ",\"version\":" +
                      json(config::Version{state.configurationEpoch, state.configurationSequence}.text()) +
                      ",\"pending\":" + std::to_string(service.pending()) + ",\"witnesses\":[";
   body += listOf(decided.witnesses, [&](std::string const& witness) {
-    return witnessJson(witness, witness == id ? Ms(0) : group.sinceHeartbeatMs(now, witness));
+    return witnessJson(witness, witness == id ? Ms(0) : group.sinceHeartbeatMs(now, witness),
+                       group.canVote(now, witness));
   });
   body += "],\"nodes\":[";
   body += listOf(service.active() ? service.nodes(now) : std::vector<NodeView>{}, nodeJson);
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -10,7 +10,7 @@
 namespace limeramp::logging {
 namespace {
 
-constexpr std::array<EventInfo, 37> events{{
+constexpr std::array<EventInfo, 40> events{{
     {Event::processStarted, Level::info, "process_started", "the process read its settings and begins its duties"},
     {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
     {Event::settingsRefused, Level::error, "settings_refused",
@@ -59,9 +59,15 @@
     {Event::ballotLost, Level::debug, "ballot_lost", "a ballot did not gather its votes and will be repeated"},
     {Event::newGroupForced, Level::warning, "newGroupForced",
      "an operator began a new control group from what a node still held"},
+    {Event::epochChangeStalled, Level::warning, "epoch_change_stalled",
+     "ballots for the next epoch find no majority; the named voters do not answer"},
+    {Event::votesMissing, Level::warning, "votes_missing",
+     "the named witnesses are unhealthy or unresponsive; until they are back or replaced a further loss may stop "
+     "changes"},
     {Event::diskFailed, Level::error, "disk_failed", "a write or sync failed or took too long; the replica steps down"},
     {Event::diskDamaged, Level::error, "disk_damaged", "stored records are damaged and will not be served"},
     {Event::diskTailTruncated, Level::warning, "disk_tail_cut", "an unfinished last record was cut at start"},
+    {Event::votesComplete, Level::info, "votes_complete", "all witnesses of the epoch can vote again"},
     {Event::messageDropped, Level::debug, "message_dropped",
      "retired, no longer raised: a message to a peer was dropped because its queue was full or the peer is gone"},
     {Event::peerUnexpected, Level::warning, "peer_strange",
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -175,6 +175,20 @@
 /// The words that the status page shows.
 std::string_view nameOf(ShutdownProgress progress);
 
+/// What a member knows of its own disk.
+enum class DiskCondition {
+  /// It keeps nothing, and therefore neither votes nor replicates.
+  none,
+  usable,
+  /// A write takes longer than `ReplicationOptions::diskSlowMs`.
+  overdue,
+  /// A write failed: the member neither votes nor replicates.
+  failed,
+};
+
+/// The words that the status page shows.
+std::string_view nameOf(DiskCondition condition);
+
 /// One member, as a pure state machine: it reads no clock, disk or socket.
 ///
 /// Guarantees, as long as disks keep what they have synced and a majority of the last witnesses keeps its disks: of one
@@ -198,6 +212,9 @@
   bool busy() const;
   /// Whether the disk failed or hangs.
   bool unhealthy() const;
+  DiskCondition diskCondition() const;
+  /// Whether this witness was heard lately and says that it is neither unhealthy nor leaving.
+  bool canVote(TimePoint now, std::string const& witness) const;
   /// What a leave still waits for, as of the last step.
   ShutdownProgress shutdownProgress() const;
   /// True once a member that was told to end may do so: its leave is done, or its grace time is over.
--- a/libs/replication/src/epoch_change.cpp
+++ b/libs/replication/src/epoch_change.cpp
@@ -1,19 +1,9 @@
+#include "identities.h"
 #include "replication_group_impl.h"
 
 #include <algorithm>
 
 namespace limeramp::replication {
-namespace {
-
-std::string joined(std::vector<std::string> const& ids) {
-  std::string out;
-  for (std::string const& id : ids) {
-    out += (out.empty() ? "" : " ") + id;
-  }
-  return out;
-}
-
-}  // namespace
 
 std::size_t ReplicationGroup::Impl::quorum() const {
   return (acceptor.decided.epoch == 0 ? founders.size() : acceptor.decided.witnesses.size()) / 2 + 1;
@@ -46,6 +36,7 @@
   ticket = keepsTicket ? keptTicket : std::nullopt;
   proposal = {};
   acceptor.adopt(record);
+  voteMonitor.epochDecided();
   epochStableSince = now;
   persist(true, withState, {});
   beginLeadership();
@@ -76,6 +67,7 @@
     sendLeadershipSyncs();
   }
   confirmLeadership();
+  reportMissingVotes();
   bool const epochStable = now - epochStableSince >= options.lostMs;
   bool const backupGone = epochStable && !detector.allAlive(now, acceptor.decided.backups, options.lostMs);
   bool const transfersLeadership = shuttingDown() && !planner().backupsFor(self.id).empty();
@@ -107,6 +99,25 @@
   }
 }
 
+void ReplicationGroup::Impl::report(std::optional<LogEntry> const& entry) {
+  if (entry) {
+    effects.emplace_back(*entry);
+  }
+}
+
+void ReplicationGroup::Impl::reportMissingVotes() {
+  if (now - epochStableSince < options.witnessGoneMs || now - startedAt < options.witnessGoneMs) {
+    return;
+  }
+  std::vector<std::string> unusable;
+  for (std::string const& witness : acceptor.decided.witnesses) {
+    if (!isAlive(witness, options.witnessGoneMs)) {
+      unusable.push_back(witness);
+    }
+  }
+  report(voteMonitor.witnessesChecked(unusable));
+}
+
 bool ReplicationGroup::Impl::witnessesNeedChange() const {
   if (now - startedAt < options.lostMs || now - epochStableSince < options.repairMs) {
     return false;
@@ -189,6 +200,7 @@
     sendBallot();
   } else if (now >= proposal.retryAt) {
     effects.emplace_back(LogEntry{logging::Event::ballotLost, std::to_string(proposal.ballot.round)});
+    report(voteMonitor.ballotLost(proposal, acceptor.nextEpoch(), quorum()));
     if (acceptor.decided.epoch > 0 && !partnersAlive()) {
       proposal.stage = ProposalStage::choosing;
       pushProposal();
--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -197,6 +197,20 @@
   return options;
 }
 
+std::string_view nameOf(DiskCondition condition) {
+  switch (condition) {
+    case DiskCondition::none:
+      return "none";
+    case DiskCondition::usable:
+      return "usable";
+    case DiskCondition::overdue:
+      return "overdue";
+    case DiskCondition::failed:
+      return "failed";
+  }
+  return "";
+}
+
 ReplicationGroup::ReplicationGroup(ReplicationOptions const& options) : impl_(std::make_unique<Impl>(options)) {}
 ReplicationGroup::~ReplicationGroup() = default;
 ReplicationGroup::ReplicationGroup(ReplicationGroup const& other) : impl_(std::make_unique<Impl>(*other.impl_)) {}
@@ -219,6 +233,22 @@
 bool ReplicationGroup::active() const { return impl_->leadership == Leadership::active && !impl_->acceptor.isFenced(); }
 bool ReplicationGroup::busy() const { return impl_->ticket.has_value(); }
 bool ReplicationGroup::unhealthy() const { return impl_->unhealthy() && !impl_->diskless; }
+
+DiskCondition ReplicationGroup::diskCondition() const {
+  if (impl_->diskless) {
+    return DiskCondition::none;
+  }
+  if (impl_->storageUnusable) {
+    return DiskCondition::failed;
+  }
+  return impl_->writeOverdue() ? DiskCondition::overdue : DiskCondition::usable;
+}
+
+bool ReplicationGroup::canVote(TimePoint now, std::string const& witness) const {
+  return witness == impl_->self.id ? !impl_->unhealthy()
+                                   : impl_->detector.isAlive(now, witness, impl_->options.witnessGoneMs);
+}
+
 ShutdownProgress ReplicationGroup::shutdownProgress() const { return impl_->shutdownProgress(); }
 bool ReplicationGroup::mayShutDown() const {
   ShutdownProgress const progress = shutdownProgress();
--- a/libs/replication/src/replication_group_impl.h
+++ b/libs/replication/src/replication_group_impl.h
@@ -6,6 +6,7 @@
 #include "leadership_confirmation.h"
 #include "membership_planner.h"
 #include "replicator.h"
+#include "vote_monitor.h"
 
 #include "limeramp/messages/state_digest.h"
 #include "limeramp/replication/replication_group.h"
@@ -65,6 +66,8 @@
   std::uint64_t fencePersist = 0;
   TimePoint yieldUntil{};
   EpochProposal proposal;
+  /// What was reported of missing votes; it takes no part in any decision, so the digest leaves it out.
+  VoteMonitor voteMonitor;
 
   void on(Start const& event);
   void on(KnownMembers const& event);
@@ -88,9 +91,8 @@
   template <typename Other>
   void onMessage(std::string const&, Other const&) {}
 
-  bool unhealthy() const {
-    return storageUnusable || (!persisting.empty() && now - persisting.begin()->second >= options.diskSlowMs);
-  }
+  bool writeOverdue() const { return !persisting.empty() && now - persisting.begin()->second >= options.diskSlowMs; }
+  bool unhealthy() const { return storageUnusable || writeOverdue(); }
   bool shuttingDown() const { return shutdownRequestedAt.has_value(); }
   bool isPrimary() const { return acceptor.decided.epoch > 0 && acceptor.decided.primary == self.id; }
   bool isBackup() const { return acceptor.decided.epoch > 0 && isOf(acceptor.decided.backups, self.id); }
@@ -119,6 +121,8 @@
   void fenceSelf();
   void beginMembershipChange();
   void sendLeadershipSyncs();
+  void report(std::optional<LogEntry> const& entry);
+  void reportMissingVotes();
   bool witnessesNeedChange() const;
   bool partnersAlive() const;
   void sendFencedSyncs();
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -141,7 +141,8 @@
   std::uint64_t generation = 0;
   std::uint64_t serial = 0;
   std::size_t end = 0;
-  bool broken = false;
+  /// Why a write failed: nothing more is written then. Empty while all is well.
+  std::string writeFailure;
 
   ~Impl() {
     closeFiles();
@@ -331,14 +332,14 @@
 std::map<std::string, std::string> const& RecordStore::values() const { return impl_->values; }
 
 absl::Status RecordStore::put(Puts const& puts) {
-  if (impl_->broken) {
-    return absl::FailedPreconditionError("an earlier write failed");
+  if (!impl_->writeFailure.empty()) {
+    return absl::FailedPreconditionError("an earlier write failed: " + impl_->writeFailure);
   }
   if (impl_->findings.damaged) {
     return absl::DataLossError("the store is damaged");
   }
   absl::Status status = impl_->put(puts);
-  impl_->broken = !status.ok();
+  impl_->writeFailure = std::string(status.message());
   return status;
 }
 
@@ -356,7 +357,7 @@
   impl_->generation = impl_->serial = 0;
   impl_->end = 0;
   impl_->current = 0;
-  impl_->broken = false;
+  impl_->writeFailure.clear();
   return impl_->openFiles();
 }
 
--- a/tests/replication_parts_test.cpp
+++ b/tests/replication_parts_test.cpp
@@ -5,6 +5,7 @@
 #include "leadership_confirmation.h"
 #include "membership_planner.h"
 #include "replicator.h"
+#include "vote_monitor.h"
 
 #include <gtest/gtest.h>
 
@@ -163,4 +164,38 @@
   EXPECT_FALSE(planner().repairWanted(planner().preferred()));
 }
 
+TEST(VoteMonitor, ReportsAMissingVoteOnceAndItsReturnOnce) {
+  VoteMonitor monitor;
+  EXPECT_FALSE(monitor.witnessesChecked({}));
+  std::optional<LogEntry> const missing = monitor.witnessesChecked({"h1"});
+  ASSERT_TRUE(missing);
+  EXPECT_EQ(missing->event, logging::Event::votesMissing);
+  EXPECT_EQ(missing->about, "h1");
+  EXPECT_FALSE(monitor.witnessesChecked({"h1"}));
+  std::optional<LogEntry> const complete = monitor.witnessesChecked({});
+  ASSERT_TRUE(complete);
+  EXPECT_EQ(complete->event, logging::Event::votesComplete);
+  EXPECT_FALSE(monitor.witnessesChecked({}));
+}
+
+TEST(VoteMonitor, NamesTheVotersThatDoNotAnswerTheBallotsOfAnEpoch) {
+  VoteMonitor monitor;
+  EpochProposal proposal;
+  proposal.voters = {"h0", "h1", "h2"};
+  proposal.grantedBy = {"h0"};
+  EXPECT_FALSE(monitor.ballotLost(proposal, 3, 2));
+  EXPECT_FALSE(monitor.ballotLost(proposal, 3, 2));
+  std::optional<LogEntry> const stalled = monitor.ballotLost(proposal, 3, 2);
+  ASSERT_TRUE(stalled);
+  EXPECT_EQ(stalled->event, logging::Event::epochChangeStalled);
+  EXPECT_EQ(stalled->about, "3 votes 1 of 2 needed, none from h1 h2");
+  std::size_t repeated = 0;
+  for (int ballot = 0; ballot < 40; ++ballot) {
+    repeated += monitor.ballotLost(proposal, 3, 2) ? 1 : 0;
+  }
+  EXPECT_EQ(repeated, 2u);
+  monitor.epochDecided();
+  EXPECT_FALSE(monitor.ballotLost(proposal, 4, 2));
+}
+
 }  // namespace
