--- a/test_support/simulator/replication_simulation.cpp
+++ b/test_support/simulator/replication_simulation.cpp
@@ -25,6 +25,7 @@
   node.up = true;
   node.frozen = false;
   node.diskStuck = false;
+  node.storeFailed = false;
   node.thawWork.clear();
   node.unsynced.clear();
   ++node.life;
@@ -34,7 +35,7 @@
 
 void ReplicationSimulation::kill(std::size_t index, bool powerLoss) {
   SimulatedMember& node = nodes[index];
-  if (!powerLoss) {
+  if (!powerLoss && !node.diskFull && !node.storeFailed) {
     for (std::pair<std::uint64_t, replication::Puts> const& pending : node.unsynced) {
       for (std::pair<std::string, std::string> const& put : pending.second) {
         node.disk[put.first] = put.second;
@@ -160,14 +161,7 @@
       while (!node.unsynced.empty() && node.unsynced.front().first <= token) {
         std::pair<std::uint64_t, replication::Puts> const done = std::move(node.unsynced.front());
         node.unsynced.erase(node.unsynced.begin());
-        for (std::pair<std::string, std::string> const& put : done.second) {
-          node.disk[put.first] = put.second;
-        }
-        if (node.frozen) {
-          node.thawWork.push_back([this, index, done] { step(index, replication::PersistFinished{done.first, true}); });
-        } else {
-          step(index, replication::PersistFinished{done.first, true});
-        }
+        finishWrite(index, done.first, done.second);
         if (node.life != life) {
           return;
         }
@@ -192,6 +186,24 @@
   }
 }
 
+void ReplicationSimulation::finishWrite(std::size_t index, std::uint64_t token, replication::Puts const& puts) {
+  SimulatedMember& node = nodes[index];
+  bool const good = !node.diskFull && !node.storeFailed;
+  // Of a write that fails because of the disk nobody knows whether it is on it.
+  if (good || (!node.storeFailed && network.chance(0.5))) {
+    for (std::pair<std::string, std::string> const& put : puts) {
+      node.disk[put.first] = put.second;
+    }
+  }
+  node.storeFailed = !good;
+  replication::PersistFinished const finished{token, good};
+  if (node.frozen) {
+    node.thawWork.push_back([this, index, finished] { step(index, finished); });
+  } else {
+    step(index, finished);
+  }
+}
+
 std::string ReplicationSimulation::forceNewGroup(std::size_t index, messages::State const& state,
                                                  std::string const& fleet) {
   refusal_ = "no answer";
--- a/test_support/simulator/replication_simulation.h
+++ b/test_support/simulator/replication_simulation.h
@@ -22,6 +22,10 @@
   bool mayFound = true;
   bool frozen = false;
   bool diskStuck = false;
+  /// The disk refuses every write: a fault of the machine, so it outlasts the process.
+  bool diskFull = false;
+  /// A write of this process failed, so its store takes no more, as storage::RecordStore does.
+  bool storeFailed = false;
   std::vector<std::function<void()>> thawWork;
   std::string word;
 };
@@ -56,6 +60,7 @@
 
  private:
   void step(std::size_t index, replication::GroupEvent const& event);
+  void finishWrite(std::size_t index, std::uint64_t token, replication::Puts const& puts);
   void carry(std::size_t index, replication::GroupEffect const& effect);
   void tick(std::size_t index, std::uint64_t life);
   void witness(std::size_t index, messages::State const& state, std::string const& what);
--- a/tests/second_loss_test.cpp
+++ b/tests/second_loss_test.cpp
@@ -55,6 +55,14 @@
   return group.commits > before;
 }
 
+// Changes come all the while, as on a busy day.
+void commitFor(ReplicationSimulation& group, Ms time) {
+  for (Ms passed{0}; passed < time; passed += Ms(100)) {
+    group.run(Ms(100));
+    group.offer();
+  }
+}
+
 std::optional<Ms> untilRedundant(ReplicationSimulation& group, std::size_t losses, Ms within) {
   TimePoint const from = group.network.now();
   while (!fullyRedundant(group, losses)) {
@@ -297,4 +305,41 @@
   }
 }
 
+// The full disk is one loss that is over when the other comes: it counts for `lossCountsFor` after it has room again.
+TEST(SecondLoss, AfterADiskThatWasFullForAWhileLeavesTheConfigurationReadable) {
+  constexpr Ms fullFor{4500};
+  constexpr Ms downFor{1400};
+  for (std::size_t const losses : {1u, 2u}) {
+    std::size_t const machines = 2 * losses + 1;
+    for (std::size_t full = 0; full < machines; ++full) {
+      for (std::size_t wiped = 0; wiped < machines; ++wiped) {
+        for (std::uint64_t seed = 1; seed <= 6 && full != wiped; ++seed) {
+          SCOPED_TRACE(testing::Message()
+                       << losses << " losses, full " << full << ", wiped " << wiped << ", seed " << seed);
+          ReplicationSimulation group = groupAtFullStrength(seed, machines, losses);
+          std::vector<std::size_t> const duties = byDuty(group);
+          group.nodes[duties[full]].diskFull = true;
+          commitFor(group, fullFor);
+          group.nodes[duties[full]].diskFull = false;
+          commitFor(group, lossCountsFor);
+          group.wipeInPlace(duties[wiped]);
+          for (std::size_t more = 1; more < losses; ++more) {
+            std::size_t const other =
+                (wiped + more) % machines == full ? (full + 1) % machines : (wiped + more) % machines;
+            group.wipeInPlace(duties[other]);
+          }
+          group.run(downFor);
+          for (std::size_t index = 0; index < machines; ++index) {
+            if (!group.nodes[index].up) {
+              group.start(index);
+            }
+          }
+          EXPECT_TRUE(commits(group, serveAgainWithin));
+          EXPECT_EQ(group.complaints, std::vector<std::string>{});
+        }
+      }
+    }
+  }
+}
+
 }  // namespace
