A member whose disk was full takes part again once its disk has room

Callers saw: an acknowledged configuration could not be read back (CONFIG). On a deployment with three machines that have a disk, one disk was full for some seconds; a minute later another machine lost its disk, and no change and no read was answered any more.

Cause: a write that failed shut the member out for as long as its process lived. ReplicationGroup::storageUnusable and RecordStore's flag were set and never cleared, so the member's vote was missing long after its disk was good again. The class is a passing fault that is kept as a lasting state: it uses up the loss to be borne, and nobody is told.

Change: each second a member whose write failed writes vote and state anew, in one record, into another ring file than that of the last synced values (RecordStore::rewrite); once synced it is what a restart would make of it. Until then the store refuses every record. DiskWriter keeps that order also where the queue has no place. An epoch that is learnt meanwhile ends the vote on it (before, the vote stayed beside the new epoch, without effect only because the member never voted again). A failed write of any record of that disk counts, and the list of members is written again after one.

The simulators' and the explorer's disks refuse writes now.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -17,7 +17,6 @@
 constexpr std::size_t maxInboundMessages = 8'192;
 /// Of the inbound messages' places, those that requests leave to the controller's own.
 constexpr std::size_t slotsReservedForOwn = 4'096;
-constexpr std::size_t maxDiskJobs = 1'024;
 constexpr std::size_t maxRequestBytes = 4 << 20;
 /// Kept back from the grace time for closing the listeners and the disk.
 constexpr Ms closingMs{600};
@@ -75,11 +74,10 @@
       id(identity.id),
       mayFound(identity.mayFound),
       founders(identity.founders),
-      store(std::move(storeIn)),
       client(network, {}),
       peerLink(network, identity.id, settingsIn.advertise),
       inboundMessages(maxInboundMessages),
-      diskJobs(maxDiskJobs),
+      diskWriter(std::move(storeIn), [this](DiskDone done) { inboundMessages.push(std::move(done)); }),
       group(replication::optionsFor(settingsIn.machineLosses)),
       service(ConfigServiceOptions{}, identity.id, schemaIn),
       views({},
@@ -150,10 +148,6 @@
     if (impl_->core.joinable()) {
       impl_->core.join();
     }
-    impl_->diskJobs.close();
-    if (impl_->disk.joinable()) {
-      impl_->disk.join();
-    }
     impl_->network.stop();
   }
 }
--- a/libs/control/src/control_server_impl.h
+++ b/libs/control/src/control_server_impl.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "disk_writer.h"
+
 #include "limeramp/control/config_service.h"
 #include "limeramp/control/control_server.h"
 #include "limeramp/control/order_forwarder.h"
@@ -29,13 +31,6 @@
   Clock::time_point arrivedAt = Clock::now();
 };
 
-/// What came of writing to the disk.
-struct DiskDone {
-  std::uint64_t token = 0;
-  bool good = false;
-  std::string reason;
-};
-
 /// Asks the controller to hand its duties over.
 struct DrainRequested {};
 
@@ -50,12 +45,6 @@
 using InboundMessage =
     std::variant<Incoming, DiskDone, ForwardFinished, ProbeFinished, DrainRequested, FollowSettings, ReloadRequested>;
 
-/// Records that are to be made safe on the disk.
-struct DiskJob {
-  std::uint64_t token = 0;
-  storage::Puts puts;
-};
-
 /// An operator's order to force a new group, while the configuration for it is being fetched.
 struct PendingForcedGroup {
   /// The node that holds the configuration.
@@ -79,8 +68,8 @@
   std::vector<std::string> founders;
 };
 
-/// All of a controller. Its members belong to the thread of the event loop, but for the rings, `store`, which the
-/// disk's thread writes, and what `shutdownMutex` guards.
+/// All of a controller. Its members belong to the thread of the event loop, but for the ring of inbound messages and
+/// what `shutdownMutex` guards.
 ///
 /// The functions stand by job in event_loop.cpp, state_machines.cpp, operator_calls.cpp, force_new_group.cpp and
 /// status_pages.cpp.
@@ -95,7 +84,6 @@
 
   // The loops: event_loop.cpp.
   void runEventLoop();
-  void runDisk();
   void tick();
   void restoreMembers();
   void storeMembers(std::vector<replication::Member> const& members);
@@ -140,23 +128,22 @@
   std::string id;
   bool mayFound = false;
   std::vector<std::string> founders;
-  std::unique_ptr<storage::RecordStore> store;
   net::Network network;
   net::HttpClient client;
   node::PeerLink peerLink;
   net::Ring<InboundMessage> inboundMessages;
-  net::Ring<DiskJob> diskJobs;
+  DiskWriter diskWriter;
   replication::ReplicationGroup group;
   ConfigService service;
   distribution::PeerViews views;
   node::Listeners listeners;
   std::thread core;
-  std::thread disk;
   OrderForwarder forwarder;
   std::unordered_map<std::uint64_t, WaitingCall> waitingCalls;
   std::uint64_t lastTicket = 0;
   /// Whether a message came from a fleet that was founded while this controller knows none.
   bool fleetElsewhere = false;
+  /// The members as they were last handed to the disk; empty if that write failed, so that they are written again.
   std::string keptMembers;
   Clock::time_point startedAt = Clock::now();
   bool draining = false;
--- a/libs/control/src/event_loop.cpp
+++ b/libs/control/src/event_loop.cpp
@@ -18,14 +18,13 @@
 }  // namespace
 
 void ControlServer::Impl::runEventLoop() {
-  replication::Start start{
-      {id, settings.advertise, settings.zone}, {}, net::randomUint64(), store == nullptr, founders};
-  if (store != nullptr) {
-    start.stored = store->values();
-  }
-  stepGroup(start);
+  stepGroup(replication::Start{{id, settings.advertise, settings.zone},
+                               diskWriter.storedAtStart(),
+                               net::randomUint64(),
+                               !diskWriter.keepsRecords(),
+                               founders});
   restoreMembers();
-  disk = std::thread([this] { runDisk(); });
+  diskWriter.start();
   Clock::time_point nextTick = Clock::now();
   while (!inboundMessages.closed()) {
     std::optional<InboundMessage> inbound = inboundMessages.popUntil(nextTick);
@@ -84,25 +83,20 @@
   graceMs = settings.graceMs;
 }
 
-void ControlServer::Impl::runDisk() {
-  while (std::optional<DiskJob> job = diskJobs.pop()) {
-    absl::Status const status = store == nullptr ? absl::OkStatus() : store->put(job->puts);
-    inboundMessages.push(DiskDone{job->token, status.ok(), std::string(status.message())});
-  }
-}
-
 void ControlServer::Impl::on(DiskDone& inbound) {
   if (!inbound.good) {
     logging::raise(logging::Event::diskFailed, {{"reason", inbound.reason}});
+    keptMembers.clear();
   }
   stepGroup(replication::PersistFinished{inbound.token, inbound.good});
 }
 
 void ControlServer::Impl::restoreMembers() {
-  if (store == nullptr || !store->values().contains(membersKey)) {
+  std::map<std::string, std::string> const& records = diskWriter.storedAtStart();
+  if (!records.contains(membersKey)) {
     return;
   }
-  absl::StatusOr<messages::Shuffle> const stored = messages::unpack<messages::Shuffle>(store->values().at(membersKey));
+  absl::StatusOr<messages::Shuffle> const stored = messages::unpack<messages::Shuffle>(records.at(membersKey));
   replication::KnownMembers known;
   if (stored.ok() && group.decided().epoch > 0) {
     for (messages::Peer const& peer : stored->peers) {
@@ -120,8 +114,9 @@
     }
   }
   std::string const packed = messages::pack(kept);
-  if (store != nullptr && !members.empty() && packed != keptMembers && diskJobs.tryPush({0, {{membersKey, packed}}})) {
+  if (!group.unhealthy() && diskWriter.keepsRecords() && !members.empty() && packed != keptMembers) {
     keptMembers = packed;
+    diskWriter.write({0, {{membersKey, packed}}});
   }
 }
 
--- a/libs/control/src/state_machines.cpp
+++ b/libs/control/src/state_machines.cpp
@@ -64,9 +64,7 @@
 }
 
 void ControlServer::Impl::persist(replication::Persist const& effect) {
-  if (!diskJobs.tryPush({effect.token, effect.puts})) {
-    inboundMessages.push(DiskDone{effect.token, false, "the disk's queue is full"});
-  }
+  diskWriter.write({effect.token, effect.puts, effect.rewrite});
 }
 
 void ControlServer::Impl::apply(OrderOutcome const& decided) {
--- a/libs/logging/include/limeramp/logging/logging.h
+++ b/libs/logging/include/limeramp/logging/logging.h
@@ -49,6 +49,7 @@
   diskFailed = 510,
   diskDamaged = 511,
   diskTailTruncated = 512,
+  diskRecovered = 513,
   votesComplete = 520,
   messageDropped = 600,
   peerUnexpected = 601,
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -10,7 +10,7 @@
 namespace limeramp::logging {
 namespace {
 
-constexpr std::array<EventInfo, 40> events{{
+constexpr std::array<EventInfo, 41> events{{
     {Event::processStarted, Level::info, "process_started", "the process read its settings and begins its duties"},
     {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
     {Event::settingsRefused, Level::error, "settings_refused",
@@ -67,6 +67,8 @@
     {Event::diskFailed, Level::error, "disk_failed", "a write or sync failed or took too long; the replica steps down"},
     {Event::diskDamaged, Level::error, "disk_damaged", "stored records are damaged and will not be served"},
     {Event::diskTailTruncated, Level::warning, "disk_tail_cut", "an unfinished last record was cut at start"},
+    {Event::diskRecovered, Level::info, "disk_recovered",
+     "after a failed write all records were written anew and synced; the replica takes part again"},
     {Event::votesComplete, Level::info, "votes_complete", "all witnesses of the epoch can vote again"},
     {Event::messageDropped, Level::debug, "message_dropped",
      "retired, no longer raised: a message to a peer was dropped because its queue was full or the peer is gone"},
--- a/libs/replication/include/limeramp/replication/replication_group.h
+++ b/libs/replication/include/limeramp/replication/replication_group.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds spreadMs{5000};
   /// A write that takes longer makes the member unhealthy.
   std::chrono::milliseconds diskSlowMs{1000};
+  /// A member whose write failed writes all that it keeps anew after this time, and again until it succeeds.
+  std::chrono::milliseconds diskRetryMs{1000};
   /// At the first start founders begin one after another, at this interval.
   std::chrono::milliseconds founderStaggerMs{700};
   std::chrono::milliseconds successorStaggerMs{500};
@@ -90,7 +92,8 @@
   std::string address;
   messages::Message message;
 };
-/// What came of a Persist. Not good: the disk is not used any more.
+/// What came of a Persist, or of another write to the same disk (token 0). Not good: the member steps down and takes no
+/// part until it has written all that it keeps anew.
 struct PersistFinished {
   std::uint64_t token = 0;
   bool good = false;
@@ -120,10 +123,13 @@
   std::string address;
   messages::Message message;
 };
-/// Sync these values to the disk, in the order of the tokens, and answer with PersistFinished.
+/// Sync these values to the disk, in the order of the tokens, and answer with PersistFinished. After a write that
+/// failed, all are refused until one with `rewrite` has succeeded.
 struct Persist {
   std::uint64_t token = 0;
   Puts puts;
+  /// Write these together with all values that were synced before, apart from where those stand.
+  bool rewrite = false;
 };
 /// The proposal is on the disks of the primary and of all backups.
 struct Committed {
--- a/libs/replication/src/founding.cpp
+++ b/libs/replication/src/founding.cpp
@@ -45,7 +45,7 @@
 void ReplicationGroup::Impl::on(ForceNewGroup const& event) {
   std::string refusal;
   std::vector<std::string> const backups = planner().backupsFor(self.id);
-  if (storageUnusable || shuttingDown()) {
+  if (storageUnusable() || shuttingDown()) {
     refusal = "this controller's disk failed, or it is ending";
   } else if (acceptor.decided.epoch > 0 && event.fleet != acceptor.decided.fleet) {
     refusal = "this controller is of another fleet";
--- a/libs/replication/src/replication_group.cpp
+++ b/libs/replication/src/replication_group.cpp
@@ -33,15 +33,16 @@
   std::map<std::string, std::string>::const_iterator const schema = stored.find(key + "-schema");
   absl::StatusOr<T> read =
       schema == stored.end() ? messages::unpack<T>(found->second) : messages::unpack<T>(found->second, schema->second);
-  storageUnusable = storageUnusable || !read.ok();
+  storage = read.ok() ? storage : StorageState::unreadable;
   if (read.ok()) {
     value = *std::move(read);
   }
 }
 
-std::uint64_t ReplicationGroup::Impl::persist(bool withVote, bool withState, std::vector<GroupEffect> then) {
+std::uint64_t ReplicationGroup::Impl::persist(bool withVote, bool withState, std::vector<GroupEffect> then,
+                                              bool rewrite) {
   std::uint64_t const token = ++lastPersist;
-  Persist effect{token, {}};
+  Persist effect{token, {}, rewrite};
   if (withVote) {
     store("vote", acceptor, effect.puts);
   }
@@ -69,14 +70,13 @@
   founders = event.founders;
   std::sort(founders.begin(), founders.end());
   founders.erase(std::unique(founders.begin(), founders.end()), founders.end());
-  diskless = event.diskless;
-  if (diskless) {
-    storageUnusable = true;
+  if (event.diskless) {
+    storage = StorageState::none;
     return;
   }
   restore("vote", event.stored, acceptor);
   restore("state", event.stored, state);
-  if (storageUnusable) {
+  if (storageUnusable()) {
     effects.emplace_back(LogEntry{logging::Event::diskDamaged, "stored records do not read"});
     return;
   }
@@ -97,36 +97,46 @@
   Member& sender = detector.members()[event.from].member;
   sender.id = event.from;
   sender.address = event.address;
-  if (!storageUnusable) {
+  if (storageUnusable()) {
+    recordHeartbeatOnly(event.from, event.message);
+  } else {
     std::visit([&](auto const& concrete) { onMessage(event.from, concrete); }, event.message);
-  } else if (messages::Heartbeat const* const heartbeat = std::get_if<messages::Heartbeat>(&event.message)) {
-    detector.recordHeartbeat(now, event.from, *heartbeat);
-    bool const known = acceptor.decided.epoch == 0 || heartbeat->decided.fleet == acceptor.decided.fleet;
-    bool const later = heartbeat->decided.epoch > acceptor.decided.epoch && known;
-    acceptor.decided = later ? heartbeat->decided : acceptor.decided;
+  }
+}
+
+// Without a usable disk the member only learns who leads, so that it can say so, and who is there.
+void ReplicationGroup::Impl::recordHeartbeatOnly(std::string const& from, messages::Message const& message) {
+  messages::Heartbeat const* const heartbeat = std::get_if<messages::Heartbeat>(&message);
+  if (heartbeat == nullptr) {
+    return;
+  }
+  detector.recordHeartbeat(now, from, *heartbeat);
+  bool const known = acceptor.decided.epoch == 0 || heartbeat->decided.fleet == acceptor.decided.fleet;
+  if (known && heartbeat->decided.epoch > acceptor.decided.epoch) {
+    acceptor.adopt(heartbeat->decided);
+    epochStableSince = now;
   }
 }
 
 void ReplicationGroup::Impl::on(PersistFinished const& event) {
   std::map<std::uint64_t, std::vector<GroupEffect>>::iterator const found = afterPersist.find(event.token);
-  if (found == afterPersist.end()) {
-    return;
+  bool const own = found != afterPersist.end();
+  std::vector<GroupEffect> const then = own ? std::move(found->second) : std::vector<GroupEffect>{};
+  std::uint64_t const epochOnDisk = own ? persistedEpochs[event.token] : 0;
+  if (own) {
+    afterPersist.erase(found);
+    persisting.erase(event.token);
+    persistedEpochs.erase(event.token);
   }
-  std::vector<GroupEffect> const then = std::move(found->second);
-  afterPersist.erase(found);
-  persisting.erase(event.token);
-  std::uint64_t const epochOnDisk = persistedEpochs[event.token];
-  persistedEpochs.erase(event.token);
   if (!event.good) {
-    if (!storageUnusable) {
-      storageUnusable = true;
-      effects.emplace_back(LogEntry{logging::Event::diskFailed, "a write or sync failed"});
-      endLeadership();
-      proposal = {};
-    }
+    onWriteFailed(event.token);
     return;
   }
-  if (storageUnusable) {
+  if (event.token == rewriteToken) {
+    onRewritten(epochOnDisk);
+    return;
+  }
+  if (!own || storageUnusable()) {
     return;
   }
   if (epochOnDisk > storedEpoch) {
@@ -145,9 +155,51 @@
   }
 }
 
+// What the failed write held is in memory; it is not known whether it is on the disk. Nothing that depends on it has
+// been said to anybody.
+void ReplicationGroup::Impl::onWriteFailed(std::uint64_t token) {
+  if (storage == StorageState::usable) {
+    storage = StorageState::failed;
+    effects.emplace_back(LogEntry{logging::Event::diskFailed, "a write or sync failed"});
+    endLeadership();
+    proposal = {};
+    membershipChangeDue = false;
+    rewriteAt = now + options.diskRetryMs;
+  } else if (token == rewriteToken) {
+    rewriteToken.reset();
+    rewriteAt = now + options.diskRetryMs;
+  }
+}
+
+// Everything is written anew, not only what failed: the store takes single values again only once it holds all that
+// this member has promised, given up and confirmed.
+void ReplicationGroup::Impl::rewriteWhenDue() {
+  if (storage != StorageState::failed || rewriteToken || !persisting.empty() || now < rewriteAt) {
+    return;
+  }
+  schemasStored.clear();
+  rewriteToken = persist(true, true, {}, true);
+}
+
+// From here on the member is what a restart with this disk would make of it. An epoch that was learnt during the write
+// is stored on its own.
+void ReplicationGroup::Impl::onRewritten(std::uint64_t epochOnDisk) {
+  rewriteToken.reset();
+  storage = StorageState::usable;
+  storedEpoch = std::max(storedEpoch, epochOnDisk);
+  highestRound = std::max(highestRound, acceptor.highestRound());
+  effects.emplace_back(LogEntry{logging::Event::diskRecovered, "vote and state are written anew"});
+  if (acceptor.decided.epoch > epochOnDisk) {
+    persist(true, false, {});
+  }
+  beginLeadership();
+  heartbeatAll();
+}
+
 void ReplicationGroup::Impl::on(Tick const&) {
   heartbeat();
-  if (storageUnusable) {
+  if (storageUnusable()) {
+    rewriteWhenDue();
     return;
   }
   if (acceptor.decided.epoch == 0) {
@@ -232,13 +284,13 @@
 
 bool ReplicationGroup::active() const { return impl_->leadership == Leadership::active && !impl_->acceptor.isFenced(); }
 bool ReplicationGroup::busy() const { return impl_->ticket.has_value(); }
-bool ReplicationGroup::unhealthy() const { return impl_->unhealthy() && !impl_->diskless; }
+bool ReplicationGroup::unhealthy() const { return impl_->unhealthy() && impl_->storage != StorageState::none; }
 
 DiskCondition ReplicationGroup::diskCondition() const {
-  if (impl_->diskless) {
+  if (impl_->storage == StorageState::none) {
     return DiskCondition::none;
   }
-  if (impl_->storageUnusable) {
+  if (impl_->storageUnusable()) {
     return DiskCondition::failed;
   }
   return impl_->writeOverdue() ? DiskCondition::overdue : DiskCondition::usable;
@@ -282,8 +334,9 @@
   Impl const& impl = *impl_;
   messages::StateDigest digest(now, impl.options.spreadMs);
   digest.add(impl.started);
-  digest.add(impl.storageUnusable);
-  digest.add(impl.diskless);
+  digest.add(impl.storage);
+  digest.addDeadline(impl.rewriteAt);
+  digest.add(impl.rewriteToken.has_value());
   digest.add(impl.shuttingDown());
   digest.add(impl.shutdownRequestedAt.value_or(TimePoint{}));
   digest.add(impl.storedEpoch);
--- a/libs/replication/src/replication_group_impl.h
+++ b/libs/replication/src/replication_group_impl.h
@@ -27,6 +27,17 @@
 /// Whether this member leads its epoch: joining until all backups have synced its state under the epoch.
 enum class Leadership { none, joining, active };
 
+/// Whether the member may use its disk. Only a member with a usable one votes, replicates or confirms anything.
+enum class StorageState {
+  usable,
+  /// A write failed. What the member holds in memory is complete, so it can be written anew.
+  failed,
+  /// The stored records do not read: the member does not know what it promised, and stays out for good.
+  unreadable,
+  /// There is no disk.
+  none,
+};
+
 /// Binds the parts of a member together: acceptor, failure detector, membership planner, replicator, leadership
 /// confirmation and the proposal of the next epoch. replication_group.cpp has the events and the disk,
 /// state_transfer.cpp the replication of states, epoch_change.cpp proposals and ballots, heartbeats.cpp the heartbeats,
@@ -38,8 +49,7 @@
   TimePoint now{};
   std::vector<GroupEffect> effects;
   bool started = false;
-  bool storageUnusable = false;
-  bool diskless = false;
+  StorageState storage = StorageState::usable;
   std::optional<TimePoint> shutdownRequestedAt;
   std::uint64_t storedEpoch = 0;
   Member self;
@@ -58,6 +68,9 @@
   std::map<std::uint64_t, TimePoint> persisting;
   std::map<std::uint64_t, std::uint64_t> persistedEpochs;
   std::set<std::string> schemasStored;
+  /// After a failed write: when all is written anew, and the token of that write while it is under way.
+  TimePoint rewriteAt{};
+  std::optional<std::uint64_t> rewriteToken;
   Leadership leadership = Leadership::none;
   Replicator replicator;
   bool membershipChangeDue = false;
@@ -92,7 +105,8 @@
   void onMessage(std::string const&, Other const&) {}
 
   bool writeOverdue() const { return !persisting.empty() && now - persisting.begin()->second >= options.diskSlowMs; }
-  bool unhealthy() const { return storageUnusable || writeOverdue(); }
+  bool storageUnusable() const { return storage != StorageState::usable; }
+  bool unhealthy() const { return storageUnusable() || writeOverdue(); }
   bool shuttingDown() const { return shutdownRequestedAt.has_value(); }
   bool isPrimary() const { return acceptor.decided.epoch > 0 && acceptor.decided.primary == self.id; }
   bool isBackup() const { return acceptor.decided.epoch > 0 && isOf(acceptor.decided.backups, self.id); }
@@ -111,7 +125,11 @@
   void store(std::string const& key, T const& value, Puts& puts);
   template <typename T>
   void restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value);
-  std::uint64_t persist(bool withVote, bool withState, std::vector<GroupEffect> then);
+  std::uint64_t persist(bool withVote, bool withState, std::vector<GroupEffect> then, bool rewrite = false);
+  void onWriteFailed(std::uint64_t token);
+  void rewriteWhenDue();
+  void onRewritten(std::uint64_t epochOnDisk);
+  void recordHeartbeatOnly(std::string const& from, messages::Message const& message);
   void adoptEpoch(messages::EpochRecord const& record, bool withState = false);
   void beginLeadership();
   void endLeadership();
--- a/libs/replication/src/shutdown.cpp
+++ b/libs/replication/src/shutdown.cpp
@@ -20,7 +20,7 @@
   if (!shuttingDown()) {
     return ShutdownProgress::notRequested;
   }
-  if (storageUnusable || acceptor.decided.epoch == 0) {
+  if (storageUnusable() || acceptor.decided.epoch == 0) {
     return ShutdownProgress::done;
   }
   if (now - *shutdownRequestedAt >= options.shutdownGraceMs) {
--- a/libs/storage/include/limeramp/storage/record_store.h
+++ b/libs/storage/include/limeramp/storage/record_store.h
@@ -22,6 +22,7 @@
 
 /// Number and size of the files. All are written in full when the store is made.
 struct RingLayout {
+  /// Two at least: the newest values are never written over the file that holds the last synced ones.
   std::size_t files = 4;
   std::size_t fileBytes = 16 << 20;
 };
@@ -50,8 +51,13 @@
   Findings const& findings() const;
   /// All current values.
   std::map<std::string, std::string> const& values() const;
-  /// Returns once the values are synced. After an error nothing more may be put: what is on the disk is unknown.
+  /// Returns once the values are synced. After an error it is unknown whether they are on the disk, and every further
+  /// put is refused until `rewrite` has succeeded: a later record must not be on the disk without an earlier one.
   absl::Status put(Puts const& puts);
+  /// After a failed put: writes all values and these in one record into another file than that of the last synced
+  /// values, and syncs it. Nothing that was written before the failure is relied on, or tried again in its place. Once
+  /// it has succeeded, puts are taken again; after an error it may be called again.
+  absl::Status rewrite(Puts const& puts);
   /// Renames damaged files, for inspection, and begins with an empty store.
   absl::Status setAside();
 
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -138,6 +138,8 @@
   std::vector<int> files;
   int lock = -1;
   std::size_t current = 0;
+  /// The file that holds the last synced values.
+  std::size_t syncedFile = 0;
   std::uint64_t generation = 0;
   std::uint64_t serial = 0;
   std::size_t end = 0;
@@ -231,6 +233,7 @@
           "a record before the last one of generation " + std::to_string(rottenGeneration) + " is unreadable";
       return absl::OkStatus();
     }
+    syncedFile = current;
     generation = best->generation;
     serial = best->nextSerial;
     end = best->end;
@@ -263,11 +266,14 @@
     }
     end += record.size();
     ++serial;
+    syncedFile = current;
     return absl::OkStatus();
   }
 
+  // Begins the next generation. The file after the last synced one is taken again as long as attempts fail, so that no
+  // number of them reaches the synced values.
   absl::Status rotate() {
-    current = (current + 1) % shape.files;
+    current = (syncedFile + 1) % shape.files;
     ++generation;
     serial = 0;
     end = 0;
@@ -299,6 +305,18 @@
     }
     return written;
   }
+
+  absl::Status rewrite(Puts const& puts) {
+    std::map<std::string, std::string> const synced = values;
+    for (std::pair<std::string, std::string> const& entry : puts) {
+      values[entry.first] = entry.second;
+    }
+    absl::Status written = rotate();
+    if (!written.ok()) {
+      values = synced;
+    }
+    return written;
+  }
 };
 
 RecordStore::RecordStore() : impl_(std::make_unique<Impl>()) {}
@@ -343,6 +361,15 @@
   return status;
 }
 
+absl::Status RecordStore::rewrite(Puts const& puts) {
+  if (impl_->findings.damaged) {
+    return absl::DataLossError("the store is damaged");
+  }
+  absl::Status status = impl_->rewrite(puts);
+  impl_->writeFailure = std::string(status.message());
+  return status;
+}
+
 absl::Status RecordStore::setAside() {
   impl_->closeFiles();
   std::string const suffix =
@@ -357,6 +384,7 @@
   impl_->generation = impl_->serial = 0;
   impl_->end = 0;
   impl_->current = 0;
+  impl_->syncedFile = 0;
   impl_->writeFailure.clear();
   return impl_->openFiles();
 }
--- a/test_support/explorer/action.cpp
+++ b/test_support/explorer/action.cpp
@@ -7,9 +7,9 @@
 namespace limeramp::explorer {
 namespace {
 
-constexpr std::array<char const*, 15> kindNames{"deliver", "duplicate", "drop",    "sync",  "tick",
-                                                "jump",    "crash",     "restart", "wipe",  "replace",
-                                                "cut",     "heal",      "retire",  "offer", "read"};
+constexpr std::array<char const*, 16> kindNames{"deliver", "duplicate", "drop",    "sync", "fail",    "tick",
+                                                "jump",    "crash",     "restart", "wipe", "replace", "cut",
+                                                "heal",    "retire",    "offer",   "read"};
 
 std::vector<std::string_view> split(std::string_view text, char separator) {
   std::vector<std::string_view> out;
--- a/test_support/explorer/action.h
+++ b/test_support/explorer/action.h
@@ -14,6 +14,7 @@
   duplicate,
   drop,
   sync,
+  failWrite,
   tick,
   jump,
   crash,
@@ -28,7 +29,8 @@
 };
 
 /// One step. The subject is a member's index, or the index of a packet under way for deliver, duplicate and drop. The
-/// detail is the number of unsynced writes that outlive a crash, the far side of a cut, or an operator's number.
+/// detail is the number of unsynced writes that outlive a crash, whether a write that fails is on the disk
+/// nevertheless, the far side of a cut, or an operator's number.
 struct Action {
   ActionKind kind = ActionKind::tick;
   std::uint8_t subject = 0;
--- a/test_support/explorer/scenarios.cpp
+++ b/test_support/explorer/scenarios.cpp
@@ -121,6 +121,9 @@
   std::vector<Scenario> out;
   out.push_back(scenario("changes", "three members, changes while one crashes or is silent",
                          withoutPackets(caughtUp(three)), {.offers = 2, .ticks = 4, .jumps = 1, .crashes = 1}));
+  out.push_back(scenario("disks", "three members, writes fail, are lost or kept, and one machine crashes",
+                         withoutPackets(caughtUp(three)),
+                         {.offers = 2, .ticks = 6, .jumps = 1, .crashes = 1, .writeFailures = 2}));
   out.push_back(scenario("takeover", "three members, a silent primary, syncs at once",
                          withoutPackets(caughtUp(threeAtOnce)), {.offers = 2, .ticks = 8, .jumps = 2}));
   out.push_back(
@@ -181,6 +184,18 @@
   five.maxPackets = 40;
   std::vector<Scenario> out;
   out.push_back(scenario("walk-3", "three members, all faults", caughtUp(three), mixed));
+  Budget failingDisks = mixed;
+  failingDisks.writeFailures = 12;
+  out.push_back(scenario("walk-disks", "three members, all faults, and disks that refuse writes for a while",
+                         caughtUp(three), failingDisks));
+  Budget failingDisksReplaced = replaced;
+  failingDisksReplaced.writeFailures = 12;
+  out.push_back(scenario("walk-disks-4", "the same with a spare, one replaced", caughtUp(four), failingDisksReplaced));
+  Setup rivalsWithDisks;
+  rivalsWithDisks.heartbeats = false;
+  out.push_back(scenario("walk-disks-ballots", "primary and backup propose at once while writes fail",
+                         rivalBallots(rivalsWithDisks),
+                         {.ticks = 12, .crashes = 2, .writeFailures = 4, .duplicates = 2, .drops = 4}, 80));
   out.push_back(scenario("walk-founding", "three members from the first start", World(three, {}), mixed));
   out.push_back(scenario("walk-4", "three members and a spare, one replaced", caughtUp(four), replaced));
   out.push_back(scenario("walk-5", "five members, three replicas", caughtUp(five), mixed));
--- a/test_support/explorer/world.cpp
+++ b/test_support/explorer/world.cpp
@@ -120,6 +120,8 @@
   switch (action.kind) {
     case ActionKind::sync:
       return member.up && !member.unsynced.empty();
+    case ActionKind::failWrite:
+      return member.up && !member.unsynced.empty() && budget_.writeFailures > 0;
     case ActionKind::tick:
       return member.up && budget_.ticks > 0;
     case ActionKind::jump:
@@ -166,6 +168,9 @@
           ActionKind::beginShutdown, ActionKind::wipe, ActionKind::replace}) {
       out.push_back({kind, subject, 0});
     }
+    for (std::uint8_t const onDisk : {0, 1}) {
+      out.push_back({ActionKind::failWrite, subject, onDisk});
+    }
     for (std::size_t kept = 0; kept <= members_[index]->unsynced.size(); ++kept) {
       out.push_back({ActionKind::crash, subject, static_cast<std::uint8_t>(kept)});
     }
@@ -210,6 +215,10 @@
     case ActionKind::sync:
       syncOldest(index);
       return;
+    case ActionKind::failWrite:
+      spend(budget_.writeFailures);
+      failOldest(index, action.detail != 0);
+      return;
     case ActionKind::tick:
       spend(budget_.ticks);
       now_ += hasOneClock() ? sharedTickMs : Ms(0);
--- a/test_support/explorer/world.h
+++ b/test_support/explorer/world.h
@@ -31,6 +31,7 @@
   std::size_t ticks = 0;
   std::size_t jumps = 0;
   std::size_t crashes = 0;
+  std::size_t writeFailures = 0;
   std::size_t wipes = 0;
   std::size_t replacements = 0;
   std::size_t retirements = 0;
@@ -68,11 +69,6 @@
   std::set<std::size_t> frozen{};
 };
 
-struct PendingWrite {
-  std::uint64_t token = 0;
-  replication::Puts puts;
-};
-
 /// The number of acknowledged bytes when this member's clock showed a time.
 struct AcknowledgedMark {
   TimePoint at;
@@ -90,7 +86,9 @@
   std::uint64_t life = 0;
   TimePoint clock{std::chrono::hours(1)};
   std::map<std::string, std::string> disk;
-  std::vector<PendingWrite> unsynced;
+  std::vector<replication::Persist> unsynced;
+  /// A write failed, so all are refused before a rewrite, as storage::RecordStore does.
+  bool storeFailed = false;
   replication::ReplicationGroup group{replication::ReplicationOptions{}};
   std::optional<control::ConfigService> plane;
   std::vector<AcknowledgedMark> acknowledgedMarks;
@@ -186,6 +184,7 @@
   void crash(std::size_t index, std::size_t writesKept);
   void wipe(std::size_t index, bool atNewAddress);
   void syncOldest(std::size_t index);
+  void failOldest(std::size_t index, bool onDisk);
   void tick(std::size_t index, Ms time);
   void deliver(std::size_t packet);
   void startPlane(Member& member) const;
--- a/test_support/explorer/world_digest.cpp
+++ b/test_support/explorer/world_digest.cpp
@@ -17,9 +17,11 @@
   digest.add(member.shuttingDown);
   digest.add(member.life);
   digest.add(member.disk);
-  for (PendingWrite const& write : member.unsynced) {
+  for (replication::Persist const& write : member.unsynced) {
     digest.add(write.puts);
+    digest.add(write.rewrite);
   }
+  digest.add(member.storeFailed);
   digest.add(member.up ? member.group.digest(member.clock) : 0);
   digest.add(member.plane ? member.plane->digest(member.clock) : 0);
   for (AcknowledgedMark const& mark : member.acknowledgedMarks) {
--- a/test_support/explorer/world_members.cpp
+++ b/test_support/explorer/world_members.cpp
@@ -18,12 +18,13 @@
 
 void World::crash(std::size_t index, std::size_t writesKept) {
   Member& member = change(index);
-  for (std::size_t write = 0; write < std::min(writesKept, member.unsynced.size()); ++write) {
+  for (std::size_t write = 0; write < std::min(writesKept, member.unsynced.size()) && !member.storeFailed; ++write) {
     for (std::pair<std::string, std::string> const& put : member.unsynced[write].puts) {
       member.disk[put.first] = put.second;
     }
   }
   member.unsynced.clear();
+  member.storeFailed = false;
   member.up = false;
   member.group = replication::ReplicationGroup(replication::ReplicationOptions{});
   member.plane.reset();
@@ -43,12 +44,30 @@
 
 void World::syncOldest(std::size_t index) {
   Member& member = change(index);
-  PendingWrite const write = std::move(member.unsynced.front());
+  replication::Persist const write = std::move(member.unsynced.front());
   member.unsynced.erase(member.unsynced.begin());
-  for (std::pair<std::string, std::string> const& put : write.puts) {
-    member.disk[put.first] = put.second;
+  member.storeFailed = member.storeFailed && !write.rewrite;
+  if (!member.storeFailed) {
+    for (std::pair<std::string, std::string> const& put : write.puts) {
+      member.disk[put.first] = put.second;
+    }
+  }
+  bool const good = !member.storeFailed;
+  step(index, replication::PersistFinished{write.token, good});
+}
+
+// Of a write that fails because of the disk nobody knows whether it is on it; one that the store refuses is not.
+void World::failOldest(std::size_t index, bool onDisk) {
+  Member& member = change(index);
+  replication::Persist const write = std::move(member.unsynced.front());
+  member.unsynced.erase(member.unsynced.begin());
+  if (onDisk && (write.rewrite || !member.storeFailed)) {
+    for (std::pair<std::string, std::string> const& put : write.puts) {
+      member.disk[put.first] = put.second;
+    }
   }
-  step(index, replication::PersistFinished{write.token, true});
+  member.storeFailed = true;
+  step(index, replication::PersistFinished{write.token, false});
 }
 
 void World::tick(std::size_t index, Ms time) {
@@ -129,7 +148,7 @@
     checkVote(index, message->message);
     sendTo(index, message->address, message->message);
   } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
-    change(index).unsynced.push_back({persist->token, persist->puts});
+    change(index).unsynced.push_back(*persist);
   } else if (replication::Committed const* const committed = std::get_if<replication::Committed>(&effect)) {
     changeHistory().onCommitted(members_[index]->id, committed->state);
     for (std::size_t other = 0; other < members_.size(); ++other) {
--- a/test_support/simulator/replication_simulation.cpp
+++ b/test_support/simulator/replication_simulation.cpp
@@ -36,8 +36,8 @@
 void ReplicationSimulation::kill(std::size_t index, bool powerLoss) {
   SimulatedMember& node = nodes[index];
   if (!powerLoss && !node.diskFull && !node.storeFailed) {
-    for (std::pair<std::uint64_t, replication::Puts> const& pending : node.unsynced) {
-      for (std::pair<std::string, std::string> const& put : pending.second) {
+    for (replication::Persist const& pending : node.unsynced) {
+      for (std::pair<std::string, std::string> const& put : pending.puts) {
         node.disk[put.first] = put.second;
       }
     }
@@ -151,17 +151,17 @@
       }
     }
   } else if (replication::Persist const* const persist = std::get_if<replication::Persist>(&effect)) {
-    nodes[index].unsynced.emplace_back(persist->token, persist->puts);
+    nodes[index].unsynced.push_back(*persist);
     std::uint64_t const token = persist->token;
     std::function<void()> const finish = [this, index, life, token] {
       SimulatedMember& node = nodes[index];
       if (!node.up || node.life != life || node.diskStuck) {
         return;
       }
-      while (!node.unsynced.empty() && node.unsynced.front().first <= token) {
-        std::pair<std::uint64_t, replication::Puts> const done = std::move(node.unsynced.front());
+      while (!node.unsynced.empty() && node.unsynced.front().token <= token) {
+        replication::Persist const done = std::move(node.unsynced.front());
         node.unsynced.erase(node.unsynced.begin());
-        finishWrite(index, done.first, done.second);
+        finishWrite(index, done);
         if (node.life != life) {
           return;
         }
@@ -186,17 +186,18 @@
   }
 }
 
-void ReplicationSimulation::finishWrite(std::size_t index, std::uint64_t token, replication::Puts const& puts) {
+void ReplicationSimulation::finishWrite(std::size_t index, replication::Persist const& write) {
   SimulatedMember& node = nodes[index];
-  bool const good = !node.diskFull && !node.storeFailed;
+  bool const taken = write.rewrite || !node.storeFailed;
+  bool const good = taken && !node.diskFull;
   // Of a write that fails because of the disk nobody knows whether it is on it.
-  if (good || (!node.storeFailed && network.chance(0.5))) {
-    for (std::pair<std::string, std::string> const& put : puts) {
+  if (good || (taken && network.chance(0.5))) {
+    for (std::pair<std::string, std::string> const& put : write.puts) {
       node.disk[put.first] = put.second;
     }
   }
   node.storeFailed = !good;
-  replication::PersistFinished const finished{token, good};
+  replication::PersistFinished const finished{write.token, good};
   if (node.frozen) {
     node.thawWork.push_back([this, index, finished] { step(index, finished); });
   } else {
--- a/test_support/simulator/replication_simulation.h
+++ b/test_support/simulator/replication_simulation.h
@@ -16,7 +16,7 @@
   std::string zone;
   replication::ReplicationGroup group{replication::ReplicationOptions{}};
   std::map<std::string, std::string> disk;
-  std::vector<std::pair<std::uint64_t, replication::Puts>> unsynced;
+  std::vector<replication::Persist> unsynced;
   std::uint64_t life = 0;
   bool up = false;
   bool mayFound = true;
@@ -24,7 +24,7 @@
   bool diskStuck = false;
   /// The disk refuses every write: a fault of the machine, so it outlasts the process.
   bool diskFull = false;
-  /// A write of this process failed, so its store takes no more, as storage::RecordStore does.
+  /// A write of this process failed, so its store takes no more before a rewrite, as storage::RecordStore does.
   bool storeFailed = false;
   std::vector<std::function<void()>> thawWork;
   std::string word;
@@ -60,7 +60,7 @@
 
  private:
   void step(std::size_t index, replication::GroupEvent const& event);
-  void finishWrite(std::size_t index, std::uint64_t token, replication::Puts const& puts);
+  void finishWrite(std::size_t index, replication::Persist const& write);
   void carry(std::size_t index, replication::GroupEffect const& effect);
   void tick(std::size_t index, std::uint64_t life);
   void witness(std::size_t index, messages::State const& state, std::string const& what);
--- a/tests/replication_guards_test.cpp
+++ b/tests/replication_guards_test.cpp
@@ -361,4 +361,86 @@
   }
 }
 
+// After a member's write has failed it takes no part; once its disk has room again, it is a full member.
+TEST(Guards, AWitnessWhoseDiskWasFullVotesAgain) {
+  DrivenMember member("c");
+  member.learn(firstEpoch(), "a");
+  member.diskFull = true;
+  member.receive("b", messages::Prepare{firstEpoch(), {5, "b"}});
+  EXPECT_EQ(member.lastSent<messages::PrepareResponse>("b"), nullptr);
+  EXPECT_EQ(member.group.diskCondition(), replication::DiskCondition::failed);
+  member.pass(Ms(4500), {"a", "b"});
+  EXPECT_TRUE(member.group.unhealthy()) << "the disk is still full";
+  member.receive("b", messages::Prepare{firstEpoch(), {6, "b"}});
+  EXPECT_EQ(member.lastSent<messages::PrepareResponse>("b"), nullptr);
+  member.diskFull = false;
+  member.pass(replication::ReplicationOptions{}.diskRetryMs + Ms(100), {"a", "b"});
+  EXPECT_FALSE(member.group.unhealthy());
+  EXPECT_FALSE(member.lastSent<messages::Heartbeat>("a")->unhealthy);
+  member.receive("b", messages::Prepare{firstEpoch(), {7, "b"}});
+  messages::PrepareResponse const* const answer = member.lastSent<messages::PrepareResponse>("b");
+  ASSERT_NE(answer, nullptr);
+  EXPECT_TRUE(answer->granted);
+}
+
+// A lower ballot than the one that was promised in the failed write is refused: the promise may be on the disk.
+TEST(Guards, AMemberWhoseDiskWasFullKeepsThePromiseOfTheWriteThatFailed) {
+  DrivenMember member("c");
+  member.learn(firstEpoch(), "a");
+  member.diskFull = true;
+  member.receive("b", messages::Prepare{firstEpoch(), {5, "b"}});
+  member.diskFull = false;
+  member.pass(Ms(1200), {"a", "b"});
+  member.receive("a", messages::Prepare{firstEpoch(), {4, "a"}});
+  messages::PrepareResponse const* const answer = member.lastSent<messages::PrepareResponse>("a");
+  ASSERT_NE(answer, nullptr);
+  EXPECT_FALSE(answer->granted);
+}
+
+// The vote on epoch 2 is settled with that epoch, also if it is learnt while the disk is full.
+TEST(Guards, AnEpochLearntWhileTheDiskIsFullEndsTheVoteOnIt) {
+  DrivenMember member("c");
+  member.learn(firstEpoch(), "a");
+  messages::EpochRecord const rejected{2, fleet, "a", {"c"}, {"a", "b", "c"}};
+  messages::Ballot const ballot{9, "a"};
+  member.receive("a", messages::Accept{firstEpoch(), ballot, rejected});
+  member.diskFull = true;
+  member.receive("b", messages::Prepare{firstEpoch(), {10, "b"}});
+  messages::EpochRecord const second{2, fleet, "b", {"a"}, {"a", "b", "c"}};
+  member.learn(second, "b");
+  EXPECT_EQ(member.group.decided().epoch, 2u);
+  member.diskFull = false;
+  member.pass(Ms(1200), {"a", "b"});
+  member.receive("a", messages::Prepare{second, {1, "a"}});
+  messages::PrepareResponse const* const answer = member.lastSent<messages::PrepareResponse>("a");
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->nextEpoch, 3u);
+  EXPECT_TRUE(answer->granted) << "no promise for epoch 3 was given";
+  EXPECT_FALSE(answer->accepted.has_value()) << "the record accepted for epoch 2 is no vote on epoch 3";
+}
+
+// The list of members stands on the same disk; its failed write closes the store for the votes as well.
+TEST(Guards, AFailedWriteOfAnotherRecordIsMendedLikeOneOfTheGroup) {
+  DrivenMember member("c");
+  member.learn(firstEpoch(), "a");
+  member.step(replication::PersistFinished{0, false});
+  EXPECT_TRUE(member.group.unhealthy());
+  member.pass(Ms(1200), {"a", "b"});
+  EXPECT_FALSE(member.group.unhealthy());
+}
+
+// What cannot be read is not written over: the member does not know what it has promised.
+TEST(Guards, AMemberWhoseRecordsDoNotReadStaysOut) {
+  replication::ReplicationGroup group(replication::optionsFor(1));
+  replication::TimePoint now{std::chrono::hours(1)};
+  group.step(now, replication::Start{{"c", "address-c", "zone-c"}, {{"vote", "unreadable"}}, 7, false, {}});
+  for (int tick = 0; tick < 500; ++tick) {
+    now += Ms(20);
+    for (replication::GroupEffect const& effect : group.step(now, replication::Tick{})) {
+      EXPECT_FALSE(std::holds_alternative<replication::Persist>(effect));
+    }
+  }
+  EXPECT_TRUE(group.unhealthy());
+}
+
 }  // namespace
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -919,4 +919,87 @@
   EXPECT_GT(takeovers, 500u);
 }
 
+// Disks fill and have room again, one at a time, while processes are killed, frozen and cut off. Nobody restarts a
+// process for its disk's sake.
+TEST(ReplicationGroup, SeededStormsWithDisksThatFillKeepEveryAcknowledgedChange) {
+  std::size_t commits = 0;
+  std::size_t refusals = 0;
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    std::size_t const count = 3 + seed % 3;
+    ReplicationSimulation group(seed, count, 0.02);
+    startAll(group);
+    expectAlive(group, "before the storm of seed " + std::to_string(seed));
+    for (int round = 0; round < 400; ++round) {
+      group.run(Ms(20 + static_cast<long>(group.network.roll(80))));
+      group.offer();
+      std::size_t const index = group.network.roll(count);
+      SimulatedMember& node = group.nodes[index];
+      switch (group.network.roll(16)) {
+        case 0:
+          if (node.up) {
+            group.kill(index, group.network.chance(0.5));
+          }
+          break;
+        case 1:
+        case 2:
+          for (std::size_t other = 0; other < count; ++other) {
+            if (!group.nodes[other].up) {
+              group.start(other);
+            }
+          }
+          break;
+        case 3:
+          if (node.up) {
+            group.freeze(index);
+          }
+          break;
+        case 4:
+        case 5:
+          group.thaw(index);
+          break;
+        case 6:
+          group.cut(index, group.network.roll(count));
+          break;
+        case 7:
+        case 8:
+          group.mendAll();
+          break;
+        case 9:
+          for (SimulatedMember& other : group.nodes) {
+            other.diskFull = false;
+          }
+          node.diskFull = true;
+          break;
+        case 10:
+          for (SimulatedMember& other : group.nodes) {
+            other.diskFull = false;
+          }
+          break;
+        default:
+          break;
+      }
+      refusals += node.storeFailed ? 1 : 0;
+    }
+    group.mendAll();
+    group.setLoss(0);
+    for (std::size_t index = 0; index < count; ++index) {
+      group.nodes[index].diskFull = false;
+      if (!group.nodes[index].up) {
+        group.start(index);
+      }
+      group.thaw(index);
+    }
+    group.run(Ms(4000));
+    for (SimulatedMember const& node : group.nodes) {
+      EXPECT_FALSE(node.group.unhealthy()) << node.id << " of seed " << seed;
+    }
+    expectAlive(group, "after the storm of seed " + std::to_string(seed));
+    EXPECT_EQ(group.complaints, std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(group.fleets.size(), 1u) << "seed " << seed;
+    commits += group.commits;
+  }
+  std::printf("seeds 1 to 150: %zu commits, %zu looks at a store that refused writes\n", commits, refusals);
+  EXPECT_GT(refusals, 1000u);
+}
+
 }  // namespace
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -1,3 +1,4 @@
+#include "full_disk.h"
 #include "limeramp/storage/record_store.h"
 
 #include <gtest/gtest.h>
@@ -9,6 +10,7 @@
 namespace {
 
 using namespace limeramp::storage;
+using limeramp::test_support::FullDisk;
 
 RingLayout const small{3, 8192};
 
@@ -134,4 +136,88 @@
   EXPECT_FALSE(store->put({{"a", "2"}}).ok());
 }
 
+TEST(RecordStore, TakesPutsAgainOnceAllValuesAreRewrittenAfterAFullDisk) {
+  Folder const folder;
+  {
+    std::unique_ptr<RecordStore> const store = open(folder);
+    ASSERT_TRUE(store->put({{"kept", "1"}, {"changed", "1"}}).ok());
+    {
+      FullDisk const full;
+      EXPECT_FALSE(store->put({{"changed", "2"}}).ok());
+    }
+    EXPECT_FALSE(store->put({{"later", "3"}}).ok()) << "a later record without the one before";
+    ASSERT_TRUE(store->rewrite({{"changed", "2"}}).ok());
+    EXPECT_EQ(store->values().at("kept"), "1");
+    EXPECT_EQ(store->values().at("changed"), "2");
+    ASSERT_TRUE(store->put({{"later", "4"}}).ok());
+  }
+  std::unique_ptr<RecordStore> const again = open(folder);
+  EXPECT_FALSE(again->findings().damaged);
+  EXPECT_EQ(again->values().at("kept"), "1");
+  EXPECT_EQ(again->values().at("changed"), "2");
+  EXPECT_EQ(again->values().at("later"), "4");
+}
+
+TEST(RecordStore, NoNumberOfFailedRewritesReachesTheSyncedValues) {
+  for (std::size_t puts = 1; puts <= 40; ++puts) {
+    Folder const folder;
+    {
+      std::unique_ptr<RecordStore> const store = open(folder);
+      for (std::size_t put = 0; put < puts; ++put) {
+        ASSERT_TRUE(store->put({{"turn", std::to_string(put)}, {"bulk", std::string(900, 'x')}}).ok());
+      }
+      FullDisk const full;
+      EXPECT_FALSE(store->put({{"turn", "lost"}}).ok());
+      for (std::size_t attempt = 0; attempt < 2 * small.files; ++attempt) {
+        EXPECT_FALSE(store->rewrite({{"turn", "lost"}}).ok());
+        EXPECT_EQ(store->values().at("turn"), std::to_string(puts - 1));
+      }
+    }
+    std::unique_ptr<RecordStore> const again = open(folder);
+    EXPECT_FALSE(again->findings().damaged) << puts;
+    EXPECT_EQ(again->values().at("turn"), std::to_string(puts - 1));
+    ASSERT_TRUE(again->put({{"turn", "next"}}).ok());
+  }
+}
+
+// Power is lost while a rewrite is on its way to the disk: of its file any part may be there.
+TEST(RecordStore, ATornRewriteLeavesTheValuesBeforeIt) {
+  for (std::streamoff kept = 0; kept < 1200; kept += 37) {
+    Folder const folder;
+    {
+      std::unique_ptr<RecordStore> const store = open(folder);
+      for (int round = 0; round < 30; ++round) {
+        ASSERT_TRUE(store->put({{"turn", std::to_string(round)}, {"bulk", std::string(900, 'x')}}).ok());
+      }
+      {
+        FullDisk const full;
+        EXPECT_FALSE(store->put({{"turn", "lost"}}).ok());
+      }
+    }
+    std::map<std::string, std::string> before;
+    for (std::filesystem::directory_entry const& entry : std::filesystem::directory_iterator(folder.path)) {
+      std::ifstream file(entry.path(), std::ios::binary);
+      before[entry.path()].assign(std::istreambuf_iterator<char>(file), {});
+    }
+    {
+      std::unique_ptr<RecordStore> const store = open(folder);
+      ASSERT_TRUE(store->rewrite({{"turn", "rewritten"}}).ok());
+    }
+    for (std::pair<std::string const, std::string> const& file : before) {
+      std::ifstream written(file.first, std::ios::binary);
+      std::string bytes(std::istreambuf_iterator<char>(written), {});
+      if (bytes != file.second) {
+        std::fstream torn(file.first, std::ios::in | std::ios::out | std::ios::binary);
+        torn << bytes.substr(0, static_cast<std::size_t>(kept))
+             << file.second.substr(std::min(file.second.size(), static_cast<std::size_t>(kept)));
+      }
+    }
+    std::unique_ptr<RecordStore> const again = open(folder);
+    EXPECT_FALSE(again->findings().damaged) << kept;
+    std::string const turn = again->values().at("turn");
+    EXPECT_TRUE(turn == "29" || turn == "rewritten") << kept << " " << turn;
+    EXPECT_EQ(again->values().at("bulk"), std::string(900, 'x'));
+  }
+}
+
 }  // namespace
