What a controller reads at its start is synced again with its first put

After a sync that fails, the system may keep the record in memory and call it clean. A process that is restarted then reads a vote or a state as if it were on the disk, and a loss of power takes it back, with later records behind it: damage (E511), so that the vote is lost. Evidence: RecordStore.WhatWasReadAtTheStartIsSyncedAgainWithTheFirstPut failed on the code before (damaged, no value left). Change: the first put after opening begins a new generation, a checkpoint of all values in another ring file.

--- a/libs/storage/include/limeramp/storage/record_store.h
+++ b/libs/storage/include/limeramp/storage/record_store.h
@@ -49,7 +49,8 @@
 
   /// What open() found.
   Findings const& findings() const;
-  /// All current values.
+  /// All current values. What was read at the start is certainly on the disk only after the first put, which syncs all
+  /// of it again: a sync that failed in an earlier process may have left it in the system's memory alone.
   std::map<std::string, std::string> const& values() const;
   /// Returns once the values are synced. After an error it is unknown whether they are on the disk, and every further
   /// put is refused until `rewrite` has succeeded: a later record must not be on the disk without an earlier one.
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -143,6 +143,9 @@
   std::uint64_t generation = 0;
   std::uint64_t serial = 0;
   std::size_t end = 0;
+  /// What was read when the store was opened may be in the system's memory alone, if a sync failed before. The first
+  /// put writes it all again.
+  bool checkpointDue = true;
   /// Why a write failed: nothing more is written then. Empty while all is well.
   std::string writeFailure;
 
@@ -281,7 +284,9 @@
     for (std::pair<std::string const, std::string> const& entry : values) {
       batch.pairs.push_back({entry.first, entry.second});
     }
-    return append(batch);
+    absl::Status written = append(batch);
+    checkpointDue = checkpointDue && !written.ok();
+    return written;
   }
 
   absl::Status put(Puts const& puts) {
@@ -291,7 +296,7 @@
       batch.pairs.push_back({entry.first, entry.second});
       size += entry.first.size() + entry.second.size() + 32;
     }
-    if (generation == 0 || end + size > shape.fileBytes) {
+    if (checkpointDue || end + size > shape.fileBytes) {
       absl::Status rotated = rotate();
       if (!rotated.ok()) {
         return rotated;
@@ -384,6 +389,7 @@
   impl_->generation = impl_->serial = 0;
   impl_->end = 0;
   impl_->current = 0;
+  impl_->checkpointDue = true;
   impl_->syncedFile = 0;
   impl_->writeFailure.clear();
   return impl_->openFiles();
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -158,6 +158,7 @@
   EXPECT_EQ(again->values().at("later"), "4");
 }
 
+// Each attempt spoils the file that it writes to.
 TEST(RecordStore, NoNumberOfFailedRewritesReachesTheSyncedValues) {
   for (std::size_t puts = 1; puts <= 40; ++puts) {
     Folder const folder;
@@ -166,7 +167,7 @@
       for (std::size_t put = 0; put < puts; ++put) {
         ASSERT_TRUE(store->put({{"turn", std::to_string(put)}, {"bulk", std::string(900, 'x')}}).ok());
       }
-      FullDisk const full;
+      FullDisk const fullButForTheHeadOfAFile(64);
       EXPECT_FALSE(store->put({{"turn", "lost"}}).ok());
       for (std::size_t attempt = 0; attempt < 2 * small.files; ++attempt) {
         EXPECT_FALSE(store->rewrite({{"turn", "lost"}}).ok());
@@ -220,4 +221,21 @@
   }
 }
 
+// A sync that failed may leave a record in memory that is not on the disk; a process that starts then reads it.
+TEST(RecordStore, WhatWasReadAtTheStartIsSyncedAgainWithTheFirstPut) {
+  Folder const folder;
+  {
+    std::unique_ptr<RecordStore> const store = open(folder);
+    ASSERT_TRUE(store->put({{"vote", "1"}}).ok());
+    ASSERT_TRUE(store->put({{"vote", "2"}}).ok());
+  }
+  ASSERT_TRUE(open(folder)->put({{"state", "3"}}).ok());
+  std::size_t const secondRecord = 104;
+  folder.flip("ring-1", secondRecord);
+  std::unique_ptr<RecordStore> const again = open(folder);
+  EXPECT_FALSE(again->findings().damaged) << "the power went before the second record was on the disk";
+  EXPECT_EQ(again->values().at("vote"), "2");
+  EXPECT_EQ(again->values().at("state"), "3");
+}
+
 }  // namespace
