--- a/test_support/load_generator.cpp
+++ b/test_support/load_generator.cpp
@@ -60,6 +60,8 @@
   std::vector<std::string> wrongs;
   std::size_t open = 0;
   double impatience = 0;
+  /// Callers keep to a node until its process is gone, whatever its readiness says.
+  bool stays = false;
   std::uint64_t lastId = 0;
   std::uint64_t seed = 1;
   std::string name;
@@ -213,6 +215,7 @@
       "seconds", "length", cxxopts::value<double>()->default_value("10"))(
       "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "impatience", "share of refused callers that ask again at once", cxxopts::value<double>()->default_value("0.3"))(
+      "stays", "callers keep to a node until its process is gone, whatever its readiness says")(
       "log", "file for a line of each request", cxxopts::value<std::string>())("help", "this text");
   try {
     cxxopts::ParseResult const flags = options.parse(argc, argv);
@@ -232,6 +235,7 @@
     run.seed = flags["seed"].as<std::uint64_t>();
     run.random.seed(run.seed);
     run.impatience = flags["impatience"].as<double>();
+    run.stays = flags.count("stays") > 0;
     run.log.open(flags["log"].as<std::string>(), std::ios::app);
     run.name = "s" + std::to_string(Clock::now().time_since_epoch() / std::chrono::microseconds(1) % 1'000'000'000);
     std::vector<config::Problem> problems;
@@ -280,7 +284,7 @@
           prober.begin(++number, run.gates[index].address, request, Clock::now() + Ms(700),
                        [&run, index](net::Exchange const& exchange) {
                          std::unique_lock<std::mutex> const lock(run.mutex);
-                         run.gates[index].ready = exchange.answer && exchange.answer->status == 200;
+                         run.gates[index].ready = exchange.answer && (run.stays || exchange.answer->status == 200);
                        });
         }
         std::this_thread::sleep_for(Ms(1000));
--- a/tests/fleet_runner/drills.py
+++ b/tests/fleet_runner/drills.py
@@ -9,6 +9,7 @@
 import time
 
 from fleet_runner.calls import http_call
+from fleet_runner.soak import Soak
 
 
 class Drills:
@@ -586,6 +587,10 @@
             fleet.say("wall clocks jump on most nodes")
         return [(second, jump) for second in range(3, int(self.seconds) - 2, 3)] + self.patches(4)
 
+    def soak(self):
+        soak = Soak(self.fleet)
+        return [(1, soak.start), (self.seconds - 15, soak.stop)]
+
     def mix(self):
         fleet, random_source = self.fleet, random.Random(self.fleet.seed)
         share = []
--- a/tests/fleet_runner/fleet.py
+++ b/tests/fleet_runner/fleet.py
@@ -34,6 +34,7 @@
         self.fresh = []
         self.notes = []
         self.restored = []
+        self.complaints = []
         self.cutsOf = {}
         self.rerun = True
         self.began = time.monotonic()
