One job a module: the member's disk, taking from pending lists, asking the roster

'Is this node on the roster' stood four times: messages::isListed. ConfigDelivery::poll copied the whole roster at each poll; it passes it on now.

--- a/libs/control/src/acknowledgement_tracker.cpp
+++ b/libs/control/src/acknowledgement_tracker.cpp
@@ -1,24 +1,10 @@
 #include "acknowledgement_tracker.h"
 
+#include "take_if.h"
+
 #include <utility>
 
 namespace limeramp::control {
-namespace {
-
-std::vector<PendingAcknowledgement> takeIf(std::vector<PendingAcknowledgement>& pending,
-                                           AcknowledgementTracker::InForce const& wanted) {
-  std::vector<PendingAcknowledgement> out;
-  std::erase_if(pending, [&](PendingAcknowledgement const& entry) {
-    bool const taken = wanted(entry);
-    if (taken) {
-      out.push_back(entry);
-    }
-    return taken;
-  });
-  return out;
-}
-
-}  // namespace
 
 std::vector<PendingAcknowledgement> AcknowledgementTracker::takeInForce(InForce const& inForce) {
   return takeIf(pending_, inForce);
--- a/libs/control/src/answer_gate.cpp
+++ b/libs/control/src/answer_gate.cpp
@@ -1,22 +1,10 @@
 #include "limeramp/control/answer_gate.h"
 
-#include <algorithm>
-#include <functional>
+#include "take_if.h"
+
 #include <utility>
 
 namespace limeramp::control {
-namespace {
-
-std::vector<PendingAnswer> takeIf(std::vector<PendingAnswer>& pending,
-                                  std::function<bool(PendingAnswer const&)> const& wanted) {
-  std::vector<PendingAnswer>::iterator const first = std::stable_partition(
-      pending.begin(), pending.end(), [&](PendingAnswer const& answer) { return !wanted(answer); });
-  std::vector<PendingAnswer> out(std::make_move_iterator(first), std::make_move_iterator(pending.end()));
-  pending.erase(first, pending.end());
-  return out;
-}
-
-}  // namespace
 
 std::vector<PendingAnswer> AnswerGate::takeConfirmed(std::optional<TimePoint> leadershipConfirmedAt) {
   return takeIf(pending_,
--- a/libs/control/src/node_removals.cpp
+++ b/libs/control/src/node_removals.cpp
@@ -1,35 +1,16 @@
 #include "node_removals.h"
 
-#include <algorithm>
+#include "take_if.h"
+
 #include <utility>
 
 namespace limeramp::control {
-namespace {
-
-bool contains(std::vector<messages::RosterEntry> const& roster, std::string const& node) {
-  return std::any_of(roster.begin(), roster.end(),
-                     [&](messages::RosterEntry const& entry) { return entry.node == node; });
-}
-
-std::vector<NodeRemoval> takeIf(std::vector<NodeRemoval>& pending, NodeRemovals::Completed const& wanted) {
-  std::vector<NodeRemoval> out;
-  std::erase_if(pending, [&](NodeRemoval& entry) {
-    bool const taken = wanted(entry);
-    if (taken) {
-      out.push_back(std::move(entry));
-    }
-    return taken;
-  });
-  return out;
-}
-
-}  // namespace
 
 std::vector<config::Problem> removalProblems(TimePoint now, std::vector<std::string> const& nodes,
                                              messages::State const& published, NodeTracker const& tracker) {
   std::vector<config::Problem> problems;
   for (std::string const& node : nodes) {
-    if (!contains(published.roster, node) && !contains(published.priorRoster, node)) {
+    if (!messages::isListed(published.roster, node) && !messages::isListed(published.priorRoster, node)) {
       problems.push_back({"/nodes/" + node, "is not on the roster"});
     } else if (tracker.isAlive(now, node)) {
       problems.push_back({"/nodes/" + node, "is alive"});
--- a/libs/control/src/order_queue.cpp
+++ b/libs/control/src/order_queue.cpp
@@ -1,6 +1,7 @@
 #include "order_queue.h"
 
-#include <algorithm>
+#include "take_if.h"
+
 #include <iterator>
 #include <utility>
 
@@ -13,15 +14,7 @@
 }
 
 std::vector<QueuedOrder> OrderQueue::takeExpired(TimePoint now) {
-  std::vector<QueuedOrder> out;
-  std::erase_if(queue_, [&](QueuedOrder& queued) {
-    bool const late = now >= queued.order.deadline;
-    if (late) {
-      out.push_back(std::move(queued));
-    }
-    return late;
-  });
-  return out;
+  return takeIf(queue_, [now](QueuedOrder const& queued) { return now >= queued.order.deadline; });
 }
 
 std::vector<QueuedOrder> OrderQueue::takeAll() {
--- a/libs/control/src/roster_changes.cpp
+++ b/libs/control/src/roster_changes.cpp
@@ -53,8 +53,9 @@
 void ConfigService::Impl::completeRemovals() {
   config::Version const version{published.configurationEpoch, published.configurationSequence};
   NodeRemovals::Completed const completed = [&](NodeRemoval const& entry) {
-    bool const listed = std::any_of(published.roster.begin(), published.roster.end(),
-                                    [&](messages::RosterEntry const& row) { return entry.nodes.contains(row.node); });
+    bool const listed = std::any_of(entry.nodes.begin(), entry.nodes.end(), [&](std::string const& node) {
+      return messages::isListed(published.roster, node);
+    });
     return rosterStable && !listed && confirmedSince(confirmedAt, entry.arrivedAt);
   };
   for (NodeRemoval const& entry : removals.takeCompleted(completed)) {
--- a/libs/distribution/src/config_delivery.cpp
+++ b/libs/distribution/src/config_delivery.cpp
@@ -199,7 +199,8 @@
   nextPollAt = now + options.pollMs;
   pollNow = false;
   messages::Peer const here{self.node, self.address, self.zone, messages::gatewayRole, peerStatus.boot, 0};
-  std::string target = targets.zoneOwner(here, state ? state->roster : std::vector<messages::RosterEntry>{}, peers);
+  static std::vector<messages::RosterEntry> const noRoster;
+  std::string target = targets.zoneOwner(here, state ? state->roster : noRoster, peers);
   std::string const control = targets.controller(primaryAddress, peers);
   bool const overdue = confirmationOverdue(now);
   if (target.empty()) {
@@ -423,8 +424,7 @@
   }
   bool const confirms = impl.incarnations.learn(message.incarnationsDigest, peerStatus.incarnations);
   if (message.recover && impl.caughtUp && peerStatus.boot != 0 && impl.state &&
-      std::any_of(impl.state->roster.begin(), impl.state->roster.end(),
-                  [&](messages::RosterEntry const& entry) { return entry.node == peerStatus.node; })) {
+      messages::isListed(impl.state->roster, peerStatus.node)) {
     impl.incarnations.record(peerStatus.node, peerStatus.boot);
   }
   if (message.follows) {
--- a/libs/messages/include/limeramp/messages/state.h
+++ b/libs/messages/include/limeramp/messages/state.h
@@ -27,6 +27,9 @@
   }
 };
 
+/// Whether the roster has a node of this name, at whatever address.
+bool isListed(std::vector<RosterEntry> const& roster, std::string const& node);
+
 /// Remembers one order that was carried out, so that its repetition is recognised by every later primary.
 struct Receipt {
   static constexpr char const* name = "Receipt";
--- a/libs/replication/src/replication_group_impl.h
+++ b/libs/replication/src/replication_group_impl.h
@@ -39,7 +39,7 @@
 };
 
 /// Binds the parts of a member together: acceptor, failure detector, membership planner, replicator, leadership
-/// confirmation and the proposal of the next epoch. replication_group.cpp has the events and the disk,
+/// confirmation and the proposal of the next epoch. replication_group.cpp has the events, disk.cpp the disk,
 /// state_transfer.cpp the replication of states, epoch_change.cpp proposals and ballots, heartbeats.cpp the heartbeats,
 /// leaving.cpp what a member waits for that was told to end.
 struct ReplicationGroup::Impl {
@@ -125,6 +125,7 @@
   void store(std::string const& key, T const& value, Puts& puts);
   template <typename T>
   void restore(std::string const& key, std::map<std::string, std::string> const& stored, T& value);
+  void restoreRecords(std::map<std::string, std::string> const& stored);
   std::uint64_t persist(bool withVote, bool withState, std::vector<GroupEffect> then, bool rewrite = false);
   void onWriteFailed(std::uint64_t token);
   void rewriteWhenDue();
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -818,6 +818,36 @@
   EXPECT_GT(rivalries, 100u);
 }
 
+// What all storms have in common: kills, freezes and cuts, and their ends. Other draws are left to the storm.
+void disturb(ReplicationSimulation& group, std::size_t index, std::uint64_t drawn) {
+  SimulatedMember const& node = group.nodes[index];
+  switch (drawn) {
+    case 0:
+      if (node.up) {
+        group.kill(index, group.network.chance(0.5));
+      }
+      return;
+    case 3:
+      if (node.up) {
+        group.freeze(index);
+      }
+      return;
+    case 4:
+    case 5:
+      group.thaw(index);
+      return;
+    case 6:
+      group.cut(index, group.network.roll(group.nodes.size()));
+      return;
+    case 7:
+    case 8:
+      group.mendAll();
+      return;
+    default:
+      return;
+  }
+}
+
 TEST(ReplicationGroup, SeededStormsKeepEveryAcknowledgedChange) {
   std::size_t commits = 0;
   std::size_t takeovers = 0;
@@ -831,34 +861,15 @@
       group.offer();
       std::size_t const index = group.network.roll(count);
       SimulatedMember& node = group.nodes[index];
-      switch (group.network.roll(24)) {
-        case 0:
-          if (node.up) {
-            group.kill(index, group.network.chance(0.5));
-          }
-          break;
+      std::uint64_t const drawn = group.network.roll(24);
+      disturb(group, index, drawn);
+      switch (drawn) {
         case 1:
         case 2:
           if (!node.up) {
             group.start(index);
           }
           break;
-        case 3:
-          if (node.up) {
-            group.freeze(index);
-          }
-          break;
-        case 4:
-        case 5:
-          group.thaw(index);
-          break;
-        case 6:
-          group.cut(index, group.network.roll(count));
-          break;
-        case 7:
-        case 8:
-          group.mendAll();
-          break;
         case 9:
           if (round % 20 == 0) {
             node.diskStuck = true;
@@ -934,12 +945,9 @@
       group.offer();
       std::size_t const index = group.network.roll(count);
       SimulatedMember& node = group.nodes[index];
-      switch (group.network.roll(16)) {
-        case 0:
-          if (node.up) {
-            group.kill(index, group.network.chance(0.5));
-          }
-          break;
+      std::uint64_t const drawn = group.network.roll(16);
+      disturb(group, index, drawn);
+      switch (drawn) {
         case 1:
         case 2:
           for (std::size_t other = 0; other < count; ++other) {
@@ -948,22 +956,6 @@
             }
           }
           break;
-        case 3:
-          if (node.up) {
-            group.freeze(index);
-          }
-          break;
-        case 4:
-        case 5:
-          group.thaw(index);
-          break;
-        case 6:
-          group.cut(index, group.network.roll(count));
-          break;
-        case 7:
-        case 8:
-          group.mendAll();
-          break;
         case 9:
           for (SimulatedMember& other : group.nodes) {
             other.diskFull = false;
