The soak allows what the interface allows: a gateway may read out the version before for 3 s

Trace: the base was read from a gateway, which answers with the configuration it serves under (docs/interface.md); an acknowledged change is in force on a majority at once, elsewhere within 3 s. The check now complains of a conflict only where the base was the newest acknowledged version, and, which it did not before, of any read that is older than what was acknowledged 3 s before it.

--- a/tests/fleet_runner/soak.py
+++ b/tests/fleet_runner/soak.py
@@ -12,10 +12,15 @@
 import threading
 import time
 
+from fleet_runner.calls import version_key
+
 LOSS_COUNTS_S = 4.5
 """A machine counts as lost for 4 s after its return; a little more, for the time that a process takes to start."""
 CHANGE_GAP_S = 0.3
 CHANGE_DEADLINE_MS = 2000
+IN_FORCE_S = 3.0
+"""An acknowledged change is in force on a majority of the nodes at once and on all others within this time: until then a
+gateway may read out the version before it."""
 CHANGE_REPEATED_S = 25.0
 """A change without a clear answer is sent again with the same key for so long; the fleet must serve again within 12 s."""
 
@@ -78,13 +83,19 @@
         number = 0
         while self._rest(CHANGE_GAP_S):
             number += 1
+            due = self._newest_acknowledged(time.monotonic() - IN_FORCE_S)
             version, document = fleet.current_version()
             if version is None:
                 continue
+            if version_key(version) < due:
+                fleet.complaints.append(f"{version} is read {IN_FORCE_S:.0f} s after {due} was acknowledged")
             name = source.choice(sorted(document["routes"]))
             body = {"routes": {name: {"deadline_ms": 1500 + number}}}
             self._change(body, version, f"soak-{fleet.seed}-{number}")
 
+    def _newest_acknowledged(self, until=float("inf")):
+        return max((version_key(version) for at, version, _, _ in self.fleet.acks if at <= until), default=(0, 0))
+
     def _change(self, body, base, key):
         """Sends a change until it has a clear answer, as an operator does."""
         fleet = self.fleet
@@ -100,7 +111,8 @@
                 self.taken += 1
                 return
             if answer["outcome"] in ("refused", "conflict"):
-                fleet.complaints.append(f"{key} on {base}: {answer['outcome']}, though nobody else makes changes")
+                if answer["outcome"] == "refused" or version_key(base) >= self._newest_acknowledged():
+                    fleet.complaints.append(f"{key} on {base}: {answer['outcome']}, though nobody else makes changes")
                 return
             time.sleep(0.2)
         self.unanswered.append(key)
