Fix: changes ended once the configuration reached half a file of the store (CONFIG)

Cause: a put that found its file full wrote all present values, the old state among them, and then the new state into the next file. Two states of more than half a file do not fit. Primary and backup both took "record larger than a ring file" for a failed disk and stepped down, again and again. File size (from the disk) and bound of a configuration (1 MiB, from the interface) were not tied to each other.

Change: a put that turns the ring writes one record of all values with the new ones among them, on the path of `rewrite`, so a file holds each value once. Files are as long as the longest state that is accepted needs beside all other records (control/state_bounds.h); rosters are bounded in nodes and bytes. Files of earlier processes are lengthened, longer ones read whole. The offset in WhatWasReadAtTheStart follows the second record, which now begins at 56.

--- a/libs/config/include/limeramp/config/settings.h
+++ b/libs/config/include/limeramp/config/settings.h
@@ -34,7 +34,8 @@
   bool rerun = true;
   /// Whether this process may take part in founding the control group.
   bool mayFound = true;
-  /// Size of each of the four preallocated files of a controller.
+  /// Bytes of each of the four preallocated files of a controller. They are longer where the longest replicated state
+  /// needs it (control::minStoreFileBytes).
   std::size_t storeFileBytes = 16 << 20;
   /// Controllers that may be lost at once: sets the number of replicas and witnesses.
   std::size_t machineLosses = 1;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -2,6 +2,7 @@
 #include "control_server_impl.h"
 
 #include "limeramp/control/operator_api.h"
+#include "limeramp/control/state_bounds.h"
 #include "limeramp/logging/logging.h"
 #include "limeramp/net/random.h"
 
@@ -23,7 +24,7 @@
 
 absl::Status openRecordStore(config::Settings const& settings, std::unique_ptr<storage::RecordStore>& store) {
   storage::RingLayout shape;
-  shape.fileBytes = settings.storeFileBytes;
+  shape.fileBytes = std::max(settings.storeFileBytes, minStoreFileBytes(ConfigServiceOptions{}));
   absl::StatusOr<std::unique_ptr<storage::RecordStore>> opened = storage::RecordStore::open(settings.data, shape);
   if (!opened.ok()) {
     return opened.status();
--- a/libs/control/src/node_tracker.cpp
+++ b/libs/control/src/node_tracker.cpp
@@ -1,8 +1,17 @@
 #include "node_tracker.h"
 
+#include "limeramp/control/state_bounds.h"
+
 #include <algorithm>
 
 namespace limeramp::control {
+namespace {
+
+bool fitsOnRoster(messages::Follower const& follower) {
+  return std::max({follower.node.size(), follower.address.size(), follower.zone.size()}) <= maxRosterTextBytes;
+}
+
+}  // namespace
 
 void NodeTracker::begin(TimePoint now) {
   activeAt_ = now;
@@ -33,7 +42,8 @@
 
 bool NodeTracker::report(TimePoint now, messages::Follower const& follower, messages::PeerStatus const& status,
                          bool direct) {
-  if (nodes_.size() >= options_.maxNodes && !nodes_.contains(follower.node)) {
+  bool const isFull = nodes_.size() >= options_.maxNodes && !nodes_.contains(follower.node);
+  if (isFull || !fitsOnRoster(follower)) {
     return true;
   }
   incarnations_.merge(status.incarnations);
--- a/libs/control/src/roster_planner.cpp
+++ b/libs/control/src/roster_planner.cpp
@@ -29,11 +29,15 @@
   return slot;
 }
 
-/// Lists a node that reports, or corrects its address and zone.
-void addOrMove(messages::Follower const& follower, std::set<std::uint64_t>& takenSlots, RosterPlan& plan) {
+/// Lists a node that reports, while the roster has room, or corrects its address and zone.
+void addOrMove(messages::Follower const& follower, std::size_t maxNodes, std::set<std::uint64_t>& takenSlots,
+               RosterPlan& plan) {
   std::vector<messages::RosterEntry>::iterator const found =
       std::find_if(plan.roster.begin(), plan.roster.end(),
                    [&](messages::RosterEntry const& listed) { return listed.node == follower.node; });
+  if (found == plan.roster.end() && plan.roster.size() >= maxNodes) {
+    return;
+  }
   if (found == plan.roster.end()) {
     std::uint64_t const slot = lowestFreeSlot(takenSlots);
     takenSlots.insert(slot);
@@ -59,7 +63,7 @@
   for (std::pair<std::string const, TrackedNode> const& entry : tracker.nodes()) {
     bool const present = tracker.isAlive(now, entry.first) && !entry.second.draining;
     if (present && !tracker.persistentlyGone(now, entry.first)) {
-      addOrMove(entry.second.follower, takenSlots, plan);
+      addOrMove(entry.second.follower, options.maxNodes, takenSlots, plan);
     }
   }
   return plan;
--- a/libs/storage/include/limeramp/storage/record_store.h
+++ b/libs/storage/include/limeramp/storage/record_store.h
@@ -12,9 +12,9 @@
 
 /// The controllers' disk: a small map of keys and values in a ring of preallocated files.
 ///
-/// Each put appends one record with checksum, generation and serial; a turn of the ring begins with a checkpoint of all
-/// values. After a loss of power the store opens with the values of the last put that was synced; a torn record at the
-/// end is cut off, damage before it is reported and never served.
+/// Each put appends one record with checksum, generation and serial; a turn of the ring begins with a checkpoint, one
+/// record of all values with the new ones among them. After a loss of power the store opens with the values of the last
+/// put that was synced; a torn record at the end is cut off, damage before it is reported and never served.
 namespace limeramp::storage {
 
 /// Keys with their new values.
@@ -24,6 +24,8 @@
 struct RingLayout {
   /// Two at least: the newest values are never written over the file that holds the last synced ones.
   std::size_t files = 4;
+  /// Bytes of each file. All values together must fit in one, in one record; a put that does not fit fails for good.
+  /// Longer files of an earlier process stay as long as they are, shorter ones are lengthened.
   std::size_t fileBytes = 16 << 20;
 };
 
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstdint>
@@ -47,6 +48,9 @@
 };
 
 constexpr std::uint32_t magicNumber = 0x444c4f48;
+/// Bytes of a record beside its pairs, and of a pair beside its key and value, at the most.
+constexpr std::size_t maxRecordOverhead = 256;
+constexpr std::size_t maxPairOverhead = 32;
 
 std::uint64_t checksumOf(Head const& head, char const* payload) {
   std::uint64_t const marks[3]{head.size, head.generation, head.serial};
@@ -183,10 +187,16 @@
   absl::Status openFiles() {
     for (std::size_t index = 0; index < shape.files; ++index) {
       int const file = ::open(pathOf(index).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-      if (file < 0) {
+      struct stat found {};
+      if (file < 0 || ::fstat(file, &found) != 0) {
         return problem(pathOf(index));
       }
       files.push_back(file);
+      // An earlier process may have written longer files: what stands behind `fileBytes` is read and used too.
+      shape.fileBytes = std::max(shape.fileBytes, static_cast<std::size_t>(found.st_size));
+    }
+    for (std::size_t index = 0; index < shape.files; ++index) {
+      int const file = files[index];
       int const failure = ::posix_fallocate(file, 0, static_cast<off_t>(shape.fileBytes));
       if (failure != 0) {
         errno = failure;
@@ -273,9 +283,9 @@
     return absl::OkStatus();
   }
 
-  // Begins the next generation. The file after the last synced one is taken again as long as attempts fail, so that no
-  // number of them reaches the synced values.
-  absl::Status rotate() {
+  // Begins the next generation with one record of all values. The file after the last synced one is taken again as long
+  // as attempts fail, so that no number of them reaches the synced values.
+  absl::Status writeCheckpoint() {
     current = (syncedFile + 1) % shape.files;
     ++generation;
     serial = 0;
@@ -289,18 +299,16 @@
     return written;
   }
 
+  // New values go into the checkpoint itself: a file has to hold each value once, never an old and a new one.
   absl::Status put(Puts const& puts) {
     Batch batch;
-    std::size_t size = 256;
+    std::size_t size = maxRecordOverhead;
     for (std::pair<std::string, std::string> const& entry : puts) {
       batch.pairs.push_back({entry.first, entry.second});
-      size += entry.first.size() + entry.second.size() + 32;
+      size += entry.first.size() + entry.second.size() + maxPairOverhead;
     }
     if (checkpointDue || end + size > shape.fileBytes) {
-      absl::Status rotated = rotate();
-      if (!rotated.ok()) {
-        return rotated;
-      }
+      return rewrite(puts);
     }
     absl::Status written = append(batch);
     if (written.ok()) {
@@ -316,7 +324,7 @@
     for (std::pair<std::string, std::string> const& entry : puts) {
       values[entry.first] = entry.second;
     }
-    absl::Status written = rotate();
+    absl::Status written = writeCheckpoint();
     if (!written.ok()) {
       values = synced;
     }
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 namespace {
 
@@ -31,8 +32,8 @@
   std::string path;
 };
 
-std::unique_ptr<RecordStore> open(Folder const& folder) {
-  absl::StatusOr<std::unique_ptr<RecordStore>> store = RecordStore::open(folder.path, small);
+std::unique_ptr<RecordStore> open(Folder const& folder, RingLayout const& layout = small) {
+  absl::StatusOr<std::unique_ptr<RecordStore>> store = RecordStore::open(folder.path, layout);
   EXPECT_TRUE(store.ok()) << store.status();
   return *std::move(store);
 }
@@ -136,6 +137,43 @@
   EXPECT_FALSE(store->put({{"a", "2"}}).ok());
 }
 
+// Guards against the end of all changes at half a file: the old and the new value were written into one file.
+TEST(RecordStore, AValueOfMoreThanHalfAFileIsReplacedAgainAndAgain) {
+  Folder const folder;
+  for (std::size_t round = 0; round < 20; ++round) {
+    std::unique_ptr<RecordStore> const store = open(folder);
+    for (char const fill : {'a', 'b', 'c'}) {
+      std::string const state(small.fileBytes / 2 + 150 * round, fill);
+      ASSERT_TRUE(store->put({{"state", state}}).ok()) << round << fill;
+      ASSERT_TRUE(store->put({{"vote", std::string(40, fill)}}).ok()) << round << fill;
+      EXPECT_EQ(store->values().at("state"), state);
+    }
+  }
+  std::unique_ptr<RecordStore> const again = open(folder);
+  EXPECT_EQ(again->values().at("state"), std::string(small.fileBytes / 2 + 150 * 19, 'c'));
+  EXPECT_EQ(again->values().at("vote"), std::string(40, 'c'));
+}
+
+// Guards against the same end on disks that earlier processes left with shorter files, and against a loss if a later
+// process is told of shorter ones.
+TEST(RecordStore, FilesAreLengthenedAndWhatLongerOnesHoldIsKept) {
+  RingLayout const large{3, 32'768};
+  Folder const folder;
+  ASSERT_TRUE(open(folder)->rewrite({{"state", std::string(6'000, 'a')}}).ok());
+  {
+    std::unique_ptr<RecordStore> const store = open(folder, large);
+    EXPECT_EQ(store->values().at("state"), std::string(6'000, 'a'));
+    ASSERT_TRUE(store->put({{"state", std::string(20'000, 'b')}}).ok());
+    ASSERT_TRUE(store->put({{"vote", "1"}}).ok());
+  }
+  std::unique_ptr<RecordStore> const store = open(folder);
+  EXPECT_FALSE(store->findings().damaged);
+  EXPECT_FALSE(store->findings().tailTruncated);
+  EXPECT_EQ(store->values().at("state"), std::string(20'000, 'b'));
+  EXPECT_EQ(store->values().at("vote"), "1");
+  EXPECT_TRUE(store->put({{"state", std::string(21'000, 'c')}}).ok());
+}
+
 TEST(RecordStore, TakesPutsAgainOnceAllValuesAreRewrittenAfterAFullDisk) {
   Folder const folder;
   {
@@ -181,9 +219,30 @@
   }
 }
 
+std::map<std::string, std::string> contentsOf(Folder const& folder) {
+  std::map<std::string, std::string> out;
+  for (std::filesystem::directory_entry const& entry : std::filesystem::directory_iterator(folder.path)) {
+    std::ifstream file(entry.path(), std::ios::binary);
+    out[entry.path()].assign(std::istreambuf_iterator<char>(file), {});
+  }
+  return out;
+}
+
+/// Of each file that was written since `before`, only the first `kept` bytes reached the disk.
+void tear(std::map<std::string, std::string> const& before, Folder const& folder, std::size_t kept) {
+  std::map<std::string, std::string> const after = contentsOf(folder);
+  for (std::pair<std::string const, std::string> const& file : before) {
+    std::string const& bytes = after.at(file.first);
+    if (bytes != file.second) {
+      std::fstream torn(file.first, std::ios::in | std::ios::out | std::ios::binary);
+      torn << bytes.substr(0, kept) << file.second.substr(std::min(file.second.size(), kept));
+    }
+  }
+}
+
 // Power is lost while a rewrite is on its way to the disk: of its file any part may be there.
 TEST(RecordStore, ATornRewriteLeavesTheValuesBeforeIt) {
-  for (std::streamoff kept = 0; kept < 1200; kept += 37) {
+  for (std::size_t kept = 0; kept < 1200; kept += 37) {
     Folder const folder;
     {
       std::unique_ptr<RecordStore> const store = open(folder);
@@ -195,24 +254,12 @@
         EXPECT_FALSE(store->put({{"turn", "lost"}}).ok());
       }
     }
-    std::map<std::string, std::string> before;
-    for (std::filesystem::directory_entry const& entry : std::filesystem::directory_iterator(folder.path)) {
-      std::ifstream file(entry.path(), std::ios::binary);
-      before[entry.path()].assign(std::istreambuf_iterator<char>(file), {});
-    }
+    std::map<std::string, std::string> const before = contentsOf(folder);
     {
       std::unique_ptr<RecordStore> const store = open(folder);
       ASSERT_TRUE(store->rewrite({{"turn", "rewritten"}}).ok());
     }
-    for (std::pair<std::string const, std::string> const& file : before) {
-      std::ifstream written(file.first, std::ios::binary);
-      std::string bytes(std::istreambuf_iterator<char>(written), {});
-      if (bytes != file.second) {
-        std::fstream torn(file.first, std::ios::in | std::ios::out | std::ios::binary);
-        torn << bytes.substr(0, static_cast<std::size_t>(kept))
-             << file.second.substr(std::min(file.second.size(), static_cast<std::size_t>(kept)));
-      }
-    }
+    tear(before, folder, kept);
     std::unique_ptr<RecordStore> const again = open(folder);
     EXPECT_FALSE(again->findings().damaged) << kept;
     std::string const turn = again->values().at("turn");
@@ -221,6 +268,30 @@
   }
 }
 
+// The same for a put that turns the ring: its checkpoint holds the new value, no other file does.
+TEST(RecordStore, ATornTurnOfTheRingLeavesTheValuesBeforeIt) {
+  std::size_t const bytes = small.fileBytes * 3 / 4;
+  std::size_t whole = 0;
+  for (std::size_t kept = 0; kept <= small.fileBytes; kept += 256) {
+    Folder const folder;
+    std::unique_ptr<RecordStore> store = open(folder);
+    for (char const fill : {'a', 'b', 'c', 'd', 'e'}) {
+      ASSERT_TRUE(store->put({{"state", std::string(bytes, fill)}}).ok());
+    }
+    std::map<std::string, std::string> const before = contentsOf(folder);
+    ASSERT_TRUE(store->put({{"state", std::string(bytes, 'f')}}).ok());
+    store.reset();
+    tear(before, folder, kept);
+    std::unique_ptr<RecordStore> const again = open(folder);
+    EXPECT_FALSE(again->findings().damaged) << kept;
+    std::string const state = again->values().at("state");
+    EXPECT_TRUE(state == std::string(bytes, 'e') || state == std::string(bytes, 'f')) << kept;
+    whole += state.front() == 'f' ? 1 : 0;
+    EXPECT_TRUE(again->put({{"state", std::string(bytes, 'g')}}).ok()) << kept;
+  }
+  EXPECT_GT(whole, 0u);
+}
+
 // A sync that failed may leave a record in memory that is not on the disk; a process that starts then reads it.
 TEST(RecordStore, WhatWasReadAtTheStartIsSyncedAgainWithTheFirstPut) {
   Folder const folder;
@@ -230,7 +301,7 @@
     ASSERT_TRUE(store->put({{"vote", "2"}}).ok());
   }
   ASSERT_TRUE(open(folder)->put({{"state", "3"}}).ok());
-  std::size_t const secondRecord = 104;
+  std::size_t const secondRecord = 56;
   folder.flip("ring-1", secondRecord);
   std::unique_ptr<RecordStore> const again = open(folder);
   EXPECT_FALSE(again->findings().damaged) << "the power went before the second record was on the disk";
