Fix: an abandoned order for a zone was carried out after a freeze (EVAC)

Callers: an order to take a zone's emptying back went to a frozen controller, was given up after a second and acknowledged elsewhere; the zone was emptied again, acknowledged.

Cause: such an order names no version and no id, so a late copy cannot be told from a new order. Its time limit ran from the moment it was read; the process found the order and the end of its connection at once and looked at the order only. No listener of the control side used ServerOptions::gone, nor did the primary it was forwarded to.

Change: orders that name nothing they build on (zones, removal of nodes, a forced new group) are begun only while their caller waits. A listener looks for the end of the connection before the hand-over; a caller that leaves later takes along what is queued, and what is forwarded is cancelled; the primary begins a zone order once the leadership is confirmed by an exchange that began after the order came. Tokens name requests among all servers of a network. E205 tells of orders that were left aside.

Why it works: whoever gives an order up closes its connection first, so in the socket of the machine that wakes the end of the connection lies behind the order.

--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -100,13 +100,21 @@
   TimePoint deadline;
 };
 
+/// The caller of an order waits for its answer no longer. What was not begun will not be.
+struct CallerLeft {
+  std::uint64_t ticket = 0;
+};
+
 /// The process will be stopped: take no new orders, finish what was begun.
 struct BeginShutdown {};
 
+/// Why an order was not begun that is carried out only while its caller waits.
+constexpr char const* callerLeftReason = "the caller has left";
+
 /// All that can happen to the service.
 using ConfigServiceEvent = std::variant<replication::BecamePrimary, replication::SteppedDown, replication::Committed,
                                         replication::OutcomeUnknown, Change, Read, StateRequestReceived, ProbeFinished,
-                                        RemoveNodes, Tick, BeginShutdown>;
+                                        RemoveNodes, CallerLeft, Tick, BeginShutdown>;
 
 /// How an order ended. `taken`, `refused` and `conflict` are definite and linearizable. `notRun`: this call changed
 /// nothing and will change nothing. `unknown`: it may have taken effect, or may still do so.
@@ -157,7 +165,9 @@
 ///
 /// Guarantees: an acknowledged change is on the disks of all replicas and in force at a majority of the nodes; no node
 /// serves an older one later than `nodeCurrentMs` after that; of two changes on one base at most one is taken; every
-/// definite answer is linearizable. Copies are independent, for the model checker. Not safe for use by several threads.
+/// definite answer is linearizable; an order for a zone whose caller left is not begun, and none is begun before the
+/// leadership was confirmed by an exchange that began after the order came. Copies are independent, for the model
+/// checker. Not safe for use by several threads.
 class ConfigService {
  public:
   ConfigService(ConfigServiceOptions const& options, std::string const& id,
--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -12,6 +12,7 @@
 
 constexpr char const* configurationPath = "/limeramp/configuration";
 constexpr char const* removeNodesPath = "/limeramp/forget";
+constexpr char const* forceNewGroupPath = "/limeramp/force-new-group";
 constexpr char const* deadlineHeader = "limeramp-deadline-ms";
 constexpr char const* revisionHeader = "limeramp-revision";
 /// Names an order; the answer that decides it carries the name back.
@@ -25,6 +26,12 @@
 
 /// Which call a request is, by method and path.
 OperatorCall operatorCallOf(net::Request const& request);
+/// Whether a call may be begun only while its caller waits for the answer: an order for a zone, the removal of nodes, a
+/// forced new group. Such an order names no version that it builds on, so nothing but its caller's presence tells a new
+/// one from a late copy of one that was given up, sent again elsewhere, and overtaken by its opposite.
+bool needsCaller(net::Request const& request);
+/// The answer to an order that was not begun since its caller had left.
+net::Answer callerLeftAnswer();
 /// The deadline of a call that came at `arrivedAt`, or the answer to a malformed one.
 std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint arrivedAt);
 /// Reads an order that came at `arrivedAt`. Without a key of the caller's, its key is derived from the content and the
--- a/libs/control/include/limeramp/control/operator_protocol_adapter.h
+++ b/libs/control/include/limeramp/control/operator_protocol_adapter.h
@@ -16,6 +16,9 @@
   std::function<net::Answer(net::Request const& asked, net::Answer own)> fromNative;
 };
 
+/// Whether a call of an operator, in whatever protocol, may be an order: all but reads are looked at as such.
+bool mayBeOrder(net::Request const& asked);
+
 /// Serves a call of limeramp's own protocol.
 using OperatorHandler = std::function<void(net::Request, net::Responder)>;
 
--- a/libs/control/include/limeramp/control/order_forwarder.h
+++ b/libs/control/include/limeramp/control/order_forwarder.h
@@ -30,6 +30,9 @@
   /// Forwards an order or a read that came at `arrivedAt`; its deadline counts from then.
   void take(TimePoint now, TimePoint arrivedAt, net::Request content, net::Responder respond);
   void onFinished(TimePoint now, ForwardFinished& back);
+  /// The caller of the request with this token has left: an order that needs its caller is not sent on any more, and
+  /// the connection on which it is under way is closed, which tells the primary.
+  void onCallerLeft(TimePoint now, std::uint64_t requestToken);
   void tick(TimePoint now, std::string const& primaryAddress);
 
  private:
--- a/libs/control/include/limeramp/control/relay.h
+++ b/libs/control/include/limeramp/control/relay.h
@@ -43,8 +43,8 @@
   RelayOutcome outcome = RelayOutcome::mayHaveRun;
 };
 
-/// All that can happen to relayed orders.
-using RelayEvent = std::variant<RelayRequested, RelayPrimary, RelayAttemptFinished, Tick>;
+/// All that can happen to relayed orders. CallerLeft: the attempt under way is cancelled, and none follows.
+using RelayEvent = std::variant<RelayRequested, RelayPrimary, RelayAttemptFinished, CallerLeft, Tick>;
 
 /// Send the order there. It names its key, so that it is carried out once however often it is sent.
 struct RelaySend {
--- a/libs/control/src/config_service_impl.h
+++ b/libs/control/src/config_service_impl.h
@@ -66,6 +66,7 @@
   void on(replication::ReplicationGroup const& group, StateRequestReceived const& event);
   void on(replication::ReplicationGroup const& group, ProbeFinished const& event);
   void on(replication::ReplicationGroup const& group, RemoveNodes const& event);
+  void on(replication::ReplicationGroup const& group, CallerLeft const& event);
   void on(replication::ReplicationGroup const& group, Tick const& event);
   void on(replication::ReplicationGroup const& group, BeginShutdown const& event);
 
@@ -89,6 +90,12 @@
     }
     return isUnconfirmed() ? std::optional(OrderObstacle::backupUnresponsive) : std::nullopt;
   }
+  /// Whether a queued order is carried out, or declined, now. An order for a zone waits until the leadership is
+  /// confirmed as of its arrival: by then the news that its caller has left is here, if it left before the order came.
+  bool isDue(QueuedOrder const& queued) const {
+    return !queued.order.zone || confirmedSince(confirmedAt, queued.arrivedAt) || now >= queued.order.deadline ||
+           isUnconfirmed();
+  }
   std::size_t waitingAnswers() const { return acknowledgements.size() + refusals.size() + removals.size(); }
   bool majorityConfirmed(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
     return tracker.majorityConfirmed(roster, wanted, published.epoch);
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -90,19 +90,28 @@
                 [this](ForwardFinished back) { inboundMessages.push(std::move(back)); }),
       graceMs(settingsIn.graceMs) {}
 
+net::ServerOptions ControlServer::Impl::listenerOptions() {
+  net::ServerOptions options;
+  options.bounds.maxConnections = settings.maxConnections;
+  options.bounds.maxBodyBytes = maxRequestBytes;
+  options.gone = [this](std::uint64_t token) { inboundMessages.push(RequestAbandoned{token}); };
+  return options;
+}
+
 bool ControlServer::Impl::listen(std::string& error) {
   using Audience = node::Listeners::Audience;
-  net::ServerBounds bounds;
-  bounds.maxConnections = settings.maxConnections;
-  bounds.maxBodyBytes = maxRequestBytes;
+  net::ServerOptions peers = listenerOptions();
+  peers.watchesCaller = needsCaller;
+  net::ServerOptions operators = listenerOptions();
+  operators.watchesCaller = mayBeOrder;
   OperatorHandler const own = [this](net::Request request, net::Responder respond) {
     take(std::move(request), std::move(respond));
   };
   net::HttpServer::Handler const takeOperator = [this, own](net::Request request, net::Responder respond) {
     serveOperator(adapter, std::move(request), std::move(respond), own);
   };
-  return listeners.listen(Audience::peers, {settings.listen}, bounds, own, error) &&
-         listeners.listen(Audience::operators, settings.operatorListens, bounds, takeOperator, error);
+  return listeners.listen(Audience::peers, {settings.listen}, peers, own, error) &&
+         listeners.listen(Audience::operators, settings.operatorListens, operators, takeOperator, error);
 }
 
 void ControlServer::Impl::take(net::Request request, net::Responder respond) {
--- a/libs/control/src/control_server_impl.h
+++ b/libs/control/src/control_server_impl.h
@@ -31,6 +31,11 @@
   Clock::time_point arrivedAt = Clock::now();
 };
 
+/// The caller of a request that was handed on has left before its answer.
+struct RequestAbandoned {
+  std::uint64_t requestToken = 0;
+};
+
 /// Asks the controller to hand its duties over.
 struct DrainRequested {};
 
@@ -42,14 +47,15 @@
 /// Asks for the settings file to be read at once.
 struct ReloadRequested {};
 
-using InboundMessage =
-    std::variant<Incoming, DiskDone, ForwardFinished, ProbeFinished, DrainRequested, FollowSettings, ReloadRequested>;
+using InboundMessage = std::variant<Incoming, RequestAbandoned, DiskDone, ForwardFinished, ProbeFinished,
+                                    DrainRequested, FollowSettings, ReloadRequested>;
 
 /// An operator's order to force a new group, while the configuration for it is being fetched.
 struct PendingForcedGroup {
   /// The node that holds the configuration.
   std::string from;
   net::Responder respond;
+  std::uint64_t callerToken = 0;
   Clock::time_point deadline;
   Clock::time_point nextAt;
 };
@@ -59,6 +65,8 @@
   net::Responder respond;
   /// The id of its change; empty for a read.
   std::string change;
+  /// Of a request that needs its caller; 0 for others.
+  std::uint64_t callerToken = 0;
 };
 
 /// Who this controller is in the group: what its disk says, or what a new disk begins with.
@@ -79,6 +87,7 @@
 
   // Start and end: control_server.cpp.
   bool listen(std::string& error);
+  net::ServerOptions listenerOptions();
   void take(net::Request request, net::Responder respond);
   void drainAndWait();
 
@@ -88,6 +97,7 @@
   void restoreMembers();
   void storeMembers(std::vector<replication::Member> const& members);
   void on(Incoming& inbound);
+  void on(RequestAbandoned const& inbound);
   void on(DiskDone& inbound);
   void on(ForwardFinished& inbound) { forwarder.onFinished(Clock::now(), inbound); }
   void on(ProbeFinished& inbound) { stepService(inbound); }
--- a/libs/control/src/force_new_group.cpp
+++ b/libs/control/src/force_new_group.cpp
@@ -25,7 +25,8 @@
     return;
   }
   Clock::time_point const now = Clock::now();
-  forcingNewGroup = PendingForcedGroup{std::get<std::string>(from), std::move(inbound.respond), now + forceWaitMs, now};
+  forcingNewGroup = PendingForcedGroup{std::get<std::string>(from), std::move(inbound.respond), inbound.content.token,
+                                       now + forceWaitMs, now};
   continueForcingNewGroup(now);
 }
 
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -96,6 +96,16 @@
   return zoneOf(request.target) && (method == "PUT" || method == "DELETE") ? OperatorCall::change : OperatorCall::none;
 }
 
+bool needsCaller(net::Request const& request) {
+  bool const forcesNewGroup = request.target == forceNewGroupPath && request.method == "POST";
+  bool const ordersZone = zoneOf(request.target) && operatorCallOf(request) == OperatorCall::change;
+  return forcesNewGroup || ordersZone || operatorCallOf(request) == OperatorCall::removeNodes;
+}
+
+net::Answer callerLeftAnswer() {
+  return plain(503, "{\"outcome\":\"not_run\",\"reason\":" + json(callerLeftReason) + "}");
+}
+
 std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint arrivedAt) {
   long waitMs = 10'000;
   if (std::optional<std::string> const text = net::findHeader(request.headers, deadlineHeader)) {
--- a/libs/control/src/operator_calls.cpp
+++ b/libs/control/src/operator_calls.cpp
@@ -4,12 +4,17 @@
 #include "limeramp/control/operator_api.h"
 #include "limeramp/logging/logging.h"
 
+#include <algorithm>
+
 namespace limeramp::control {
 
 void ControlServer::Impl::on(Incoming& inbound) {
   std::string const& target = inbound.content.target;
   std::string const& method = inbound.content.method;
-  if (target == "/limeramp/inner" && method == "POST") {
+  if (inbound.content.callerLeft && needsCaller(inbound.content)) {
+    logging::raise(logging::Event::orderAbandoned, {{"target", target}});
+    inbound.respond(callerLeftAnswer());
+  } else if (target == "/limeramp/inner" && method == "POST") {
     receivePeerMessage(inbound.content.body);
     inbound.respond({204, {}, ""});
   } else if (operatorCallOf(inbound.content) == OperatorCall::change) {
@@ -18,7 +23,7 @@
     removeNodes(inbound);
   } else if (operatorCallOf(inbound.content) == OperatorCall::read) {
     readConfiguration(inbound);
-  } else if (target == "/limeramp/force-new-group" && method == "POST") {
+  } else if (target == forceNewGroupPath && method == "POST") {
     forceNewGroup(inbound);
   } else if (target == "/limeramp/ready" && method == "GET") {
     inbound.respond(readinessPage());
@@ -33,6 +38,19 @@
   }
 }
 
+void ControlServer::Impl::on(RequestAbandoned const& inbound) {
+  forwarder.onCallerLeft(Clock::now(), inbound.requestToken);
+  if (forcingNewGroup && forcingNewGroup->callerToken == inbound.requestToken) {
+    finishForcingNewGroup(callerLeftReason);
+  }
+  std::unordered_map<std::uint64_t, WaitingCall>::const_iterator const found =
+      std::find_if(waitingCalls.begin(), waitingCalls.end(),
+                   [&](auto const& entry) { return entry.second.callerToken == inbound.requestToken; });
+  if (found != waitingCalls.end()) {
+    stepService(CallerLeft{found->first});
+  }
+}
+
 void ControlServer::Impl::readConfiguration(Incoming& inbound) {
   if (!service.active()) {
     relayCall(inbound);
@@ -44,7 +62,7 @@
     return;
   }
   std::uint64_t const ticket = ++lastTicket;
-  waitingCalls.emplace(ticket, WaitingCall{std::move(inbound.respond), ""});
+  waitingCalls.emplace(ticket, WaitingCall{std::move(inbound.respond), "", 0});
   stepService(Read{ticket, std::get<TimePoint>(deadline)});
 }
 
@@ -60,7 +78,8 @@
   }
   Change& wanted = std::get<Change>(read);
   wanted.ticket = ++lastTicket;
-  waitingCalls.emplace(wanted.ticket, WaitingCall{std::move(inbound.respond), wanted.id});
+  std::uint64_t const callerToken = needsCaller(inbound.content) ? inbound.content.token : 0;
+  waitingCalls.emplace(wanted.ticket, WaitingCall{std::move(inbound.respond), wanted.id, callerToken});
   stepService(wanted);
 }
 
@@ -79,7 +98,7 @@
     return;
   }
   std::uint64_t const ticket = ++lastTicket;
-  waitingCalls.emplace(ticket, WaitingCall{std::move(inbound.respond), wanted.id});
+  waitingCalls.emplace(ticket, WaitingCall{std::move(inbound.respond), wanted.id, inbound.content.token});
   stepService(RemoveNodes{ticket, std::get<std::vector<std::string>>(nodes), wanted.deadline});
 }
 
--- a/libs/control/src/operator_protocol_adapter.cpp
+++ b/libs/control/src/operator_protocol_adapter.cpp
@@ -4,6 +4,8 @@
 
 namespace limeramp::control {
 
+bool mayBeOrder(net::Request const& asked) { return asked.method != "GET" && asked.method != "HEAD"; }
+
 void serveOperator(OperatorProtocolAdapter const& adapter, net::Request asked, net::Responder respond,
                    OperatorHandler const& own) {
   std::optional<net::Request> request = adapter.toNative ? adapter.toNative(asked) : asked;
--- a/libs/control/src/order_forwarder.cpp
+++ b/libs/control/src/order_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "limeramp/control/operator_api.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace limeramp::control {
@@ -16,6 +17,8 @@
   std::string change;
   net::Responder respond;
   bool reads = false;
+  /// Of a request that needs its caller; 0 for others.
+  std::uint64_t callerToken = 0;
 };
 
 RelayOutcome outcomeOfRead(net::Answer const& answer) {
@@ -131,7 +134,8 @@
   content.headers.emplace_back(relayedHeader, "1");
   content.headers.emplace_back("limeramp-from", impl_->advertise);
   std::uint64_t const ticket = ++impl_->lastTicket;
-  impl_->jobs.emplace(ticket, Job{std::move(content), id, std::move(respond), reads});
+  std::uint64_t const callerToken = needsCaller(content) ? content.token : 0;
+  impl_->jobs.emplace(ticket, Job{std::move(content), id, std::move(respond), reads, callerToken});
   impl_->drive(now, RelayRequested{ticket, std::get<TimePoint>(deadline)});
 }
 
@@ -143,6 +147,15 @@
   }
 }
 
+void OrderForwarder::onCallerLeft(TimePoint now, std::uint64_t requestToken) {
+  std::unordered_map<std::uint64_t, Job>::const_iterator const found =
+      std::find_if(impl_->jobs.begin(), impl_->jobs.end(),
+                   [&](auto const& entry) { return requestToken != 0 && entry.second.callerToken == requestToken; });
+  if (found != impl_->jobs.end()) {
+    impl_->drive(now, CallerLeft{found->first});
+  }
+}
+
 void OrderForwarder::tick(TimePoint now, std::string const& primaryAddress) {
   if (primaryAddress != impl_->primary) {
     impl_->primary = primaryAddress;
--- a/libs/control/src/order_processing.cpp
+++ b/libs/control/src/order_processing.cpp
@@ -52,6 +52,15 @@
   startNext(group);
 }
 
+void ConfigService::Impl::on(replication::ReplicationGroup const&, CallerLeft const& event) {
+  std::optional<QueuedOrder> const queued =
+      queue.takeFirst([&](QueuedOrder const& each) { return each.order.ticket == event.ticket; });
+  if (queued) {
+    effects.emplace_back(replication::LogEntry{logging::Event::orderAbandoned, queued->order.id});
+    decide(event.ticket, OrderStatus::notRun, callerLeftReason);
+  }
+}
+
 void ConfigService::Impl::on(replication::ReplicationGroup const&, Read const& event) {
   if (std::optional<OrderObstacle> const obstacle = readObstacle()) {
     decide(event.ticket, OrderStatus::notRun, textOf(*obstacle));
@@ -164,16 +173,16 @@
     if (proposeRoster(group)) {
       return;
     }
-    if (queue.empty()) {
+    std::optional<QueuedOrder> const queued = queue.takeFirst([this](QueuedOrder const& each) { return isDue(each); });
+    if (!queued) {
       return;
     }
-    QueuedOrder const queued = queue.pop();
-    if (now >= queued.order.deadline) {
-      decide(queued.order.ticket, OrderStatus::notRun, "the deadline passed before the change was begun");
+    if (now >= queued->order.deadline) {
+      decide(queued->order.ticket, OrderStatus::notRun, "the deadline passed before the change was begun");
     } else if (isUnconfirmed()) {
-      decide(queued.order.ticket, OrderStatus::notRun, textOf(OrderObstacle::backupUnresponsive));
+      decide(queued->order.ticket, OrderStatus::notRun, textOf(OrderObstacle::backupUnresponsive));
     } else {
-      begin(group, queued);
+      begin(group, *queued);
     }
   }
 }
--- a/libs/control/src/order_queue.cpp
+++ b/libs/control/src/order_queue.cpp
@@ -2,14 +2,19 @@
 
 #include "take_if.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
 namespace limeramp::control {
 
-QueuedOrder OrderQueue::pop() {
-  QueuedOrder order = std::move(queue_.front());
-  queue_.pop_front();
+std::optional<QueuedOrder> OrderQueue::takeFirst(std::function<bool(QueuedOrder const&)> const& wanted) {
+  std::deque<QueuedOrder>::iterator const found = std::find_if(queue_.begin(), queue_.end(), wanted);
+  if (found == queue_.end()) {
+    return std::nullopt;
+  }
+  QueuedOrder order = std::move(*found);
+  queue_.erase(found);
   return order;
 }
 
--- a/libs/control/src/order_queue.h
+++ b/libs/control/src/order_queue.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
+#include <optional>
 #include <vector>
 
 namespace limeramp::control {
@@ -19,12 +21,11 @@
 /// waits elsewhere.
 class OrderQueue {
  public:
-  bool empty() const { return queue_.empty(); }
   std::size_t size() const { return queue_.size(); }
   void push(QueuedOrder order) { queue_.push_back(std::move(order)); }
 
-  /// Takes out the oldest order. Only when not empty.
-  QueuedOrder pop();
+  /// Takes out the oldest order for which `wanted` is true. Nothing if there is none.
+  std::optional<QueuedOrder> takeFirst(std::function<bool(QueuedOrder const&)> const& wanted);
   /// Takes out the orders whose deadline has passed.
   std::vector<QueuedOrder> takeExpired(TimePoint now);
   /// Takes out all: they will not be begun here.
--- a/libs/control/src/relay.cpp
+++ b/libs/control/src/relay.cpp
@@ -53,17 +53,34 @@
     entry.mayHaveRun = entry.mayHaveRun || event.outcome == RelayOutcome::mayHaveRun;
   }
 
+  void on(CallerLeft const& event) {
+    std::map<std::uint64_t, Entry>::iterator const found = entries.find(event.ticket);
+    if (found == entries.end()) {
+      return;
+    }
+    cancelAttempt(found->second);
+    OrderStatus const status = found->second.mayHaveRun ? OrderStatus::unknown : OrderStatus::notRun;
+    effects.emplace_back(OrderOutcome{event.ticket, status, {}, {}, callerLeftReason});
+    entries.erase(found);
+  }
+
   void on(Tick const&) { push(); }
 
+  void cancelAttempt(Entry& entry) {
+    if (entry.attempt != 0) {
+      effects.emplace_back(RelayCancel{entry.attempt});
+      entry.mayHaveRun = true;
+    }
+  }
+
   void push() {
     for (std::map<std::uint64_t, Entry>::iterator row = entries.begin(); row != entries.end();) {
       Entry& entry = row->second;
       bool const open = entry.attempt != 0;
       bool const ended = now >= entry.deadline;
       bool const waits = open ? entry.primary == primary : entry.primary == primary && now < entry.nextAt;
-      if (open && (ended || !(waits || primary.empty()))) {
-        effects.emplace_back(RelayCancel{entry.attempt});
-        entry.mayHaveRun = true;
+      if (ended || !(waits || primary.empty())) {
+        cancelAttempt(entry);
       }
       if (ended) {
         effects.emplace_back(
--- a/libs/gateway/src/gateway_server.cpp
+++ b/libs/gateway/src/gateway_server.cpp
@@ -1,6 +1,7 @@
 // Start and end of a gateway.
 #include "gateway_server_impl.h"
 
+#include "limeramp/control/operator_api.h"
 #include "limeramp/net/random.h"
 
 #include <algorithm>
@@ -103,11 +104,16 @@
   net::ServerOptions const general = listenerOptions(maxRequestBytes);
   net::ServerOptions callers = general;
   callers.opensLater = true;
+  net::ServerOptions peers = general;
+  peers.watchesCaller = control::needsCaller;
+  peers.gone = [this](std::uint64_t token) { post(RequestAbandoned{token}); };
+  net::ServerOptions operatorsOptions = peers;
+  operatorsOptions.watchesCaller = control::mayBeOrder;
   return listeners.listen(Audience::callers, settings.callerListens, callers, takeCaller, error) &&
-         listeners.listen(Audience::peers, {settings.listen}, general, takePeer, error) &&
+         listeners.listen(Audience::peers, {settings.listen}, peers, takePeer, error) &&
          listeners.listen(Audience::readiness, settings.readinessListens, listenerOptions(maxReadinessBytes),
                           takeOperator, error) &&
-         listeners.listen(Audience::operators, settings.operatorListens, general, takeOperator, error);
+         listeners.listen(Audience::operators, settings.operatorListens, operatorsOptions, takeOperator, error);
 }
 
 void GatewayServer::Impl::drainAndWait() {
--- a/libs/logging/include/limeramp/logging/logging.h
+++ b/libs/logging/include/limeramp/logging/logging.h
@@ -24,6 +24,7 @@
   configurationRefused = 202,
   configurationUnknown = 203,
   configurationUnreadable = 204,
+  orderAbandoned = 205,
   readinessChanged = 210,
   drainBegan = 211,
   listRead = 300,
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -10,7 +10,7 @@
 namespace limeramp::logging {
 namespace {
 
-constexpr std::array<EventInfo, 41> events{{
+constexpr std::array<EventInfo, 42> events{{
     {Event::processStarted, Level::info, "process_started", "the process read its settings and begins its duties"},
     {Event::processStopping, Level::info, "process_stopping", "the process was told to end and drains"},
     {Event::settingsRefused, Level::error, "settings_refused",
@@ -28,6 +28,8 @@
      "what became of a change could not be learnt in time"},
     {Event::configurationUnreadable, Level::error, "configuration_unreadable",
      "a delivered configuration did not pass this node's check"},
+    {Event::orderAbandoned, Level::info, "order_abandoned",
+     "an order was not begun since its caller had left; whoever wants it sends it again"},
     {Event::readinessChanged, Level::info, "readiness_changed",
      "the node became ready or stopped being ready, with the reason"},
     {Event::drainBegan, Level::info, "drain_began", "the node takes no new connections and finishes what it holds"},
--- a/libs/net/include/limeramp/net/http.h
+++ b/libs/net/include/limeramp/net/http.h
@@ -42,7 +42,8 @@
   bool required = false;
 };
 
-/// A whole request. `peer` and `token` are set by the server: who sent it, and what names it in ServerOptions::gone.
+/// A whole request. `peer`, `token` and `callerLeft` are set by the server: who sent it, what names it in
+/// ServerOptions::gone among all requests of a Network, and whether nobody waits for its answer any more.
 struct Request {
   std::string method;
   std::string target;
@@ -51,6 +52,9 @@
   std::string peer;
   std::uint64_t token = 0;
   AnswerIdentity identity{};
+  /// The caller had closed its side of the connection before the request was handed on. Certain only for requests that
+  /// ServerOptions::watchesCaller names.
+  bool callerLeft = false;
 };
 
 /// A whole answer.
@@ -129,8 +133,11 @@
   ServerBounds bounds;
   /// Writes the answer to what is malformed or beyond the bounds.
   std::function<Answer(int status, std::string const& reason)> refuse;
-  /// Called when the caller of a request has gone before its answer.
+  /// Called when the caller of a request has gone before its answer, also for one that was handed on as `callerLeft`.
   std::function<void(std::uint64_t token)> gone;
+  /// Names the requests before whose hand-over the server looks whether the caller is still there: one system call
+  /// more. A process that was held up finds both a request and the end of its connection when it reads again.
+  std::function<bool(Request const&)> watchesCaller;
   std::chrono::milliseconds userTimeoutMs{3'000};
   /// Connections are taken only after open(): the address is held, callers are refused meanwhile.
   bool opensLater = false;
--- a/libs/net/src/network.h
+++ b/libs/net/src/network.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <map>
 #include <thread>
 #include <unordered_map>
@@ -40,6 +41,8 @@
   std::vector<char> landing;
   std::string output;
   std::unordered_set<std::shared_ptr<void>> registered;
+  /// Names requests among all servers of this network. Belongs to the network's thread.
+  std::uint64_t lastRequestToken = 0;
 };
 
 /// Runs `work` on the thread of a network: at once if this is it, and not at all if the network is gone.
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -14,6 +14,14 @@
 constexpr std::size_t lingerBytes = 1 << 20;
 constexpr Ms lingerMs{1000};
 
+/// Whether the peer has closed its side, or the whole connection, behind all that it sent. Takes no bytes.
+bool hasLeft(Socket& socket) {
+  char next = 0;
+  boost::system::error_code error;
+  socket.receive(asio::buffer(&next, 1), Socket::message_peek, error);
+  return error == asio::error::eof || error == asio::error::connection_reset;
+}
+
 Answer refusalInJson(int status, std::string const& reason) {
   Answer out;
   out.status = status;
@@ -245,10 +253,12 @@
   connection->framing = connection->reader.framing();
   connection->phase = ServerPhase::handling;
   connection->deadline = TimePoint::max();
-  connection->token = ++lastToken;
+  connection->token = ++network.lastRequestToken;
   Request request = connection->reader.request();
   request.peer = connection->peer;
   request.token = connection->token;
+  bool const watched = options.watchesCaller && options.watchesCaller(request);
+  request.callerLeft = connection->ended || (watched && hasLeft(connection->socket));
   std::uint64_t const token = request.token;
   std::shared_ptr<Ticket> ticket = std::make_shared<Ticket>(connection, token);
   handler(std::move(request), [ticket = std::move(ticket)](Answer answer) { ticket->give(std::move(answer)); });
--- a/libs/net/src/server_impl.h
+++ b/libs/net/src/server_impl.h
@@ -34,7 +34,6 @@
   Address address;
   asio::ip::tcp::endpoint remote;
   ConnectionSet<Connection> connections;
-  std::uint64_t lastToken = 0;
   DeadlineSweep sweep;
   std::weak_ptr<Impl> self;
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -5,7 +5,9 @@
 
 #include <atomic>
 #include <future>
+#include <map>
 #include <mutex>
+#include <set>
 
 namespace {
 
@@ -325,6 +327,64 @@
   EXPECT_TRUE(half.rest().ends_with("still"));
 }
 
+// Guards against orders that were given up and carried out after a freeze: a process that wakes finds a request and the
+// end of its connection at the same time.
+TEST(HttpServer, ARequestWhoseCallerLeftWhileTheProcessWasFrozenIsHandedOnAsSuch) {
+  Network network{RunOnCallerThread{}};
+  std::map<std::string, bool> callerLeft;
+  ServerOptions options;
+  options.watchesCaller = [](Request const& request) { return request.method == "POST"; };
+  std::string error;
+  std::unique_ptr<HttpServer> const server = HttpServer::listen(
+      network, anyPort, options,
+      [&](Request const& request, Responder const& respond) {
+        callerLeft[request.target] = request.callerLeft;
+        respond({200, {}, "answer"});
+      },
+      error);
+  ASSERT_NE(server, nullptr) << error;
+  std::string const fields = " HTTP/1.1\r\ncontent-length: 2\r\n\r\nhi";
+  RawSocket closed = RawSocket::to(server->address());
+  closed.send("POST /closed" + fields);
+  closed.close();
+  RawSocket half = RawSocket::to(server->address());
+  half.send("POST /half" + fields);
+  half.halfClose();
+  RawSocket waiting = RawSocket::to(server->address());
+  waiting.send("POST /waiting" + fields);
+  RawSocket pipelined = RawSocket::to(server->address());
+  pipelined.send("POST /first" + fields + "POST /second" + fields);
+  network.after(Ms(200), [&] { network.stop(); });
+  network.run();
+  EXPECT_EQ(callerLeft,
+            (std::map<std::string, bool>{
+                {"/closed", true}, {"/half", true}, {"/waiting", false}, {"/first", false}, {"/second", false}}));
+  EXPECT_TRUE(half.rest().ends_with("answer"));
+  EXPECT_TRUE(waiting.message().ends_with("answer"));
+  EXPECT_TRUE(pipelined.message().ends_with("answer"));
+  EXPECT_TRUE(pipelined.message().ends_with("answer"));
+}
+
+TEST(HttpServer, TokensNameRequestsAmongAllServersOfANetwork) {
+  std::mutex mutex;
+  std::set<std::uint64_t> tokens;
+  HttpServer::Handler const take = [&](Request const& request, Responder const& respond) {
+    std::unique_lock<std::mutex> const lock(mutex);
+    tokens.insert(request.token);
+    respond({200, {}, "taken"});
+  };
+  Served served({}, take);
+  std::unique_ptr<HttpServer> const other = HttpServer::listen(served.network, anyPort, {}, take, served.error);
+  for (Address const& address : {served.server->address(), other->address(), served.server->address()}) {
+    RawSocket caller = RawSocket::to(address);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(caller.message().ends_with("taken"));
+  }
+  std::unique_lock<std::mutex> const lock(mutex);
+  EXPECT_EQ(tokens.size(), 3u);
+  EXPECT_FALSE(tokens.contains(0));
+}
+
 TEST(HttpServer, ADroppedResponderClosesItsConnection) {
   Served served({}, [](Request, Responder) {});
   RawSocket caller = served.call();
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <functional>
 #include <limits>
 
@@ -676,4 +677,79 @@
             std::vector<std::string>{"z1"});
 }
 
+// Guards against an order for a zone that was given up, overtaken by its opposite, and carried out all the same.
+TEST(AbandonedOrder, UndoesNothingWhateverTheMomentAtWhichItComes) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    FleetSimulation fleet(seed, controllers, gateways, 3);
+    OperatorSimulation operators(fleet);
+    fleet.startAll();
+    ASSERT_EQ(operators.insist(orderOn(0, 4, "first"), Ms(15'000)), Reply::taken) << seed;
+    ASSERT_EQ(operators.insist(zoneOrder("z1", true), Ms(5000)), Reply::taken) << seed;
+    fleet.run(Ms(13 * seed));
+    control::Change late = zoneOrder("z1", false);
+    late.ticket = fleet.nextTicket();
+    late.deadline = fleet.network.now() + callMs;
+    std::size_t const primary = *fleet.primary();
+    fleet.submit(primary, late);
+    EXPECT_FALSE(fleet.answers.contains(late.ticket)) << seed;
+    fleet.submit(primary, control::CallerLeft{late.ticket});
+    ASSERT_TRUE(fleet.answers.contains(late.ticket)) << seed;
+    EXPECT_EQ(fleet.answers.at(late.ticket).decided.verdict, control::OrderStatus::notRun) << seed;
+    fleet.run(Ms(2500));
+    EXPECT_EQ(fleet.machines[*fleet.primary()].controller->plane->published().evacuatedZones,
+              std::vector<std::string>{"z1"})
+        << seed;
+    EXPECT_EQ(fleet.complaints, std::vector<std::string>{}) << seed;
+    fleet.expectNothingOf("z1");
+    ASSERT_EQ(operators.insist(zoneOrder("z1", false), Ms(5000)), Reply::taken) << "a caller that waits is served";
+  }
+}
+
+TEST(ZoneOrder, IsBegunOnceTheLeadershipIsConfirmedAsOfItsArrivalAndDoesNotHoldUpOthers) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FleetSimulation fleet(seed, controllers, gateways, 3);
+    OperatorSimulation operators(fleet);
+    fleet.startAll();
+    ASSERT_EQ(operators.insist(orderOn(0, 4, "first"), Ms(15'000)), Reply::taken) << seed;
+    fleet.run(Ms(1000 + 17 * seed));
+    std::size_t const primary = *fleet.primary();
+    SimulatedController const& controller = *fleet.machines[primary].controller;
+    TimePoint const arrivedAt = fleet.network.now();
+    ASSERT_TRUE(fleet.order("z1", true));
+    control::Change second = orderOn(4, 6, "second");
+    second.deadline = arrivedAt + callMs;
+    std::optional<std::uint64_t> const other = fleet.change(second);
+    bool begun = false;
+    while (!begun && fleet.network.now() < arrivedAt + callMs) {
+      begun = !controller.plane->published().evacuatedZones.empty();
+      EXPECT_TRUE(!begun || control::confirmedSince(controller.group->leadershipConfirmedAt(), arrivedAt)) << seed;
+      fleet.run(Ms(1));
+    }
+    EXPECT_TRUE(begun) << seed;
+    fleet.run(callMs);
+    ASSERT_TRUE(other && fleet.answers.contains(*other)) << seed;
+    EXPECT_EQ(fleet.answers.at(*other).decided.verdict, control::OrderStatus::taken) << seed;
+  }
+}
+
+// Bound: the interval between two heartbeats of the group, an echo and a tick.
+TEST(ZoneOrder, IsCarriedOutWithinASecondOfItsArrivalInCalmTimes) {
+  Ms slowest{0};
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FleetSimulation fleet(seed, controllers, gateways, 3);
+    OperatorSimulation operators(fleet);
+    fleet.startAll();
+    ASSERT_EQ(operators.insist(orderOn(0, 4, "first"), Ms(15'000)), Reply::taken) << seed;
+    fleet.run(Ms(1000 + 17 * seed));
+    TimePoint const arrivedAt = fleet.network.now();
+    std::optional<std::uint64_t> const ticket = fleet.order("z1", true);
+    ASSERT_TRUE(ticket) << seed;
+    fleet.run(Ms(1000));
+    ASSERT_TRUE(fleet.answers.contains(*ticket)) << seed;
+    EXPECT_EQ(fleet.answers.at(*ticket).decided.verdict, control::OrderStatus::taken) << seed;
+    slowest = std::max(slowest, std::chrono::duration_cast<Ms>(fleet.answers.at(*ticket).at - arrivedAt));
+  }
+  std::printf("a zone order is answered within %ld ms\n", static_cast<long>(slowest.count()));
+}
+
 }  // namespace
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -65,6 +65,14 @@
     return true;
   }
 
+  /// Sends the text and the end of this side in one segment, so that whoever reads one finds the other.
+  bool sendAndHalfClose(std::string_view text) {
+    bool const sent =
+        ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL | MSG_MORE) == static_cast<ssize_t>(text.size());
+    halfClose();
+    return sent;
+  }
+
   std::string head() {
     std::size_t end = std::string::npos;
     while ((end = unread_.find("\r\n\r\n")) == std::string::npos) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -113,6 +113,36 @@
   EXPECT_EQ(bench.done, 1u);
 }
 
+// Guards against orders that were given up and reach the primary later all the same.
+TEST(Relay, AnOrderWhoseCallerLeftIsCancelledAndNeverSentAgain) {
+  for (std::size_t const attempts : {0u, 1u, 2u}) {
+    for (bool const open : {false, true}) {
+      Bench bench;
+      bench.step(RelayRequested{1, bench.now + Ms(5000)});
+      for (std::size_t attempt = 0; attempt < attempts; ++attempt) {
+        bench.step(RelayPrimary{"a"});
+        bench.now += Ms(300);
+        bench.step(Tick{});
+        if (!open || attempt + 1 < attempts) {
+          bench.back(RelayOutcome::notRun);
+        }
+      }
+      std::size_t const sent = bench.sent.size();
+      EXPECT_EQ(sent, attempts);
+      bench.step(CallerLeft{1});
+      EXPECT_TRUE(bench.open.empty()) << "the connection to the primary is closed";
+      EXPECT_EQ(bench.finals, 1u);
+      EXPECT_EQ(*bench.verdict, open && attempts > 0 ? OrderStatus::unknown : OrderStatus::notRun);
+      bench.step(CallerLeft{1});
+      bench.step(RelayPrimary{"b"});
+      bench.now += Ms(6000);
+      bench.step(Tick{});
+      EXPECT_EQ(bench.sent.size(), sent);
+      EXPECT_EQ(bench.finals, 1u);
+    }
+  }
+}
+
 TEST(Relay, HasABound) {
   Bench bench;
   for (std::uint64_t ticket = 1; ticket <= 300; ++ticket) {
@@ -186,6 +216,18 @@
   }
 }
 
+TEST(Orders, ThatNameNothingTheyBuildOnNeedTheirCaller) {
+  EXPECT_TRUE(needsCaller(requestOf("PUT", "/limeramp/zones/north-1/emptied")));
+  EXPECT_TRUE(needsCaller(requestOf("DELETE", "/limeramp/zones/north-1/emptied")));
+  EXPECT_TRUE(needsCaller(requestOf("POST", removeNodesPath)));
+  EXPECT_TRUE(needsCaller(requestOf("POST", forceNewGroupPath)));
+  for (char const* const method : {"GET", "PUT", "PATCH"}) {
+    EXPECT_FALSE(needsCaller(requestOf(method, configurationPath))) << method;
+  }
+  EXPECT_FALSE(needsCaller(requestOf("POST", "/limeramp/inner")));
+  EXPECT_FALSE(needsCaller(requestOf("GET", "/limeramp/status")));
+}
+
 TEST(Orders, AZoneIsNamedByThePath) {
   EXPECT_TRUE(changeOf(requestOf("PUT", "/limeramp/zones/north-1/emptied")).zone->evacuated);
   EXPECT_EQ(changeOf(requestOf("DELETE", "/limeramp/zones/north-1/emptied")).zone->zone, "north-1");
