Fix: requests read and sent on were lost while a gateway ended (LOST)

Cause: the end waited for requests without an answer only. One that was still being read did not count, was admitted in the last 300 ms, and nobody waited for its answer.

Change: a connection is busy from the first byte of a request to the last of its answer (HttpServer::busyConnections); a gateway that ends waits for busy connections too, within the bound it had. Once it refuses what it holds, it refuses what becomes whole as well (503, not run), so nothing is sent on whose answer nobody awaits.

--- a/libs/gateway/src/event_loop.cpp
+++ b/libs/gateway/src/event_loop.cpp
@@ -138,6 +138,7 @@
 }
 
 void GatewayServer::Impl::on(EndRequested&) {
+  ending = true;
   std::unordered_map<std::uint64_t, net::Responder> const waiting = std::move(responders);
   responders.clear();
   for (std::pair<std::uint64_t const, net::Responder> const& entry : waiting) {
--- a/libs/gateway/src/forwarding.cpp
+++ b/libs/gateway/src/forwarding.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t maxCallerBytes = 1 << 20;
 constexpr std::uint64_t maxForwardedMs = 60'000;
 constexpr Ms staleRetryMs{1'000};
+/// Another node can take the request at once.
+constexpr Ms endingRetryMs{50};
 constexpr char const* forwardPath = "/limeramp/carry";
 constexpr char const* avroType = "avro/binary";
 
@@ -66,6 +68,11 @@
 
 void GatewayServer::Impl::admit(net::Request content, net::Responder respond, bool forwarded,
                                 std::optional<Ms> remainingMs) {
+  if (ending) {
+    respond(adapter.writeRefusal(
+        {RefusalReason::overloaded, "this node ends", retry::Verdict::notRun, endingRetryMs, "", ""}));
+    return;
+  }
   distribution::ConfigFreshness const freshness = delivery.status(Clock::now()).freshness;
   if (!distribution::mayServe(freshness)) {
     ++refusedStale;
--- a/libs/gateway/src/gateway_server.cpp
+++ b/libs/gateway/src/gateway_server.cpp
@@ -17,6 +17,8 @@
 constexpr Ms overloadPauseMs{1'000};
 /// What is left of the grace time for the last answers to be written.
 constexpr Ms lastAnswersMs{300};
+/// How often a process that ends looks for requests that are still being read.
+constexpr Ms drainPollMs{20};
 
 dispatch::DispatchOptions dispatchOptionsOf(config::Settings const& settings) {
   dispatch::DispatchOptions options;
@@ -116,6 +118,14 @@
          listeners.listen(Audience::operators, settings.operatorListens, operatorsOptions, takeOperator, error);
 }
 
+// A request that is being read counts: once it is whole it is served as any other. Connections stay busy until their
+// answers are written, so none is missed between the two counts.
+bool GatewayServer::Impl::holdsRequests() const {
+  using Audience = node::Listeners::Audience;
+  return unanswered > 0 || listeners.busyConnections(Audience::callers) > 0 ||
+         listeners.busyConnections(Audience::peers) > 0;
+}
+
 void GatewayServer::Impl::drainAndWait() {
   Clock::time_point const begunAt = Clock::now();
   post(DrainRequested{});
@@ -123,7 +133,10 @@
   Ms const graceMs = std::max(drainTimes.graceMs, lastAnswersMs * 4);
   unansweredChanged.wait_until(lock, begunAt + std::min(graceMs / 2, drainTimes.noticeMs), [] { return false; });
   listeners.stopAccepting();
-  unansweredChanged.wait_until(lock, begunAt + graceMs - lastAnswersMs * 2, [this] { return unanswered == 0; });
+  Clock::time_point const endBy = begunAt + graceMs - lastAnswersMs * 2;
+  while (holdsRequests() && Clock::now() < endBy) {
+    unansweredChanged.wait_for(lock, drainPollMs);
+  }
   post(EndRequested{});
   unansweredChanged.wait_for(lock, lastAnswersMs, [] { return false; });
 }
--- a/libs/gateway/src/gateway_server_impl.h
+++ b/libs/gateway/src/gateway_server_impl.h
@@ -72,6 +72,8 @@
   bool listen(std::string& error);
   net::ServerOptions listenerOptions(std::size_t maxBodyBytes);
   void drainAndWait();
+  /// Whether a request is being read or has no answer yet. Called with `unansweredMutex` held.
+  bool holdsRequests() const;
 
   // The loop: event_loop.cpp.
   void post(InboundMessage inbound);
@@ -165,6 +167,8 @@
   std::string listProblem;
   Clock::time_point startedAt = Clock::now();
   bool draining = false;
+  /// The process ends at once: what comes now is refused, as nobody would wait for its answer.
+  bool ending = false;
   std::string lastNotReadyReason = "starting";
   bool callersLetIn = false;
   bool unreadable = false;
--- a/libs/net/include/limeramp/net/http.h
+++ b/libs/net/include/limeramp/net/http.h
@@ -161,6 +161,9 @@
   /// Takes no new connections.
   void stopAccepting();
   std::size_t connections() const;
+  /// Connections with a request that is being read, is in hand, or has an answer that is not written yet. From any
+  /// thread.
+  std::size_t busyConnections() const;
 
  private:
   HttpServer();
--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -163,5 +163,6 @@
 }
 
 std::size_t HttpServer::connections() const { return impl_->open; }
+std::size_t HttpServer::busyConnections() const { return impl_->busy; }
 
 }  // namespace limeramp::net
--- a/libs/net/src/server_connection.cpp
+++ b/libs/net/src/server_connection.cpp
@@ -22,6 +22,10 @@
   return error == asio::error::eof || error == asio::error::connection_reset;
 }
 
+bool isBusy(ServerPhase phase) {
+  return phase == ServerPhase::reading || phase == ServerPhase::handling || phase == ServerPhase::writing;
+}
+
 Answer refusalInJson(int status, std::string const& reason) {
   Answer out;
   out.status = status;
@@ -64,6 +68,12 @@
   }
 }
 
+void HttpServer::Impl::enter(Connection& connection, ServerPhase phase) {
+  busy += isBusy(phase) ? 1 : 0;
+  busy -= isBusy(connection.phase) ? 1 : 0;
+  connection.phase = phase;
+}
+
 void HttpServer::Impl::release(ConnectionPtr const& connection) {
   if (connection->registered) {
     connection->registered = false;
@@ -75,7 +85,7 @@
   if (connection->phase == ServerPhase::closed) {
     return;
   }
-  connection->phase = ServerPhase::closed;
+  enter(*connection, ServerPhase::closed);
   connection->reader.reset();
   boost::system::error_code ignored;
   connection->socket.close(ignored);
@@ -101,8 +111,8 @@
     close(connection);
     return;
   }
-  bool const busy = phase == ServerPhase::handling || phase == ServerPhase::writing;
-  if (connection->ended || (busy && connection->input.size() >= pipelinedBytes)) {
+  bool const answering = phase == ServerPhase::handling || phase == ServerPhase::writing;
+  if (connection->ended || (answering && connection->input.size() >= pipelinedBytes)) {
     if (phase == ServerPhase::handling && !connection->registered) {
       connection->registered = true;
       network.registered.insert(connection);
@@ -233,7 +243,7 @@
   if (used == bytes.size() || bytes.substr(used) == "\r") {
     return false;
   }
-  connection->phase = ServerPhase::reading;
+  enter(*connection, ServerPhase::reading);
   connection->since = Clock::now();
   connection->reader.begin();
   return true;
@@ -251,7 +261,7 @@
 
 void HttpServer::Impl::handle(ConnectionPtr const& connection) {
   connection->framing = connection->reader.framing();
-  connection->phase = ServerPhase::handling;
+  enter(*connection, ServerPhase::handling);
   connection->deadline = TimePoint::max();
   connection->token = ++network.lastRequestToken;
   Request request = connection->reader.request();
@@ -312,7 +322,7 @@
 }
 
 void HttpServer::Impl::send(ConnectionPtr const& connection) {
-  connection->phase = ServerPhase::writing;
+  enter(*connection, ServerPhase::writing);
   boost::system::error_code error;
   std::size_t const sent = connection->socket.write_some(asio::buffer(network.output), error);
   bool const blocked = wouldBlock(error);
@@ -354,7 +364,7 @@
     }
     return;
   }
-  connection->phase = ServerPhase::idle;
+  enter(*connection, ServerPhase::idle);
   connection->since = Clock::now();
   setDeadline(*connection, connection->since + options.bounds.idleMs);
   if (connection->pumping) {
@@ -372,7 +382,7 @@
 }
 
 void HttpServer::Impl::linger(ConnectionPtr const& connection) {
-  connection->phase = ServerPhase::lingering;
+  enter(*connection, ServerPhase::lingering);
   if (!connection->pumping) {
     relax(connection->input, 0);
   }
--- a/libs/net/src/server_impl.h
+++ b/libs/net/src/server_impl.h
@@ -29,6 +29,8 @@
   ServerOptions options;
   Handler handler;
   std::atomic<std::size_t> open{0};
+  /// Connections in a phase for which `isBusy` is true.
+  std::atomic<std::size_t> busy{0};
   std::atomic<bool> stopping{false};
   std::atomic<bool> draining{false};
   Address address;
@@ -47,6 +49,7 @@
   TimePoint expire(TimePoint now);
 
   // server_connection.cpp
+  void enter(Connection& connection, ServerPhase phase);
   void forget(Connection& connection);
   void close(ConnectionPtr const& connection);
   void expire(ConnectionPtr const& connection);
--- a/libs/node/include/limeramp/node/listeners.h
+++ b/libs/node/include/limeramp/node/listeners.h
@@ -28,6 +28,9 @@
   void setBounds(Audience audience, net::ServerBounds const& bounds);
   /// Changes how many connections each listener takes; open connections stay.
   void setMaxConnections(std::size_t maxConnections);
+  /// Connections of these listeners with a request that is being read, is in hand, or whose answer is being written.
+  /// From any thread.
+  std::size_t busyConnections(Audience audience) const;
   /// From now on each connection ends after its answer.
   void drain();
   void stopAccepting();
--- a/libs/node/src/listeners.cpp
+++ b/libs/node/src/listeners.cpp
@@ -46,6 +46,14 @@
   }
 }
 
+std::size_t Listeners::busyConnections(Audience audience) const {
+  std::size_t out = 0;
+  for (Listener const& listener : listeners_) {
+    out += listener.audience == audience ? listener.server->busyConnections() : 0;
+  }
+  return out;
+}
+
 void Listeners::drain() {
   for (Listener const& listener : listeners_) {
     listener.server->drain();
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -4,10 +4,12 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <map>
 #include <mutex>
 #include <set>
+#include <thread>
 
 namespace {
 
@@ -443,6 +445,35 @@
   EXPECT_TRUE(waiting.rest().ends_with("finished"));
 }
 
+// Guards against requests that a process which is told to end reads whole and never answers.
+TEST(HttpServer, AConnectionIsBusyFromTheFirstByteOfARequestToTheLastOfItsAnswer) {
+  std::promise<Responder> inHand;
+  Served served({}, [&](Request, Responder respond) { inHand.set_value(std::move(respond)); });
+  RawSocket idle = served.call();
+  RawSocket caller = served.call();
+  std::function<bool(std::size_t)> const becomes = [&](std::size_t wanted) {
+    for (int round = 0; round < 500 && served.server->busyConnections() != wanted; ++round) {
+      std::this_thread::sleep_for(Ms(10));
+    }
+    return served.server->busyConnections() == wanted;
+  };
+  EXPECT_TRUE(becomes(0));
+  caller.send("POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nbo");
+  EXPECT_TRUE(becomes(1));
+  served.server->stopAccepting();
+  EXPECT_EQ(served.server->busyConnections(), 1u);
+  caller.send("dy");
+  Responder const respond = inHand.get_future().get();
+  EXPECT_EQ(served.server->busyConnections(), 1u);
+  std::size_t const beyondTheSocketsBuffers = 30'000'000;
+  respond({200, {}, std::string(beyondTheSocketsBuffers, 'x')});
+  EXPECT_FALSE(caller.head().empty());
+  EXPECT_EQ(served.server->busyConnections(), 1u);
+  EXPECT_EQ(caller.exactly(beyondTheSocketsBuffers).size(), beyondTheSocketsBuffers);
+  EXPECT_TRUE(becomes(0));
+  EXPECT_TRUE(idle.endsInOrder());
+}
+
 TEST(HttpServer, SeveralServersShareOneNetwork) {
   Network network;
   std::string error;
