Records: no copy for undoing a rewrite, none kept of what the disk held at the start

With configurations of up to 1 MiB on the ordinary path both copies weigh more: each turn of the ring copied all values twice, and DiskWriter kept all records of the start for the life of the process, though they are read before it starts only.

writeCheckpoint takes the values that hold from then on and keeps them if they were synced; storedAtStart reads the store.

--- a/libs/control/src/disk_writer.cpp
+++ b/libs/control/src/disk_writer.cpp
@@ -10,11 +10,7 @@
 }  // namespace
 
 DiskWriter::DiskWriter(std::unique_ptr<storage::RecordStore> store, std::function<void(DiskDone)> done)
-    : store_(std::move(store)), done_(std::move(done)), jobs_(maxDiskJobs) {
-  if (store_ != nullptr) {
-    storedAtStart_ = store_->values();
-  }
-}
+    : store_(std::move(store)), done_(std::move(done)), jobs_(maxDiskJobs) {}
 
 DiskWriter::~DiskWriter() {
   jobs_.close();
@@ -23,6 +19,10 @@
   }
 }
 
+std::map<std::string, std::string> DiskWriter::storedAtStart() const {
+  return store_ == nullptr ? std::map<std::string, std::string>{} : store_->values();
+}
+
 void DiskWriter::start() {
   thread_ = std::thread([this] { run(); });
 }
--- a/libs/control/src/disk_writer.h
+++ b/libs/control/src/disk_writer.h
@@ -41,8 +41,8 @@
   DiskWriter(DiskWriter const&) = delete;
   DiskWriter& operator=(DiskWriter const&) = delete;
 
-  /// What the disk held when it was opened. Empty without a store.
-  std::map<std::string, std::string> const& storedAtStart() const { return storedAtStart_; }
+  /// What the disk held when it was opened. Empty without a store. To be called before `start` only.
+  std::map<std::string, std::string> storedAtStart() const;
   bool keepsRecords() const { return store_ != nullptr; }
   /// Begins to write what was handed in.
   void start();
@@ -55,7 +55,6 @@
   /// Belongs to the disk's thread from `start` on.
   std::unique_ptr<storage::RecordStore> store_;
   std::function<void(DiskDone)> done_;
-  std::map<std::string, std::string> storedAtStart_;
   net::Ring<DiskJob> jobs_;
   /// A record found no place in the queue, and no rewrite has been done since.
   std::atomic<bool> recordMissing_{false};
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -283,19 +283,22 @@
     return absl::OkStatus();
   }
 
-  // Begins the next generation with one record of all values. The file after the last synced one is taken again as long
-  // as attempts fail, so that no number of them reaches the synced values.
-  absl::Status writeCheckpoint() {
+  // Begins the next generation with one record of these values, which are all there are from then on. The file after
+  // the last synced one is taken again as long as attempts fail, so that no number of them reaches the synced values.
+  absl::Status writeCheckpoint(std::map<std::string, std::string> next) {
     current = (syncedFile + 1) % shape.files;
     ++generation;
     serial = 0;
     end = 0;
     Batch batch;
-    for (std::pair<std::string const, std::string> const& entry : values) {
+    for (std::pair<std::string const, std::string> const& entry : next) {
       batch.pairs.push_back({entry.first, entry.second});
     }
     absl::Status written = append(batch);
-    checkpointDue = checkpointDue && !written.ok();
+    if (written.ok()) {
+      values = std::move(next);
+      checkpointDue = false;
+    }
     return written;
   }
 
@@ -320,15 +323,11 @@
   }
 
   absl::Status rewrite(Puts const& puts) {
-    std::map<std::string, std::string> const synced = values;
+    std::map<std::string, std::string> next = values;
     for (std::pair<std::string, std::string> const& entry : puts) {
-      values[entry.first] = entry.second;
+      next[entry.first] = entry.second;
     }
-    absl::Status written = writeCheckpoint();
-    if (!written.ok()) {
-      values = synced;
-    }
-    return written;
+    return writeCheckpoint(std::move(next));
   }
 };
 
