Fix: each change that took long to read deposed the primary that read it

What callers saw: a patch of a configuration of 1 MiB was answered 504 by one primary after the other and never taken; 31 epochs in 60 s.

Cause: the event loop of a controller evaluated orders itself (parse, merge, check) in the step that also sends the group's heartbeats. Whatever takes over 1.5 s there is a silence for which the backup takes over; the caller's repetition then does the same to the next primary.

After each E502 the primary logs nothing for 2 s and then finds both others unheard in one tick.

Change: the configuration service asks for an evaluation (EvaluateOrder) and goes on with its report (OrderEvaluated); the controller carries it out on a thread of its own. One at a time, and no other state is proposed meanwhile; the end of the leadership or of the process cancels it. At its deadline the caller is told 504 and the change is carried on.

--- a/libs/control/include/limeramp/control/config_service.h
+++ b/libs/control/include/limeramp/control/config_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/config/configuration.h"
+#include "limeramp/control/orders.h"
 #include "limeramp/distribution/peer_views.h"
 #include "limeramp/messages/messages.h"
 #include "limeramp/replication/replication_group.h"
@@ -8,7 +9,6 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,8 +18,7 @@
 /// hold.
 namespace limeramp::control {
 
-/// The steady clock of this machine.
-using TimePoint = std::chrono::steady_clock::time_point;
+class OrderEvaluator;
 
 /// Times and bounds of the configuration service.
 struct ConfigServiceOptions {
@@ -52,28 +51,6 @@
   std::size_t maxDocumentBytes = 1 << 20;
 };
 
-/// An order that a zone be evacuated, or used again.
-struct ZoneOrder {
-  std::string zone;
-  bool evacuated = false;
-};
-
-/// An operator's order. Exactly one of a document, a patch and a zone order.
-struct Change {
-  std::uint64_t ticket = 0;
-  /// The idempotency key: the same at each repetition, at every node. Named by the caller, or derived from the content.
-  std::string id;
-  /// The version that it must replace, if the caller names one.
-  std::optional<config::Version> base;
-  bool patch = false;
-  std::string body;
-  TimePoint deadline;
-  std::optional<std::uint64_t> baseRevision{};
-  std::optional<ZoneOrder> zone{};
-  /// The key was derived from a content that names no base: it does not tell a repetition from a new wish.
-  bool keyedByContentOnly = false;
-};
-
 /// An operator reads the configuration back.
 struct Read {
   std::uint64_t ticket = 0;
@@ -105,6 +82,12 @@
   std::uint64_t ticket = 0;
 };
 
+/// What came of an EvaluateOrder.
+struct OrderEvaluated {
+  std::uint64_t token = 0;
+  Evaluation evaluation;
+};
+
 /// The process will be stopped: take no new orders, finish what was begun.
 struct BeginShutdown {};
 
@@ -114,11 +97,7 @@
 /// All that can happen to the service.
 using ConfigServiceEvent = std::variant<replication::BecamePrimary, replication::SteppedDown, replication::Committed,
                                         replication::OutcomeUnknown, Change, Read, StateRequestReceived, ProbeFinished,
-                                        RemoveNodes, CallerLeft, Tick, BeginShutdown>;
-
-/// How an order ended. `taken`, `refused` and `conflict` are definite and linearizable. `notRun`: this call changed
-/// nothing and will change nothing. `unknown`: it may have taken effect, or may still do so.
-enum class OrderStatus { taken, refused, conflict, notRun, unknown };
+                                        RemoveNodes, CallerLeft, OrderEvaluated, Tick, BeginShutdown>;
 
 /// The answer to an order. Given once for each ticket.
 struct OrderOutcome {
@@ -137,6 +116,17 @@
   std::string document;
 };
 
+/// Find out what this order means on this state, by OrderEvaluator::evaluate, and report it as OrderEvaluated. Reading
+/// long documents takes longer than a heartbeat may be late, so that it is not for the thread that steps the group. At
+/// most one evaluation is asked for before the last one was reported.
+struct EvaluateOrder {
+  std::uint64_t token = 0;
+  Change order;
+  messages::State state;
+  /// The epoch under which the primary would write the next state.
+  std::uint64_t epoch = 0;
+};
+
 /// Find out whether the process of this node still runs.
 struct Probe {
   std::uint64_t token = 0;
@@ -146,7 +136,7 @@
 
 /// All that a step can ask for.
 using ConfigServiceEffect = std::variant<replication::Proposal, OrderOutcome, ConfigurationRead, distribution::Outgoing,
-                                         Probe, replication::LogEntry>;
+                                         EvaluateOrder, Probe, replication::LogEntry>;
 
 /// What the primary knows about a node, for status pages.
 struct NodeView {
@@ -189,6 +179,8 @@
   std::vector<NodeView> nodes(TimePoint now) const;
   /// Orders that have no answer yet.
   std::size_t pending() const;
+  /// Carries out what EvaluateOrder asks for. To be copied before other threads use it.
+  OrderEvaluator const& evaluator() const;
 
   /// A hash of everything that decides what later steps do, for the model checker. Times count as differences from now.
   std::uint64_t digest(TimePoint now) const;
--- a/libs/control/src/config_service.cpp
+++ b/libs/control/src/config_service.cpp
@@ -82,10 +82,22 @@
 
 bool ConfigService::active() const { return impl_->active; }
 messages::State const& ConfigService::published() const { return impl_->published; }
-std::size_t ConfigService::pending() const { return impl_->queue.size() + impl_->waitingAnswers(); }
+std::size_t ConfigService::pending() const {
+  bool const evaluating = impl_->evaluation && !impl_->evaluation->answered && !impl_->evaluation->cancelled;
+  return impl_->queue.size() + impl_->waitingAnswers() + (evaluating ? 1 : 0);
+}
+
+OrderEvaluator const& ConfigService::evaluator() const { return impl_->evaluator; }
 
 void ConfigService::Impl::digestOrders(messages::StateDigest& digest) const {
   queue.digest(digest);
+  digest.add(evaluation.has_value());
+  if (evaluation) {
+    digestOrder(digest, evaluation->queued.order);
+    digest.add(evaluation->queued.arrivedAt);
+    digest.add(evaluation->answered);
+    digest.add(evaluation->cancelled);
+  }
   digest.add(inProgress.has_value());
   if (inProgress) {
     digestOrder(digest, *inProgress);
--- a/libs/control/src/config_service_impl.h
+++ b/libs/control/src/config_service_impl.h
@@ -24,6 +24,17 @@
 /// The reason that a caller is told.
 std::string textOf(OrderObstacle obstacle);
 
+/// An order whose meaning is being found out.
+struct PendingEvaluation {
+  std::uint64_t token = 0;
+  QueuedOrder queued;
+  /// Its deadline has passed and its caller was told that the outcome is unknown. It is begun all the same: given up, a
+  /// change that takes longer to read than callers wait would never be taken, however often it is repeated.
+  bool answered = false;
+  /// It will not be begun: the leadership, or the work of this process, has ended.
+  bool cancelled = false;
+};
+
 /// All of the service. The functions stand by job: order_processing.cpp has orders and reads, state_publishing.cpp what
 /// nodes are sent and report, roster_changes.cpp the roster, config_service.cpp the beginning and the end of a
 /// leadership.
@@ -47,6 +58,10 @@
   distribution::StateFeed feed;
   NodeRemovals removals;
   OrderQueue queue;
+  /// Set from an EvaluateOrder to its report. No other state is proposed meanwhile, so that the evaluated state is the
+  /// published one for as long as the leadership lasts.
+  std::optional<PendingEvaluation> evaluation;
+  std::uint64_t lastEvaluation = 0;
   std::optional<Change> inProgress;
   bool inProgressAnswered = false;
   std::uint64_t lastOwnTicket = 1ULL << 60;
@@ -67,6 +82,7 @@
   void on(replication::ReplicationGroup const& group, ProbeFinished const& event);
   void on(replication::ReplicationGroup const& group, RemoveNodes const& event);
   void on(replication::ReplicationGroup const& group, CallerLeft const& event);
+  void on(replication::ReplicationGroup const& group, OrderEvaluated const& event);
   void on(replication::ReplicationGroup const& group, Tick const& event);
   void on(replication::ReplicationGroup const& group, BeginShutdown const& event);
 
@@ -109,7 +125,11 @@
   void publish(messages::State const& state);
   void startNext(replication::ReplicationGroup const& group);
   bool proposeRoster(replication::ReplicationGroup const& group);
-  void begin(replication::ReplicationGroup const& group, QueuedOrder const& queued);
+  void cancelEvaluation(std::string const& reason);
+  void expireEvaluation();
+  void evaluate(replication::ReplicationGroup const& group, QueuedOrder queued);
+  void begin(QueuedOrder const& queued, Evaluation evaluated);
+  void beginAnswered(QueuedOrder const& queued, Evaluation evaluated);
   void begin(QueuedOrder const& queued, NewState proposal);
   void begin(QueuedOrder const& queued, AlreadyTaken const& taken);
   void begin(QueuedOrder const& queued, Rejection rejection);
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -81,6 +81,8 @@
       diskWriter(std::move(storeIn), [this](DiskDone done) { inboundMessages.push(std::move(done)); }),
       group(replication::optionsFor(settingsIn.machineLosses)),
       service(ConfigServiceOptions{}, identity.id, schemaIn),
+      evaluations(service.evaluator(),
+                  [this](OrderEvaluated evaluated) { inboundMessages.push(std::move(evaluated)); }),
       views({},
             messages::Peer{identity.id, settingsIn.advertise, settingsIn.zone, messages::controllerRole,
                            net::randomUint64() >> 1, 0},
--- a/libs/control/src/control_server_impl.h
+++ b/libs/control/src/control_server_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "disk_writer.h"
+#include "evaluation_thread.h"
 
 #include "limeramp/control/config_service.h"
 #include "limeramp/control/control_server.h"
@@ -47,8 +48,8 @@
 /// Asks for the settings file to be read at once.
 struct ReloadRequested {};
 
-using InboundMessage = std::variant<Incoming, RequestAbandoned, DiskDone, ForwardFinished, ProbeFinished,
-                                    DrainRequested, FollowSettings, ReloadRequested>;
+using InboundMessage = std::variant<Incoming, RequestAbandoned, DiskDone, OrderEvaluated, ForwardFinished,
+                                    ProbeFinished, DrainRequested, FollowSettings, ReloadRequested>;
 
 /// An operator's order to force a new group, while the configuration for it is being fetched.
 struct PendingForcedGroup {
@@ -99,6 +100,7 @@
   void on(Incoming& inbound);
   void on(RequestAbandoned const& inbound);
   void on(DiskDone& inbound);
+  void on(OrderEvaluated const& inbound) { stepService(inbound); }
   void on(ForwardFinished& inbound) { forwarder.onFinished(Clock::now(), inbound); }
   void on(ProbeFinished& inbound) { stepService(inbound); }
   void on(DrainRequested& inbound);
@@ -145,6 +147,7 @@
   DiskWriter diskWriter;
   replication::ReplicationGroup group;
   ConfigService service;
+  EvaluationThread evaluations;
   distribution::PeerViews views;
   node::Listeners listeners;
   std::thread core;
--- a/libs/control/src/order_evaluator.cpp
+++ b/libs/control/src/order_evaluator.cpp
@@ -52,10 +52,6 @@
 OrderEvaluator::OrderEvaluator(ConfigServiceOptions const& options, config::ConfigSchema schema)
     : options_(options), schema_(std::move(schema)) {}
 
-Evaluation OrderEvaluator::evaluate(Change const& order, messages::State const& state, std::uint64_t epoch) const {
-  return order.zone ? evaluateZone(*order.zone, state) : evaluateConfiguration(order, state, epoch);
-}
-
 Evaluation OrderEvaluator::evaluateZone(ZoneOrder const& order, messages::State const& state) const {
   std::vector<std::string> const& zones = state.evacuatedZones;
   bool const evacuated = std::find(zones.begin(), zones.end(), order.zone) != zones.end();
@@ -74,8 +70,9 @@
   return out;
 }
 
-Evaluation OrderEvaluator::evaluateConfiguration(Change const& change, messages::State const& state,
-                                                 std::uint64_t epoch) const {
+Evaluation OrderEvaluator::evaluate(EvaluateOrder const& wanted) const {
+  Change const& change = wanted.order;
+  messages::State const& state = wanted.state;
   ReceiptLookup const receipt = findReceipt(state, change);
   if (receipt.match == ReceiptMatch::otherContent) {
     return Rejection{OrderStatus::refused, "the change id was used for another change", {}};
@@ -89,7 +86,7 @@
   if (receipt.match == ReceiptMatch::same) {
     return AlreadyTaken{receipt.version};
   }
-  return evaluateNew(change, state, epoch);
+  return evaluateNew(change, state, wanted.epoch);
 }
 
 Evaluation OrderEvaluator::evaluateNew(Change const& change, messages::State const& state, std::uint64_t epoch) const {
--- a/libs/control/src/order_processing.cpp
+++ b/libs/control/src/order_processing.cpp
@@ -71,7 +71,22 @@
   }
 }
 
+void ConfigService::Impl::on(replication::ReplicationGroup const& group, OrderEvaluated const& event) {
+  if (!evaluation || evaluation->token != event.token) {
+    return;
+  }
+  PendingEvaluation const finished = *std::move(evaluation);
+  evaluation.reset();
+  if (finished.answered && !finished.cancelled) {
+    beginAnswered(finished.queued, event.evaluation);
+  } else if (!finished.cancelled) {
+    begin(finished.queued, event.evaluation);
+  }
+  startNext(group);
+}
+
 void ConfigService::Impl::rejectQueued(std::string const& reason) {
+  cancelEvaluation(reason);
   for (QueuedOrder const& queued : queue.takeAll()) {
     decide(queued.order.ticket, OrderStatus::notRun, reason);
   }
@@ -108,6 +123,7 @@
   for (QueuedOrder const& queued : queue.takeExpired(now)) {
     decide(queued.order.ticket, OrderStatus::notRun, "the deadline passed before the change was begun");
   }
+  expireEvaluation();
 }
 
 void ConfigService::Impl::completeAcknowledged() {
@@ -139,9 +155,43 @@
   return leads && majorities && (allConfirmed(entry.stateVersion) || lapsed);
 }
 
-void ConfigService::Impl::begin(replication::ReplicationGroup const& group, QueuedOrder const& queued) {
-  Evaluation evaluation = evaluator.evaluate(queued.order, published, group.decided().epoch);
-  std::visit([&](auto& concrete) { begin(queued, std::move(concrete)); }, evaluation);
+void ConfigService::Impl::cancelEvaluation(std::string const& reason) {
+  if (!evaluation || evaluation->cancelled) {
+    return;
+  }
+  evaluation->cancelled = true;
+  if (!evaluation->answered) {
+    decide(evaluation->queued.order.ticket, OrderStatus::notRun, reason);
+  }
+}
+
+void ConfigService::Impl::expireEvaluation() {
+  bool const waits = evaluation && !evaluation->answered && !evaluation->cancelled;
+  if (waits && now >= evaluation->queued.order.deadline) {
+    evaluation->answered = true;
+    decide(evaluation->queued.order.ticket, OrderStatus::unknown, "the change is still being checked");
+  }
+}
+
+void ConfigService::Impl::evaluate(replication::ReplicationGroup const& group, QueuedOrder queued) {
+  if (queued.order.zone) {
+    begin(queued, evaluator.evaluateZone(*queued.order.zone, published));
+    return;
+  }
+  effects.emplace_back(EvaluateOrder{++lastEvaluation, queued.order, published, group.decided().epoch});
+  evaluation = PendingEvaluation{lastEvaluation, std::move(queued)};
+}
+
+void ConfigService::Impl::begin(QueuedOrder const& queued, Evaluation evaluated) {
+  std::visit([&](auto& concrete) { begin(queued, std::move(concrete)); }, evaluated);
+}
+
+// Nobody waits for an answer: what needs no new state has no further effect.
+void ConfigService::Impl::beginAnswered(QueuedOrder const& queued, Evaluation evaluated) {
+  if (NewState* const proposal = std::get_if<NewState>(&evaluated)) {
+    begin(queued, std::move(*proposal));
+    inProgressAnswered = true;
+  }
 }
 
 void ConfigService::Impl::begin(QueuedOrder const& queued, NewState proposal) {
@@ -169,11 +219,11 @@
 }
 
 void ConfigService::Impl::startNext(replication::ReplicationGroup const& group) {
-  while (active && inProgressTicket == 0) {
+  while (active && inProgressTicket == 0 && !evaluation) {
     if (proposeRoster(group)) {
       return;
     }
-    std::optional<QueuedOrder> const queued = queue.takeFirst([this](QueuedOrder const& each) { return isDue(each); });
+    std::optional<QueuedOrder> queued = queue.takeFirst([this](QueuedOrder const& each) { return isDue(each); });
     if (!queued) {
       return;
     }
@@ -182,7 +232,7 @@
     } else if (isUnconfirmed()) {
       decide(queued->order.ticket, OrderStatus::notRun, textOf(OrderObstacle::backupUnresponsive));
     } else {
-      begin(group, *queued);
+      evaluate(group, *std::move(queued));
     }
   }
 }
--- a/libs/control/src/state_machines.cpp
+++ b/libs/control/src/state_machines.cpp
@@ -53,6 +53,8 @@
       apply(*decided);
     } else if (ConfigurationRead const* const back = std::get_if<ConfigurationRead>(&effect)) {
       reply(back->ticket, answerOf(*back));
+    } else if (EvaluateOrder const* const evaluated = std::get_if<EvaluateOrder>(&effect)) {
+      evaluations.evaluate(*evaluated);
     } else if (Probe const* const wanted = std::get_if<Probe>(&effect)) {
       probe(*wanted);
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
--- a/test_support/capacity/fleet.cpp
+++ b/test_support/capacity/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "limeramp/control/change_receipts.h"
 #include "limeramp/control/config_service.h"
+#include "limeramp/control/order_evaluator.h"
 #include "limeramp/discovery/server_directory.h"
 #include "limeramp/distribution/config_delivery.h"
 #include "limeramp/distribution/peer_views.h"
@@ -459,6 +460,8 @@
       answers[decided->ticket] = *decided;
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
       send(index, outgoing->address, outgoing->message);
+    } else if (control::EvaluateOrder const* const order = std::get_if<control::EvaluateOrder>(&effect)) {
+      drivePlane(index, control::OrderEvaluated{order->token, controller.plane->evaluator().evaluate(*order)});
     } else if (control::Probe const* const wanted = std::get_if<control::Probe>(&effect)) {
       probe(index, *wanted);
     }
--- a/test_support/explorer/world_operators.cpp
+++ b/test_support/explorer/world_operators.cpp
@@ -1,4 +1,5 @@
 #include "explorer/world.h"
+#include "limeramp/control/order_evaluator.h"
 
 /// The operators, and the Plane of each member that they call.
 namespace limeramp::explorer {
@@ -113,6 +114,8 @@
       changeHistory().onReadBack(members_[index]->id, members_[index]->group.decided().epoch, *readBack);
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
       sendTo(index, outgoing->address, outgoing->message);
+    } else if (control::EvaluateOrder const* const order = std::get_if<control::EvaluateOrder>(&effect)) {
+      drivePlane(index, control::OrderEvaluated{order->token, members_[index]->plane->evaluator().evaluate(*order)});
     } else if (control::Probe const* const wanted = std::get_if<control::Probe>(&effect)) {
       probe(index, *wanted);
     }
--- a/test_support/simulator/fleet_simulation.cpp
+++ b/test_support/simulator/fleet_simulation.cpp
@@ -464,6 +464,8 @@
       readBacks[back->ticket] = *back;
     } else if (distribution::Outgoing const* const outgoing = std::get_if<distribution::Outgoing>(&effect)) {
       send(index, outgoing->address, outgoing->message);
+    } else if (control::EvaluateOrder const* const order = std::get_if<control::EvaluateOrder>(&effect)) {
+      evaluate(index, *order);
     } else if (control::Probe const* const wanted = std::get_if<control::Probe>(&effect)) {
       probe(index, *wanted);
     }
@@ -474,6 +476,23 @@
   }
 }
 
+void FleetSimulation::evaluate(std::size_t index, control::EvaluateOrder const& order) {
+  control::OrderEvaluated const evaluated{order.token, machines[index].controller->plane->evaluator().evaluate(order)};
+  if (evaluationTime == Ms(0)) {
+    drivePlane(index, evaluated);
+    return;
+  }
+  std::uint64_t const life = machines[index].life;
+  network.after(evaluationTime, [this, index, life, evaluated] {
+    Machine& machine = machines[index];
+    if (!machine.up || machine.life != life) {
+      return;
+    }
+    std::function<void()> const report = [this, index, evaluated] { drivePlane(index, evaluated); };
+    machine.frozen ? machine.thawWork.push_back(report) : report();
+  });
+}
+
 void FleetSimulation::submit(std::size_t index, control::ConfigServiceEvent const& event) {
   control::Change const* const change = std::get_if<control::Change>(&event);
   if (change != nullptr && change->zone) {
--- a/test_support/simulator/fleet_simulation.h
+++ b/test_support/simulator/fleet_simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limeramp/control/config_service.h"
+#include "limeramp/control/order_evaluator.h"
 #include "limeramp/distribution/config_delivery.h"
 #include "limeramp/replication/replication_group.h"
 #include "simulator/simulated_links.h"
@@ -69,6 +70,8 @@
   std::map<std::uint64_t, Answered> answers;
   std::map<std::uint64_t, control::ConfigurationRead> readBacks;
   config::ConfigSchema schema = config::nativeConfigSchema();
+  /// How long a controller takes to find out what an order means.
+  Ms evaluationTime{0};
   std::size_t served = 0;
   std::size_t withheld = 0;
   std::size_t confirmedByMajority = 0;
@@ -126,6 +129,7 @@
   void step(std::size_t index, replication::GroupEvent const& event);
   void drivePlane(std::size_t index, control::ConfigServiceEvent const& event);
   void send(std::size_t from, std::string const& address, messages::Message const& message);
+  void evaluate(std::size_t index, control::EvaluateOrder const& order);
   void probe(std::size_t from, control::Probe const& probe);
   void arrive(std::size_t to, std::uint64_t life, std::size_t from, std::size_t bytes,
               messages::Message const& message);
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -588,7 +588,7 @@
   }
   control::OrderEvaluator const evaluator(control::ConfigServiceOptions{}, config::nativeConfigSchema());
   std::function<control::OrderStatus(control::Change const&)> const verdictOf = [&](control::Change const& change) {
-    control::Evaluation const evaluation = evaluator.evaluate(change, state, 3);
+    control::Evaluation const evaluation = evaluator.evaluate({1, change, state, 3});
     control::Rejection const* const rejection = std::get_if<control::Rejection>(&evaluation);
     return rejection == nullptr ? control::OrderStatus::taken : rejection->verdict;
   };
@@ -609,11 +609,11 @@
   control::OrderEvaluator const evaluator(control::ConfigServiceOptions{}, config::nativeConfigSchema());
   messages::State state = takenOn({}, keyed("c", "{}"), 5);
   control::Change change = keyed("x", R"({"services":{"a":{}}})");
-  EXPECT_TRUE(std::holds_alternative<control::NewState>(evaluator.evaluate(change, state, 3)));
+  EXPECT_TRUE(std::holds_alternative<control::NewState>(evaluator.evaluate({1, change, state, 3})));
   change.baseRevision = 5;
-  EXPECT_TRUE(std::holds_alternative<control::Rejection>(evaluator.evaluate(change, state, 3)));
+  EXPECT_TRUE(std::holds_alternative<control::Rejection>(evaluator.evaluate({1, change, state, 3})));
   change.body = documentOf(6, "a");
-  EXPECT_TRUE(std::holds_alternative<control::NewState>(evaluator.evaluate(change, state, 3)));
+  EXPECT_TRUE(std::holds_alternative<control::NewState>(evaluator.evaluate({1, change, state, 3})));
 }
 
 TEST(ContentKey, DoesNotUndoALaterChangeNorClaimToBeInForce) {
@@ -621,13 +621,13 @@
   control::Change first = keyed("content of first", R"({"services":{"a":{}}})");
   first.keyedByContentOnly = true;
   messages::State state = takenOn({}, first, 0);
-  EXPECT_TRUE(std::holds_alternative<control::AlreadyTaken>(evaluator.evaluate(first, state, 3)));
+  EXPECT_TRUE(std::holds_alternative<control::AlreadyTaken>(evaluator.evaluate({1, first, state, 3})));
   state = takenOn(state, keyed("second", "{}"), 0);
-  control::Evaluation const again = evaluator.evaluate(first, state, 3);
+  control::Evaluation const again = evaluator.evaluate({1, first, state, 3});
   ASSERT_TRUE(std::holds_alternative<control::Rejection>(again));
   EXPECT_EQ(std::get<control::Rejection>(again).verdict, control::OrderStatus::unknown);
   first.keyedByContentOnly = false;
-  EXPECT_TRUE(std::holds_alternative<control::AlreadyTaken>(evaluator.evaluate(first, state, 3)));
+  EXPECT_TRUE(std::holds_alternative<control::AlreadyTaken>(evaluator.evaluate({1, first, state, 3})));
 }
 
 TEST(AnswerGate, ReleasesWhatCameBeforeTheConfirmationBegan) {
--- a/tests/state_bounds_test.cpp
+++ b/tests/state_bounds_test.cpp
@@ -87,7 +87,7 @@
     Change change;
     change.id = "long";
     change.body = frame + std::string(options.maxDocumentBytes - frame.size() + surplus, ' ');
-    Evaluation const evaluation = evaluator.evaluate(change, messages::State{}, 1);
+    Evaluation const evaluation = evaluator.evaluate({1, change, messages::State{}, 1});
     EXPECT_EQ(std::holds_alternative<Rejection>(evaluation), surplus > 0) << surplus;
   }
 }
