Simulator: an order that is answered twice is a fault; a stricter test of repetitions

The simulator now complains of a second answer in every test, and the test looks at the state while the repetition is still being evaluated.

--- a/test_support/simulator/fleet_simulation.cpp
+++ b/test_support/simulator/fleet_simulation.cpp
@@ -446,7 +446,9 @@
     if (replication::Proposal const* const offer = std::get_if<replication::Proposal>(&effect)) {
       step(index, *offer);
     } else if (control::OrderOutcome const* const decided = std::get_if<control::OrderOutcome>(&effect)) {
-      answers[decided->ticket] = {*decided, network.now()};
+      if (!answers.emplace(decided->ticket, Answered{*decided, network.now()}).second) {
+        complain(controller.id + " answers order " + std::to_string(decided->ticket) + " a second time");
+      }
       if (onDecided) {
         onDecided(*decided);
       }
--- a/tests/order_evaluation_test.cpp
+++ b/tests/order_evaluation_test.cpp
@@ -71,16 +71,18 @@
 
 // Guards against work that is thrown away at the deadline and begun anew by each repetition, without an end.
 TEST_P(OrderEvaluation, LongerThanTheDeadlineIsAnsweredInTimeAndARepetitionFindsItsChangeTaken) {
-  fleet.evaluationTime = Ms(2000);
+  constexpr Ms evaluationTime{2000};
+  fleet.evaluationTime = evaluationTime;
   control::Change const order = orderOn(4, 6, "second");
   std::uint64_t const ticket = submit(order, callMs);
   fleet.run(callMs + Ms(60));
   EXPECT_EQ(answerTo(ticket), control::OrderStatus::unknown);
   std::uint64_t const repetition = submit(order, Ms(8000));
-  fleet.run(Ms(6000));
-  EXPECT_EQ(answerTo(ticket), control::OrderStatus::unknown) << "answered once";
+  fleet.run(evaluationTime);
+  EXPECT_EQ(published().revision, 6U) << "by the first one: the repetition is still being evaluated";
+  fleet.run(2 * evaluationTime);
   EXPECT_EQ(answerTo(repetition), control::OrderStatus::taken);
-  EXPECT_EQ(published().revision, 6U);
+  EXPECT_EQ(fleet.complaints, std::vector<std::string>{});
 }
 
 TEST_P(OrderEvaluation, LongerThanTheDeadlineOfAnInvalidChangeChangesNothing) {
