One place for abandoned requests, for late orders, and for what the disk held

No change in behaviour. RequestAbandoned and the answer to an order whose caller left stood in controller and gateway alike: now in control (declineAbandoned). Whether a queued order is too late was asked twice, in two forms (reasonToDecline). DiskWriter::storedAtStart copied all values, twice at the start. A ring file whose fstat failed was not closed.

--- a/libs/control/include/limeramp/control/operator_api.h
+++ b/libs/control/include/limeramp/control/operator_api.h
@@ -30,8 +30,9 @@
 /// forced new group. Such an order names no version that it builds on, so nothing but its caller's presence tells a new
 /// one from a late copy of one that was given up, sent again elsewhere, and overtaken by its opposite.
 bool needsCaller(net::Request const& request);
-/// The answer to an order that was not begun since its caller had left.
-net::Answer callerLeftAnswer();
+/// Answers a request that needs its caller, and whose caller left before it was handed on, as not run. False, without
+/// an answer, for all others.
+bool declineAbandoned(net::Request const& request, net::Responder const& respond);
 /// The deadline of a call that came at `arrivedAt`, or the answer to a malformed one.
 std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint arrivedAt);
 /// Reads an order that came at `arrivedAt`. Without a key of the caller's, its key is derived from the content and the
--- a/libs/control/include/limeramp/control/order_forwarder.h
+++ b/libs/control/include/limeramp/control/order_forwarder.h
@@ -10,6 +10,11 @@
 /// Carries a Relay's effects out over HTTP.
 namespace limeramp::control {
 
+/// The caller of a request that a listener handed on has left before its answer.
+struct RequestAbandoned {
+  std::uint64_t requestToken = 0;
+};
+
 /// What came of one attempt, on its way back to the thread that owns the forwarder.
 struct ForwardFinished {
   std::uint64_t ticket = 0;
--- a/libs/control/src/config_service_impl.h
+++ b/libs/control/src/config_service_impl.h
@@ -106,11 +106,12 @@
     }
     return isUnconfirmed() ? std::optional(OrderObstacle::backupUnresponsive) : std::nullopt;
   }
+  /// Why a queued order is not carried out any more; nothing if it may be.
+  std::optional<std::string> reasonToDecline(QueuedOrder const& queued) const;
   /// Whether a queued order is carried out, or declined, now. An order for a zone waits until the leadership is
   /// confirmed as of its arrival: by then the news that its caller has left is here, if it left before the order came.
   bool isDue(QueuedOrder const& queued) const {
-    return !queued.order.zone || confirmedSince(confirmedAt, queued.arrivedAt) || now >= queued.order.deadline ||
-           isUnconfirmed();
+    return !queued.order.zone || confirmedSince(confirmedAt, queued.arrivedAt) || reasonToDecline(queued).has_value();
   }
   std::size_t waitingAnswers() const { return acknowledgements.size() + refusals.size() + removals.size(); }
   bool majorityConfirmed(std::vector<messages::RosterEntry> const& roster, StateVersion const& wanted) const {
--- a/libs/control/src/control_server_impl.h
+++ b/libs/control/src/control_server_impl.h
@@ -32,11 +32,6 @@
   Clock::time_point arrivedAt = Clock::now();
 };
 
-/// The caller of a request that was handed on has left before its answer.
-struct RequestAbandoned {
-  std::uint64_t requestToken = 0;
-};
-
 /// Asks the controller to hand its duties over.
 struct DrainRequested {};
 
--- a/libs/control/src/disk_writer.cpp
+++ b/libs/control/src/disk_writer.cpp
@@ -19,8 +19,9 @@
   }
 }
 
-std::map<std::string, std::string> DiskWriter::storedAtStart() const {
-  return store_ == nullptr ? std::map<std::string, std::string>{} : store_->values();
+std::map<std::string, std::string> const& DiskWriter::storedAtStart() const {
+  static std::map<std::string, std::string> const nothing;
+  return store_ == nullptr ? nothing : store_->values();
 }
 
 void DiskWriter::start() {
--- a/libs/control/src/disk_writer.h
+++ b/libs/control/src/disk_writer.h
@@ -41,8 +41,8 @@
   DiskWriter(DiskWriter const&) = delete;
   DiskWriter& operator=(DiskWriter const&) = delete;
 
-  /// What the disk held when it was opened. Empty without a store. To be called before `start` only.
-  std::map<std::string, std::string> storedAtStart() const;
+  /// What the disk held when it was opened. Empty without a store. To be called, and read, before `start` only.
+  std::map<std::string, std::string> const& storedAtStart() const;
   bool keepsRecords() const { return store_ != nullptr; }
   /// Begins to write what was handed in.
   void start();
--- a/libs/control/src/event_loop.cpp
+++ b/libs/control/src/event_loop.cpp
@@ -92,7 +92,7 @@
 }
 
 void ControlServer::Impl::restoreMembers() {
-  std::map<std::string, std::string> const records = diskWriter.storedAtStart();
+  std::map<std::string, std::string> const& records = diskWriter.storedAtStart();
   if (!records.contains(membersKey)) {
     return;
   }
--- a/libs/control/src/operator_api.cpp
+++ b/libs/control/src/operator_api.cpp
@@ -1,5 +1,7 @@
 #include "limeramp/control/operator_api.h"
 
+#include "limeramp/logging/logging.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -102,8 +104,13 @@
   return forcesNewGroup || ordersZone || operatorCallOf(request) == OperatorCall::removeNodes;
 }
 
-net::Answer callerLeftAnswer() {
-  return plain(503, "{\"outcome\":\"not_run\",\"reason\":" + json(callerLeftReason) + "}");
+bool declineAbandoned(net::Request const& request, net::Responder const& respond) {
+  if (!request.callerLeft || !needsCaller(request)) {
+    return false;
+  }
+  logging::raise(logging::Event::orderAbandoned, {{"target", request.target}});
+  respond(plain(503, "{\"outcome\":\"not_run\",\"reason\":" + json(callerLeftReason) + "}"));
+  return true;
 }
 
 std::variant<TimePoint, net::Answer> readDeadline(net::Request const& request, TimePoint arrivedAt) {
--- a/libs/control/src/operator_calls.cpp
+++ b/libs/control/src/operator_calls.cpp
@@ -11,10 +11,10 @@
 void ControlServer::Impl::on(Incoming& inbound) {
   std::string const& target = inbound.content.target;
   std::string const& method = inbound.content.method;
-  if (inbound.content.callerLeft && needsCaller(inbound.content)) {
-    logging::raise(logging::Event::orderAbandoned, {{"target", target}});
-    inbound.respond(callerLeftAnswer());
-  } else if (target == "/limeramp/inner" && method == "POST") {
+  if (declineAbandoned(inbound.content, inbound.respond)) {
+    return;
+  }
+  if (target == "/limeramp/inner" && method == "POST") {
     receivePeerMessage(inbound.content.body);
     inbound.respond({204, {}, ""});
   } else if (operatorCallOf(inbound.content) == OperatorCall::change) {
--- a/libs/control/src/order_processing.cpp
+++ b/libs/control/src/order_processing.cpp
@@ -7,6 +7,11 @@
 #include <variant>
 
 namespace limeramp::control {
+namespace {
+
+constexpr char const* deadlinePassedReason = "the deadline passed before the change was begun";
+
+}  // namespace
 
 void ConfigService::Impl::on(replication::ReplicationGroup const&, replication::Committed const& event) {
   publish(event.state);
@@ -121,7 +126,7 @@
     decide(inProgress->ticket, OrderStatus::unknown, "the backup has not confirmed the change yet");
   }
   for (QueuedOrder const& queued : queue.takeExpired(now)) {
-    decide(queued.order.ticket, OrderStatus::notRun, "the deadline passed before the change was begun");
+    decide(queued.order.ticket, OrderStatus::notRun, deadlinePassedReason);
   }
   expireEvaluation();
 }
@@ -155,6 +160,13 @@
   return leads && majorities && (allConfirmed(entry.stateVersion) || lapsed);
 }
 
+std::optional<std::string> ConfigService::Impl::reasonToDecline(QueuedOrder const& queued) const {
+  if (now >= queued.order.deadline) {
+    return deadlinePassedReason;
+  }
+  return isUnconfirmed() ? std::optional(textOf(OrderObstacle::backupUnresponsive)) : std::nullopt;
+}
+
 void ConfigService::Impl::cancelEvaluation(std::string const& reason) {
   if (!evaluation || evaluation->cancelled) {
     return;
@@ -227,10 +239,8 @@
     if (!queued) {
       return;
     }
-    if (now >= queued->order.deadline) {
-      decide(queued->order.ticket, OrderStatus::notRun, "the deadline passed before the change was begun");
-    } else if (isUnconfirmed()) {
-      decide(queued->order.ticket, OrderStatus::notRun, textOf(OrderObstacle::backupUnresponsive));
+    if (std::optional<std::string> const reason = reasonToDecline(*queued)) {
+      decide(queued->order.ticket, OrderStatus::notRun, *reason);
     } else {
       evaluate(group, *std::move(queued));
     }
--- a/libs/gateway/src/gateway_server.cpp
+++ b/libs/gateway/src/gateway_server.cpp
@@ -108,7 +108,7 @@
   callers.opensLater = true;
   net::ServerOptions peers = general;
   peers.watchesCaller = control::needsCaller;
-  peers.gone = [this](std::uint64_t token) { post(RequestAbandoned{token}); };
+  peers.gone = [this](std::uint64_t token) { post(control::RequestAbandoned{token}); };
   net::ServerOptions operatorsOptions = peers;
   operatorsOptions.watchesCaller = control::mayBeOrder;
   return listeners.listen(Audience::callers, settings.callerListens, callers, takeCaller, error) &&
--- a/libs/gateway/src/gateway_server_impl.h
+++ b/libs/gateway/src/gateway_server_impl.h
@@ -32,11 +32,6 @@
   Clock::time_point arrivedAt = Clock::now();
 };
 
-/// The caller of a request that was handed on has left before its answer.
-struct RequestAbandoned {
-  std::uint64_t requestToken = 0;
-};
-
 /// What came of reading a page of the platform's list.
 struct ListRead {
   net::Exchange exchange;
@@ -56,8 +51,8 @@
 /// Asks for the settings file to be read at once.
 struct ReloadRequested {};
 
-using InboundMessage = std::variant<Incoming, RequestAbandoned, ListRead, control::ForwardFinished, DrainRequested,
-                                    EndRequested, FollowSettings, ReloadRequested, RequestEvent>;
+using InboundMessage = std::variant<Incoming, control::RequestAbandoned, ListRead, control::ForwardFinished,
+                                    DrainRequested, EndRequested, FollowSettings, ReloadRequested, RequestEvent>;
 
 std::string nameOf(distribution::ConfigFreshness freshness);
 
@@ -84,7 +79,7 @@
   discovery::ZoneView surroundings() const;
   void refreshReadiness(Clock::time_point now);
   void on(Incoming& inbound);
-  void on(RequestAbandoned const& inbound) { forwarder.onCallerLeft(Clock::now(), inbound.requestToken); }
+  void on(control::RequestAbandoned const& inbound) { forwarder.onCallerLeft(Clock::now(), inbound.requestToken); }
   void on(ListRead& inbound);
   void on(control::ForwardFinished& inbound) { forwarder.onFinished(Clock::now(), inbound); }
   void on(DrainRequested& inbound);
--- a/libs/gateway/src/operator_calls.cpp
+++ b/libs/gateway/src/operator_calls.cpp
@@ -14,10 +14,10 @@
 void GatewayServer::Impl::serveOperator(Incoming& inbound) {
   std::string const& target = inbound.content.target;
   std::string const& method = inbound.content.method;
-  if (inbound.content.callerLeft && control::needsCaller(inbound.content)) {
-    logging::raise(logging::Event::orderAbandoned, {{"target", target}});
-    inbound.respond(control::callerLeftAnswer());
-  } else if (target == "/limeramp/inner" && method == "POST") {
+  if (control::declineAbandoned(inbound.content, inbound.respond)) {
+    return;
+  }
+  if (target == "/limeramp/inner" && method == "POST") {
     receivePeerMessage(inbound.content.body);
     inbound.respond({204, {}, ""});
   } else if (target == "/limeramp/carry" && method == "POST") {
--- a/libs/storage/src/record_store.cpp
+++ b/libs/storage/src/record_store.cpp
@@ -187,11 +187,14 @@
   absl::Status openFiles() {
     for (std::size_t index = 0; index < shape.files; ++index) {
       int const file = ::open(pathOf(index).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-      struct stat found {};
-      if (file < 0 || ::fstat(file, &found) != 0) {
+      if (file < 0) {
         return problem(pathOf(index));
       }
       files.push_back(file);
+      struct stat found {};
+      if (::fstat(file, &found) != 0) {
+        return problem(pathOf(index));
+      }
       // An earlier process may have written longer files: what stands behind `fileBytes` is read and used too.
       shape.fileBytes = std::max(shape.fileBytes, static_cast<std::size_t>(found.st_size));
     }
