--- a/libs/control/src/operator_calls.cpp
+++ b/libs/control/src/operator_calls.cpp
@@ -2,7 +2,6 @@
 #include "control_server_impl.h"
 
 #include "limeramp/control/operator_api.h"
-#include "limeramp/logging/logging.h"
 
 #include <algorithm>
 
--- a/libs/gateway/src/operator_calls.cpp
+++ b/libs/gateway/src/operator_calls.cpp
@@ -2,7 +2,6 @@
 #include "gateway_server_impl.h"
 
 #include "limeramp/control/operator_api.h"
-#include "limeramp/logging/logging.h"
 
 namespace limeramp::gateway {
 namespace {
