--- a/review/7/platform/case.py
+++ b/review/6/platform/case.py
@@ -1,4 +1,4 @@
-"""Case 7: an acknowledged configuration is lost with as many disks as the settings allow, two of them.
+"""Case 6: an acknowledged configuration is lost with as many disks as the settings allow, two of them.
 
 Five machines of seven have a disk. The controllers of three of these are killed at the same moment and start again 2 s
 later. An operator's change, sent meanwhile, is acknowledged as they come back. Right after the acknowledgement the two
